--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+GOBIN := $(CURDIR)/bin
+LINT_VERSION := v2.15.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_CONNECT_VERSION := v1.21.1
+
+.PHONY: build test lint format generate quickstart bench fuzz
+
+build:
+	go build -o bin/banyanscale .
+
+test:
+	go vet ./...
+	go test -count=1 ./...
+
+bin/golangci-lint:
+	GOBIN=$(GOBIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: bin/golangci-lint
+	bin/golangci-lint fmt --diff
+	bin/golangci-lint run
+
+format: bin/golangci-lint
+	bin/golangci-lint fmt
+
+# generate needs the Debian package protobuf-compiler; what it makes is committed.
+generate:
+	GOBIN=$(GOBIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOBIN=$(GOBIN) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
+	PATH="$(GOBIN):$$PATH" protoc -I proto --go_out=. --go_opt=module=github.com/banyanscale/banyanscale \
+		--connect-go_out=. --connect-go_opt=module=github.com/banyanscale/banyanscale proto/*.proto
+
+quickstart: build
+	scripts/quickstart
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/internal/cmd/root.go
@@ -0,0 +1,69 @@
+// Package cmd holds the commands of the banyanscale program, one file each.
+//
+// # Usage
+//
+//	os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+//
+// A command is a function that adds itself to the application and leaves its
+// action there. Errors go to the error stream and end the program with
+// exitFailure; wrong usage ends it with exitUsage.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Exit codes of the program.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// environment is what a command may use of the world around it.
+type environment struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// action runs one command.
+type action func() error
+
+// commands lists the functions that add a command each, in the order of the help text.
+var commands = []func(*kingpin.Application, *environment) (string, action){}
+
+// Run executes the command that args name and returns the program's exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	env := &environment{ctx: ctx, stdout: stdout, stderr: stderr}
+	app := kingpin.New("banyanscale", "A load balancer for servers whose load shifts within milliseconds.")
+	app.UsageWriter(stdout).ErrorWriter(stderr)
+	terminated := false
+	app.Terminate(func(int) { terminated = true })
+	actions := make(map[string]action, len(commands))
+	for _, add := range commands {
+		name, act := add(app, env)
+		actions[name] = act
+	}
+	name, err := app.Parse(args)
+	if terminated {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "banyanscale: %v\n", err)
+		return exitUsage
+	}
+	if err := actions[name](); err != nil {
+		fmt.Fprintf(stderr, "banyanscale: %v\n", err)
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,13 @@
+// Command banyanscale balances load between upstreams that sit beside its
+// nodes. Run "banyanscale help" for its commands.
+package main
+
+import (
+	"os"
+
+	"github.com/banyanscale/banyanscale/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/classifier/header.go
@@ -0,0 +1,34 @@
+package classifier
+
+// Header names of requests and answers. All values are ASCII.
+const (
+	// HeaderOutcome holds an Outcome's name, on every answer of a node. An
+	// upstream sets it to "not-run" on a request that it shed before any work.
+	HeaderOutcome = "Banyanscale-Outcome"
+	// HeaderReason holds a Reason, on every answer that a node made itself.
+	HeaderReason = "Banyanscale-Reason"
+	// HeaderRequestID holds the id of a request, for the explain command.
+	HeaderRequestID = "Banyanscale-Request-Id"
+	// HeaderTimeout holds the time left for the request, in whole milliseconds.
+	// It is relative, since clocks of two machines differ.
+	HeaderTimeout = "Banyanscale-Timeout-Ms"
+	// HeaderDepth holds how many services the request has passed through.
+	HeaderDepth = "Banyanscale-Depth"
+	// HeaderPriority holds the request's priority class: "high", "normal" or "low".
+	HeaderPriority = "Banyanscale-Priority"
+	// HeaderInstance holds the id of the instance that made the answer.
+	HeaderInstance = "Banyanscale-Instance"
+	// HeaderRetried is "1" on a refusal after which the level that made it, or
+	// one below, had retried already: levels above must not retry.
+	HeaderRetried = "Banyanscale-Retried"
+	// HeaderHop is "1" on requests from an entry node to a serving node.
+	HeaderHop = "Banyanscale-Hop"
+	// HeaderService holds the service's name on requests between nodes.
+	HeaderService = "Banyanscale-Service"
+	// HeaderLoad holds the serving node's load on answers between nodes.
+	HeaderLoad = "Banyanscale-Load"
+	// HeaderRetryAfter is the standard header that tells, in whole seconds, when to come back.
+	HeaderRetryAfter = "Retry-After"
+	// HeaderIdempotencyKey names a request that may be sent again but must run at most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
--- /dev/null
+++ b/pkg/classifier/verdict.go
@@ -0,0 +1,54 @@
+package classifier
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Verdict is what a caller may conclude from one answer.
+type Verdict struct {
+	outcome    Outcome
+	reason     Reason
+	retryAfter time.Duration
+}
+
+// FromResponse returns the verdict on an answer of a node, or on the error
+// that http.Client.Do returned instead. An error, and an answer without
+// HeaderOutcome, prove nothing: their outcome is Unknown.
+func FromResponse(resp *http.Response, err error) Verdict {
+	if err != nil || resp == nil {
+		return Verdict{outcome: Unknown}
+	}
+	outcome, parseErr := ParseOutcome(resp.Header.Get(HeaderOutcome))
+	if parseErr != nil {
+		return Verdict{outcome: Unknown}
+	}
+	return Verdict{
+		outcome:    outcome,
+		reason:     Reason(resp.Header.Get(HeaderReason)),
+		retryAfter: parseRetryAfter(resp.Header.Get(HeaderRetryAfter), time.Now()),
+	}
+}
+
+// Outcome tells whether the request ran.
+func (v Verdict) Outcome() Outcome { return v.outcome }
+
+// Reason returns the cause of a refusal, or ReasonNone.
+func (v Verdict) Reason() Reason { return v.reason }
+
+// RetryAfter returns how long to wait before coming back, or 0 if the answer
+// did not tell.
+func (v Verdict) RetryAfter() time.Duration { return v.retryAfter }
+
+// parseRetryAfter reads both forms of the header that RFC 9110 permits: whole
+// seconds and an HTTP date.
+func parseRetryAfter(s string, now time.Time) time.Duration {
+	if seconds, err := strconv.ParseUint(s, 10, 31); err == nil {
+		return time.Duration(seconds) * time.Second
+	}
+	if at, err := http.ParseTime(s); err == nil && at.After(now) {
+		return at.Sub(now)
+	}
+	return 0
+}
