feat: strict INI, compiled configurations and daemon settings

The compiler checks a document for the base and every site before anything is accepted; the configurer reads the daemons' settings with the same rules.

--- /dev/null
+++ b/internal/process/configurer/configurer.go
@@ -0,0 +1,78 @@
+// Package configurer reads the settings of the daemons, which are INI files
+// checked as strictly as the configuration of services.
+//
+// # Usage
+//
+//	node, err := configurer.LoadNode("/etc/banyanscale/node.ini")
+//	control, err := configurer.LoadControl("/etc/banyanscale/control.ini")
+//
+// A node's file has one section [node], a control instance's file one section
+// [control]. Every fault is reported with file, line, key and the nearest
+// valid key. Addresses are IP numbers with a port.
+package configurer
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+)
+
+// Keys that both daemons have.
+const (
+	keyFailureDomain = "failure-domain"
+	keyInstance      = "instance"
+	keyLogLevel      = "log-level"
+	keyPeerAddress   = "peer-address"
+	keyRegion        = "region"
+	keySeeds         = "seeds"
+	keySite          = "site"
+)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// load reads the file at path, which must have exactly the named section.
+func load(path, section string) (*reader, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return parse(path, data, section)
+}
+
+func parse(path string, data []byte, section string) (*reader, error) {
+	file, err := parser.Parse(path, data)
+	if err != nil {
+		return nil, fmt.Errorf("parse settings: %w", err)
+	}
+	r := &reader{file: path, section: file.Section(section)}
+	for _, other := range file.Sections() {
+		if other.Name() != section {
+			r.fail(other.Line(), other.Name(), parser.Unknown("section", other.Name(), []string{section}))
+		}
+	}
+	if r.section == nil {
+		r.fail(0, section, "the section is missing")
+		return nil, r.err()
+	}
+	return r, nil
+}
+
+func parseLogLevel(value string) (zerolog.Level, error) {
+	name, err := parser.OneOf(value, logLevels)
+	if err != nil {
+		return zerolog.NoLevel, err
+	}
+	return zerolog.ParseLevel(name)
+}
+
+func parseFolder(value string) (string, error) {
+	if !filepath.IsAbs(value) {
+		return "", errors.Errorf("%q is not an absolute path", value)
+	}
+	return filepath.Clean(value), nil
+}
--- /dev/null
+++ b/internal/process/configurer/control.go
@@ -0,0 +1,84 @@
+package configurer
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+)
+
+// maxVoters bounds the voters among the control instances.
+const maxVoters = 7
+
+// Control is the settings of a control daemon. It is immutable.
+type Control struct {
+	instance, site, region, failureDomain string
+	peer                                  netip.AddrPort
+	dataFolder                            string
+	voters, seeds                         []netip.AddrPort
+	logLevel                              zerolog.Level
+}
+
+// LoadControl reads the settings of a control instance from the file at path.
+// On faults the error wraps parser.Errors with all of them.
+func LoadControl(path string) (*Control, error) {
+	r, err := load(path, "control")
+	if err != nil {
+		return nil, err
+	}
+	c := readControl(r)
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func readControl(r *reader) *Control {
+	c := &Control{
+		instance:      required(r, keyInstance, parser.Name),
+		site:          required(r, keySite, parser.Name),
+		region:        required(r, keyRegion, parser.Name),
+		failureDomain: required(r, keyFailureDomain, parser.Name),
+		peer:          required(r, keyPeerAddress, parser.Address),
+		dataFolder:    required(r, "data-folder", parseFolder),
+		voters:        optional(r, "voters", nil, parser.Addresses),
+		seeds:         optional(r, keySeeds, nil, parser.Addresses),
+		logLevel:      optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
+	}
+	if len(c.voters) == 0 && len(c.seeds) == 0 {
+		r.failKey("voters", "neither voters nor seeds are set, so the instance could not join")
+	}
+	if len(c.voters) > maxVoters {
+		r.failKey("voters", fmt.Sprintf("%d voters are more than %d", len(c.voters), maxVoters))
+	}
+	return c
+}
+
+// Instance returns the instance's name, unique in the fleet.
+func (c *Control) Instance() string { return c.instance }
+
+// Site returns the name of the site.
+func (c *Control) Site() string { return c.site }
+
+// Region returns the name of the region.
+func (c *Control) Region() string { return c.region }
+
+// FailureDomain returns the name of the failure domain.
+func (c *Control) FailureDomain() string { return c.failureDomain }
+
+// PeerAddress returns the address for gossip and calls between processes.
+func (c *Control) PeerAddress() netip.AddrPort { return c.peer }
+
+// DataFolder returns the absolute path of the folder that holds all durable files.
+func (c *Control) DataFolder() string { return c.dataFolder }
+
+// Voters returns the peer addresses of the first voters, for bootstrapping.
+func (c *Control) Voters() []netip.AddrPort { return c.voters }
+
+// Seeds returns peer addresses of members to join by.
+func (c *Control) Seeds() []netip.AddrPort { return c.seeds }
+
+// LogLevel returns the least level of lines that are logged.
+func (c *Control) LogLevel() zerolog.Level { return c.logLevel }
--- /dev/null
+++ b/internal/process/configurer/node.go
@@ -0,0 +1,148 @@
+package configurer
+
+import (
+	"net/netip"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+)
+
+// Bounds of what an upstream may announce.
+const (
+	maxSlots       = 10_000
+	maxConnections = 100_000
+)
+
+// Policy names how a node chooses an instance.
+type Policy string
+
+const (
+	// PolicyLeastExpectedLatency chooses by sampled load, latency and distance.
+	PolicyLeastExpectedLatency Policy = "least-expected-latency"
+	// PolicyRandom chooses at random, weighted by slots.
+	PolicyRandom Policy = "random"
+	// PolicyRoundRobin chooses in turn.
+	PolicyRoundRobin Policy = "round-robin"
+	// PolicyLeastOwn chooses the instance with the fewest requests of this node.
+	PolicyLeastOwn Policy = "least-own"
+)
+
+var policyNames = []string{
+	string(PolicyLeastExpectedLatency), string(PolicyRandom), string(PolicyRoundRobin), string(PolicyLeastOwn),
+}
+
+// Node is the settings of a node daemon. It is immutable.
+type Node struct {
+	instance, service, owner    string
+	site, region, failureDomain string
+	http, peer, upstream        netip.AddrPort
+	slots, connections          int
+	seeds, controls             []netip.AddrPort
+	policy                      Policy
+	logLevel                    zerolog.Level
+}
+
+// LoadNode reads the settings of a node from the file at path. On faults the
+// error wraps parser.Errors with all of them.
+func LoadNode(path string) (*Node, error) {
+	r, err := load(path, "node")
+	if err != nil {
+		return nil, err
+	}
+	n := readNode(r)
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func readNode(r *reader) *Node {
+	n := &Node{
+		instance:      required(r, keyInstance, parser.Name),
+		service:       required(r, "service", parser.Name),
+		owner:         required(r, "owner", parser.Name),
+		site:          required(r, keySite, parser.Name),
+		region:        required(r, keyRegion, parser.Name),
+		failureDomain: required(r, keyFailureDomain, parser.Name),
+		http:          required(r, "http-address", parser.Address),
+		peer:          required(r, keyPeerAddress, parser.Address),
+		upstream:      required(r, "upstream-address", parser.Address),
+		slots:         optional(r, "slots", 0, bounded(maxSlots)),
+		connections:   optional(r, "connections", 0, bounded(maxConnections)),
+		seeds:         optional(r, keySeeds, nil, parser.Addresses),
+		controls:      optional(r, "control-addresses", nil, parser.Addresses),
+		policy:        optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
+		logLevel:      optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
+	}
+	n.check(r)
+	return n
+}
+
+func (n *Node) check(r *reader) {
+	if len(n.seeds) == 0 && len(n.controls) == 0 {
+		r.failKey(keySeeds, "neither seeds nor control-addresses are set, so the node could not join")
+	}
+	if n.http.IsValid() && n.http == n.peer {
+		r.failKey(keyPeerAddress, "the address is the http-address already")
+	}
+	if n.http.IsValid() && n.http == n.upstream {
+		r.failKey("upstream-address", "the address is the http-address already")
+	}
+}
+
+func bounded(high int) func(string) (int, error) {
+	return func(value string) (int, error) { return parser.Int(value, 1, high) }
+}
+
+func parsePolicy(value string) (Policy, error) {
+	name, err := parser.OneOf(value, policyNames)
+	return Policy(name), err
+}
+
+// Instance returns the instance's name, unique in the fleet.
+func (n *Node) Instance() string { return n.instance }
+
+// Service returns the name of the service that the upstream answers for.
+func (n *Node) Service() string { return n.service }
+
+// Owner returns the name of the upstream's owner.
+func (n *Node) Owner() string { return n.owner }
+
+// Site returns the name of the site, which selects the overlay.
+func (n *Node) Site() string { return n.site }
+
+// Region returns the name of the region.
+func (n *Node) Region() string { return n.region }
+
+// FailureDomain returns the name of the failure domain.
+func (n *Node) FailureDomain() string { return n.failureDomain }
+
+// HTTPAddress returns the address at which the node takes requests.
+func (n *Node) HTTPAddress() netip.AddrPort { return n.http }
+
+// PeerAddress returns the address for gossip, probes and calls between processes.
+func (n *Node) PeerAddress() netip.AddrPort { return n.peer }
+
+// UpstreamAddress returns the address of the node's own upstream.
+func (n *Node) UpstreamAddress() netip.AddrPort { return n.upstream }
+
+// Slots returns how many requests the upstream works on at once, or 0 to leave
+// it to the service's configuration.
+func (n *Node) Slots() int { return n.slots }
+
+// Connections returns how many connections the upstream accepts, or 0 to
+// leave it to the service's configuration.
+func (n *Node) Connections() int { return n.connections }
+
+// Seeds returns peer addresses of members to join by.
+func (n *Node) Seeds() []netip.AddrPort { return n.seeds }
+
+// ControlAddresses returns peer addresses of control instances.
+func (n *Node) ControlAddresses() []netip.AddrPort { return n.controls }
+
+// Policy returns how the node chooses an instance.
+func (n *Node) Policy() Policy { return n.policy }
+
+// LogLevel returns the least level of lines that are logged.
+func (n *Node) LogLevel() zerolog.Level { return n.logLevel }
--- /dev/null
+++ b/internal/version/compiler/compiler_test.go
@@ -0,0 +1,197 @@
+package compiler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+const (
+	base = `[control]
+voters = 10.0.0.1:7100, 10.0.0.2:7100, 10.0.0.3:7100
+[owner talleres]
+idle-rate = 0.25
+currency = MXN
+[service vitrina]
+owner = talleres
+hosts = catalogo.example
+timeout = 1500ms
+[service almacen]
+owner = talleres
+hosts = pedidos.example
+priority = high
+`
+	overlay = `[site]
+name = oaxaca
+region = sur
+failure-domains = oax-centro, oax-istmo
+[service vitrina]
+slots = 9
+hedge-after = 20ms
+retry-percent = 5%
+`
+)
+
+func sources(texts ...string) []compiler.Source {
+	names := []string{"base.ini", "oaxaca.ini", "kigali.ini"}
+	files := make([]compiler.Source, len(texts))
+	for i, text := range texts {
+		files[i] = compiler.Source{Name: names[i], Data: []byte(text)}
+	}
+	return files
+}
+
+func mustParse(t *testing.T, texts ...string) *controlwire.Document {
+	t.Helper()
+	doc, err := compiler.Parse(sources(texts...))
+	assert.NilError(t, err)
+	return doc
+}
+
+func assertSame(t *testing.T, a, b *controlwire.Document) {
+	t.Helper()
+	assert.Assert(t, proto.Equal(a, b), "%v\n%v", a, b)
+}
+
+func TestCompile(t *testing.T) {
+	doc := mustParse(t, base, overlay)
+	assert.NilError(t, compiler.CheckAll(doc))
+	t.Run("overlay", func(t *testing.T) {
+		cfg, err := compiler.Compile(doc, "oaxaca", 7)
+		assert.NilError(t, err)
+		spec := cfg.Service("vitrina").Spec()
+		assert.Equal(t, spec.Slots, 9)
+		assert.Equal(t, spec.HedgeAfter, 20*time.Millisecond)
+		assert.Equal(t, spec.RetryPercent, 5)
+		assert.Equal(t, spec.Timeout, 1500*time.Millisecond)
+		assert.Equal(t, cfg.Service("almacen").Spec().Priority, compiler.PriorityHigh)
+		assert.Equal(t, cfg.Number(), uint64(7))
+		assert.Equal(t, cfg.Region(), "sur")
+		assert.DeepEqual(t, cfg.FailureDomains(), []string{"oax-centro", "oax-istmo"})
+		assert.Equal(t, len(cfg.Voters()), 3)
+		assert.Equal(t, cfg.Owner("talleres").IdleRateMicros(), int64(250_000))
+		assert.Equal(t, cfg.Route("catalogo.example", "/ocre").Name(), "vitrina")
+	})
+	t.Run("site without overlay", func(t *testing.T) {
+		cfg, err := compiler.Compile(doc, "kigali", 7)
+		assert.NilError(t, err)
+		assert.Equal(t, cfg.Service("vitrina").Spec().Slots, compiler.DefaultServiceSpec("").Slots)
+		assert.Equal(t, cfg.Region(), "")
+	})
+}
+
+func TestParseFaults(t *testing.T) {
+	site := "[site]\nname = oaxaca\nregion = sur\nfailure-domains = oax-centro\n"
+	for name, tc := range map[string]struct {
+		files []string
+		want  string
+	}{
+		"unknown key":        {[]string{base + "timeot = 1s\n"}, "base.ini:14: timeot: unknown key (nearest valid key: timeout)"},
+		"no unit":            {[]string{base + "timeout = 5\n"}, `base.ini:14: timeout: "5" is not a duration with its unit, such as 250ms`},
+		"no percent sign":    {[]string{base, site + "[service vitrina]\nretry-percent = 5\n"}, `oaxaca.ini:6: retry-percent: "5" is not a whole percentage, such as 10%`},
+		"out of range":       {[]string{base + "slots = 0\n"}, "base.ini:14: slots: 0 is out of range: 1 to 10000"},
+		"unknown section":    {[]string{base + "[servise x]\n" + "a = b\n"}, "base.ini:14: servise x: unknown section (nearest valid section: service NAME)"},
+		"unknown owner":      {[]string{base, site + "[service vitrina]\nowner = taleres\n"}, `oaxaca.ini:6: owner: "taleres": unknown owner (nearest valid owner: talleres)`},
+		"no owner":           {[]string{base + "[service x]\nslots = 1\n"}, "base.ini:14: service x: the key owner is missing"},
+		"unknown service":    {[]string{base, site + "[service vitrna]\nslots = 1\nqueue-length = 2\n"}, "oaxaca.ini:5: service vitrna: unknown service (nearest valid service: vitrina)"},
+		"owner in overlay":   {[]string{base, site + "[owner x]\nidle-rate = 1\n"}, "oaxaca.ini:5: owner x: unknown section (nearest valid section: site)"},
+		"same route":         {[]string{base, site + "[service vitrina]\nhosts = a.example, pedidos.example\n"}, "oaxaca.ini:6: hosts: service almacen has the same route pedidos.example/"},
+		"timeouts":           {[]string{base, site + "[service vitrina]\nmax-timeout = 1s\n"}, "base.ini:9: timeout: the timeout 1.5s is longer than the max-timeout 1s"},
+		"no currency":        {[]string{base + "[owner x]\nidle-rate = 1\n"}, "base.ini:14: owner x: the key currency is missing"},
+		"rate":               {[]string{base + "[owner x]\nidle-rate = -1\ncurrency = MXN\n"}, `base.ini:15: idle-rate: "-1" is not an amount of money per slot-hour, such as 0.25`},
+		"no region":          {[]string{base, "[site]\nname = oaxaca\nfailure-domains = a\n"}, "oaxaca.ini:1: site: the key region is missing"},
+		"no site name":       {[]string{base, "[site]\nregion = sur\n"}, "oaxaca.ini:1: site: the key name is missing"},
+		"two bases":          {[]string{base, base}, "oaxaca.ini: base.ini is already the base file, as no section [site] makes it an overlay"},
+		"two overlays":       {[]string{base, overlay, overlay}, "kigali.ini: oaxaca.ini is already the overlay of site oaxaca"},
+		"no base":            {[]string{overlay}, "base.ini: a base file, which has no section [site], must be given too"},
+		"no service":         {[]string{"[owner x]\nidle-rate = 1\ncurrency = MXN\n"}, "base.ini:1: no service is described"},
+		"empty section":      {[]string{base + "[service x]\n"}, "base.ini:14: service x: the section has no keys"},
+		"host name of voter": {[]string{"[control]\nvoters = control-1:7100\n[owner x]\nidle-rate = 1\ncurrency = MXN\n[service a]\nowner = x\n"}, `base.ini:2: voters: "control-1:7100" is not an IP number with a port, such as 10.0.0.7:7001`},
+		"all are told":       {[]string{base + "slots = x\nslot = 1\n", site + "[service vitrina]\npriority = urgent\n"}, "base.ini:14: slots: \"x\" is not a whole number without a unit\nbase.ini:15: slot: unknown key (nearest valid key: slots)\noaxaca.ini:6: priority: \"urgent\": unknown value (nearest valid value: high)"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			doc, err := compiler.Parse(sources(tc.files...))
+			assert.Error(t, err, tc.want)
+			assert.Assert(t, doc == nil)
+		})
+	}
+}
+
+func TestCheckAllFaults(t *testing.T) {
+	entry := func(layer, section, key, value string) *controlwire.Entry {
+		return &controlwire.Entry{Layer: layer, Section: section, Key: key, Value: value}
+	}
+	for name, tc := range map[string]struct {
+		entry *controlwire.Entry
+		want  string
+	}{
+		"value with lines": {entry("", "service vitrina", "queue-length", "1\nslots = 2"), "base [service vitrina]: queue-length: the value is not plain UTF-8 text"},
+		"doubled":          {entry("", "service vitrina", "timeout", "1s"), "base [service vitrina]: timeout: the key stands twice"},
+		"layer":            {entry("Oaxaca", "site", "name", "Oaxaca"), `site Oaxaca: "Oaxaca" is not a name in kebab case`},
+		"other site":       {entry("kigali", "site", "name", "rwanda"), `site kigali [site]: name: "rwanda" is not the name of the site kigali`},
+		"service name":     {entry("", "service a]b", "owner", "talleres"), `base [service a]b]: "a]b" is not a name in kebab case`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			doc := mustParse(t, base, overlay)
+			doc.Entries = append(doc.Entries, tc.entry)
+			err := compiler.CheckAll(doc)
+			assert.ErrorContains(t, err, tc.want)
+			var faults parser.Errors
+			assert.Assert(t, errors.As(err, &faults))
+		})
+	}
+	assert.ErrorContains(t, compiler.CheckAll(nil), "no service is described")
+}
+
+func TestCompileIgnoresOtherSites(t *testing.T) {
+	doc := mustParse(t, base, overlay)
+	doc.Entries = append(doc.Entries, &controlwire.Entry{Layer: "kigali", Section: "service vitrina", Key: "slots", Value: "x"})
+	_, err := compiler.Compile(doc, "oaxaca", 1)
+	assert.NilError(t, err)
+	_, err = compiler.Compile(doc, "kigali", 1)
+	assert.ErrorContains(t, err, "site kigali [service vitrina]: slots")
+}
+
+func TestCanonicalOrder(t *testing.T) {
+	doc := mustParse(t, base, overlay)
+	reversed := compiler.Source{Name: "b", Data: []byte(base)}
+	again, err := compiler.Parse([]compiler.Source{{Name: "a", Data: []byte("# Comment.\n" + overlay)}, reversed})
+	assert.NilError(t, err)
+	assertSame(t, doc, again)
+	assert.DeepEqual(t, compiler.Digest(doc), compiler.Digest(again))
+}
+
+func TestDigest(t *testing.T) {
+	one := &controlwire.Document{Entries: []*controlwire.Entry{{Section: "ab", Key: "c", Value: "d"}}}
+	for _, other := range []*controlwire.Entry{
+		{Section: "a", Key: "bc", Value: "d"}, {Section: "ab", Key: "cd"}, {Layer: "a", Section: "b", Key: "c", Value: "d"},
+	} {
+		assert.Assert(t, string(compiler.Digest(one)) != string(compiler.Digest(&controlwire.Document{Entries: []*controlwire.Entry{other}})))
+	}
+}
+
+func TestDiffAndApply(t *testing.T) {
+	old := mustParse(t, base, overlay)
+	next := mustParse(t, base+"slots = 4\n", "[site]\nname = oaxaca\nregion = sur\nfailure-domains = oax-centro\n")
+	changes := compiler.Diff(old, next)
+	assert.Equal(t, len(changes), 5)
+	applied, err := compiler.Apply(old, changes)
+	assert.NilError(t, err)
+	assertSame(t, applied, next)
+	back, err := compiler.Apply(next, compiler.Diff(next, old))
+	assert.NilError(t, err)
+	assertSame(t, back, old)
+	assert.Equal(t, len(compiler.Diff(old, old)), 0)
+	_, err = compiler.Apply(next, changes)
+	assert.Assert(t, errors.Is(err, compiler.ErrBase))
+	fromNothing, err := compiler.Apply(nil, compiler.Diff(nil, old))
+	assert.NilError(t, err)
+	assertSame(t, fromNothing, old)
+}
--- a/internal/version/compiler/configuration.go
+++ b/internal/version/compiler/configuration.go
@@ -14,16 +14,21 @@
 package compiler
 
 import (
+	"net/netip"
 	"sort"
 	"strings"
 )
 
 // Configuration is one version of the configuration, compiled for one site.
 type Configuration struct {
-	number   uint64
-	site     string
-	services map[string]*Service
-	routes   []*Service
+	number         uint64
+	site           string
+	region         string
+	failureDomains []string
+	voters         []netip.AddrPort
+	owners         []*Owner
+	services       map[string]*Service
+	routes         []*Service
 }
 
 // NewConfiguration returns the configuration with the given version number,
@@ -44,6 +49,31 @@
 // Site returns the name of the site that the configuration is for.
 func (c *Configuration) Site() string { return c.site }
 
+// Region returns the name of the site's region, or "" if the site has no overlay.
+func (c *Configuration) Region() string { return c.region }
+
+// FailureDomains returns the names of the site's failure domains, if it has
+// an overlay. The caller must not change the slice.
+func (c *Configuration) FailureDomains() []string { return c.failureDomains }
+
+// Voters returns the peer addresses of the control instances that vote, or
+// none if the base file leaves them as they are. The caller must not change
+// the slice.
+func (c *Configuration) Voters() []netip.AddrPort { return c.voters }
+
+// Owners returns all owners by name. The caller must not change the slice.
+func (c *Configuration) Owners() []*Owner { return c.owners }
+
+// Owner returns the owner with the given name, or nil.
+func (c *Configuration) Owner(name string) *Owner {
+	for _, o := range c.owners {
+		if o.name == name {
+			return o
+		}
+	}
+	return nil
+}
+
 // Service returns the service with the given name, or nil.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
--- /dev/null
+++ b/internal/version/compiler/setting.go
@@ -0,0 +1,189 @@
+package compiler
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+)
+
+// Words that stand for an empty setting.
+const (
+	anyHost     = "*"
+	neverHedge  = "never"
+	noneMethods = "none"
+)
+
+var (
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]{1,20}$`)
+)
+
+// setting is one key of a service's section: how its value is read into a
+// spec, and written.
+type setting struct {
+	key string
+	set func(spec *ServiceSpec, value string) error
+	get func(spec *ServiceSpec) string
+}
+
+// settings lists the keys of a service's section in the order of ServiceSpec.
+var settings = []setting{
+	nameSetting("owner", func(s *ServiceSpec) *string { return &s.Owner }),
+	{key: "hosts", set: setHosts, get: getHosts},
+	{key: "path-prefix", set: setPathPrefix, get: func(s *ServiceSpec) string { return s.PathPrefix }},
+	durationSetting("timeout", time.Millisecond, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.Timeout }),
+	durationSetting("max-timeout", time.Millisecond, time.Hour, func(s *ServiceSpec) *time.Duration { return &s.MaxTimeout }),
+	durationSetting("stall-timeout", 10*time.Millisecond, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.StallTimeout }),
+	intSetting("slots", 1, 10_000, func(s *ServiceSpec) *int { return &s.Slots }),
+	intSetting("connections", 1, 100_000, func(s *ServiceSpec) *int { return &s.Connections }),
+	intSetting("queue-length", 0, 10_000, func(s *ServiceSpec) *int { return &s.QueueLength }),
+	{key: "priority", set: setPriority, get: func(s *ServiceSpec) string { return s.Priority.String() }},
+	{key: "repeatable-methods", set: setMethods, get: getMethods},
+	percentSetting("retry-percent", func(s *ServiceSpec) *int { return &s.RetryPercent }),
+	intSetting("max-attempts", 1, 10, func(s *ServiceSpec) *int { return &s.MaxAttempts }),
+	{key: "hedge-after", set: setHedgeAfter, get: getHedgeAfter},
+	durationSetting("key-retention", time.Second, 24*time.Hour, func(s *ServiceSpec) *time.Duration { return &s.KeyRetention }),
+	intSetting("probe-messages", 0, 1_000, func(s *ServiceSpec) *int { return &s.ProbeMessages }),
+	intSetting("probe-bytes", 0, 100_000, func(s *ServiceSpec) *int { return &s.ProbeBytes }),
+	durationSetting("sample-max-age", time.Millisecond, time.Minute, func(s *ServiceSpec) *time.Duration { return &s.SampleMaxAge }),
+	durationSetting("cold-start", 0, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.ColdStart }),
+	percentSetting("min-healthy-percent", func(s *ServiceSpec) *int { return &s.MinHealthyPercent }),
+}
+
+// settingsByKey finds a setting by its key.
+var settingsByKey = func() map[string]setting {
+	m := make(map[string]setting, len(settings))
+	for _, s := range settings {
+		m[s.key] = s
+	}
+	return m
+}()
+
+func nameSetting(key string, field func(*ServiceSpec) *string) setting {
+	return setting{
+		key: key,
+		set: func(s *ServiceSpec, value string) (err error) {
+			*field(s), err = parser.Name(value)
+			return err
+		},
+		get: func(s *ServiceSpec) string { return *field(s) },
+	}
+}
+
+func durationSetting(key string, low, high time.Duration, field func(*ServiceSpec) *time.Duration) setting {
+	return setting{
+		key: key,
+		set: func(s *ServiceSpec, value string) (err error) {
+			*field(s), err = parser.Duration(value, low, high)
+			return err
+		},
+		get: func(s *ServiceSpec) string { return parser.FormatDuration(*field(s)) },
+	}
+}
+
+func intSetting(key string, low, high int, field func(*ServiceSpec) *int) setting {
+	return setting{
+		key: key,
+		set: func(s *ServiceSpec, value string) (err error) {
+			*field(s), err = parser.Int(value, low, high)
+			return err
+		},
+		get: func(s *ServiceSpec) string { return strconv.Itoa(*field(s)) },
+	}
+}
+
+func percentSetting(key string, field func(*ServiceSpec) *int) setting {
+	return setting{
+		key: key,
+		set: func(s *ServiceSpec, value string) (err error) {
+			*field(s), err = parser.Percent(value, 0, 100)
+			return err
+		},
+		get: func(s *ServiceSpec) string { return strconv.Itoa(*field(s)) + "%" },
+	}
+}
+
+func setHosts(s *ServiceSpec, value string) error {
+	s.Hosts = nil
+	if value == anyHost {
+		return nil
+	}
+	hosts, err := parser.List(value)
+	if err != nil {
+		return err
+	}
+	for _, host := range hosts {
+		if !hostPattern.MatchString(host) {
+			return errors.Errorf("%q is not a host name in lower case without a port", host)
+		}
+	}
+	s.Hosts = hosts
+	return nil
+}
+
+func getHosts(s *ServiceSpec) string {
+	if len(s.Hosts) == 0 {
+		return anyHost
+	}
+	return strings.Join(s.Hosts, ", ")
+}
+
+func setPathPrefix(s *ServiceSpec, value string) error {
+	if !pathPattern.MatchString(value) {
+		return errors.Errorf("%q is not a path that starts with a slash", value)
+	}
+	s.PathPrefix = value
+	return nil
+}
+
+func setPriority(s *ServiceSpec, value string) (err error) {
+	s.Priority, err = ParsePriority(value)
+	return err
+}
+
+func setMethods(s *ServiceSpec, value string) error {
+	s.RepeatableMethods = nil
+	if value == noneMethods {
+		return nil
+	}
+	methods, err := parser.List(value)
+	if err != nil {
+		return err
+	}
+	for _, method := range methods {
+		if !methodPattern.MatchString(method) {
+			return errors.Errorf("%q is not an HTTP method in capital letters", method)
+		}
+	}
+	s.RepeatableMethods = methods
+	return nil
+}
+
+func getMethods(s *ServiceSpec) string {
+	if len(s.RepeatableMethods) == 0 {
+		return noneMethods
+	}
+	return strings.Join(s.RepeatableMethods, ", ")
+}
+
+func setHedgeAfter(s *ServiceSpec, value string) (err error) {
+	s.HedgeAfter = 0
+	if value == neverHedge {
+		return nil
+	}
+	s.HedgeAfter, err = parser.Duration(value, time.Millisecond, time.Minute)
+	return err
+}
+
+func getHedgeAfter(s *ServiceSpec) string {
+	if s.HedgeAfter == 0 {
+		return neverHedge
+	}
+	return parser.FormatDuration(s.HedgeAfter)
+}
