feat: config commands with golden sessions

check, diff, submit, show and history against the control service by connect. A change id is printed before the change is sent, every control address is asked in turn, and a conflict and an unknown result have exit codes of their own. The sessions run the program as its own process against a fake of the control service at its interface.

--- /dev/null
+++ b/internal/cmd/config.go
@@ -0,0 +1,108 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// defaultCallTimeout bounds a call to one control instance.
+const defaultCallTimeout = 10 * time.Second
+
+// errFaults reports that files have faults, which were printed already.
+var errFaults = errors.New("nothing was accepted, since the files have faults")
+
+// configCommand returns the parent of the config commands.
+func configCommand(app *kingpin.Application) *kingpin.CmdClause {
+	if parent := app.GetCommand("config"); parent != nil {
+		return parent
+	}
+	return app.Command("config", "Check, compare, submit and show the configuration.")
+}
+
+// controlFlags are the flags of a command that calls control instances.
+type controlFlags struct {
+	addresses string
+	timeout   time.Duration
+}
+
+func (f *controlFlags) add(command *kingpin.CmdClause, required bool) {
+	flag := command.Flag("control", "Addresses of control instances, separated by commas.").PlaceHolder("ADDR")
+	if required {
+		flag = flag.Required()
+	}
+	flag.StringVar(&f.addresses)
+	command.Flag("timeout", "How long to wait for one control instance.").
+		Default(defaultCallTimeout.String()).DurationVar(&f.timeout)
+}
+
+func (f *controlFlags) client() (controlClient, error) {
+	addresses, err := f.parse()
+	if err != nil {
+		return nil, err
+	}
+	return newRemoteControl(addresses, f.timeout), nil
+}
+
+func (f *controlFlags) parse() ([]netip.AddrPort, error) {
+	addresses, err := parser.Addresses(f.addresses)
+	if err != nil {
+		return nil, fmt.Errorf("read --control: %w", err)
+	}
+	return addresses, nil
+}
+
+// readDocument reads and checks the base file and overlays. It prints each
+// fault as a line to w.
+func readDocument(w io.Writer, names []string) (*controlwire.Document, error) {
+	files := make([]compiler.Source, len(names))
+	for i, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("read configuration: %w", err)
+		}
+		files[i] = compiler.Source{Name: name, Data: data}
+	}
+	doc, err := compiler.Parse(files)
+	var faults parser.Errors
+	if errors.As(err, &faults) {
+		fmt.Fprintln(w, faults)
+		return nil, errFaults
+	}
+	if err != nil {
+		return nil, fmt.Errorf("parse configuration: %w", err)
+	}
+	return doc, nil
+}
+
+// printHistoryEntry prints who changed what and when.
+func printHistoryEntry(w io.Writer, e *controlwire.HistoryEntry) {
+	at := time.UnixMilli(e.GetAcceptedUnixMs()).UTC().Format(time.RFC3339)
+	fmt.Fprintf(w, "version %d by %s at %s, change %s: %s\n", e.GetNumber(), e.GetOperator(), at, e.GetChangeId(), e.GetMessage())
+	for _, change := range e.GetChanges() {
+		fmt.Fprintf(w, "  %s\n", compiler.FormatChange(change))
+	}
+}
+
+// describeDocument returns what a document holds, in a few words.
+func describeDocument(doc *controlwire.Document) (string, error) {
+	cfg, err := compiler.Compile(doc, "", 0)
+	if err != nil {
+		return "", fmt.Errorf("describe configuration: %w", err)
+	}
+	sites := "no overlays"
+	if names := compiler.Sites(doc); len(names) > 0 {
+		sites = "overlays for " + strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%d services, %d owners, %s", len(cfg.Services()), len(cfg.Owners()), sites), nil
+}
--- /dev/null
+++ b/internal/cmd/config_client.go
@@ -0,0 +1,118 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+)
+
+// dialTimeout bounds how long a connection to a control instance takes to open.
+const dialTimeout = 2 * time.Second
+
+// controlClient is what the config commands ask of the control instances.
+type controlClient interface {
+	// Submit proposes a change. An error that is errNotSent means that no
+	// control instance got it.
+	Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error)
+	// Current returns the version in force.
+	Current(ctx context.Context) (*controlwire.Version, error)
+	// History returns the latest changes, newest first.
+	History(ctx context.Context, limit uint32) ([]*controlwire.HistoryEntry, error)
+}
+
+var (
+	// errNotSent reports that no control instance could be connected to.
+	errNotSent = errors.New("no control instance could be reached")
+	// errRefused reports that a control instance refused the call for good.
+	errRefused = errors.New("the control instance refused the call")
+)
+
+// remoteControl asks control instances in turn until one answers. Each call
+// may reach several of them: reads change nothing, and a change that comes
+// again under its change id gets its first answer.
+type remoteControl struct {
+	addresses []netip.AddrPort
+	clients   []controlwireconnect.ControlClient
+	timeout   time.Duration
+}
+
+func newRemoteControl(addresses []netip.AddrPort, timeout time.Duration) *remoteControl {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	c := &remoteControl{addresses: addresses, timeout: timeout}
+	for _, addr := range addresses {
+		client := controlwireconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+addr.String())
+		c.clients = append(c.clients, client)
+	}
+	return c
+}
+
+// Submit implements controlClient.
+func (c *remoteControl) Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
+	return ask(ctx, c, req, controlwireconnect.ControlClient.Submit)
+}
+
+// Current implements controlClient.
+func (c *remoteControl) Current(ctx context.Context) (*controlwire.Version, error) {
+	resp, err := ask(ctx, c, &controlwire.CurrentRequest{}, controlwireconnect.ControlClient.Current)
+	return resp.GetVersion(), err
+}
+
+// History implements controlClient.
+func (c *remoteControl) History(ctx context.Context, limit uint32) ([]*controlwire.HistoryEntry, error) {
+	resp, err := ask(ctx, c, &controlwire.HistoryRequest{Limit: limit}, controlwireconnect.ControlClient.History)
+	return resp.GetEntries(), err
+}
+
+// ask calls the control instances in turn until one answers or refuses for good.
+func ask[Req, Resp any](
+	ctx context.Context, c *remoteControl, req *Req,
+	call func(controlwireconnect.ControlClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error),
+) (*Resp, error) {
+	sent := false
+	var last error
+	for i, client := range c.clients {
+		attempt, cancel := context.WithTimeout(ctx, c.timeout)
+		resp, err := call(client, attempt, connect.NewRequest(req))
+		cancel()
+		if err == nil {
+			return resp.Msg, nil
+		}
+		last = fmt.Errorf("ask control instance %s: %w", c.addresses[i], err)
+		if refusedForGood(err) {
+			return nil, fmt.Errorf("%w: %w", errRefused, last)
+		}
+		sent = sent || !dialFailed(err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if !sent {
+		return nil, fmt.Errorf("%w: %w", errNotSent, last)
+	}
+	return nil, last
+}
+
+// refusedForGood reports whether err proves that the call had no effect and
+// would fail at any control instance.
+func refusedForGood(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented:
+		return true
+	}
+	return false
+}
+
+// dialFailed reports whether err proves that no byte was sent.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/cmd/config_submit.go
@@ -0,0 +1,107 @@
+package cmd
+
+import (
+	"crypto/rand"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// submission is a change with what the command needs to send it.
+type submission struct {
+	env    *environment
+	client controlClient
+	req    *controlwire.SubmitRequest
+	dryRun bool
+}
+
+// submitError is a submission that was not accepted for sure. Its exit code
+// tells a conflict from an unknown result.
+type submitError struct {
+	code int
+	err  error
+}
+
+// Error returns what became of the change.
+func (e *submitError) Error() string { return e.err.Error() }
+
+// ExitCode returns the exit code of the program.
+func (e *submitError) ExitCode() int { return e.code }
+
+// Unwrap returns the cause.
+func (e *submitError) Unwrap() error { return e.err }
+
+func addConfigSubmit(app *kingpin.Application, env *environment) (string, action) {
+	command := configCommand(app).Command("submit", "Submit a base file and its overlays to replace a version.")
+	flags := &controlFlags{}
+	flags.add(command, true)
+	s := &submission{env: env, req: &controlwire.SubmitRequest{}}
+	command.Flag("replaces", "Number of the version that was edited; 0 for the first.").Required().Uint64Var(&s.req.Replaces)
+	command.Flag("change-id", "Id of the change. Give the same id to send a change again.").StringVar(&s.req.ChangeId)
+	command.Flag("operator", "Who submits the change.").Required().StringVar(&s.req.Operator)
+	command.Flag("message", "What the change is for.").Required().StringVar(&s.req.Message)
+	command.Flag("dry-run", "Tell what the change would do, and submit nothing.").BoolVar(&s.dryRun)
+	files := command.Arg("files", "The base file and the overlays of all sites.").Required().Strings()
+	return command.FullCommand(), func() (err error) {
+		if s.req.Document, err = readDocument(env.stderr, *files); err != nil {
+			return err
+		}
+		if s.client, err = flags.client(); err != nil {
+			return err
+		}
+		if s.dryRun {
+			s.client = newDryRunControl(s.client, env.stdout)
+		}
+		return s.send()
+	}
+}
+
+func (s *submission) send() error {
+	if s.req.ChangeId == "" {
+		s.req.ChangeId = rand.Text()
+	}
+	fmt.Fprintf(s.env.stdout, "change %s: replaces version %d\n", s.req.ChangeId, s.req.Replaces)
+	resp, err := s.client.Submit(s.env.ctx, s.req)
+	if err != nil {
+		return s.failed(err)
+	}
+	switch resp.GetResult() {
+	case controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED:
+		s.accepted(resp)
+		return nil
+	case controlwire.SubmitResult_SUBMIT_RESULT_CONFLICT:
+		return s.conflict(resp)
+	}
+	return s.failed(errors.New("the answer tells neither accepted nor conflict"))
+}
+
+func (s *submission) accepted(resp *controlwire.SubmitResponse) {
+	if s.dryRun {
+		fmt.Fprintf(s.env.stdout, "change %s: would become version %d; nothing was submitted\n", s.req.ChangeId, resp.GetVersion())
+		return
+	}
+	fmt.Fprintf(s.env.stdout, "change %s: accepted as version %d\n", s.req.ChangeId, resp.GetVersion())
+}
+
+func (s *submission) conflict(resp *controlwire.SubmitResponse) error {
+	if winner := resp.GetWinner(); winner != nil {
+		fmt.Fprintf(s.env.stdout, "change %s: conflict; the version was replaced by\n", s.req.ChangeId)
+		printHistoryEntry(s.env.stdout, winner)
+	}
+	err := errors.Errorf("change %s was not accepted, since version %d is not the newest; "+
+		"show the version in force, edit that and submit it as a new change", s.req.ChangeId, s.req.Replaces)
+	return &submitError{code: exitConflict, err: err}
+}
+
+// failed tells whether the change was refused or its result is not known.
+func (s *submission) failed(err error) error {
+	if errors.Is(err, errNotSent) || errors.Is(err, errRefused) || s.dryRun {
+		return fmt.Errorf("change %s was not submitted: %w", s.req.ChangeId, err)
+	}
+	err = fmt.Errorf("the result of change %s is unknown; to learn it, run the same command again with --change-id %s: %w",
+		s.req.ChangeId, s.req.ChangeId, err)
+	return &submitError{code: exitUnknown, err: err}
+}
--- /dev/null
+++ b/internal/cmd/fake_control_test.go
@@ -0,0 +1,127 @@
+package cmd_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+)
+
+// fakeControl is a control instance without voters, disk or clock.
+type fakeControl struct {
+	controlwireconnect.UnimplementedControlHandler
+	mu       sync.Mutex
+	doc      *controlwire.Document
+	history  []*controlwire.HistoryEntry // Newest first.
+	answers  map[string]*controlwire.SubmitResponse
+	loseNext bool
+	stale    bool
+}
+
+var fakes sync.Map // By script.
+
+// runFakeControl is the script command "control": "start" sets $CONTROL, "lose"
+// breaks the connection after the next change was accepted, "stale" and
+// "fresh" refuse and take calls, "dead" sets $DEAD to an address with nobody.
+func runFakeControl(ts *testscript.TestScript, _ bool, args []string) {
+	if args[0] == "start" {
+		f := &fakeControl{answers: make(map[string]*controlwire.SubmitResponse)}
+		mux := http.NewServeMux()
+		mux.Handle(controlwireconnect.NewControlHandler(f))
+		server := httptest.NewServer(mux)
+		ts.Defer(server.Close)
+		ts.Setenv("CONTROL", server.Listener.Addr().String())
+		fakes.Store(ts, f)
+		return
+	}
+	if args[0] == "dead" {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Check(l.Close())
+		ts.Setenv("DEAD", l.Addr().String())
+		return
+	}
+	value, _ := fakes.Load(ts)
+	f := value.(*fakeControl)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseNext = f.loseNext || args[0] == "lose"
+	f.stale = args[0] == "stale"
+}
+
+func (f *fakeControl) lock() (unlock func(), err error) {
+	f.mu.Lock()
+	if f.stale {
+		f.mu.Unlock()
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no majority of voters is reachable"))
+	}
+	return f.mu.Unlock, nil
+}
+
+func (f *fakeControl) Submit(_ context.Context, r *connect.Request[controlwire.SubmitRequest]) (*connect.Response[controlwire.SubmitResponse], error) {
+	unlock, err := f.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	answer, known := f.answers[r.Msg.GetChangeId()]
+	if !known {
+		answer = f.decide(r.Msg)
+		f.answers[r.Msg.GetChangeId()] = answer
+	}
+	if f.loseNext {
+		f.loseNext = false
+		panic(http.ErrAbortHandler)
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func (f *fakeControl) decide(req *controlwire.SubmitRequest) *controlwire.SubmitResponse {
+	number := uint64(len(f.history))
+	if req.GetReplaces() != number {
+		return &controlwire.SubmitResponse{
+			Result: controlwire.SubmitResult_SUBMIT_RESULT_CONFLICT,
+			Winner: f.history[number-req.GetReplaces()-1],
+		}
+	}
+	at := time.Date(2026, 12, 3, 9, int(number), 0, 0, time.UTC)
+	f.history = append([]*controlwire.HistoryEntry{{
+		Number: number + 1, ChangeId: req.GetChangeId(), Operator: req.GetOperator(), Message: req.GetMessage(),
+		AcceptedUnixMs: at.UnixMilli(), Changes: compiler.Diff(f.doc, req.GetDocument()),
+	}}, f.history...)
+	f.doc = req.GetDocument()
+	return &controlwire.SubmitResponse{Result: controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED, Version: number + 1}
+}
+
+func (f *fakeControl) Current(context.Context, *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
+	unlock, err := f.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	digest := &controlwire.VersionDigest{Number: uint64(len(f.history)), Digest: compiler.Digest(f.doc)}
+	return connect.NewResponse(&controlwire.CurrentResponse{Version: &controlwire.Version{Digest: digest, Document: f.doc}}), nil
+}
+
+func (f *fakeControl) History(_ context.Context, r *connect.Request[controlwire.HistoryRequest]) (*connect.Response[controlwire.HistoryResponse], error) {
+	unlock, err := f.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	entries := f.history
+	if limit := int(r.Msg.GetLimit()); limit > 0 {
+		entries = entries[:min(limit, len(entries))]
+	}
+	return connect.NewResponse(&controlwire.HistoryResponse{Entries: entries}), nil
+}
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -6,7 +6,8 @@
 //
 // A command is a function that adds itself to the application and leaves its
 // action there. Errors go to the error stream and end the program with
-// exitFailure; wrong usage ends it with exitUsage.
+// exitFailure, or with the code that the error's method ExitCode returns; wrong
+// usage ends it with exitUsage.
 package cmd
 
 import (
@@ -17,6 +18,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 )
 
 // Exit codes of the program.
@@ -24,6 +26,10 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	// exitConflict means that another change replaced the same version.
+	exitConflict = 3
+	// exitUnknown means that a change may or may not have been accepted.
+	exitUnknown = 4
 )
 
 // environment is what a command may use of the world around it.
@@ -37,7 +43,13 @@
 type action func() error
 
 // commands lists the functions that add a command each, in the order of the help text.
-var commands = []func(*kingpin.Application, *environment) (string, action){}
+var commands = []func(*kingpin.Application, *environment) (string, action){
+	addConfigCheck,
+	addConfigDiff,
+	addConfigSubmit,
+	addConfigShow,
+	addConfigHistory,
+}
 
 // Run executes the command that args name and returns the program's exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
@@ -63,7 +75,16 @@
 	}
 	if err := actions[name](); err != nil {
 		fmt.Fprintf(stderr, "banyanscale: %v\n", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
+
+// exitCode returns the exit code that err asks for, or exitFailure.
+func exitCode(err error) int {
+	var coded interface{ ExitCode() int }
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	return exitFailure
+}
--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -221,6 +221,9 @@
 }
 
 func checkSiteName(layer, value string) error {
+	if value == baseName {
+		return errors.New("the name is kept for the base file")
+	}
 	if value != layer {
 		return errors.Errorf("%q is not the name of the site %s", value, layer)
 	}
--- a/internal/version/compiler/compiler_test.go
+++ b/internal/version/compiler/compiler_test.go
@@ -103,7 +103,7 @@
 		"unknown service":    {[]string{base, site + "[service vitrna]\nslots = 1\nqueue-length = 2\n"}, "oaxaca.ini:5: service vitrna: unknown service (nearest valid service: vitrina)"},
 		"owner in overlay":   {[]string{base, site + "[owner x]\nidle-rate = 1\n"}, "oaxaca.ini:5: owner x: unknown section (nearest valid section: site)"},
 		"same route":         {[]string{base, site + "[service vitrina]\nhosts = a.example, pedidos.example\n"}, "oaxaca.ini:6: hosts: service almacen has the same route pedidos.example/"},
-		"timeouts":           {[]string{base, site + "[service vitrina]\nmax-timeout = 1s\n"}, "base.ini:9: timeout: the timeout 1.5s is longer than the max-timeout 1s"},
+		"timeouts":           {[]string{base, site + "[service vitrina]\nmax-timeout = 1s\n"}, "oaxaca.ini:6: max-timeout: the timeout 1.5s is longer than the max-timeout 1s"},
 		"no currency":        {[]string{base + "[owner x]\nidle-rate = 1\n"}, "base.ini:14: owner x: the key currency is missing"},
 		"rate":               {[]string{base + "[owner x]\nidle-rate = -1\ncurrency = MXN\n"}, `base.ini:15: idle-rate: "-1" is not an amount of money per slot-hour, such as 0.25`},
 		"no region":          {[]string{base, "[site]\nname = oaxaca\nfailure-domains = a\n"}, "oaxaca.ini:1: site: the key region is missing"},
@@ -195,3 +195,13 @@
 	assert.NilError(t, err)
 	assertSame(t, fromNothing, old)
 }
+
+func TestFormat(t *testing.T) {
+	doc := mustParse(t, base, overlay)
+	files := compiler.Format(doc)
+	assert.Equal(t, len(files), 2)
+	assert.Equal(t, files[1].Name, "oaxaca.ini")
+	again, err := compiler.Parse(files)
+	assert.NilError(t, err)
+	assertSame(t, doc, again)
+}
--- a/internal/version/compiler/layer.go
+++ b/internal/version/compiler/layer.go
@@ -14,16 +14,20 @@
 	origin map[string]string
 }
 
-// at returns the id of the first of the keys that a file sets, or else the
-// id of the service's section in the base.
+// at returns the id of the first of the keys that the overlay sets, or else
+// that the base sets, or else the id of the service's section in the base.
 func (d *draft) at(keys ...string) entryID {
-	section := kindService + " " + d.spec.Name
+	id := entryID{layer: baseLayer, section: kindService + " " + d.spec.Name}
 	for _, key := range keys {
-		if layer, set := d.origin[key]; set {
-			return entryID{layer: layer, section: section, key: key}
+		layer, set := d.origin[key]
+		if set && layer != baseLayer {
+			return entryID{layer: layer, section: id.section, key: key}
+		}
+		if set && id.key == "" {
+			id.key = key
 		}
 	}
-	return entryID{layer: baseLayer, section: section}
+	return id
 }
 
 // drafts returns all services as they are at the site of the given layer.
