--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -1,7 +1,10 @@
 package compiler
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -10,80 +13,59 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// Kinds of sections.
-const (
-	kindControl = "control"
-	kindOwner   = "owner"
-	kindService = "service"
-	kindSite    = "site"
-)
-
-// Keys of the sections that do not describe a service.
-const (
-	keyCurrency       = "currency"
-	keyFailureDomains = "failure-domains"
-	keyIdleRate       = "idle-rate"
-	keyName           = "name"
-	keyRegion         = "region"
-	keyVoters         = "voters"
-)
-
-// maxVoters bounds the voters among the control instances.
-const maxVoters = 7
-
-var (
-	controlKeys = []string{keyVoters}
-	ownerKeys   = []string{keyIdleRate, keyCurrency}
-	siteKeys    = []string{keyName, keyRegion, keyFailureDomains}
-	serviceKeys = func() []string {
-		keys := make([]string, len(settings))
-		for i, s := range settings {
-			keys[i] = s.key
-		}
-		return keys
-	}()
-)
-
-// checker finds the faults of a document.
+// checker finds the faults of a document while it builds the services.
 type checker struct {
-	doc      *controlwire.Document
-	values   map[entryID]string
-	layers   []string // All layers in order, the base first.
+	layers   map[string]*layer
+	base     *layer
 	owners   []string
 	services []string
+	drafts   []*draft // The services as the base describes them.
 	faults   []fault
 	faulty   map[entryID]bool
 }
 
+// newChecker returns a checker that has checked the base.
 func newChecker(doc *controlwire.Document) *checker {
-	c := &checker{doc: doc, values: values(doc), faulty: make(map[entryID]bool)}
-	layers := map[string]bool{baseLayer: true}
-	sections := make(map[string]bool)
-	for _, e := range doc.GetEntries() {
-		layers[e.GetLayer()] = true
-		if e.GetLayer() == baseLayer {
-			sections[e.GetSection()] = true
-		}
-	}
-	c.layers = sortedKeys(layers)
-	for _, section := range sortedKeys(sections) {
-		switch kind, name, _ := strings.Cut(section, " "); kind {
-		case kindOwner:
-			c.owners = append(c.owners, name)
-		case kindService:
-			c.services = append(c.services, name)
-		}
+	c := &checker{layers: newLayers(doc), faulty: make(map[entryID]bool)}
+	c.base = c.layers[baseLayer]
+	c.owners = c.base.names(kindOwner)
+	c.services = c.base.names(kindService)
+	for _, name := range c.services {
+		c.drafts = append(c.drafts, newDraft(name))
 	}
+	c.checkSections(c.base, c.drafts)
+	c.checkBase()
+	c.checkDrafts(c.drafts)
 	return c
 }
 
-func sortedKeys(m map[string]bool) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
+// sites returns the names of the sites that have an overlay, in order.
+func (c *checker) sites() []string {
+	names := slices.Sorted(maps.Keys(c.layers))
+	return names[1:] // The base's name is empty.
+}
+
+// site checks the overlay of a site, and returns the services as they are
+// there. A site without an overlay follows the base.
+func (c *checker) site(name string) []*draft {
+	overlay := c.layers[name]
+	if overlay == nil || overlay == c.base {
+		return c.drafts
+	}
+	drafts := make([]*draft, len(c.drafts))
+	for i, d := range c.drafts {
+		drafts[i] = d
+		if overlay.sections[d.header] != nil {
+			drafts[i] = d.clone()
+		}
 	}
-	slices.Sort(keys)
-	return keys
+	if !c.checkName(entryID{layer: name}, name) {
+		return drafts
+	}
+	c.checkSections(overlay, drafts)
+	c.require(overlay, kindSite, siteKeys)
+	c.checkDrafts(drafts)
+	return drafts
 }
 
 // fail records the first fault of an entry, section or layer.
@@ -95,112 +77,151 @@
 	c.faults = append(c.faults, fault{id: id, message: message})
 }
 
-// checkEntries checks each entry of the given layers by itself.
-func (c *checker) checkEntries(layers []string) {
-	wanted := make(map[string]bool, len(layers))
-	for _, layer := range layers {
-		wanted[layer] = true
+func (c *checker) checkName(id entryID, name string) bool {
+	_, err := parser.Name(name)
+	if err != nil {
+		c.fail(id, err.Error())
 	}
-	seen := make(map[entryID]bool, len(c.values))
-	for _, e := range c.doc.GetEntries() {
-		id := idOf(e)
-		if !wanted[id.layer] {
+	return err == nil
+}
+
+// checkSections checks each entry of a layer by itself, and sets what it says
+// in the drafts, which are in the order of c.services.
+func (c *checker) checkSections(l *layer, drafts []*draft) {
+	for _, s := range l.ordered() {
+		kind, name, ok := c.checkHeader(s)
+		if !ok {
 			continue
 		}
-		if seen[id] {
-			c.fail(id, "the key stands twice")
+		set := func(e *controlwire.Entry) error { return checkValue(l.name, e) }
+		if kind == kindService {
+			i, _ := slices.BinarySearch(c.services, name)
+			set = drafts[i].set
 		}
-		seen[id] = true
-		c.checkEntry(id, e.GetValue())
+		c.checkEntries(s, keysOf(kind), set)
 	}
 }
 
-func (c *checker) checkEntry(id entryID, value string) {
-	if id.layer != baseLayer && !c.checkName(entryID{layer: id.layer}, id.layer) {
-		return
+// checkHeader returns the kind and the name of a section, and whether it may
+// stand in its layer.
+func (c *checker) checkHeader(s *section) (kind, name string, ok bool) {
+	kind, name, named := strings.Cut(s.header.section, " ")
+	needsName, valid := sectionForms(s.header.layer)[kind]
+	if !valid || needsName != named {
+		c.fail(s.header, parser.Unknown("section", s.header.section, c.validSections(s.header.layer)))
+		return kind, name, false
 	}
-	if !c.checkSection(id) {
-		return
+	if named && !c.checkName(s.header, name) {
+		return kind, name, false
 	}
-	if err := parser.CheckValue(value); err != nil {
-		c.fail(id, err.Error())
-		return
+	if _, known := slices.BinarySearch(c.services, name); kind == kindService && !known {
+		c.fail(s.header, parser.Unknown("service", name, c.services))
+		return kind, name, false
 	}
-	if keys := keysOf(id.section); !slices.Contains(keys, id.key) {
-		c.fail(id, parser.Unknown("key", id.key, keys))
-		return
+	return kind, name, true
+}
+
+func (c *checker) validSections(layer string) []string {
+	if layer == baseLayer {
+		return []string{kindControl, kindOwner + " NAME", kindService + " NAME"}
 	}
-	if err := checkValue(id, value); err != nil {
-		c.fail(id, err.Error())
+	sections := []string{kindSite}
+	for _, name := range c.services {
+		sections = append(sections, kindService+" "+name)
 	}
+	return sections
 }
 
-func (c *checker) checkName(id entryID, name string) bool {
-	_, err := parser.Name(name)
-	if err != nil {
-		c.fail(id, err.Error())
+func (c *checker) checkEntries(s *section, keys []string, set func(*controlwire.Entry) error) {
+	previous := ""
+	for _, e := range s.entries {
+		id := idOf(e)
+		if e.GetKey() == previous {
+			c.fail(id, "the key stands twice")
+		}
+		previous = e.GetKey()
+		if !slices.Contains(keys, id.key) {
+			c.fail(id, parser.Unknown("key", id.key, keys))
+			continue
+		}
+		if err := parser.CheckValue(e.GetValue()); err != nil {
+			c.fail(id, err.Error())
+			continue
+		}
+		if err := set(e); err != nil {
+			c.fail(id, err.Error())
+		}
 	}
-	return err == nil
 }
 
-// checkSection reports whether the section may stand in its layer.
-func (c *checker) checkSection(id entryID) bool {
-	header := entryID{layer: id.layer, section: id.section}
-	kind, name, named := strings.Cut(id.section, " ")
-	needsName, valid := sectionForms(id.layer)[kind]
-	if !valid || needsName != named {
-		c.fail(header, parser.Unknown("section", id.section, c.validSections(id.layer)))
-		return false
+func (c *checker) checkBase() {
+	if len(c.services) == 0 {
+		c.fail(entryID{layer: baseLayer}, "no service is described")
 	}
-	if named && !c.checkName(header, name) {
-		return false
+	for _, name := range c.owners {
+		c.require(c.base, kindOwner+" "+name, ownerKeys)
 	}
-	if kind == kindService && !slices.Contains(c.services, name) {
-		c.fail(header, parser.Unknown("service", name, c.services))
-		return false
+	for _, name := range c.services {
+		c.require(c.base, kindService+" "+name, []string{keyOwner})
 	}
-	return true
 }
 
-// sectionForms returns the kinds of sections that may stand in a layer, and
-// whether each needs a name.
-func sectionForms(layer string) map[string]bool {
-	if layer == baseLayer {
-		return baseForms
+// require checks that a section sets the keys.
+func (c *checker) require(l *layer, header string, keys []string) {
+	for _, key := range keys {
+		if _, set := l.value(header, key); !set {
+			c.fail(entryID{layer: l.name, section: header}, "the key "+key+" is missing")
+			return
+		}
 	}
-	return overlayForms
 }
 
-var (
-	baseForms    = map[string]bool{kindControl: false, kindOwner: true, kindService: true}
-	overlayForms = map[string]bool{kindSite: false, kindService: true}
-)
+// checkDrafts checks what the entries of the services mean together.
+func (c *checker) checkDrafts(drafts []*draft) {
+	routes := make(map[string]string, len(drafts))
+	for _, d := range drafts {
+		c.checkOwner(d)
+		c.checkTimeouts(d)
+		c.checkRoutes(d, routes)
+	}
+}
 
-func (c *checker) validSections(layer string) []string {
-	if layer == baseLayer {
-		return []string{kindControl, kindOwner + " NAME", kindService + " NAME"}
+func (c *checker) checkOwner(d *draft) {
+	id := d.at(keyOwner)
+	if _, known := slices.BinarySearch(c.owners, d.spec.Owner); known || id.key == "" {
+		return
 	}
-	sections := []string{kindSite}
-	for _, name := range c.services {
-		sections = append(sections, kindService+" "+name)
+	c.fail(id, fmt.Sprintf("%q: %s", d.spec.Owner, parser.Unknown("owner", d.spec.Owner, c.owners)))
+}
+
+func (c *checker) checkTimeouts(d *draft) {
+	if d.spec.Timeout <= d.spec.MaxTimeout {
+		return
 	}
-	return sections
+	c.fail(d.at("timeout", "max-timeout"), fmt.Sprintf("the timeout %s is longer than the max-timeout %s",
+		parser.FormatDuration(d.spec.Timeout), parser.FormatDuration(d.spec.MaxTimeout)))
 }
 
-func keysOf(section string) []string {
-	switch kind, _, _ := strings.Cut(section, " "); kind {
-	case kindControl:
-		return controlKeys
-	case kindOwner:
-		return ownerKeys
-	case kindSite:
-		return siteKeys
+// checkRoutes checks that no other service has the same host and path prefix.
+func (c *checker) checkRoutes(d *draft, routes map[string]string) {
+	hosts := d.spec.Hosts
+	if len(hosts) == 0 {
+		hosts = []string{anyHost}
+	}
+	for _, host := range hosts {
+		route := host + d.spec.PathPrefix
+		if other, taken := routes[route]; taken {
+			c.fail(d.at("path-prefix", "hosts", keyOwner), fmt.Sprintf("service %s has the same route %s", other, route))
+			continue
+		}
+		routes[route] = d.spec.Name
 	}
-	return serviceKeys
 }
 
-func checkValue(id entryID, value string) error {
-	switch id.key {
+// checkValue checks the value of an entry that does not describe a service.
+func checkValue(layer string, e *controlwire.Entry) error {
+	value := e.GetValue()
+	switch e.GetKey() {
 	case keyIdleRate:
 		_, err := parseRate(value)
 		return err
@@ -209,15 +230,12 @@
 	case keyVoters:
 		return checkVoters(value)
 	case keyName:
-		return checkSiteName(id.layer, value)
+		return checkSiteName(layer, value)
 	case keyRegion:
 		_, err := parser.Name(value)
 		return err
-	case keyFailureDomains:
-		return checkNames(value)
 	}
-	var spec ServiceSpec
-	return settingsByKey[id.key].set(&spec, value)
+	return checkNames(value)
 }
 
 func checkSiteName(layer, value string) error {
@@ -235,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = parser.Int(itoa(len(voters)), 1, maxVoters)
+	_, err = parser.Int(strconv.Itoa(len(voters)), 1, maxVoters)
 	return err
 }
 
--- a/internal/version/compiler/compile.go
+++ b/internal/version/compiler/compile.go
@@ -16,9 +16,8 @@
 
 func checkAll(doc *controlwire.Document) []fault {
 	c := newChecker(doc)
-	c.checkEntries(c.layers)
-	for _, layer := range c.layers {
-		c.checkLayer(layer, c.drafts(layer))
+	for _, name := range c.sites() {
+		c.site(name)
 	}
 	return c.faults
 }
@@ -28,13 +27,7 @@
 // base or the site's overlay has a fault.
 func Compile(doc *controlwire.Document, site string, number uint64) (*Configuration, error) {
 	c := newChecker(doc)
-	c.checkEntries([]string{baseLayer, site})
-	layer := baseLayer
-	if c.hasLayer(site) {
-		layer = site
-	}
-	drafts := c.drafts(layer)
-	c.checkLayer(layer, drafts)
+	drafts := c.site(site)
 	if err := faultsError(c.faults, nil); err != nil {
 		return nil, fmt.Errorf("compile for site %s: %w", site, err)
 	}
@@ -43,28 +36,23 @@
 		services[i] = NewService(d.spec)
 	}
 	cfg := NewConfiguration(number, site, services)
-	return cfg, c.complete(cfg, layer)
-}
-
-func (c *checker) hasLayer(name string) bool {
-	for _, layer := range c.layers {
-		if layer == name {
-			return true
-		}
+	if err := c.complete(cfg); err != nil {
+		return nil, fmt.Errorf("compile for site %s: %w", site, err)
 	}
-	return false
+	return cfg, nil
 }
 
 // complete adds to cfg what does not concern a service.
-func (c *checker) complete(cfg *Configuration, layer string) (err error) {
-	cfg.region = c.values[entryID{layer: layer, section: kindSite, key: keyRegion}]
-	if value, set := c.values[entryID{layer: layer, section: kindSite, key: keyFailureDomains}]; set {
-		if cfg.failureDomains, err = parser.List(value); err != nil {
+func (c *checker) complete(cfg *Configuration) (err error) {
+	if overlay := c.layers[cfg.site]; overlay != nil && overlay != c.base {
+		cfg.region, _ = overlay.value(kindSite, keyRegion)
+		domains, _ := overlay.value(kindSite, keyFailureDomains)
+		if cfg.failureDomains, err = parser.List(domains); err != nil {
 			return fmt.Errorf("read failure domains: %w", err)
 		}
 	}
-	if value, set := c.values[entryID{section: kindControl, key: keyVoters}]; set {
-		if cfg.voters, err = parser.Addresses(value); err != nil {
+	if voters, set := c.base.value(kindControl, keyVoters); set {
+		if cfg.voters, err = parser.Addresses(voters); err != nil {
 			return fmt.Errorf("read voters: %w", err)
 		}
 	}
@@ -79,23 +67,15 @@
 }
 
 func (c *checker) owner(name string) (*Owner, error) {
-	section := kindOwner + " " + name
-	rate := c.values[entryID{section: section, key: keyIdleRate}]
+	header := kindOwner + " " + name
+	rate, _ := c.base.value(header, keyIdleRate)
+	currency, _ := c.base.value(header, keyCurrency)
 	micros, err := parseRate(rate)
 	if err != nil {
 		return nil, fmt.Errorf("read rate of owner %s: %w", name, err)
 	}
-	currency := c.values[entryID{section: section, key: keyCurrency}]
 	return &Owner{name: name, idleRate: rate, micros: micros, currency: currency}, nil
 }
 
 // Sites returns the names of the sites that have an overlay, in order.
-func Sites(doc *controlwire.Document) []string {
-	var sites []string
-	for _, layer := range newChecker(doc).layers {
-		if layer != baseLayer {
-			sites = append(sites, layer)
-		}
-	}
-	return sites
-}
+func Sites(doc *controlwire.Document) []string { return newChecker(doc).sites() }
--- a/internal/version/compiler/delta.go
+++ b/internal/version/compiler/delta.go
@@ -1,6 +1,8 @@
 package compiler
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
@@ -10,42 +12,68 @@
 var ErrBase = errors.New("the change does not fit the document")
 
 // Diff returns the changes that lead from one document to another, in
-// canonical order. A nil document is empty.
+// canonical order. A nil document is empty. Both documents must be free of
+// faults.
 func Diff(old, next *controlwire.Document) []*controlwire.EntryChange {
-	before, after := values(old), values(next)
-	changed := make(map[entryID]string)
-	for id, value := range before {
-		if _, kept := after[id]; !kept {
-			changed[id] = value
-		}
-	}
-	for id, value := range after {
-		if previous, known := before[id]; !known || previous != value {
-			changed[id] = value
-		}
-	}
+	before, after := canonical(old), canonical(next)
 	var changes []*controlwire.EntryChange
-	for _, id := range sortedIDs(changed) {
-		_, kept := after[id]
-		changes = append(changes, &controlwire.EntryChange{Entry: newEntry(id, changed[id]), Removed: !kept})
+	for len(before) > 0 || len(after) > 0 {
+		switch order := compareHeads(before, after); {
+		case order < 0:
+			changes = append(changes, &controlwire.EntryChange{Entry: before[0], Removed: true})
+			before = before[1:]
+		case order > 0:
+			changes = append(changes, &controlwire.EntryChange{Entry: after[0]})
+			after = after[1:]
+		default:
+			if before[0].GetValue() != after[0].GetValue() {
+				changes = append(changes, &controlwire.EntryChange{Entry: after[0]})
+			}
+			before, after = before[1:], after[1:]
+		}
 	}
 	return changes
 }
 
+// compareHeads compares the first entries of two lists. An empty list comes
+// after any other.
+func compareHeads(a, b []*controlwire.Entry) int {
+	switch {
+	case len(a) == 0:
+		return 1
+	case len(b) == 0:
+		return -1
+	}
+	return compareIDs(idOf(a[0]), idOf(b[0]))
+}
+
 // Apply returns the document that the changes lead to, in canonical order. It
-// returns ErrBase if a change removes an entry that is not in the document.
+// shares the entries that stay the same. It returns ErrBase if a change
+// removes an entry that is not in the document, or if two concern one entry.
 func Apply(doc *controlwire.Document, changes []*controlwire.EntryChange) (*controlwire.Document, error) {
-	m := values(doc)
-	for _, change := range changes {
+	changes = slices.Clone(changes)
+	slices.SortFunc(changes, func(a, b *controlwire.EntryChange) int { return compareEntries(a.GetEntry(), b.GetEntry()) })
+	entries := canonical(doc)
+	next := make([]*controlwire.Entry, 0, len(entries)+len(changes))
+	for i, change := range changes {
 		id := idOf(change.GetEntry())
-		if !change.GetRemoved() {
-			m[id] = change.GetEntry().GetValue()
-			continue
+		if i > 0 && idOf(changes[i-1].GetEntry()) == id {
+			return nil, errors.Wrapf(ErrBase, "%s: %s is changed twice", describe(id), id.key)
+		}
+		n, found := slices.BinarySearchFunc(entries, id, func(e *controlwire.Entry, id entryID) int {
+			return compareIDs(idOf(e), id)
+		})
+		next = append(next, entries[:n]...)
+		entries = entries[n:]
+		if found {
+			entries = entries[1:]
 		}
-		if _, found := m[id]; !found {
+		switch {
+		case !change.GetRemoved():
+			next = append(next, change.GetEntry())
+		case !found:
 			return nil, errors.Wrapf(ErrBase, "%s: %s is not there to be removed", describe(id), id.key)
 		}
-		delete(m, id)
 	}
-	return canonical(m), nil
+	return &controlwire.Document{Entries: append(next, entries...)}, nil
 }
--- a/internal/version/compiler/document.go
+++ b/internal/version/compiler/document.go
@@ -24,52 +24,41 @@
 	return cmp.Or(cmp.Compare(a.layer, b.layer), cmp.Compare(a.section, b.section), cmp.Compare(a.key, b.key))
 }
 
-// values returns the document's entries by their ids.
-func values(doc *controlwire.Document) map[entryID]string {
-	m := make(map[entryID]string, len(doc.GetEntries()))
-	for _, e := range doc.GetEntries() {
-		m[idOf(e)] = e.GetValue()
-	}
-	return m
-}
-
-// canonical returns the document with the given entries in canonical order:
-// by layer, section and key.
-func canonical(m map[entryID]string) *controlwire.Document {
-	doc := &controlwire.Document{Entries: make([]*controlwire.Entry, 0, len(m))}
-	for _, id := range sortedIDs(m) {
-		doc.Entries = append(doc.Entries, newEntry(id, m[id]))
-	}
-	return doc
-}
-
 func newEntry(id entryID, value string) *controlwire.Entry {
 	return &controlwire.Entry{Layer: id.layer, Section: id.section, Key: id.key, Value: value}
 }
 
-func sortedIDs(m map[entryID]string) []entryID {
-	ids := make([]entryID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
+func compareEntries(a, b *controlwire.Entry) int {
+	return cmp.Or(compareIDs(idOf(a), idOf(b)), cmp.Compare(a.GetValue(), b.GetValue()))
+}
+
+// canonical returns the document's entries in canonical order: by layer,
+// section and key. It does not change the document.
+func canonical(doc *controlwire.Document) []*controlwire.Entry {
+	entries := doc.GetEntries()
+	if slices.IsSortedFunc(entries, compareEntries) {
+		return entries
 	}
-	slices.SortFunc(ids, compareIDs)
-	return ids
+	entries = slices.Clone(entries)
+	slices.SortFunc(entries, compareEntries)
+	return entries
 }
 
 // Digest returns the SHA-256 of the document in canonical order. Each text is
 // preceded by its length, so that no two documents share an encoding.
 func Digest(doc *controlwire.Document) []byte {
-	entries := slices.Clone(doc.GetEntries())
-	slices.SortFunc(entries, func(a, b *controlwire.Entry) int {
-		return cmp.Or(compareIDs(idOf(a), idOf(b)), cmp.Compare(a.GetValue(), b.GetValue()))
-	})
 	var encoded []byte
-	for _, e := range entries {
-		for _, text := range []string{e.GetLayer(), e.GetSection(), e.GetKey(), e.GetValue()} {
-			encoded = binary.AppendUvarint(encoded, uint64(len(text)))
-			encoded = append(encoded, text...)
-		}
+	for _, e := range canonical(doc) {
+		encoded = appendText(encoded, e.GetLayer())
+		encoded = appendText(encoded, e.GetSection())
+		encoded = appendText(encoded, e.GetKey())
+		encoded = appendText(encoded, e.GetValue())
 	}
 	sum := sha256.Sum256(encoded)
 	return sum[:]
 }
+
+func appendText(encoded []byte, text string) []byte {
+	encoded = binary.AppendUvarint(encoded, uint64(len(text)))
+	return append(encoded, text...)
+}
--- a/internal/version/compiler/effect.go
+++ b/internal/version/compiler/effect.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -56,49 +57,51 @@
 func Effects(old, next *controlwire.Document) []Effect {
 	before, after := newChecker(old), newChecker(next)
 	effects := compare(ScopeEverywhere, before.common(), after.common())
-	for _, layer := range mergedLayers(before, after) {
-		scope := "site " + layer
-		if layer == baseLayer {
-			scope = ScopeOther
-		}
-		effects = append(effects, compare(scope, before.effective(layer), after.effective(layer))...)
+	effects = append(effects, compare(ScopeOther, before.effective(baseLayer), after.effective(baseLayer))...)
+	sites := slices.Concat(before.sites(), after.sites())
+	slices.Sort(sites)
+	for _, site := range slices.Compact(sites) {
+		effects = append(effects, compare("site "+site, before.effective(site), after.effective(site))...)
 	}
 	return effects
 }
 
-func mergedLayers(a, b *checker) []string {
-	layers := slices.Concat(a.layers, b.layers)
-	slices.Sort(layers)
-	return slices.Compact(layers)
-}
-
 // common returns the entries of the base that do not describe a service.
 func (c *checker) common() map[entryID]string {
 	m := make(map[entryID]string)
-	for id, value := range c.values {
-		if id.layer == baseLayer && !strings.HasPrefix(id.section, kindService+" ") {
-			m[id] = value
+	for header, s := range c.base.sections {
+		if !strings.HasPrefix(header, kindService+" ") {
+			s.copyTo(m)
 		}
 	}
 	return m
 }
 
-// effective returns all settings of the services and of the site at a layer.
-func (c *checker) effective(layer string) map[entryID]string {
+// effective returns all settings of the services and of the site.
+func (c *checker) effective(site string) map[entryID]string {
 	m := make(map[entryID]string)
-	for _, key := range siteKeys {
-		if value, set := c.values[entryID{layer: layer, section: kindSite, key: key}]; set {
-			m[entryID{section: kindSite, key: key}] = value
-		}
+	if overlay := c.layers[site]; overlay != nil && overlay.sections[kindSite] != nil {
+		overlay.sections[kindSite].copyTo(m)
 	}
-	for _, d := range c.drafts(layer) {
+	for _, d := range c.site(site) {
 		for _, s := range settings {
-			m[entryID{section: kindService + " " + d.spec.Name, key: s.key}] = s.get(&d.spec)
+			m[entryID{section: d.header, key: s.key}] = s.get(&d.spec)
 		}
 	}
 	return m
 }
 
+// copyTo adds the entries of a section to m, as if they stood in the base.
+func (s *section) copyTo(m map[entryID]string) {
+	for _, e := range s.entries {
+		m[entryID{section: e.GetSection(), key: e.GetKey()}] = e.GetValue()
+	}
+}
+
+func sortedIDs(m map[entryID]string) []entryID {
+	return slices.SortedFunc(maps.Keys(m), compareIDs)
+}
+
 func compare(scope string, before, after map[entryID]string) []Effect {
 	all := make(map[entryID]string, len(after))
 	for _, m := range []map[entryID]string{before, after} {
--- a/internal/version/compiler/fault.go
+++ b/internal/version/compiler/fault.go
@@ -24,6 +24,7 @@
 	if len(faults) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(faults, func(a, b fault) int { return compareIDs(a.id, b.id) })
 	var errs parser.Errors
 	for _, f := range faults {
 		key := f.id.key
@@ -36,10 +37,9 @@
 		}
 		errs = append(errs, parser.NewError(describe(f.id), 0, f.id.key, f.message))
 	}
-	if positions == nil {
-		return errs
+	if positions != nil {
+		slices.SortStableFunc(errs, compareErrors)
 	}
-	slices.SortStableFunc(errs, compareErrors)
 	return errs
 }
 
--- a/internal/version/compiler/format.go
+++ b/internal/version/compiler/format.go
@@ -28,7 +28,7 @@
 // kept in a document.
 func Format(doc *controlwire.Document) []Source {
 	var files []Source
-	entries := canonical(values(doc)).GetEntries()
+	entries := slices.Clone(canonical(doc))
 	for len(entries) > 0 {
 		layer := entries[0].GetLayer()
 		n := slices.IndexFunc(entries, func(e *controlwire.Entry) bool { return e.GetLayer() != layer })
@@ -76,7 +76,11 @@
 	for id, value := range c.common() {
 		m[id] = value
 	}
-	return Format(canonical(m))[0].Data
+	doc = &controlwire.Document{}
+	for _, id := range sortedIDs(m) {
+		doc.Entries = append(doc.Entries, newEntry(id, m[id]))
+	}
+	return Format(doc)[0].Data
 }
 
 // FormatChange writes one change as one line.
--- a/internal/version/compiler/source.go
+++ b/internal/version/compiler/source.go
@@ -23,7 +23,7 @@
 
 // assembler collects the entries of several files.
 type assembler struct {
-	values    map[entryID]string
+	doc       *controlwire.Document
 	positions map[entryID]position
 	errs      parser.Errors
 }
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &assembler{values: make(map[entryID]string), positions: make(map[entryID]position)}
+	a := &assembler{doc: &controlwire.Document{}, positions: make(map[entryID]position)}
 	for _, file := range parsed {
 		a.add(file)
 	}
@@ -49,11 +49,11 @@
 	if len(a.errs) > 0 {
 		return nil, a.errs
 	}
-	doc := canonical(a.values)
-	if err := faultsError(checkAll(doc), a.positions); err != nil {
+	a.doc.Entries = canonical(a.doc)
+	if err := faultsError(checkAll(a.doc), a.positions); err != nil {
 		return nil, err
 	}
-	return doc, nil
+	return a.doc, nil
 }
 
 func parseAll(files []Source) ([]*parser.File, error) {
@@ -122,7 +122,7 @@
 	}
 	for _, key := range section.Keys() {
 		id := entryID{layer: layer, section: section.Name(), key: key.Name()}
-		a.values[id] = key.Value()
+		a.doc.Entries = append(a.doc.Entries, newEntry(id, key.Value()))
 		a.positions[id] = position{file: file.Name(), line: key.Line()}
 	}
 }
