--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -37,7 +37,9 @@
 type action func() error
 
 // commands lists the functions that add a command each, in the order of the help text.
-var commands = []func(*kingpin.Application, *environment) (string, action){}
+var commands = []func(*kingpin.Application, *environment) (string, action){
+	standInCmd,
+}
 
 // Run executes the command that args name and returns the program's exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
