feat: add load samples, choice of an instance and admission

An entry node chooses by samples of the serving nodes' own counts; a serving node admits work by slots, deadline and priority. The upstream's load endpoint is not read anywhere.

--- /dev/null
+++ b/internal/process/sampler/entry.go
@@ -0,0 +1,122 @@
+package sampler
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// latencyWeight is the weight of a new latency in the moving average.
+	latencyWeight = 1.0 / 8
+	// failureWeight is the weight of a new result in the failure rate.
+	failureWeight = 1.0 / 5
+	// memoryHalfLife is how long it takes until half of a bad latency or failure
+	// rate is forgotten, so that an instance out of use is tried again.
+	memoryHalfLife = 2 * time.Second
+)
+
+// sample is one observed load. It is immutable.
+type sample struct {
+	incarnation uint64
+	load        Load
+	at          time.Time
+}
+
+// path is what own requests to one incarnation of an instance saw. It is
+// immutable.
+type path struct {
+	latency     time.Duration
+	failureRate float64
+	results     int
+	at          time.Time
+}
+
+// entry is what is known about one instance.
+type entry struct {
+	outstanding atomic.Int64
+	sentSince   atomic.Int64
+	sample      atomic.Pointer[sample]
+	path        atomic.Pointer[path]
+	mu          sync.Mutex // Serializes writers of sample and path.
+}
+
+func (e *entry) finished(result Result, now time.Time) {
+	e.outstanding.Add(-1)
+	if result.Refused {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next := path{at: now}
+	if old := e.path.Load(); old != nil {
+		next.latency = old.latency
+		next.failureRate = decayed(old.failureRate, now.Sub(old.at))
+		next.results = old.results
+	}
+	next.results++
+	if result.Failed {
+		next.failureRate += failureWeight * (1 - next.failureRate)
+	} else {
+		next.failureRate -= failureWeight * next.failureRate
+		next.latency = smoothed(next.latency, result.Latency)
+	}
+	e.path.Store(&next)
+}
+
+func (e *entry) observe(next sample) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.sample.Load()
+	if old != nil && old.incarnation > next.incarnation {
+		return
+	}
+	if old != nil && old.incarnation == next.incarnation && old.at.After(next.at) {
+		return
+	}
+	if old != nil && old.incarnation < next.incarnation {
+		e.path.Store(nil)
+	}
+	e.sample.Store(&next)
+	e.sentSince.Store(0)
+}
+
+func (e *entry) read(useLimit int64, maxAge time.Duration, now time.Time) Reading {
+	r := Reading{
+		outstanding: int(max(e.outstanding.Load(), 0)),
+		sentSince:   int(e.sentSince.Load()),
+	}
+	if s := e.sample.Load(); s != nil {
+		r.sampled = true
+		r.load = s.load
+		r.incarnation = s.incarnation
+		r.age = max(now.Sub(s.at), 0)
+		r.fresh = r.age <= maxAge && int64(r.sentSince) < useLimit
+	}
+	if p := e.path.Load(); p != nil {
+		idle := now.Sub(p.at)
+		r.results = p.results
+		r.lastLatency = p.latency
+		r.pathLatency = time.Duration(decayed(float64(p.latency), idle))
+		r.failureRate = decayed(p.failureRate, idle)
+	}
+	return r
+}
+
+// decayed returns v after it was forgotten for the given time.
+func decayed(v float64, idle time.Duration) float64 {
+	if idle <= 0 {
+		return v
+	}
+	return v * math.Exp2(-float64(idle)/float64(memoryHalfLife))
+}
+
+// smoothed returns the moving average after one more latency. The first one
+// stands for itself.
+func smoothed(average, latency time.Duration) time.Duration {
+	if average == 0 {
+		return latency
+	}
+	return average + time.Duration(latencyWeight*float64(latency-average))
+}
--- /dev/null
+++ b/internal/process/sampler/load.go
@@ -0,0 +1,121 @@
+package sampler
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of the fields of a Load. NewLoad clamps to them and ParseLoad rejects
+// what lies outside, so that one wrong header cannot upset a choice.
+const (
+	maxCount     = 1 << 20
+	maxLatency   = time.Hour
+	fullyWarm    = 100
+	maxLoadBytes = 96
+)
+
+// ErrLoad reports text that is not a load header value.
+var ErrLoad = errors.New("malformed load")
+
+// loadKeys lists the keys of a load header value in their order.
+var loadKeys = [...]string{"in-flight", "queued", "limit", "latency-us", "warm-percent"}
+
+// LoadSpec lists the fields of a Load for NewLoad.
+type LoadSpec struct {
+	// InFlight is how many requests the upstream works on.
+	InFlight int
+	// Queued is how many requests wait for a slot.
+	Queued int
+	// Limit is how many requests the serving node lets the upstream work on at once.
+	Limit int
+	// Latency is the smoothed time of one exchange with the upstream, without
+	// the wait for a slot; 0 if nothing was measured yet.
+	Latency time.Duration
+	// WarmPercent is how far the upstream has come in its cold start, 100 when done.
+	WarmPercent int
+}
+
+// Load is the load of one instance, as its serving node counted it. It is
+// immutable and comparable.
+type Load struct{ spec LoadSpec }
+
+// NewLoad returns the load that spec describes, each field clamped to its
+// bounds and the latency cut to whole microseconds.
+func NewLoad(spec LoadSpec) Load {
+	spec.InFlight = clamp(spec.InFlight, maxCount)
+	spec.Queued = clamp(spec.Queued, maxCount)
+	spec.Limit = clamp(spec.Limit, maxCount)
+	spec.WarmPercent = clamp(spec.WarmPercent, fullyWarm)
+	spec.Latency = min(max(spec.Latency, 0), maxLatency).Truncate(time.Microsecond)
+	return Load{spec: spec}
+}
+
+// ParseLoad returns the load that s, as made by String, describes. It returns
+// ErrLoad for text that String would not have made.
+func ParseLoad(s string) (Load, error) {
+	if len(s) > maxLoadBytes {
+		return Load{}, errors.Wrapf(ErrLoad, "%d bytes", len(s))
+	}
+	var values [len(loadKeys)]int
+	rest := s
+	for i, key := range loadKeys {
+		field, tail, found := strings.Cut(rest, ";")
+		if found != (i < len(loadKeys)-1) {
+			return Load{}, errors.Wrapf(ErrLoad, "%q", s)
+		}
+		rest = tail
+		value, ok := strings.CutPrefix(field, key+"=")
+		if !ok {
+			return Load{}, errors.Wrapf(ErrLoad, "%q lacks %s", s, key)
+		}
+		n, err := strconv.ParseUint(value, 10, 32)
+		if err != nil {
+			return Load{}, errors.Wrapf(ErrLoad, "%q: %s", s, key)
+		}
+		values[i] = int(n)
+	}
+	l := NewLoad(LoadSpec{
+		InFlight:    values[0],
+		Queued:      values[1],
+		Limit:       values[2],
+		Latency:     time.Duration(values[3]) * time.Microsecond,
+		WarmPercent: values[4],
+	})
+	if l.String() != s {
+		return Load{}, errors.Wrapf(ErrLoad, "%q is out of bounds", s)
+	}
+	return l, nil
+}
+
+// InFlight returns how many requests the upstream works on.
+func (l Load) InFlight() int { return l.spec.InFlight }
+
+// Latency returns the smoothed time of one exchange with the upstream, without
+// the wait for a slot, or 0 if nothing was measured yet.
+func (l Load) Latency() time.Duration { return l.spec.Latency }
+
+// Limit returns how many requests the upstream may work on at once.
+func (l Load) Limit() int { return l.spec.Limit }
+
+// Queued returns how many requests wait for a slot.
+func (l Load) Queued() int { return l.spec.Queued }
+
+// String returns the load as a header value of ASCII characters, such as
+// "in-flight=3;queued=0;limit=6;latency-us=1200;warm-percent=100".
+func (l Load) String() string {
+	return fmt.Sprintf("in-flight=%d;queued=%d;limit=%d;latency-us=%d;warm-percent=%d",
+		l.spec.InFlight, l.spec.Queued, l.spec.Limit, l.spec.Latency.Microseconds(), l.spec.WarmPercent)
+}
+
+// WarmPercent returns how far the upstream has come in its cold start, from 0
+// to 100.
+func (l Load) WarmPercent() int { return l.spec.WarmPercent }
+
+// Warming reports whether the upstream is still in its cold start.
+func (l Load) Warming() bool { return l.spec.WarmPercent < fullyWarm }
+
+func clamp(n, limit int) int { return min(max(n, 0), limit) }
--- /dev/null
+++ b/internal/process/sampler/pool_test.go
@@ -0,0 +1,124 @@
+package sampler
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+)
+
+const maxAge = 100 * time.Millisecond
+
+func busy(n int) Load {
+	return NewLoad(LoadSpec{InFlight: n, Limit: 6, Latency: time.Millisecond, WarmPercent: 100})
+}
+
+func TestReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Config{UseLimit: 3})
+		p.Observe("a", 2, busy(1), time.Now())
+		p.Sent("a")
+		p.Sent("a")
+		assertReading(t, p, true, 3)
+		p.Sent("a") // The sample is used up.
+		assertReading(t, p, false, 4)
+		p.Observe("a", 2, busy(0), time.Now()) // Own requests in flight bound it from below.
+		assertReading(t, p, true, 3)
+		p.Observe("a", 1, busy(6), time.Now()) // An earlier incarnation.
+		p.Observe("a", 2, busy(6), time.Now().Add(-time.Millisecond))
+		assertReading(t, p, true, 3)
+		time.Sleep(maxAge + 1)
+		assertReading(t, p, false, 3)
+	})
+}
+
+func TestNewIncarnationClearsThePath(t *testing.T) {
+	p := New(Config{})
+	p.Observe("a", 1, busy(0), time.Now())
+	fail(p, "a", 10)
+	assert.Assert(t, p.Read("a", maxAge, time.Now()).FailureRate() > 0.5)
+	p.Observe("a", 2, busy(0), time.Now())
+	assert.Equal(t, p.Read("a", maxAge, time.Now()).FailureRate(), 0.0)
+}
+
+func TestRetain(t *testing.T) {
+	p := New(Config{})
+	p.Observe("a", 1, busy(0), time.Now())
+	p.Sent("b")
+	p.Retain(func(string) bool { return false })
+	assert.Assert(t, !p.Read("a", maxAge, time.Now()).Sampled())
+	assert.Equal(t, p.Read("b", maxAge, time.Now()).Outstanding(), 1)
+	p.Finished("b", Result{})
+	p.Retain(func(string) bool { return false })
+	p.Finished("b", Result{}) // A forgotten instance stays forgotten.
+	assert.Equal(t, p.Read("b", maxAge, time.Now()).Outstanding(), 0)
+}
+
+func TestOutliers(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		n, failing, slow    int
+		minHealthy, ejected int
+	}{
+		{"no outlier", 6, 0, 0, 50, 0},
+		{"one straggler", 6, 0, 1, 50, 1},
+		{"one fast failer", 6, 1, 0, 50, 1},
+		{"one of each in three", 3, 1, 1, 50, 1},
+		{"two fast failers in six", 6, 2, 0, 50, 2},
+		{"the floor holds", 6, 2, 0, 80, 1},
+		{"the floor is rounded up", 3, 1, 0, 70, 0},
+		{"all fail", 4, 4, 0, 50, 0},
+		{"a floor of nothing leaves one", 2, 1, 1, 0, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := New(Config{})
+				q := OutlierQuery{Service: "s", MinHealthyPercent: tt.minHealthy, Now: time.Now()}
+				for i := range tt.n {
+					id := fmt.Sprint(i)
+					q.Instances = append(q.Instances, registrar.NewInstance(registrar.Spec{ID: id, State: registrar.StateReady}))
+					switch {
+					case i < tt.failing:
+						fail(p, id, 10)
+					case i < tt.failing+tt.slow:
+						succeed(p, id, 10, 100*time.Millisecond)
+					default:
+						succeed(p, id, 10, 5*time.Millisecond)
+					}
+				}
+				assert.Equal(t, p.Outliers(q).Len(), tt.ejected)
+				for i := tt.failing + tt.slow; i < tt.n; i++ {
+					assert.Assert(t, !p.Outliers(q).Has(fmt.Sprint(i)))
+				}
+				time.Sleep(10 * time.Second) // An instance out of use is tried again.
+				q.Now = time.Now()
+				assert.Equal(t, p.Outliers(q).Len(), 0)
+			})
+		})
+	}
+}
+
+func assertReading(t *testing.T, p *Pool, fresh bool, occupancy int) {
+	t.Helper()
+	r := p.Read("a", maxAge, time.Now())
+	assert.Equal(t, r.Fresh(), fresh)
+	assert.Equal(t, r.Occupancy(), occupancy)
+}
+
+func fail(p *Pool, id string, n int) {
+	for range n {
+		p.Sent(id)
+		p.Finished(id, Result{Failed: true, Latency: time.Microsecond})
+	}
+}
+
+func succeed(p *Pool, id string, n int, latency time.Duration) {
+	for range n {
+		p.Sent(id)
+		p.Finished(id, Result{Latency: latency})
+	}
+}
--- /dev/null
+++ b/internal/request/admitter/admitter.go
@@ -0,0 +1,298 @@
+// Package admitter decides which requests an upstream works on, which wait,
+// and which are refused at once.
+//
+// # Usage
+//
+//	a := admitter.New(admitter.Config{Slots: 6, Connections: 240, QueueLength: 32, ColdStart: 5 * time.Second})
+//	permit, err := a.Admit(ctx, admitter.Work{Priority: compiler.PriorityHigh, Deadline: deadline})
+//	var refusal *admitter.Refusal
+//	if errors.As(err, &refusal) {
+//		// Not run: answer 503 with refusal.Reason() and refusal.RetryAfterSeconds().
+//	}
+//	// Work.
+//	permit.Done(admitter.Result{Latency: latency})
+//
+// An upstream works on at most as many requests as its adaptive limit, which
+// lies between a third of its slots and all of them. Others wait in a bounded
+// queue, the higher priority first. A request whose deadline cannot be met is
+// refused when it arrives, or as soon as that becomes clear. A higher priority
+// takes the place of a lower one that waits, never of one that runs.
+//
+// All of it is the state of one upstream with a handful of slots, so one mutex
+// guards it; it is held for well under a microsecond.
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// Observer is told of each change of the upstream's work, in order. Its method
+// is called with the admitter locked: it must be quick and must not call back.
+type Observer interface {
+	InFlightChanged(now time.Time, inFlight, limit int)
+}
+
+// Config lists the settings of an Admitter.
+type Config struct {
+	// Slots is how many requests the upstream works on at once, at least 1.
+	Slots int
+	// Connections is how many connections the upstream accepts, at least 1.
+	Connections int
+	// QueueLength bounds how many requests wait; 0 for none.
+	QueueLength int
+	// ColdStart is how long after New the limit takes to reach its full value.
+	ColdStart time.Duration
+	// Observer is told of each change of the work in flight; nil for none.
+	Observer Observer
+}
+
+// Work describes a request that asks for admission.
+type Work struct {
+	// Priority is the request's class.
+	Priority compiler.Priority
+	// Deadline is when the answer must be there; the zero time for none.
+	Deadline time.Time
+}
+
+// Admitter admits work to one upstream.
+type Admitter struct {
+	observer Observer
+
+	mu       sync.Mutex // Guards all below.
+	limiter  *limiter
+	queue    queue
+	inFlight int
+	leaving  bool
+	changed  time.Time // When a request last began or ended.
+}
+
+// New returns an admitter whose cold start begins now.
+func New(cfg Config) *Admitter {
+	now := time.Now()
+	return &Admitter{
+		observer: cfg.Observer,
+		limiter:  newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
+		queue:    queue{capacity: cfg.QueueLength},
+		changed:  now,
+	}
+}
+
+// Admit returns a permit as soon as the upstream may work on the request. It
+// returns a *Refusal if the request is not to run: at once, or as soon as that
+// becomes clear while it waits. A caller with a permit must call Done.
+func (a *Admitter) Admit(ctx context.Context, work Work) (*Permit, error) {
+	if deadline, ok := ctx.Deadline(); ok && (work.Deadline.IsZero() || deadline.Before(work.Deadline)) {
+		work.Deadline = deadline
+	}
+	if ctx.Err() != nil {
+		return nil, &Refusal{reason: reasonOf(ctx)}
+	}
+	w, refusal := a.enter(work, time.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	if w == nil {
+		return &Permit{admitter: a}, nil
+	}
+	return a.wait(ctx, w)
+}
+
+// InFlight returns how many requests the upstream works on.
+func (a *Admitter) InFlight() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inFlight
+}
+
+// Leave makes Admit refuse everything from now on and refuses all that wait.
+// Requests in flight are not touched.
+func (a *Admitter) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	for w := a.queue.first(); w != nil; w = a.queue.first() {
+		a.refuseWaiter(w, classifier.ReasonLeaving, time.Now())
+	}
+}
+
+// Load returns the upstream's load as counted here.
+func (a *Admitter) Load() sampler.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	return sampler.NewLoad(sampler.LoadSpec{
+		InFlight:    a.inFlight,
+		Queued:      a.queue.len(),
+		Limit:       a.limiter.limit(now),
+		Latency:     a.latency(now),
+		WarmPercent: a.limiter.warmPercent(now),
+	})
+}
+
+// Update replaces the settings by those of a new configuration.
+func (a *Admitter) Update(slots, connections, queueLength int, coldStart time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.limiter.update(slots, connections, coldStart)
+	a.queue.capacity = queueLength
+	for a.queue.len() > queueLength {
+		a.refuseWaiter(a.queue.last(), classifier.ReasonQueueFull, now)
+	}
+	a.dispatch(now)
+	a.prune(now)
+	a.notify(now)
+}
+
+// enter admits, queues or refuses a request. Both results are nil if it was
+// admitted.
+func (a *Admitter) enter(work Work, now time.Time) (*waiter, *Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return nil, a.refuse(classifier.ReasonLeaving, now)
+	}
+	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 {
+		if !work.Deadline.IsZero() && now.Add(a.limiter.fastestLatency(now)).After(work.Deadline) {
+			return nil, a.refuse(classifier.ReasonDeadline, now)
+		}
+		a.begin(now)
+		return nil, nil
+	}
+	if a.late(work, a.queue.ahead(work.Priority), now) {
+		return nil, a.refuse(classifier.ReasonDeadline, now)
+	}
+	if a.queue.len() >= a.queue.capacity {
+		last := a.queue.last()
+		if last == nil || last.work.Priority >= work.Priority {
+			return nil, a.refuse(a.fullReason(), now)
+		}
+		a.refuseWaiter(last, classifier.ReasonPreempted, now)
+	}
+	w := newWaiter(work)
+	a.queue.push(w)
+	a.prune(now)
+	a.dispatch(now)
+	return w, nil
+}
+
+// fullReason returns why there is no place: the connections, if they are fewer
+// than the slots, or the slots and the queue.
+func (a *Admitter) fullReason() classifier.Reason {
+	if a.limiter.connections < a.limiter.slots {
+		return classifier.ReasonConnections
+	}
+	return classifier.ReasonQueueFull
+}
+
+// begin counts a request that starts to run.
+func (a *Admitter) begin(now time.Time) {
+	a.inFlight++
+	a.changed = now
+	a.notify(now)
+}
+
+// end counts a request that ran, and starts those whose turn it is.
+func (a *Admitter) end(result Result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	saturated := a.inFlight >= a.limiter.limit(now)
+	a.inFlight--
+	a.changed = now
+	if !result.Failed {
+		a.limiter.observe(result.Latency, saturated, now)
+	}
+	a.dispatch(now)
+	a.prune(now)
+	a.notify(now)
+}
+
+// release gives back the slot of a request that was admitted but never ran.
+func (a *Admitter) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.inFlight--
+	a.dispatch(now)
+	a.notify(now)
+}
+
+// dispatch starts waiting requests while there are free slots.
+func (a *Admitter) dispatch(now time.Time) {
+	for a.inFlight < a.limiter.limit(now) {
+		w := a.queue.first()
+		if w == nil {
+			return
+		}
+		if !w.work.Deadline.IsZero() && !w.work.Deadline.After(now) {
+			a.refuseWaiter(w, classifier.ReasonDeadline, now)
+			continue
+		}
+		a.queue.remove(w)
+		a.begin(now)
+		w.settle(nil)
+	}
+}
+
+// prune refuses the waiting requests at the end of each class whose deadline
+// can no longer be met.
+func (a *Admitter) prune(now time.Time) {
+	for priority := range a.queue.classes {
+		for {
+			w := a.queue.lastOf(compiler.Priority(priority))
+			if w == nil || !a.late(w.work, a.queue.ahead(w.work.Priority)-1, now) {
+				break
+			}
+			a.refuseWaiter(w, classifier.ReasonDeadline, now)
+		}
+	}
+}
+
+// late reports whether work that has the given number of waiting requests
+// before it is expected to end after its deadline.
+func (a *Admitter) late(work Work, ahead int, now time.Time) bool {
+	if work.Deadline.IsZero() {
+		return false
+	}
+	latency := a.latency(now)
+	wait := latency * time.Duration(ahead+1) / time.Duration(a.limiter.limit(now))
+	return now.Add(wait + latency).After(work.Deadline)
+}
+
+// latency returns the expected latency of one exchange. While all slots are
+// taken and nothing ends, it is at least the age of the youngest exchange.
+func (a *Admitter) latency(now time.Time) time.Duration {
+	expected := a.limiter.expectedLatency(now, a.inFlight == 0)
+	if a.inFlight < a.limiter.limit(now) {
+		return expected
+	}
+	return max(expected, now.Sub(a.changed))
+}
+
+func (a *Admitter) notify(now time.Time) {
+	if a.observer != nil {
+		a.observer.InFlightChanged(now, a.inFlight, a.limiter.limit(now))
+	}
+}
+
+// refuse returns a refusal that tells when what is here now will be done.
+func (a *Admitter) refuse(reason classifier.Reason, now time.Time) *Refusal {
+	work := time.Duration(a.inFlight + a.queue.len())
+	return &Refusal{
+		reason:     reason,
+		retryAfter: a.latency(now) * work / time.Duration(a.limiter.limit(now)),
+	}
+}
+
+func (a *Admitter) refuseWaiter(w *waiter, reason classifier.Reason, now time.Time) {
+	refusal := a.refuse(reason, now)
+	a.queue.remove(w)
+	w.settle(refusal)
+}
--- /dev/null
+++ b/internal/request/admitter/admitter_test.go
@@ -0,0 +1,208 @@
+package admitter
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+const service = 10 * time.Millisecond
+
+// attempt is one call of Admit in a goroutine of its own.
+type attempt struct {
+	ended  chan struct{}
+	permit *Permit
+	err    error
+	took   time.Duration
+}
+
+func admit(ctx context.Context, a *Admitter, work Work) *attempt {
+	at := &attempt{ended: make(chan struct{})}
+	begin := time.Now()
+	go func() {
+		at.permit, at.err = a.Admit(ctx, work)
+		at.took = time.Since(begin)
+		close(at.ended)
+	}()
+	synctest.Wait()
+	return at
+}
+
+// hasEnded reports whether Admit returned. Only then may the fields be read.
+func (at *attempt) hasEnded() bool {
+	select {
+	case <-at.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func low(a *Admitter) *attempt { return admit(context.Background(), a, Work{}) }
+func high(a *Admitter) *attempt {
+	return admit(context.Background(), a, Work{Priority: compiler.PriorityHigh})
+}
+
+// trained returns an admitter that has seen the usual latency.
+func trained(t *testing.T, slots, queueLength int) *Admitter {
+	a := New(Config{Slots: slots, Connections: 240, QueueLength: queueLength})
+	t.Cleanup(a.Leave) // Ends the goroutines that wait.
+	for range windowResults {
+		p, _ := a.Admit(context.Background(), Work{})
+		time.Sleep(service)
+		p.Done(Result{Latency: service})
+	}
+	return a
+}
+
+func TestSlotsAndQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 1, 1)
+		first, second, third := low(a), low(a), low(a)
+		assertAdmitted(t, first)
+		assertWaiting(t, second)
+		assertRefused(t, third, classifier.ReasonQueueFull)
+		assert.Equal(t, a.Load().Queued(), 1)
+		first.permit.Done(Result{Latency: service})
+		first.permit.Done(Result{Latency: service}) // Counts once.
+		synctest.Wait()
+		assertAdmitted(t, second)
+		assert.Equal(t, a.InFlight(), 1)
+	})
+}
+
+func TestHigherPriorityPreemptsAWaiterOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 1, 2)
+		running, early, late, payment := low(a), low(a), low(a), high(a)
+		assertRefused(t, late, classifier.ReasonPreempted)
+		assertWaiting(t, early)
+		assert.Equal(t, a.InFlight(), 1)
+		running.permit.Done(Result{Latency: service})
+		synctest.Wait()
+		assertAdmitted(t, payment)
+		assertWaiting(t, early)
+	})
+}
+
+func TestDeadlineThatCannotBeMet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 2, 32)
+		within := func(d time.Duration) *attempt {
+			return admit(context.Background(), a, Work{Deadline: time.Now().Add(d)})
+		}
+		assertRefused(t, within(service-1), classifier.ReasonDeadline)
+		low(a)
+		low(a)
+		assertRefused(t, within(service+service/2-1), classifier.ReasonDeadline)
+		assertWaiting(t, within(service+service/2))
+		assertRefused(t, within(2*service-1), classifier.ReasonDeadline)
+		waiter := within(2 * service)
+		assertWaiting(t, waiter)
+		high(a) // Goes before and makes the last one late.
+		assertRefused(t, waiter, classifier.ReasonDeadline)
+	})
+}
+
+func TestWaiterOfAStalledUpstreamIsNotHeldUntilItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 1, 32)
+		low(a) // Never ends.
+		waiter := admit(context.Background(), a, Work{Deadline: time.Now().Add(time.Second)})
+		assertWaiting(t, waiter)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assertRefusal(t, waiter, classifier.ReasonDeadline)
+		assert.Assert(t, waiter.took <= 600*time.Millisecond, "%v", waiter.took)
+	})
+}
+
+func TestCallerThatLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 1, 1)
+		running := low(a)
+		ctx, cancel := context.WithCancel(context.Background())
+		waiter := admit(ctx, a, Work{})
+		assertWaiting(t, waiter)
+		cancel()
+		synctest.Wait()
+		assertRefusal(t, waiter, classifier.ReasonCanceled)
+		assert.Equal(t, a.Load().Queued(), 0)
+		assertWaiting(t, low(a))
+		running.permit.Done(Result{Latency: service})
+		assertRefusal(t, admit(ctx, a, Work{}), classifier.ReasonCanceled)
+	})
+}
+
+func TestLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 1, 1)
+		running, waiter := low(a), low(a)
+		a.Leave()
+		synctest.Wait()
+		assertRefusal(t, waiter, classifier.ReasonLeaving)
+		assertRefused(t, low(a), classifier.ReasonLeaving)
+		assert.Equal(t, a.InFlight(), 1)
+		running.permit.Done(Result{Latency: service})
+		assert.Equal(t, a.InFlight(), 0)
+	})
+}
+
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{Slots: 6, Connections: 240, ColdStart: 4 * time.Second})
+		assert.Equal(t, a.Load().Limit(), 2)
+		assert.Assert(t, a.Load().Warming())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, a.Load().Limit(), 4)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, a.Load().Limit(), 6)
+		assert.Assert(t, !a.Load().Warming())
+	})
+}
+
+func TestRetryAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 2, 0)
+		low(a)
+		low(a)
+		var refusal *Refusal
+		assert.Assert(t, errors.As(low(a).err, &refusal))
+		assert.Equal(t, refusal.RetryAfter(), service)
+		assert.Equal(t, refusal.RetryAfterSeconds(), 1)
+		assert.Equal(t, (&Refusal{retryAfter: 1001 * time.Millisecond}).RetryAfterSeconds(), 2)
+	})
+}
+
+func assertAdmitted(t *testing.T, at *attempt) {
+	t.Helper()
+	assert.Assert(t, at.hasEnded())
+	assert.NilError(t, at.err)
+	assert.Assert(t, at.permit != nil)
+}
+
+func assertWaiting(t *testing.T, at *attempt) {
+	t.Helper()
+	assert.Assert(t, !at.hasEnded())
+}
+
+func assertRefusal(t *testing.T, at *attempt, reason classifier.Reason) {
+	t.Helper()
+	assert.Assert(t, at.hasEnded())
+	var refusal *Refusal
+	assert.Assert(t, errors.As(at.err, &refusal))
+	assert.Equal(t, refusal.Reason(), reason)
+}
+
+func assertRefused(t *testing.T, at *attempt, reason classifier.Reason) {
+	t.Helper()
+	assertRefusal(t, at, reason)
+	assert.Equal(t, at.took, time.Duration(0))
+}
--- /dev/null
+++ b/internal/request/admitter/waiter.go
@@ -0,0 +1,101 @@
+package admitter
+
+import (
+	"container/list"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+const (
+	// minCheckInterval and maxCheckInterval bound how often a waiting request's
+	// deadline is looked at.
+	minCheckInterval = time.Millisecond
+	maxCheckInterval = time.Hour
+)
+
+// waiter is a request in the queue. Its element is nil once it left the queue.
+type waiter struct {
+	work    Work
+	element *list.Element
+	settled chan *Refusal // Receives nil for a permit.
+}
+
+func newWaiter(work Work) *waiter {
+	return &waiter{work: work, settled: make(chan *Refusal, 1)}
+}
+
+// settle tells the waiting goroutine the decision. It never blocks, since a
+// waiter is settled once.
+func (w *waiter) settle(refusal *Refusal) { w.settled <- refusal }
+
+// wait returns when w got its permit or a refusal, its caller left, or its
+// deadline can no longer be met.
+func (a *Admitter) wait(ctx context.Context, w *waiter) (*Permit, error) {
+	timer := time.NewTimer(w.nextCheck(time.Now()))
+	defer timer.Stop()
+	for {
+		select {
+		case refusal := <-w.settled:
+			return a.permit(refusal)
+		case <-timer.C:
+			now := time.Now()
+			a.refuseIfLate(w, now)
+			timer.Reset(w.nextCheck(now))
+		case <-ctx.Done():
+			return nil, a.abandon(w, reasonOf(ctx))
+		}
+	}
+}
+
+// nextCheck returns how long to wait until the deadline is looked at again:
+// half of the time that is left.
+func (w *waiter) nextCheck(now time.Time) time.Duration {
+	if w.work.Deadline.IsZero() {
+		return maxCheckInterval
+	}
+	return max(w.work.Deadline.Sub(now)/2, minCheckInterval)
+}
+
+// refuseIfLate refuses w if it would be late even as the next one to run.
+func (a *Admitter) refuseIfLate(w *waiter, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.element != nil && a.late(w.work, 0, now) {
+		a.refuseWaiter(w, classifier.ReasonDeadline, now)
+	}
+}
+
+// reasonOf returns why a context ended.
+func reasonOf(ctx context.Context) classifier.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return classifier.ReasonDeadline
+	}
+	return classifier.ReasonCanceled
+}
+
+func (a *Admitter) permit(refusal *Refusal) (*Permit, error) {
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &Permit{admitter: a}, nil
+}
+
+// abandon takes w out of the queue. If it got its permit in the meantime, the
+// slot is given back.
+func (a *Admitter) abandon(w *waiter, reason classifier.Reason) *Refusal {
+	a.mu.Lock()
+	if w.element != nil {
+		a.refuseWaiter(w, reason, time.Now())
+	}
+	a.mu.Unlock()
+	refusal := <-w.settled
+	if refusal != nil {
+		return refusal
+	}
+	a.release()
+	return &Refusal{reason: reason}
+}
--- /dev/null
+++ b/internal/request/picker/eligible.go
@@ -0,0 +1,100 @@
+package picker
+
+import (
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+)
+
+const (
+	// fullWeight is the weight of one slot of an instance that is warm.
+	fullWeight = 100
+	// minWarmWeight is the least weight of one slot of a warming instance.
+	minWarmWeight = 10
+	// inlineEligible is how many instances are held without an allocation.
+	inlineEligible = 32
+)
+
+// class orders instances by how willingly they are chosen.
+type class uint8
+
+const (
+	classSound class = iota
+	classOutlier
+	classSuspect
+	classNone
+)
+
+// classOf returns the class of an instance; classNone if it takes no new work.
+func classOf(in *registrar.Instance, outliers *sampler.Outliers) class {
+	switch {
+	case !in.State().Routable():
+		return classNone
+	case in.State() == registrar.StateSuspect:
+		return classSuspect
+	case outliers.Has(in.ID()):
+		return classOutlier
+	default:
+		return classSound
+	}
+}
+
+// member is one instance that may be chosen. Its weight is 0 once drawn.
+type member struct {
+	instance *registrar.Instance
+	weight   uint64
+	local    bool
+}
+
+// eligible holds the instances that may be chosen. It lives on the stack of
+// one Pick unless there are many.
+type eligible struct {
+	inline [inlineEligible]member
+	more   []member
+	n      int
+}
+
+func (e *eligible) add(in *registrar.Instance, weight uint64, local bool) {
+	m := member{instance: in, weight: weight, local: local}
+	if e.n < inlineEligible {
+		e.inline[e.n] = m
+	} else {
+		e.more = append(e.more, m)
+	}
+	e.n++
+}
+
+func (e *eligible) at(i int) *member {
+	if i < inlineEligible {
+		return &e.inline[i]
+	}
+	return &e.more[i-inlineEligible]
+}
+
+func (e *eligible) len() int { return e.n }
+
+// draw removes a random instance, by weight, from those inside or outside this
+// node's region, and returns it; nil if there is none.
+func (e *eligible) draw(local bool, random func() uint64) *registrar.Instance {
+	var total uint64
+	for i := range e.n {
+		if m := e.at(i); m.local == local {
+			total += m.weight
+		}
+	}
+	if total == 0 {
+		return nil
+	}
+	rest := random() % total
+	for i := range e.n {
+		m := e.at(i)
+		if m.local != local || m.weight == 0 {
+			continue
+		}
+		if rest < m.weight {
+			m.weight = 0
+			return m.instance
+		}
+		rest -= m.weight
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/picker/picker.go
@@ -0,0 +1,195 @@
+// Package picker chooses the instance that a request is sent to.
+//
+// # Usage
+//
+//	p, err := picker.New(picker.Config{Pool: pool, Self: id, Region: "sur", FailureDomain: "oax-centro"})
+//	choice, ok := p.Pick(picker.Query{Service: service, Instances: view.Service(service.Name()), Now: time.Now()})
+//	if ok {
+//		send(choice.Instance())
+//	}
+//
+// A choice draws a few random candidates, weighted by their slots, from the
+// instances that take new work. Of those with a fresh load sample it takes
+// the one with the least expected latency: cold ones, which have a free slot,
+// before hot ones. Without any fresh sample it takes the first one drawn.
+//
+// Instances that lately failed or answered far slower than the others are
+// drawn only when no other is left. Suspects come after those, and a leaving
+// instance is never chosen.
+//
+// Pick takes no lock and may be called from several goroutines.
+package picker
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+const (
+	// DefaultCandidates is how many candidates a choice draws if not set.
+	DefaultCandidates = 3
+	// MaxCandidates bounds the candidates of one choice.
+	MaxCandidates = 8
+)
+
+// ErrPolicy reports the name of a policy that does not exist.
+var ErrPolicy = errors.New("unrecognized policy")
+
+// ErrCandidates reports a number of candidates outside 1 to MaxCandidates.
+var ErrCandidates = errors.New("number of candidates out of bounds")
+
+// Pool tells what is known about the load of instances.
+type Pool interface {
+	Read(instanceID string, maxAge time.Duration, now time.Time) sampler.Reading
+	Outliers(q sampler.OutlierQuery) *sampler.Outliers
+}
+
+// Config lists the settings of a Picker.
+type Config struct {
+	// Pool holds the load samples.
+	Pool Pool
+	// Self is the id of this node's own instance; empty for none.
+	Self string
+	// Region and FailureDomain are where this node is.
+	Region, FailureDomain string
+	// Policy is PolicyLeastExpectedLatency or one of the baselines; empty for the former.
+	Policy string
+	// Candidates is how many candidates a choice draws, up to MaxCandidates; 0 for the default.
+	Candidates int
+	// Distances are the costs of distance; nil for DefaultDistances.
+	Distances *Distances
+	// Random returns evenly distributed numbers and may be called from
+	// several goroutines; nil for the generator of math/rand/v2.
+	Random func() uint64
+}
+
+// Query asks for the choice of one instance.
+type Query struct {
+	// Service is the service that the request is for.
+	Service *compiler.Service
+	// Instances are the service's instances in every state.
+	Instances []*registrar.Instance
+	// Exclude lists ids that must not be chosen, such as those already tried.
+	Exclude []string
+	// Now is the time of the choice.
+	Now time.Time
+}
+
+// request is a query with the settings of its service that a choice uses.
+type request struct {
+	Query
+	sampleMaxAge      time.Duration
+	slots             int
+	minHealthyPercent int
+}
+
+// Picker chooses among the instances of a service.
+type Picker struct {
+	pool       Pool
+	self       string
+	region     string
+	domain     string
+	candidates int
+	distances  Distances
+	random     func() uint64
+	policy     policy
+}
+
+// New returns a picker with the given settings. It returns ErrPolicy or
+// ErrCandidates if they make no sense.
+func New(cfg Config) (*Picker, error) {
+	p := &Picker{
+		pool:       cfg.Pool,
+		self:       cfg.Self,
+		region:     cfg.Region,
+		domain:     cfg.FailureDomain,
+		candidates: cfg.Candidates,
+		distances:  DefaultDistances(),
+		random:     cfg.Random,
+	}
+	if p.candidates == 0 {
+		p.candidates = DefaultCandidates
+	}
+	if p.candidates < 1 || p.candidates > MaxCandidates {
+		return nil, errors.Wrapf(ErrCandidates, "%d", p.candidates)
+	}
+	if cfg.Distances != nil {
+		p.distances = *cfg.Distances
+	}
+	if p.random == nil {
+		p.random = rand.Uint64
+	}
+	policy, err := newPolicy(cfg.Policy, p)
+	if err != nil {
+		return nil, err
+	}
+	p.policy = policy
+	return p, nil
+}
+
+// Pick returns the choice of an instance. It returns false if no instance can
+// take the request.
+func (p *Picker) Pick(q Query) (Choice, bool) {
+	spec := q.Service.Spec()
+	r := &request{
+		Query:             q,
+		sampleMaxAge:      spec.SampleMaxAge,
+		slots:             spec.Slots,
+		minHealthyPercent: spec.MinHealthyPercent,
+	}
+	var e eligible
+	p.collect(&e, r)
+	if e.len() == 0 {
+		return Choice{}, false
+	}
+	return p.policy.pick(&e, r), true
+}
+
+// collect fills e with the best class of instances that is not empty: sound
+// ones, then outliers, then suspects.
+func (p *Picker) collect(e *eligible, r *request) {
+	outliers := p.pool.Outliers(sampler.OutlierQuery{
+		Service:           r.Service.Name(),
+		Instances:         r.Instances,
+		MinHealthyPercent: r.minHealthyPercent,
+		Now:               r.Now,
+	})
+	for want := classSound; want <= classSuspect && e.len() == 0; want++ {
+		for _, in := range r.Instances {
+			if classOf(in, outliers) != want || slices.Contains(r.Exclude, in.ID()) {
+				continue
+			}
+			e.add(in, p.weight(in, r), in.Region() == p.region)
+		}
+	}
+}
+
+// read returns what is known of an instance's load.
+func (p *Picker) read(in *registrar.Instance, r *request) sampler.Reading {
+	return p.pool.Read(in.ID(), r.sampleMaxAge, r.Now)
+}
+
+// weight returns the instance's share of work: its slots, fewer while it warms.
+func (p *Picker) weight(in *registrar.Instance, r *request) uint64 {
+	slots := in.Slots()
+	if slots <= 0 {
+		slots = r.slots
+	}
+	full := uint64(max(slots, 1)) * fullWeight
+	if in.State() != registrar.StateWarming {
+		return full
+	}
+	reading := p.read(in, r)
+	warm := minWarmWeight
+	if reading.Sampled() && reading.Incarnation() == in.Incarnation() {
+		warm = max(warm, reading.Load().WarmPercent())
+	}
+	return max(full*uint64(warm)/fullWeight, 1)
+}
