--- /dev/null
+++ b/internal/connection/requester/connection.go
@@ -0,0 +1,102 @@
+package requester
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sizes in bytes.
+const (
+	readBufferSize  = 4 << 10
+	writeBufferSize = 4 << 10
+	maxHeadSize     = 1 << 20
+)
+
+// Buffers belong to exchanges, not to connections: an idle connection holds none.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+)
+
+// connection is one connection to a host. Only one exchange uses it at a time.
+type connection struct {
+	raw       net.Conn
+	host      *host
+	idleSince time.Time
+
+	// sent is true once a byte of the current request may have reached the socket.
+	sent atomic.Bool
+	// stall is how long a read may make no progress after the first byte of
+	// the answer; 0 for ever.
+	stall time.Duration
+	// received counts the bytes of the current answer.
+	received int64
+	// limit bounds received while the head is read; 0 for no bound.
+	limit int64
+	// readErr is the error of the last read, whatever a parser made of it.
+	readErr error
+	// deadlineSet tells that a read deadline is left on raw.
+	deadlineSet bool
+	closeOnce   sync.Once
+}
+
+// begin readies the connection for the next exchange.
+func (c *connection) begin(stall time.Duration) {
+	c.sent.Store(false)
+	c.stall = stall
+	c.received = 0
+	c.limit = maxHeadSize
+	c.readErr = nil
+}
+
+// Write sends p. It marks the request as sent before the socket sees a byte,
+// and takes the mark back only if the socket took none.
+func (c *connection) Write(p []byte) (int, error) {
+	first := !c.sent.Swap(true)
+	n, err := c.raw.Write(p)
+	if n == 0 && err != nil && first {
+		c.sent.Store(false)
+	}
+	return n, err
+}
+
+// Read receives into p under the stall timeout and the limit of the head.
+func (c *connection) Read(p []byte) (int, error) {
+	if c.limit > 0 && c.received >= c.limit {
+		return 0, errHeadTooLarge
+	}
+	if c.stall > 0 && c.received > 0 {
+		c.deadlineSet = true
+		if err := c.raw.SetReadDeadline(time.Now().Add(c.stall)); err != nil {
+			c.readErr = err
+			return 0, errors.Wrap(err, "set read deadline")
+		}
+	}
+	n, err := c.raw.Read(p)
+	c.received += int64(n)
+	c.readErr = err
+	return n, err
+}
+
+// rest readies the connection for being idle and reports whether it can be reused.
+func (c *connection) rest() bool {
+	if !c.deadlineSet {
+		return true
+	}
+	c.deadlineSet = false
+	return c.raw.SetReadDeadline(time.Time{}) == nil
+}
+
+// close closes the connection and frees its place at the host. It may be
+// called by several goroutines.
+func (c *connection) close() {
+	c.closeOnce.Do(func() {
+		c.raw.Close()
+		c.host.release()
+	})
+}
--- /dev/null
+++ b/internal/request/forwarder/attempt.go
@@ -0,0 +1,157 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/explainer"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// maxDiscard is how many bytes of an unwanted answer are read to keep its connection.
+const maxDiscard = 4 << 10
+
+// attempt is one try at one instance. Either resp or refusal is set.
+type attempt struct {
+	choice  Choice
+	cause   classifier.Reason
+	start   time.Time
+	end     time.Time
+	resp    *http.Response
+	refusal *refuser.Refusal
+}
+
+// try picks an instance that was not tried yet and sends the request there.
+// It returns nil if there is none.
+func (c *call) try(cause classifier.Reason) *attempt {
+	a := &attempt{cause: cause, start: time.Now()}
+	var ok bool
+	a.choice, ok = c.forwarder.cfg.Picker.Pick(Query{
+		Service:   c.route.service,
+		Instances: c.route.instances,
+		Exclude:   c.exclude,
+		Now:       a.start,
+	})
+	if !ok {
+		return nil
+	}
+	c.attempts++
+	c.exclude = append(c.exclude, a.choice.Instance.ID())
+	a.resp, a.refusal = c.send(c.ctx, a.choice.Instance) //nolint:bodyclose // Closed by who takes or discards the attempt.
+	a.end = time.Now()
+	c.trace.AddAttempt(a.explained())
+	return a
+}
+
+// send performs one exchange with an instance and tells the observer.
+func (c *call) send(ctx context.Context, in *registrar.Instance) (*http.Response, *refuser.Refusal) {
+	observer := c.forwarder.cfg.Observer
+	start := time.Now()
+	observer.Sent(in.ID())
+	resp, refusal := c.exchange(ctx, in)
+	failed := blamesInstance(refusal)
+	if resp != nil {
+		failed = resp.StatusCode >= http.StatusInternalServerError
+	}
+	observer.Finished(in.ID(), Result{Latency: time.Since(start), Failed: failed})
+	return resp, refusal
+}
+
+func (c *call) exchange(ctx context.Context, in *registrar.Instance) (*http.Response, *refuser.Refusal) {
+	f := c.forwarder
+	req := c.request()
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline).Milliseconds()
+		if left <= 0 {
+			return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
+		}
+		req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	}
+	if in.ID() == f.cfg.Instance && f.cfg.Local != nil {
+		resp, err := f.cfg.Local.Exchange(ctx, req)
+		if err != nil {
+			return nil, refuser.FromError(err)
+		}
+		return resp, nil
+	}
+	resp, err := f.cfg.Requester.DoLimited(ctx, in.HTTP(), req, requester.Limits{StallTimeout: c.route.spec.StallTimeout})
+	if err != nil {
+		return nil, refuser.FromError(err)
+	}
+	if load := resp.Header.Get(classifier.HeaderLoad); load != "" {
+		f.cfg.Observer.Observe(in.ID(), in.Incarnation(), load, time.Now())
+	}
+	if refusal := refuser.FromResponse(resp); refusal != nil {
+		discard(resp)
+		return nil, refusal
+	}
+	return resp, nil
+}
+
+// failure returns what is wrong with the attempt; its reason is ReasonNone if nothing is.
+func (a *attempt) failure() retrier.Failure {
+	if a.refusal != nil {
+		return retrier.Failure{Outcome: a.refusal.Outcome(), Reason: a.refusal.Reason(), Retried: a.refusal.Retried()}
+	}
+	switch a.resp.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return retrier.Failure{
+			Outcome: classifier.Done,
+			Reason:  classifier.ReasonUpstreamError,
+			Retried: a.resp.Header.Get(classifier.HeaderRetried) == "1",
+		}
+	}
+	return retrier.Failure{Outcome: classifier.Done}
+}
+
+func (a *attempt) discard() {
+	if a.resp != nil {
+		discard(a.resp)
+	}
+}
+
+func (a *attempt) explained() explainer.Attempt {
+	e := explainer.Attempt{
+		Instance:   a.choice.Instance.ID(),
+		Candidates: a.choice.Candidates,
+		Cause:      a.cause,
+		Start:      a.start,
+		End:        a.end,
+		Outcome:    classifier.Done,
+	}
+	if a.resp != nil {
+		e.Status = a.resp.StatusCode
+		return e
+	}
+	e.Outcome = a.refusal.Outcome()
+	e.Reason = a.refusal.Reason()
+	return e
+}
+
+// blamesInstance reports whether a refusal tells of a fault of the instance,
+// not of load or of the caller.
+func blamesInstance(refusal *refuser.Refusal) bool {
+	if refusal == nil {
+		return false
+	}
+	switch refusal.Reason() {
+	case classifier.ReasonConnect, classifier.ReasonSend, classifier.ReasonReset, classifier.ReasonTruncated,
+		classifier.ReasonStalled, classifier.ReasonMalformed, classifier.ReasonTimeout, classifier.ReasonShed:
+		return true
+	}
+	return false
+}
+
+// discard ends an answer that nobody wants.
+func discard(resp *http.Response) {
+	// A failure here only costs the connection.
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard)
+	resp.Body.Close()
+}
--- /dev/null
+++ b/internal/request/forwarder/call.go
@@ -0,0 +1,171 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/request/explainer"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/request/relayer"
+	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// maxBufferedBody is the size, in bytes, up to which the body of a request is
+// held in memory, so that it can be sent to another instance after a not-run.
+const maxBufferedBody = 16 << 10
+
+// call is one request of a caller on its way through attempts.
+type call struct {
+	ctx        context.Context
+	forwarder  *Forwarder
+	r          *http.Request
+	route      route
+	trace      *explainer.Trace
+	budget     *retrier.Budget
+	repeatable bool
+	// body holds the request's body if it is small and of known length.
+	body []byte
+	// stream counts the reads of a body that is not held.
+	stream *streamedBody
+	// header holds the end-to-end headers that all attempts have.
+	header  http.Header
+	exclude []string
+	// attempts counts the attempts so far.
+	attempts int
+	// mayHaveRun tells that the outcome of an earlier attempt was not a proved not-run.
+	mayHaveRun bool
+}
+
+func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) (*call, *refuser.Refusal) {
+	c := &call{
+		ctx:        ctx,
+		forwarder:  f,
+		r:          r,
+		route:      route,
+		trace:      trace,
+		budget:     f.budgets.Service(route.spec.Name),
+		repeatable: route.service.Repeatable(r.Method),
+		header:     relayer.CopyRequestHeader(r.Header),
+	}
+	c.budget.Earn(route.spec.RetryPercent)
+	c.header.Set(classifier.HeaderDepth, strconv.Itoa(route.depth))
+	c.header[classifier.HeaderRequestID] = []string{trace.ID()}
+	c.header.Set(classifier.HeaderHop, "1")
+	c.header.Set(classifier.HeaderService, route.spec.Name)
+	return c, c.holdBody()
+}
+
+// holdBody reads a small body into memory. Nothing was sent if it fails.
+func (c *call) holdBody() *refuser.Refusal {
+	switch n := c.r.ContentLength; {
+	case n == 0:
+		return nil
+	case n < 0 || n > maxBufferedBody:
+		c.stream = &streamedBody{ReadCloser: c.r.Body}
+		return nil
+	default:
+		c.body = make([]byte, n)
+		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
+			return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
+		}
+		return nil
+	}
+}
+
+// run tries instances until one answers or no further attempt is allowed.
+func (c *call) run() (*http.Response, *refuser.Refusal) {
+	cause := classifier.ReasonNone
+	var last *refuser.Refusal
+	for {
+		a := c.try(cause)
+		if a == nil {
+			return nil, c.conclude(last)
+		}
+		failure := a.failure()
+		if failure.Reason == classifier.ReasonNone {
+			return a.resp, nil
+		}
+		if failure.Outcome != classifier.NotRun {
+			c.mayHaveRun = true
+		}
+		decision := retrier.Decide(failure, c.state())
+		c.note(decision)
+		if !decision.Retry() {
+			if a.resp != nil {
+				c.markRetried(a.resp, decision)
+				return a.resp, nil
+			}
+			return nil, c.refusal(a.refusal, decision)
+		}
+		c.forwarder.retries.Inc(failure.Reason)
+		cause = failure.Reason
+		last = a.refusal
+		a.discard()
+	}
+}
+
+// conclude returns the refusal of a request for which no instance was left:
+// that of the last attempt, if there was one.
+func (c *call) conclude(last *refuser.Refusal) *refuser.Refusal {
+	if last == nil {
+		last = refuser.New(classifier.NotRun, classifier.ReasonNoInstance)
+	}
+	return c.refusal(last, retrier.Decision{})
+}
+
+// refusal returns what the caller is told: not-run only if no attempt may
+// have run, and not to retry what was retried here.
+func (c *call) refusal(refusal *refuser.Refusal, decision retrier.Decision) *refuser.Refusal {
+	if c.mayHaveRun {
+		refusal = refusal.WithOutcome(classifier.Unknown)
+	}
+	if c.attempts > 1 || decision.Denied() != classifier.ReasonNone {
+		refusal = refusal.MarkRetried()
+	}
+	return refusal
+}
+
+func (c *call) markRetried(resp *http.Response, decision retrier.Decision) {
+	if c.attempts > 1 || decision.Denied() != classifier.ReasonNone {
+		resp.Header.Set(classifier.HeaderRetried, "1")
+	}
+}
+
+func (c *call) note(decision retrier.Decision) {
+	if denied := decision.Denied(); denied != classifier.ReasonNone {
+		c.forwarder.denials.Inc(denied)
+		c.trace.Deny(denied)
+	}
+}
+
+func (c *call) state() retrier.State {
+	return retrier.State{
+		Repeatable:  c.repeatable,
+		BodySpent:   c.stream != nil && c.stream.spent.Load(),
+		Attempts:    c.attempts,
+		MaxAttempts: c.route.spec.MaxAttempts,
+		Budget:      c.budget,
+	}
+}
+
+// request returns the request of one attempt, with headers of its own.
+func (c *call) request() *http.Request {
+	header := make(http.Header, len(c.header)+1)
+	for name, values := range c.header {
+		header[name] = values
+	}
+	req := relayer.NewRequest(c.r, header)
+	switch {
+	case c.body != nil:
+		req.Body = requester.NewBytesBody(c.body)
+	case c.stream != nil:
+		req.Body = c.stream
+	default:
+		req.Body = http.NoBody
+	}
+	return req
+}
--- /dev/null
+++ b/internal/request/forwarder/route.go
@@ -0,0 +1,96 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+const (
+	// maxDepth is how many services a chain of calls may pass through.
+	maxDepth = 8
+	// maxIDLength bounds the request id that a caller may choose, in bytes.
+	maxIDLength = 128
+)
+
+// route is where a request goes and within which bounds.
+type route struct {
+	service   *compiler.Service
+	spec      compiler.ServiceSpec
+	instances []*registrar.Instance
+	timeout   time.Duration
+	depth     int
+}
+
+// route finds the service of a request and checks the headers that bound it.
+func (f *Forwarder) route(r *http.Request) (route, *refuser.Refusal) {
+	snapshot := f.cfg.Snapshots.Snapshot()
+	cfg := snapshot.Configuration()
+	if cfg == nil {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonNoConfiguration)
+	}
+	if r.Method == http.MethodConnect {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
+	}
+	service := cfg.Route(hostname(r.Host), r.URL.Path)
+	if service == nil {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonNoService)
+	}
+	depth, err := parseCount(r.Header.Get(classifier.HeaderDepth))
+	if err != nil {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
+	}
+	if depth >= maxDepth {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonDepth)
+	}
+	spec := service.Spec()
+	timeout, err := requestTimeout(r.Header.Get(classifier.HeaderTimeout), spec)
+	if err != nil {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
+	}
+	return route{
+		service:   service,
+		spec:      spec,
+		instances: snapshot.View().Service(spec.Name),
+		timeout:   timeout,
+		depth:     depth + 1,
+	}, nil
+}
+
+// requestTimeout returns the time that the request names, bounded by the
+// service, or the service's own.
+func requestTimeout(header string, spec compiler.ServiceSpec) (time.Duration, error) {
+	if header == "" {
+		return spec.Timeout, nil
+	}
+	ms, err := parseCount(header)
+	if err != nil {
+		return 0, err
+	}
+	return min(time.Duration(ms)*time.Millisecond, spec.MaxTimeout), nil
+}
+
+// parseCount returns the whole number in a header, or 0 if there is none.
+func parseCount(s string) (int, error) {
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 31)
+	return int(n), err
+}
+
+// requestID returns the id that the caller gave, or a new one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(classifier.HeaderRequestID)
+	if id != "" && len(id) <= maxIDLength {
+		return id
+	}
+	const hexadecimal = 16
+	return strconv.FormatUint(rand.Uint64(), hexadecimal) + strconv.FormatUint(rand.Uint64(), hexadecimal)
+}
--- /dev/null
+++ b/internal/request/server/exchange.go
@@ -0,0 +1,168 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// ownPrefix starts the names of the headers of nodes.
+const ownPrefix = "Banyanscale-"
+
+func (s *Server) exchange(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
+	if !s.enter() {
+		return nil, refuser.New(classifier.NotRun, classifier.ReasonLeaving)
+	}
+	resp, refusal := s.admit(ctx, req)
+	if refusal != nil {
+		s.exit()
+	}
+	return resp, refusal
+}
+
+// admit waits for a slot and sends req to the upstream.
+func (s *Server) admit(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
+	spec := s.spec()
+	deadline, _ := ctx.Deadline()
+	priority := ParsePriority(req.Header.Get(classifier.HeaderPriority), spec.Priority)
+	permit, err := s.cfg.Admitter.Admit(ctx, Work{Priority: priority, Deadline: deadline})
+	if err != nil {
+		return nil, admissionRefusal(err)
+	}
+	prepare(ctx, req)
+	start := time.Now()
+	resp, err := s.cfg.Requester.DoLimited(ctx, s.cfg.Upstream, req, requester.Limits{StallTimeout: spec.StallTimeout})
+	latency := time.Since(start)
+	if err != nil {
+		refusal := refuser.FromError(err)
+		permit.Done(Result{Latency: latency, Failed: refusal.Reason() != classifier.ReasonCanceled})
+		return nil, refusal
+	}
+	if refusal := shed(resp); refusal != nil {
+		resp.Body.Close()
+		permit.Done(Result{Latency: latency, Failed: true})
+		return nil, refusal
+	}
+	s.mark(resp)
+	end := func() {
+		permit.Done(Result{Latency: latency, Failed: resp.StatusCode >= http.StatusInternalServerError})
+		s.exit()
+	}
+	if resp.Body == http.NoBody {
+		end()
+		return resp, nil
+	}
+	resp.Body = &servedBody{ReadCloser: resp.Body, end: end}
+	return resp, nil
+}
+
+// spec returns the settings of the service, or the defaults while there are none.
+func (s *Server) spec() compiler.ServiceSpec {
+	if cfg := s.cfg.Snapshots.Snapshot().Configuration(); cfg != nil {
+		if service := cfg.Service(s.cfg.Service); service != nil {
+			return service.Spec()
+		}
+	}
+	return compiler.DefaultServiceSpec(s.cfg.Service)
+}
+
+// mark replaces the headers of nodes that the upstream set by the node's own.
+// Only that it retried below is taken over, from a 503.
+func (s *Server) mark(resp *http.Response) {
+	retried := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(classifier.HeaderRetried) == "1"
+	for name := range resp.Header {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(resp.Header, name)
+		}
+	}
+	resp.Header.Set(classifier.HeaderOutcome, classifier.Done.String())
+	resp.Header.Set(classifier.HeaderInstance, s.cfg.Instance)
+	if retried {
+		resp.Header.Set(classifier.HeaderRetried, "1")
+	}
+}
+
+// ParsePriority returns the class that a request names, at most highest. A
+// request that names none has the highest.
+func ParsePriority(name string, highest compiler.Priority) compiler.Priority {
+	switch name {
+	case "low":
+		return compiler.PriorityLow
+	case "normal":
+		return min(compiler.PriorityNormal, highest)
+	default:
+		return highest
+	}
+}
+
+// prepare sets the headers that the upstream sees.
+func prepare(ctx context.Context, req *http.Request) {
+	delete(req.Header, classifier.HeaderHop)
+	delete(req.Header, classifier.HeaderService)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+}
+
+// shed returns the refusal of an upstream that did no work for the request,
+// and said so. No status alone proves that.
+func shed(resp *http.Response) *refuser.Refusal {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	verdict := classifier.FromResponse(resp, nil)
+	if verdict.Outcome() != classifier.NotRun {
+		return nil
+	}
+	refusal := refuser.New(classifier.NotRun, classifier.ReasonShed).After(verdict.RetryAfter())
+	if resp.Header.Get(classifier.HeaderRetried) == "1" {
+		return refusal.MarkRetried()
+	}
+	return refusal
+}
+
+func admissionRefusal(err error) *refuser.Refusal {
+	var refused AdmissionRefusal
+	if errors.As(err, &refused) {
+		return refuser.New(classifier.NotRun, refused.Reason()).After(refused.RetryAfter())
+	}
+	if errors.Is(err, context.Canceled) {
+		return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
+	}
+	return refuser.New(classifier.NotRun, classifier.ReasonDeadline)
+}
+
+// servedBody gives the slot back when the body of the answer ends.
+type servedBody struct {
+	io.ReadCloser
+	end  func()
+	once sync.Once
+}
+
+// Read reads the body.
+func (b *servedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.once.Do(b.end)
+	}
+	return n, err
+}
+
+// Close ends the exchange.
+func (b *servedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
--- /dev/null
+++ b/internal/request/server/server.go
@@ -0,0 +1,213 @@
+// Package server is the serving side of a node: it admits requests to the
+// node's own upstream and tells what became of them.
+//
+// # Usage
+//
+//	s := server.New(server.Config{Instance: "vitrina-1", Service: "vitrina", ...})
+//	resp, err := s.Exchange(ctx, req) // in process, from the entry side
+//	http.Handle("/", s)               // from other nodes
+//	...
+//	s.Leave()
+//	err := s.Drain(ctx)
+//
+// A request is claimed as not-run only if no byte of it was written to the
+// upstream, or if the upstream said so itself.
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/counter"
+	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/request/relayer"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// Result is how one admitted request ended.
+type Result struct {
+	// Latency is the time from admission to the head of the answer.
+	Latency time.Duration
+	// Failed tells that the upstream gave no good answer.
+	Failed bool
+}
+
+// Permit is the leave to send one request to the upstream.
+type Permit interface {
+	// Done gives the slot back. It must be called once.
+	Done(Result)
+}
+
+// Work is what admission needs to know of one request.
+type Work struct {
+	Priority compiler.Priority
+	Deadline time.Time
+}
+
+// Admitter bounds the work of the upstream.
+type Admitter interface {
+	// Admit returns a permit, or an error that may be an AdmissionRefusal.
+	Admit(ctx context.Context, work Work) (Permit, error)
+	// Load returns the load as it stands in HeaderLoad.
+	Load() string
+	// Leave refuses all new work.
+	Leave()
+}
+
+// AdmissionRefusal is the error of an Admitter that refused a request.
+type AdmissionRefusal interface {
+	error
+	Reason() classifier.Reason
+	RetryAfter() time.Duration
+}
+
+// Requester performs one exchange without any replay.
+type Requester interface {
+	DoLimited(ctx context.Context, addr netip.AddrPort, req *http.Request, limits requester.Limits) (*http.Response, error)
+}
+
+// Snapshots gives the configuration in force.
+type Snapshots interface {
+	Snapshot() *publisher.Snapshot
+}
+
+// Config lists the dependencies of a Server. All are needed.
+type Config struct {
+	// Instance is the id of the node's own instance, Service its service.
+	Instance, Service string
+	// Upstream is where the upstream takes requests.
+	Upstream  netip.AddrPort
+	Requester Requester
+	Admitter  Admitter
+	Snapshots Snapshots
+	Scope     tally.Scope
+}
+
+// Server serves the requests for the node's own upstream.
+type Server struct {
+	cfg      Config
+	refusals *counter.Counter
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	// idle has a token if the requests in flight came down to none while leaving.
+	idle chan struct{}
+}
+
+// New returns a server.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, refusals: counter.New(cfg.Scope, "serving_refusals"), idle: make(chan struct{}, 1)}
+}
+
+// Drain waits until nothing is in flight, or until ctx ends. It is of use
+// after Leave.
+func (s *Server) Drain(ctx context.Context) error {
+	for s.inFlight.Load() > 0 {
+		select {
+		case <-s.idle:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d requests in flight", s.inFlight.Load())
+		}
+	}
+	return nil
+}
+
+// Exchange admits req, sends it to the upstream and returns the answer. The
+// headers of req must be its own. Its error is a *refuser.Refusal. The slot of
+// the upstream is held until the body of the answer is read or closed.
+func (s *Server) Exchange(ctx context.Context, req *http.Request) (*http.Response, error) {
+	resp, refusal := s.exchange(ctx, req)
+	if refusal != nil {
+		s.refusals.Inc(refusal.Reason())
+		return nil, refusal
+	}
+	return resp, nil
+}
+
+// InFlight returns the number of requests that are being served.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Leave refuses all new work from now on. What is in flight goes on.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.cfg.Admitter.Leave()
+	s.signalIdle()
+}
+
+// ServeHTTP serves a request that another node sent here.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(classifier.HeaderRequestID, r.Header.Get(classifier.HeaderRequestID))
+	if r.Header.Get(classifier.HeaderService) != s.cfg.Service {
+		s.refusals.Inc(classifier.ReasonWrongInstance)
+		s.refuse(w, refuser.New(classifier.NotRun, classifier.ReasonWrongInstance))
+		return
+	}
+	ms, err := strconv.ParseUint(r.Header.Get(classifier.HeaderTimeout), 10, 31)
+	if err != nil {
+		s.refusals.Inc(classifier.ReasonBadRequest)
+		s.refuse(w, refuser.New(classifier.NotRun, classifier.ReasonBadRequest))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	defer cancel()
+	resp, err := s.Exchange(ctx, relayer.NewRequest(r, relayer.CopyRequestHeader(r.Header)))
+	if err != nil {
+		s.refuse(w, refuser.FromError(err))
+		return
+	}
+	defer resp.Body.Close()
+	s.answer(w, r, resp)
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, resp *http.Response) {
+	h := w.Header()
+	for _, name := range []string{classifier.HeaderOutcome, classifier.HeaderInstance, classifier.HeaderRetried} {
+		if value := resp.Header[name]; value != nil {
+			h[name] = value
+		}
+	}
+	h.Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
+	if err := relayer.Relay(w, resp); err != nil {
+		relayer.Abort(w, r)
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, refusal *refuser.Refusal) {
+	w.Header().Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
+	refusal.Write(w, s.cfg.Instance)
+}
+
+// enter counts a request in, and reports whether it may go on. It counts
+// before it looks, so that Drain misses no request that got in.
+func (s *Server) enter() bool {
+	s.inFlight.Add(1)
+	if s.leaving.Load() {
+		s.exit()
+		return false
+	}
+	return true
+}
+
+func (s *Server) exit() {
+	s.inFlight.Add(-1)
+	s.signalIdle()
+}
+
+func (s *Server) signalIdle() {
+	if !s.leaving.Load() || s.inFlight.Load() > 0 {
+		return
+	}
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
+}
