--- /dev/null
+++ b/internal/process/controller/controller.go
@@ -0,0 +1,156 @@
+// Package controller answers operators and nodes at a control instance.
+//
+// # Usage
+//
+//	c := controller.New(v, checker, ledger)
+//	path, handler := c.Handler()
+//	mux.Handle(path, handler)
+//
+// Submit and Current need a majority of voters; the other calls answer from
+// what the instance holds. Errors have connect codes:
+//
+//	invalid-argument     the change can never be accepted as it is
+//	failed-precondition  the instance belongs to no group, or the replaced
+//	                     version is too old to tell its outcome
+//	unavailable          no majority; the message says whether the change was
+//	                     not proposed or its outcome is unknown
+package controller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+)
+
+// Voter is the instance's part in the agreement on the configuration.
+type Voter interface {
+	Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error)
+	Current(ctx context.Context) (*voter.State, error)
+	Local() *voter.State
+	Status() *controlwire.StatusResponse
+}
+
+// Checker checks a document for every site.
+type Checker interface {
+	Check(doc *controlwire.Document) error
+}
+
+// Ledger keeps the owners' usage.
+type Ledger interface {
+	// Merge takes in counters by maximum, and the version that their instance follows.
+	Merge(counters []*controlwire.UsageCounter, inForce *controlwire.InForce) error
+	// Counters returns all counters.
+	Counters() []*controlwire.UsageCounter
+}
+
+// Controller answers the calls of the Control service.
+type Controller struct {
+	voter   Voter
+	checker Checker
+	ledger  Ledger
+	reports *reports
+}
+
+// New returns a controller.
+func New(v Voter, checker Checker, ledger Ledger) *Controller {
+	return &Controller{voter: v, checker: checker, ledger: ledger, reports: newReports()}
+}
+
+// Handler returns the HTTP handler of the service and its path.
+func (c *Controller) Handler() (string, http.Handler) {
+	return controlwireconnect.NewControlHandler(c)
+}
+
+// Submit implements controlwireconnect.ControlHandler.
+func (c *Controller) Submit(ctx context.Context, req *connect.Request[controlwire.SubmitRequest]) (*connect.Response[controlwire.SubmitResponse], error) {
+	if err := c.checker.Check(req.Msg.GetDocument()); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	resp, err := c.voter.Submit(ctx, req.Msg)
+	if err != nil {
+		return nil, connect.NewError(codeOf(err), err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Current implements controlwireconnect.ControlHandler.
+func (c *Controller) Current(ctx context.Context, _ *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
+	state, err := c.voter.Current(ctx)
+	if err != nil {
+		return nil, connect.NewError(codeOf(err), err)
+	}
+	return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version()}), nil
+}
+
+// Fetch implements controlwireconnect.ControlHandler.
+func (c *Controller) Fetch(_ context.Context, req *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error) {
+	state := c.voter.Local()
+	if state == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, voter.ErrNoGroup)
+	}
+	resp := &controlwire.FetchResponse{}
+	if delta, ok := state.Delta(req.Msg.GetHave()); ok {
+		resp.Delta = delta
+	} else {
+		resp.Snapshot = state.Version()
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// History implements controlwireconnect.ControlHandler.
+func (c *Controller) History(_ context.Context, req *connect.Request[controlwire.HistoryRequest]) (*connect.Response[controlwire.HistoryResponse], error) {
+	state := c.voter.Local()
+	if state == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, voter.ErrNoGroup)
+	}
+	entries := slices.Clone(state.History())
+	slices.Reverse(entries)
+	if limit := int(req.Msg.GetLimit()); limit > 0 {
+		entries = entries[:min(limit, len(entries))]
+	}
+	return connect.NewResponse(&controlwire.HistoryResponse{Entries: entries}), nil
+}
+
+// Status implements controlwireconnect.ControlHandler.
+func (c *Controller) Status(context.Context, *connect.Request[controlwire.StatusRequest]) (*connect.Response[controlwire.StatusResponse], error) {
+	status := c.voter.Status()
+	status.InForce = c.reports.list(time.Now())
+	return connect.NewResponse(status), nil
+}
+
+// ReportUsage implements controlwireconnect.ControlHandler.
+func (c *Controller) ReportUsage(_ context.Context, req *connect.Request[controlwire.ReportUsageRequest]) (*connect.Response[controlwire.ReportUsageResponse], error) {
+	inForce := req.Msg.GetInForce()
+	if inForce != nil {
+		c.reports.add(inForce, time.Now())
+	}
+	if err := c.ledger.Merge(req.Msg.GetCounters(), inForce); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&controlwire.ReportUsageResponse{}), nil
+}
+
+// Usage implements controlwireconnect.ControlHandler.
+func (c *Controller) Usage(context.Context, *connect.Request[controlwire.UsageRequest]) (*connect.Response[controlwire.UsageResponse], error) {
+	return connect.NewResponse(&controlwire.UsageResponse{Counters: c.ledger.Counters()}), nil
+}
+
+// codeOf returns the connect code of a voter's error.
+func codeOf(err error) connect.Code {
+	switch {
+	case errors.Is(err, voter.ErrInvalid):
+		return connect.CodeInvalidArgument
+	case errors.Is(err, voter.ErrTooOld), errors.Is(err, voter.ErrNoGroup), errors.Is(err, voter.ErrVoterUnreachable):
+		return connect.CodeFailedPrecondition
+	default:
+		return connect.CodeUnavailable
+	}
+}
--- /dev/null
+++ b/internal/process/voter/monitor.go
@@ -0,0 +1,400 @@
+package voter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+const (
+	// heartbeatInterval is the time between two heartbeats.
+	heartbeatInterval = time.Second
+	// staleAfter is how long no majority may answer before the instance is stale.
+	staleAfter = 3 * time.Second
+	// confirmBeats is how many heartbeats in a row must see the same need
+	// before the instance acts on it.
+	confirmBeats = 2
+	// repairTimeout bounds one attempt to repair the group.
+	repairTimeout = 5 * time.Second
+	// repairPause is the mean pause before it, so that not all voters start at once.
+	repairPause = 400 * time.Millisecond
+)
+
+// survey is what one heartbeat found out.
+type survey struct {
+	known     *State // The state whose voters were asked.
+	positions map[string]*voterwire.Position
+	responded identitySet
+}
+
+// monitor exchanges heartbeats with the voters. It learns what was chosen,
+// knows whether a majority is in reach, and repairs the group.
+type monitor struct {
+	voter  *Voter
+	chosen chan *State // A chosen state that the voters are to be told.
+
+	mu          sync.Mutex
+	lastContact time.Time // Start of the last heartbeat that a majority answered.
+	last        *survey
+
+	// Only the goroutine of run uses these.
+	undecided int            // Heartbeats in a row that found no chosen state.
+	lost      map[string]int // Heartbeats in a row that found another identity, by address.
+}
+
+func newMonitor(v *Voter) *monitor {
+	return &monitor{
+		voter:       v,
+		chosen:      make(chan *State, 1),
+		lastContact: time.Now().Add(-staleAfter),
+		lost:        make(map[string]int),
+	}
+}
+
+// run sends heartbeats until the voter stops.
+func (m *monitor) run() error {
+	ctx := m.voter.tomb.Context(context.Background())
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		m.beat(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// beat does the work of one heartbeat.
+func (m *monitor) beat(ctx context.Context) {
+	if held, _ := m.voter.acceptor.held(); held == nil {
+		m.join(ctx)
+		return
+	}
+	s := m.survey(ctx)
+	m.pull(ctx, s)
+	chosen := m.voter.acceptor.chosen(s)
+	if chosen == nil {
+		m.undecided++
+	} else {
+		m.undecided = 0
+		m.voter.learn(chosen)
+	}
+	m.repair(ctx, s, chosen)
+}
+
+// join looks for a group to belong to, or forms one.
+func (m *monitor) join(ctx context.Context) {
+	for _, address := range m.voter.cfg.Initial {
+		if address == m.voter.cfg.Address {
+			continue
+		}
+		peer := m.voter.peerAt(address)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		resp, err := peer.Query(callCtx, &voterwire.QueryRequest{})
+		cancel()
+		if err == nil && resp.GetPosition().GetLearnedOrigin() != nil && m.pullFrom(ctx, peer, resp.GetPosition()) {
+			m.voter.cfg.Log.Info().Str("from", address).Msg("State of the group received.")
+			return
+		}
+	}
+	if !m.voter.mayForm() {
+		return
+	}
+	formCtx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	if err := m.voter.form(formCtx); err != nil {
+		m.voter.cfg.Log.Debug().Err(err).Msg("Group not formed yet.")
+	}
+}
+
+// survey asks all voters what they hold.
+func (m *monitor) survey(ctx context.Context) *survey {
+	start := time.Now()
+	known, _ := m.voter.acceptor.held()
+	s := &survey{known: known, positions: make(map[string]*voterwire.Position), responded: make(identitySet)}
+	req := &voterwire.QueryRequest{Group: known.wire.GetGroup()}
+	if learned := m.voter.Local(); learned != nil {
+		req.LearnedOrigin = learned.origin()
+	}
+	request := func(ctx context.Context, member *voterwire.Member) (*voterwire.QueryResponse, error) {
+		return m.voter.peer(member).Query(ctx, req)
+	}
+	gather(ctx, unite(known.membership()), request, func(member *voterwire.Member, resp *voterwire.QueryResponse) bool {
+		s.positions[member.GetIdentity()] = resp.GetPosition()
+		if s.votes(member) {
+			s.responded[member.GetIdentity()] = true
+		}
+		return false
+	})
+	m.record(s, start)
+	return s
+}
+
+// votes reports whether the member answered as a voter of the group.
+func (s *survey) votes(member *voterwire.Member) bool {
+	p := s.positions[member.GetIdentity()]
+	return p.GetIdentity() == member.GetIdentity() && !p.GetFailed() && (p.GetGroup() == "" || p.GetGroup() == s.known.wire.GetGroup())
+}
+
+func (m *monitor) record(s *survey, start time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last = s
+	if hasQuorum(s.known.membership(), s.responded) {
+		m.lastContact = start
+	}
+}
+
+// chosen returns the state held if the survey proves that it is chosen and
+// the newest: a majority of its voters accepted it at the same ballot.
+func (a *acceptor) chosen(s *survey) *State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.state == nil {
+		return nil
+	}
+	acks := make(identitySet)
+	for identity, p := range s.positions {
+		if s.responded[identity] && sameBallot(p.GetAccepted(), a.accepted) && sameBallot(p.GetOrigin(), a.state.origin()) {
+			acks[identity] = true
+		}
+	}
+	if !hasQuorum(a.state.membership(), acks) {
+		return nil
+	}
+	return a.state
+}
+
+// read returns the newest accepted state if one round of questions proves it.
+func (m *monitor) read(ctx context.Context) *State {
+	if held, _ := m.voter.acceptor.held(); held == nil {
+		return nil
+	}
+	s := m.survey(ctx)
+	return m.voter.acceptor.chosen(s)
+}
+
+// pull brings this instance up to date with the voters that are ahead.
+func (m *monitor) pull(ctx context.Context, s *survey) {
+	for _, member := range unite(s.known.membership()) {
+		p := s.positions[member.GetIdentity()]
+		if p == nil || p.GetGroup() != s.known.wire.GetGroup() || member.GetIdentity() == m.voter.acceptor.identity {
+			continue
+		}
+		m.pullFrom(ctx, m.voter.peer(member), p)
+	}
+}
+
+// pullFrom fetches what a peer at the given position has accepted or learned
+// later than this instance. It reports whether the instance now holds a state.
+func (m *monitor) pullFrom(ctx context.Context, peer Peer, theirs *voterwire.Position) bool {
+	a := m.voter.acceptor
+	own := a.position()
+	if compareBallots(theirs.GetAccepted(), own.GetAccepted()) > 0 {
+		m.pullAccepted(ctx, peer)
+	}
+	if a.learnOrigin(theirs.GetGroup(), theirs.GetLearnedOrigin()) {
+		m.voter.signalNews()
+	} else if theirs.GetLearnedRevision() > a.position().GetLearnedRevision() {
+		m.pullLearned(ctx, peer)
+	}
+	held, _ := a.held()
+	return held != nil
+}
+
+func (m *monitor) pullAccepted(ctx context.Context, peer Peer) {
+	a := m.voter.acceptor
+	resp, ok := fetchState(ctx, peer, &voterwire.FetchStateRequest{Have: a.position().GetOrigin()})
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	state := a.state
+	a.mu.Unlock()
+	next, ok := applyTransfer(state, resp.GetTransfer())
+	if !ok {
+		return
+	}
+	if _, err := a.catchUp(resp.GetAccepted(), next); err != nil {
+		m.voter.cfg.Log.Warn().Err(err).Msg("State of another voter not stored.")
+	}
+}
+
+func (m *monitor) pullLearned(ctx context.Context, peer Peer) {
+	learned := m.voter.Local()
+	req := &voterwire.FetchStateRequest{Learned: true}
+	if learned != nil {
+		req.Have = learned.origin()
+	}
+	resp, ok := fetchState(ctx, peer, req)
+	if !ok {
+		return
+	}
+	if next, ok := applyTransfer(learned, resp.GetTransfer()); ok && m.voter.acceptor.learn(next) {
+		m.voter.signalNews()
+	}
+}
+
+func fetchState(ctx context.Context, peer Peer, req *voterwire.FetchStateRequest) (*voterwire.FetchStateResponse, bool) {
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	resp, err := peer.FetchState(ctx, req)
+	return resp, err == nil && resp.GetTransfer() != nil
+}
+
+// repair finishes what others left behind: a proposal that only a minority
+// accepted, a replacement of voters, and voters that lost their identity.
+func (m *monitor) repair(ctx context.Context, s *survey, chosen *State) {
+	if !hasQuorum(s.known.membership(), s.responded) {
+		return
+	}
+	replacement := m.replacement(s)
+	var next step
+	switch {
+	case m.undecided >= confirmBeats:
+		next = confirm
+	case chosen != nil && len(chosen.membership().GetPrevious()) > 0:
+		next = nil
+	case chosen != nil && replacement != nil:
+		next = replacement
+	default:
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	if !m.voter.proposer.pause(ctx, repairPause) {
+		return
+	}
+	var err error
+	if next == nil {
+		err = m.voter.finishReplacing(ctx, chosen)
+	} else {
+		err = m.apply(ctx, next)
+	}
+	if err != nil {
+		m.voter.cfg.Log.Debug().Err(err).Msg("Group not repaired yet.")
+	}
+}
+
+func (m *monitor) apply(ctx context.Context, next step) error {
+	state, err := m.voter.proposer.propose(ctx, &proposal{next: next, accept: true})
+	if err != nil {
+		return err
+	}
+	m.voter.learn(state)
+	return nil
+}
+
+// replacement returns the step that puts the new identity of an instance that
+// lost its disk in the place of the old one, or nil. The instance must hold
+// the group's state already.
+func (m *monitor) replacement(s *survey) step {
+	for _, member := range s.known.membership().GetVoters() {
+		p := s.positions[member.GetIdentity()]
+		if p == nil || p.GetIdentity() == member.GetIdentity() || p.GetFailed() || p.GetOrigin() == nil || p.GetGroup() != s.known.wire.GetGroup() {
+			delete(m.lost, member.GetAddress())
+			continue
+		}
+		m.lost[member.GetAddress()]++
+		if m.lost[member.GetAddress()] < confirmBeats {
+			continue
+		}
+		return replaceIdentity(member, p.GetIdentity())
+	}
+	return nil
+}
+
+func replaceIdentity(old *voterwire.Member, identity string) step {
+	return func(base *State) *voterwire.Transition {
+		if len(base.membership().GetPrevious()) > 0 || !isVoter(base.membership(), old.GetIdentity()) {
+			return nil
+		}
+		var voters []*voterwire.Member
+		for _, member := range base.membership().GetVoters() {
+			if member.GetIdentity() == old.GetIdentity() {
+				member = &voterwire.Member{Identity: identity, Address: old.GetAddress()}
+			}
+			voters = append(voters, member)
+		}
+		return &voterwire.Transition{Membership: replaceMembers(base.membership(), voters)}
+	}
+}
+
+// tell has the voters told which state is chosen.
+func (m *monitor) tell(state *State) {
+	for {
+		select {
+		case m.chosen <- state:
+			return
+		default:
+		}
+		// A newer state takes the place of one that waits.
+		select {
+		case <-m.chosen:
+		default:
+		}
+	}
+}
+
+// runTelling tells the voters which states are chosen, until the voter stops.
+func (m *monitor) runTelling() error {
+	ctx := m.voter.tomb.Context(context.Background())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case state := <-m.chosen:
+			m.tellAll(ctx, state)
+		}
+	}
+}
+
+func (m *monitor) tellAll(ctx context.Context, state *State) {
+	req := &voterwire.QueryRequest{Group: state.wire.GetGroup(), LearnedOrigin: state.origin()}
+	request := func(ctx context.Context, member *voterwire.Member) (*voterwire.QueryResponse, error) {
+		return m.voter.peer(member).Query(ctx, req)
+	}
+	gather(ctx, unite(state.membership()), request, func(*voterwire.Member, *voterwire.QueryResponse) bool { return false })
+}
+
+// Status tells what the instance knows of the voters. It names no versions in
+// force.
+func (v *Voter) Status() *controlwire.StatusResponse {
+	m := v.monitor
+	m.mu.Lock()
+	last, contact := m.last, m.lastContact
+	m.mu.Unlock()
+	p := v.acceptor.position()
+	status := &controlwire.StatusResponse{Identity: p.GetIdentity(), Version: p.GetVersion()}
+	if age := time.Since(contact); age >= staleAfter {
+		status.Stale = true
+		status.StaleForMs = age.Milliseconds()
+	}
+	state := v.Local()
+	if state == nil {
+		return status
+	}
+	status.Version = state.number()
+	status.Voting = isVoter(state.membership(), p.GetIdentity()) && !p.GetFailed()
+	for _, member := range state.membership().GetVoters() {
+		status.Voters = append(status.Voters, last.status(member))
+	}
+	return status
+}
+
+// status tells what the survey, which may be nil, found out about a member.
+func (s *survey) status(member *voterwire.Member) *controlwire.VoterStatus {
+	status := &controlwire.VoterStatus{Identity: member.GetIdentity(), Address: member.GetAddress()}
+	if s == nil || s.positions[member.GetIdentity()] == nil {
+		return status
+	}
+	status.Reachable = true
+	status.Voting = s.responded[member.GetIdentity()]
+	status.Version = s.positions[member.GetIdentity()].GetVersion()
+	return status
+}
