feat: membership by gossip over one UDP socket

Each process announces its instance, probes one member per period, spreads updates and the configuration version, and compares tables bucket by bucket. A courier shares the one UDP socket between membership and load probes.

Run: go test -race of courier and gossiper (20 nodes over loopback), lint.

--- /dev/null
+++ b/internal/connection/courier/courier.go
@@ -0,0 +1,173 @@
+// Package courier owns the one UDP socket of a process and shares it between
+// the protocols that use it.
+//
+// # Usage
+//
+//	c, err := courier.New(courier.Config{Address: addr, Logger: log, Scope: scope})
+//	c.Handle(courier.KindProbe, func(from netip.AddrPort, payload []byte) { ... })
+//	c.Start()
+//	err = c.Send(courier.KindProbe, to, payload)
+//	err = c.Stop()
+//
+// The first byte of each datagram is its kind; the rest is the payload. A
+// handler runs on the goroutine that reads the socket, so it must not block,
+// and it must not keep the payload after it returns.
+package courier
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gopkg.in/tomb.v2"
+
+	"github.com/banyanscale/banyanscale/internal/process/logger"
+)
+
+// Kind is the first byte of a datagram, which selects its handler.
+type Kind byte
+
+const (
+	// KindGossip is for membership.
+	KindGossip Kind = iota + 1
+	// KindProbe asks an instance for its load.
+	KindProbe
+	// KindProbeAnswer answers a load probe.
+	KindProbeAnswer
+)
+
+const (
+	kinds = int(KindProbeAnswer) + 1
+	// MaxPayload is the largest payload of a datagram, in bytes. It fits the
+	// path MTU of usual networks.
+	MaxPayload = 1200
+	// Overhead is the bytes that IP and UDP headers and the kind add to a payload.
+	Overhead = 29
+	// readBuffer is the size of the socket's receive buffer, in bytes.
+	readBuffer = 1 << 20
+)
+
+// ErrTooLarge is returned for a payload of more than MaxPayload bytes.
+var ErrTooLarge = errors.New("payload is too large for a datagram")
+
+// Handler takes the payload of one datagram. It must neither block nor keep
+// the payload.
+type Handler func(from netip.AddrPort, payload []byte)
+
+// Config lists what a Courier depends on.
+type Config struct {
+	// Address is the IP address and port to bind. Port 0 takes any free one.
+	Address netip.AddrPort
+	Logger  zerolog.Logger
+	Scope   tally.Scope
+}
+
+// Courier sends and receives the datagrams of a process.
+type Courier struct {
+	conn     *net.UDPConn
+	log      zerolog.Logger
+	handlers [kinds]atomic.Pointer[Handler]
+	unknown  tally.Counter
+	oversize tally.Counter
+	tomb     tomb.Tomb
+}
+
+// New binds the socket. Datagrams are read once Start is called.
+func New(cfg Config) (*Courier, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Address))
+	if err != nil {
+		return nil, fmt.Errorf("bind UDP socket: %w", err)
+	}
+	if err := conn.SetReadBuffer(readBuffer); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("set receive buffer: %w", err)
+	}
+	return &Courier{
+		conn:     conn,
+		log:      logger.Part(cfg.Logger, "courier"),
+		unknown:  cfg.Scope.Counter("datagrams_unknown_kind"),
+		oversize: cfg.Scope.Counter("datagrams_oversize"),
+	}, nil
+}
+
+// Address returns the bound address.
+func (c *Courier) Address() netip.AddrPort {
+	return unmap(c.conn.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+// Handle sets the handler of a kind. It may be called at any time.
+func (c *Courier) Handle(kind Kind, h Handler) {
+	if int(kind) < kinds {
+		c.handlers[kind].Store(&h)
+	}
+}
+
+// Send writes one datagram. It does not wait for the receiver.
+func (c *Courier) Send(kind Kind, to netip.AddrPort, payload []byte) error {
+	if len(payload) > MaxPayload {
+		return ErrTooLarge
+	}
+	buf := make([]byte, 0, len(payload)+1)
+	buf = append(buf, byte(kind))
+	buf = append(buf, payload...)
+	if _, err := c.conn.WriteToUDPAddrPort(buf, to); err != nil {
+		return fmt.Errorf("send datagram: %w", err)
+	}
+	return nil
+}
+
+// Start begins to read datagrams.
+func (c *Courier) Start() { c.tomb.Go(c.read) }
+
+// Stop closes the socket and waits until the last handler has returned. It
+// must follow Start.
+func (c *Courier) Stop() error {
+	c.tomb.Kill(nil)
+	if err := c.conn.Close(); err != nil {
+		return fmt.Errorf("close UDP socket: %w", err)
+	}
+	if err := c.tomb.Wait(); err != nil {
+		return fmt.Errorf("stop courier: %w", err)
+	}
+	return nil
+}
+
+func (c *Courier) read() error {
+	buf := make([]byte, MaxPayload+2)
+	for {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			c.log.Warn().Err(err).Msg("Reading the socket failed.")
+			continue
+		}
+		c.dispatch(unmap(from), buf[:n])
+	}
+}
+
+func (c *Courier) dispatch(from netip.AddrPort, datagram []byte) {
+	if len(datagram) > MaxPayload+1 {
+		c.oversize.Inc(1)
+		return
+	}
+	if len(datagram) == 0 || int(datagram[0]) >= kinds {
+		c.unknown.Inc(1)
+		return
+	}
+	h := c.handlers[datagram[0]].Load()
+	if h == nil {
+		c.unknown.Inc(1)
+		return
+	}
+	(*h)(from, datagram[1:])
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
--- /dev/null
+++ b/internal/connection/courier/courier_test.go
@@ -0,0 +1,53 @@
+package courier
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func start(t *testing.T) *Courier {
+	t.Helper()
+	c, err := New(Config{Address: loopback, Logger: zerolog.Nop(), Scope: tally.NoopScope})
+	assert.NilError(t, err)
+	c.Start()
+	t.Cleanup(func() { assert.NilError(t, c.Stop()) })
+	return c
+}
+
+func TestDatagramsReachTheHandlerOfTheirKind(t *testing.T) {
+	a, b := start(t), start(t)
+	probes := make(chan string, 1)
+	answers := make(chan string, 1)
+	b.Handle(KindProbe, func(from netip.AddrPort, payload []byte) {
+		probes <- string(payload)
+		assert.Check(t, b.Send(KindProbeAnswer, from, []byte("load")))
+	})
+	a.Handle(KindProbeAnswer, func(_ netip.AddrPort, payload []byte) { answers <- string(payload) })
+	assert.NilError(t, a.Send(KindGossip, b.Address(), []byte("nobody handles this")))
+	assert.NilError(t, a.Send(KindProbe, b.Address(), []byte("how loaded?")))
+	assert.Equal(t, <-probes, "how loaded?")
+	assert.Equal(t, <-answers, "load")
+}
+
+func TestSendRefusesWhatDoesNotFit(t *testing.T) {
+	a := start(t)
+	assert.ErrorIs(t, a.Send(KindGossip, a.Address(), make([]byte, MaxPayload+1)), ErrTooLarge)
+}
+
+func FuzzDispatch(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{byte(KindGossip), 1, 2})
+	f.Add([]byte{255})
+	f.Add(make([]byte, MaxPayload+2))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		c := &Courier{unknown: tally.NoopScope.Counter(""), oversize: tally.NoopScope.Counter("")}
+		c.Handle(KindGossip, func(_ netip.AddrPort, payload []byte) { assert.Equal(t, len(payload), len(datagram)-1) })
+		c.dispatch(loopback, datagram)
+	})
+}
--- /dev/null
+++ b/internal/process/gossiper/budget.go
@@ -0,0 +1,47 @@
+package gossiper
+
+import "time"
+
+// budget is a token bucket for the bytes that membership sends. It holds the
+// bytes of one second, so that over any time t at most rate * (t + 1 s) bytes
+// are sent.
+type budget struct {
+	rate    float64 // Bytes per second.
+	tokens  float64
+	updated time.Time
+}
+
+// bulkReserve is the share of the budget that is kept for pings and acks.
+const bulkReserve = 0.4
+
+func newBudget(bytesPerSecond int, now time.Time) *budget {
+	return &budget{rate: float64(bytesPerSecond), tokens: float64(bytesPerSecond), updated: now}
+}
+
+func (b *budget) refill(now time.Time) {
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		b.tokens = min(b.rate, b.tokens+b.rate*elapsed.Seconds())
+		b.updated = now
+	}
+}
+
+// take spends n bytes, and reports whether it could.
+func (b *budget) take(now time.Time, n int) bool {
+	b.refill(now)
+	if b.tokens < float64(n) {
+		return false
+	}
+	b.tokens -= float64(n)
+	return true
+}
+
+// takeBulk spends n bytes without touching the reserve for pings and acks.
+func (b *budget) takeBulk(now time.Time, n int) bool {
+	return n <= b.bulk(now) && b.take(now, n)
+}
+
+// bulk returns how many bytes may be spent without touching the reserve.
+func (b *budget) bulk(now time.Time) int {
+	b.refill(now)
+	return max(0, int(b.tokens-bulkReserve*b.rate))
+}
--- /dev/null
+++ b/internal/process/gossiper/exchanger.go
@@ -0,0 +1,357 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
+	"github.com/banyanscale/banyanscale/internal/wire/gossipwire/gossipwireconnect"
+)
+
+const (
+	// exchangeInterval is the average time between exchanges with peers whose tables differ.
+	exchangeInterval = 10 * time.Second
+	// joinInterval is the average time between exchanges while the table is not complete.
+	joinInterval = 200 * time.Millisecond
+	// seedInterval is the average time between exchanges while no other instance is known.
+	seedInterval = time.Second
+	// exchangeTimeout bounds one call.
+	exchangeTimeout = 2 * time.Second
+	// callOverhead is the bytes of headers that a call or an answer adds, with those of TCP.
+	callOverhead = 400
+	// maxCallBytes bounds the body of one call or answer.
+	maxCallBytes = 64 << 10
+	// maxWanted bounds the records asked for in one call.
+	maxWanted = 64
+)
+
+// Client calls the membership service of another process.
+type Client interface {
+	Compare(ctx context.Context, to netip.AddrPort, req *gossipwire.CompareRequest) (*gossipwire.CompareResponse, error)
+	Reconcile(ctx context.Context, to netip.AddrPort, req *gossipwire.ReconcileRequest) (*gossipwire.ReconcileResponse, error)
+}
+
+// exchangeState says when to compare tables with whom.
+type exchangeState struct {
+	joining   bool           // True until a peer had nothing more to tell.
+	running   bool           // True while a call is under way.
+	differing netip.AddrPort // A peer whose table differed lately.
+	next      time.Time
+}
+
+// httpClient is the Client over HTTP.
+type httpClient struct{ client connect.HTTPClient }
+
+// NewClient returns a Client that uses the given HTTP client.
+func NewClient(client connect.HTTPClient) Client { return &httpClient{client: client} }
+
+func (c *httpClient) service(to netip.AddrPort) gossipwireconnect.MembershipClient {
+	return gossipwireconnect.NewMembershipClient(c.client, "http://"+to.String(), connect.WithReadMaxBytes(maxCallBytes))
+}
+
+// Compare implements Client.
+func (c *httpClient) Compare(ctx context.Context, to netip.AddrPort, req *gossipwire.CompareRequest) (*gossipwire.CompareResponse, error) {
+	resp, err := c.service(to).Compare(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, fmt.Errorf("compare tables: %w", err)
+	}
+	return resp.Msg, nil
+}
+
+// Reconcile implements Client.
+func (c *httpClient) Reconcile(ctx context.Context, to netip.AddrPort, req *gossipwire.ReconcileRequest) (*gossipwire.ReconcileResponse, error) {
+	resp, err := c.service(to).Reconcile(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, fmt.Errorf("reconcile tables: %w", err)
+	}
+	return resp.Msg, nil
+}
+
+// Handler returns the path and the handler of the membership service, to be
+// served over TCP at the address of the datagrams.
+func (g *Gossiper) Handler() (string, http.Handler) {
+	return gossipwireconnect.NewMembershipHandler(server{g}, connect.WithReadMaxBytes(maxCallBytes))
+}
+
+// scheduleExchange starts an exchange if one is due.
+func (g *Gossiper) scheduleExchange(now time.Time) {
+	x := &g.exchange
+	if x.running || now.Before(x.next) || g.self.spec.State == registrar.StateLeft {
+		return
+	}
+	peer, ok := g.exchangePeer(now)
+	x.next = now.Add(g.exchangeDelay())
+	x.differing = netip.AddrPort{}
+	if !ok || !g.budget.takeBulk(now, callOverhead) {
+		return
+	}
+	x.running = true
+	g.tomb.Go(func() error {
+		g.runExchange(peer)
+		return nil
+	})
+}
+
+func (g *Gossiper) exchangeDelay() time.Duration {
+	switch {
+	case g.table.live < 2:
+		return g.jitter(seedInterval)
+	case g.exchange.joining:
+		return g.jitter(joinInterval)
+	default:
+		return g.jitter(exchangeInterval)
+	}
+}
+
+// exchangePeer returns the peer of the next exchange: a random member or a
+// seed while the table is incomplete, else one whose table differed.
+func (g *Gossiper) exchangePeer(now time.Time) (netip.AddrPort, bool) {
+	if !g.exchange.joining && !g.detector.resyncing(now) {
+		return g.exchange.differing, g.exchange.differing.IsValid()
+	}
+	if m := g.table.sample(1, func(m *member) bool { return m != g.self }); len(m) > 0 {
+		return m[0].spec.Peer, true
+	}
+	return g.missingSeed()
+}
+
+func (g *Gossiper) runExchange(peer netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), exchangeTimeout)
+	defer cancel()
+	g.metrics.count(eventExchange)
+	version, err := g.compareWith(ctx, peer)
+	g.mu.Lock()
+	g.exchange.running = false
+	newer := version.GetNumber() > g.version.GetNumber()
+	g.mu.Unlock()
+	if err != nil {
+		g.metrics.count(eventExchangeFail)
+		g.log.Debug().Err(err).Stringer("peer", peer).Msg("Comparing tables failed.")
+		return
+	}
+	if newer && g.cfg.OnVersion != nil {
+		g.cfg.OnVersion(peer, version)
+	}
+}
+
+// compareWith compares tables with a peer and exchanges what differs.
+func (g *Gossiper) compareWith(ctx context.Context, peer netip.AddrPort) (*controlwire.VersionDigest, error) {
+	req, ok := g.compareRequest()
+	if !ok {
+		return nil, nil
+	}
+	resp, err := g.cfg.Client.Compare(ctx, peer, req)
+	if err != nil {
+		return nil, err
+	}
+	next := g.takeCompared(resp)
+	if len(next.GetWanted())+len(next.GetRecords()) > 0 {
+		answer, err := g.cfg.Client.Reconcile(ctx, peer, next)
+		if err != nil {
+			return nil, err
+		}
+		g.takeRecords(answer.GetRecords())
+	}
+	g.finishExchange(resp.GetMore())
+	return resp.GetVersion(), nil
+}
+
+func (g *Gossiper) compareRequest() (*gossipwire.CompareRequest, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	req := &gossipwire.CompareRequest{Sender: encodeFull(g.self), Digests: append([]uint32(nil), g.table.digests[:]...)}
+	return req, g.spendCall(proto.Size(req), time.Now())
+}
+
+func (g *Gossiper) spendCall(size int, now time.Time) bool {
+	if !g.budget.takeBulk(now, size) {
+		g.metrics.count(eventOverBudget)
+		return false
+	}
+	g.metrics.bytes.Inc(int64(size))
+	return true
+}
+
+// takeCompared applies the answer to a comparison and returns what to ask for
+// and what to send.
+func (g *Gossiper) takeCompared(resp *gossipwire.CompareResponse) *gossipwire.ReconcileRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.noticeFreeze(now)
+	g.apply(resp.GetSender(), now)
+	for _, u := range resp.GetRecords() {
+		g.apply(u, now)
+	}
+	req := &gossipwire.ReconcileRequest{}
+	room := g.budget.bulk(now) - callOverhead
+	for _, b := range resp.GetBuckets() {
+		room = g.reconcileBucket(b, req, room, now)
+	}
+	if !g.spendCall(proto.Size(req)+callOverhead, now) {
+		return &gossipwire.ReconcileRequest{}
+	}
+	return req
+}
+
+// reconcileBucket compares one bucket of a peer with the own one. It adds what
+// differs to req within room bytes and returns the room left.
+func (g *Gossiper) reconcileBucket(b *gossipwire.Bucket, req *gossipwire.ReconcileRequest, room int, now time.Time) int {
+	theirs := make(map[string]bool, len(b.GetMembers()))
+	for _, u := range b.GetMembers() {
+		theirs[u.GetId()] = true
+		m := g.table.members[u.GetId()]
+		if m != nil && stampOf(u).before(m.stamp()) {
+			room = addRecord(req, m, room)
+			continue
+		}
+		unknown := m == nil || u.GetIncarnation() > m.spec.Incarnation
+		if !unknown || u.GetId() == g.self.spec.ID {
+			g.apply(u, now)
+			continue
+		}
+		if size := len(u.GetId()) + fieldOverhead; announced(u) && len(req.GetWanted()) < maxWanted && size <= room {
+			req.Wanted = append(req.Wanted, u.GetId())
+			room -= size
+		}
+	}
+	for id, m := range g.table.members {
+		if m.live() && !theirs[id] && bucketOf(id) == int(b.GetIndex()) {
+			room = addRecord(req, m, room)
+		}
+	}
+	return room
+}
+
+func addRecord(req *gossipwire.ReconcileRequest, m *member, room int) int {
+	record := encodeFull(m)
+	size := proto.Size(record) + fieldOverhead
+	if size > room {
+		return room
+	}
+	req.Records = append(req.Records, record)
+	return room - size
+}
+
+func (g *Gossiper) takeRecords(records []*gossipwire.Update) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.noticeFreeze(now)
+	for _, u := range records {
+		g.apply(u, now)
+	}
+}
+
+func (g *Gossiper) finishExchange(more bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exchange.joining = g.exchange.joining && (more || g.table.live < 2)
+	if !more {
+		g.detector.resyncUntil = time.Time{}
+	}
+}
+
+// server answers the calls of other processes.
+type server struct{ g *Gossiper }
+
+// Compare answers with differing buckets, as many as the budget allows.
+func (s server) Compare(_ context.Context, req *connect.Request[gossipwire.CompareRequest]) (*connect.Response[gossipwire.CompareResponse], error) {
+	return connect.NewResponse(s.g.ServeCompare(req.Msg)), nil
+}
+
+// Reconcile takes newer records and answers with those that are wanted.
+func (s server) Reconcile(_ context.Context, req *connect.Request[gossipwire.ReconcileRequest]) (*connect.Response[gossipwire.ReconcileResponse], error) {
+	return connect.NewResponse(s.g.ServeReconcile(req.Msg)), nil
+}
+
+// ServeCompare answers a comparison of tables.
+func (g *Gossiper) ServeCompare(req *gossipwire.CompareRequest) *gossipwire.CompareResponse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.noticeFreeze(now)
+	g.apply(req.GetSender(), now)
+	resp := &gossipwire.CompareResponse{Sender: encodeFull(g.self), Version: g.version}
+	if g.detector.resyncing(now) || len(req.GetDigests()) != bucketCount {
+		resp.More = true
+		return resp
+	}
+	room := g.budget.bulk(now) - callOverhead - proto.Size(resp)
+	start := g.cfg.Random.IntN(bucketCount)
+	byBucket := g.table.byBucket()
+	for i := range bucketCount {
+		index := (start + i) % bucketCount
+		if req.GetDigests()[index] == g.table.digests[index] {
+			continue
+		}
+		used, ok := addBucket(resp, index, byBucket[index], req.GetDigests()[index] == 0, room)
+		if !ok {
+			resp.More = true
+			break
+		}
+		room -= used
+	}
+	g.spendCall(proto.Size(resp)+callOverhead, now)
+	return resp
+}
+
+// addBucket adds one bucket to an answer, as full records if the asking
+// instance has none, and returns its size. It adds nothing if room is short.
+func addBucket(resp *gossipwire.CompareResponse, index int, members []*member, full bool, room int) (int, bool) {
+	bucket := &gossipwire.Bucket{Index: uint32(index)}
+	var records []*gossipwire.Update
+	size := fieldOverhead
+	for _, m := range members {
+		u := encodeShort(m)
+		if full && m.live() {
+			u = encodeFull(m)
+			records = append(records, u)
+		} else {
+			bucket.Members = append(bucket.Members, u)
+		}
+		size += proto.Size(u) + fieldOverhead
+	}
+	if size > room {
+		return 0, false
+	}
+	resp.Records = append(resp.Records, records...)
+	if !full {
+		resp.Buckets = append(resp.Buckets, bucket)
+	}
+	return size, true
+}
+
+// ServeReconcile answers an exchange of records.
+func (g *Gossiper) ServeReconcile(req *gossipwire.ReconcileRequest) *gossipwire.ReconcileResponse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.noticeFreeze(now)
+	for _, u := range req.GetRecords() {
+		g.apply(u, now)
+	}
+	resp := &gossipwire.ReconcileResponse{}
+	room := g.budget.bulk(now) - callOverhead
+	for _, id := range req.GetWanted() {
+		m := g.table.members[id]
+		if m == nil || !m.live() {
+			continue
+		}
+		record := encodeFull(m)
+		if room -= proto.Size(record) + fieldOverhead; room < 0 {
+			break
+		}
+		resp.Records = append(resp.Records, record)
+	}
+	g.spendCall(proto.Size(resp)+callOverhead, now)
+	return resp
+}
--- /dev/null
+++ b/internal/process/gossiper/socket_test.go
@@ -0,0 +1,79 @@
+package gossiper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+)
+
+// socketNode is a gossiper on real sockets.
+type socketNode struct {
+	*Gossiper
+	courier *courier.Courier
+	views   chan *registrar.View
+}
+
+func startSocketNode(tb testing.TB, i int, seeds []netip.AddrPort) *socketNode {
+	tb.Helper()
+	c, err := courier.New(courier.Config{Address: netip.MustParseAddrPort("127.0.0.1:0"), Logger: zerolog.Nop(), Scope: tally.NoopScope})
+	assert.NilError(tb, err)
+	n := &socketNode{courier: c, views: make(chan *registrar.View, 1024)}
+	n.Gossiper = New(Config{
+		Instance: registrar.Spec{
+			ID: fmt.Sprintf("node-%d", i), State: registrar.StateReady, Service: "vitrina", Owner: "oaxaca", Peer: c.Address(),
+		},
+		Seeds: seeds, Transport: c, Client: NewClient(http.DefaultClient),
+		OnView: func(v *registrar.View) { n.views <- v },
+		Logger: zerolog.Nop(), Scope: tally.NoopScope, Random: rand.New(rand.NewPCG(uint64(i), 1)),
+	})
+	listener, err := net.Listen("tcp", c.Address().String())
+	assert.NilError(tb, err)
+	mux := http.NewServeMux()
+	mux.Handle(n.Handler())
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(listener) }()
+	c.Start()
+	n.Start()
+	tb.Cleanup(func() {
+		assert.Check(tb, n.Stop())
+		assert.Check(tb, s.Close())
+		assert.Check(tb, c.Stop())
+	})
+	return n
+}
+
+// awaitView waits for a view that accept takes.
+func (n *socketNode) awaitView(accept func(*registrar.View) bool) {
+	for v := range n.views {
+		if accept(v) {
+			return
+		}
+	}
+}
+
+func TestNodesFindEachOtherOverSockets(t *testing.T) {
+	const count = 20
+	nodes := []*socketNode{startSocketNode(t, 0, nil)}
+	seeds := []netip.AddrPort{nodes[0].courier.Address()}
+	for i := 1; i < count; i++ {
+		nodes = append(nodes, startSocketNode(t, i, seeds))
+	}
+	for _, n := range nodes {
+		n.awaitView(func(v *registrar.View) bool { return v.Len() == count })
+	}
+	nodes[3].Leave()
+	for _, n := range nodes {
+		n.awaitView(func(v *registrar.View) bool { return v.Instance("node-3").State() == registrar.StateLeft })
+	}
+}
