--- /dev/null
+++ b/internal/process/distributor/holder.go
@@ -0,0 +1,96 @@
+package distributor
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+const (
+	// maxDeltas bounds the deltas that are kept for others.
+	maxDeltas = 256
+	// snapshotBytesPerSecond bounds the snapshots that one process hands out.
+	snapshotBytesPerSecond = 4 << 10
+	// snapshotBurst is how many bytes of snapshots it hands out at once, in bytes.
+	snapshotBurst = 256 << 10
+)
+
+// holder keeps the newest version and the latest deltas that led to it.
+type holder struct {
+	diff    func(old, next *controlwire.Document) []*controlwire.EntryChange
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	current *controlwire.Version
+	deltas  []*controlwire.Delta // Each starts where the one before ends.
+}
+
+func newHolder(diff func(old, next *controlwire.Document) []*controlwire.EntryChange) *holder {
+	return &holder{diff: diff, limiter: rate.NewLimiter(snapshotBytesPerSecond, snapshotBurst)}
+}
+
+// version returns the newest version, or nil. The caller must not change it.
+func (h *holder) version() *controlwire.Version {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+func (h *holder) digest() *controlwire.VersionDigest { return h.version().GetDigest() }
+
+func (h *holder) number() uint64 { return h.digest().GetNumber() }
+
+// put replaces the version by a newer one and keeps the difference.
+func (h *holder) put(version *controlwire.Version) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current != nil {
+		h.deltas = append(h.deltas, &controlwire.Delta{
+			Base:    h.current.GetDigest(),
+			Target:  version.GetDigest(),
+			Changes: h.diff(h.current.GetDocument(), version.GetDocument()),
+		})
+	}
+	if len(h.deltas) > maxDeltas {
+		h.deltas = append([]*controlwire.Delta(nil), h.deltas[len(h.deltas)-maxDeltas:]...)
+	}
+	h.current = version
+}
+
+// answer returns what leads from have to the held version: nothing if have is
+// not older, a delta if one is known and smaller, else the whole version. It
+// reports false if a snapshot exceeds what may be handed out now.
+func (h *holder) answer(have *controlwire.VersionDigest, now time.Time) (*controlwire.FetchResponse, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current == nil || have.GetNumber() >= h.current.GetDigest().GetNumber() {
+		return &controlwire.FetchResponse{}, true
+	}
+	size := proto.Size(h.current)
+	if delta := h.deltaFrom(have); delta != nil && proto.Size(delta) < size {
+		return &controlwire.FetchResponse{Delta: delta}, true
+	}
+	if !h.limiter.AllowN(now, min(size, snapshotBurst)) {
+		return nil, false
+	}
+	return &controlwire.FetchResponse{Snapshot: h.current}, true
+}
+
+// deltaFrom joins the kept deltas from have on, or returns nil.
+func (h *holder) deltaFrom(have *controlwire.VersionDigest) *controlwire.Delta {
+	for i, first := range h.deltas {
+		if !sameVersion(first.GetBase(), have) {
+			continue
+		}
+		joined := &controlwire.Delta{Base: have, Target: h.current.GetDigest()}
+		for _, delta := range h.deltas[i:] {
+			joined.Changes = append(joined.Changes, delta.GetChanges()...)
+		}
+		return joined
+	}
+	return nil
+}
