--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -38,7 +38,11 @@
 
 // commands lists the functions that add a command each, in the order of the help text.
 var commands = []func(*kingpin.Application, *environment) (string, action){
+	controlCmd,
+	nodeCmd,
+	explainCmd,
 	standInCmd,
+	loadCmd,
 }
 
 // Run executes the command that args name and returns the program's exit code.
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -36,7 +36,7 @@
 var logLevels = []string{"debug", "info", "warn", "error"}
 
 // load reads the file at path, which must have exactly the named section.
-func load(path, section string) (*reader, error) {
+func load(path, section string) (*parser.Reader, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
@@ -44,22 +44,33 @@
 	return parse(path, data, section)
 }
 
-func parse(path string, data []byte, section string) (*reader, error) {
+func parse(path string, data []byte, section string) (*parser.Reader, error) {
 	file, err := parser.Parse(path, data)
 	if err != nil {
 		return nil, fmt.Errorf("parse settings: %w", err)
 	}
-	r := &reader{file: path, section: file.Section(section)}
+	var errs parser.Errors
 	for _, other := range file.Sections() {
 		if other.Name() != section {
-			r.fail(other.Line(), other.Name(), parser.Unknown("section", other.Name(), []string{section}))
+			message := parser.Unknown("section", other.Name(), []string{section})
+			errs = append(errs, parser.NewError(path, other.Line(), other.Name(), message))
 		}
 	}
-	if r.section == nil {
-		r.fail(0, section, "the section is missing")
-		return nil, r.err()
+	if file.Section(section) == nil {
+		errs = append(errs, parser.NewError(path, 0, section, "the section is missing"))
 	}
-	return r, nil
+	if len(errs) > 0 {
+		return nil, fmt.Errorf("check settings: %w", errs)
+	}
+	return parser.NewReader(path, file.Section(section)), nil
+}
+
+// check returns all faults of the section that r reads.
+func check(r *parser.Reader) error {
+	if errs := r.Errors(); len(errs) > 0 {
+		return fmt.Errorf("check settings: %w", errs)
+	}
+	return nil
 }
 
 func parseLogLevel(value string) (zerolog.Level, error) {
--- a/internal/process/configurer/control.go
+++ b/internal/process/configurer/control.go
@@ -29,29 +29,29 @@
 		return nil, err
 	}
 	c := readControl(r)
-	if err := r.err(); err != nil {
+	if err := check(r); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func readControl(r *reader) *Control {
+func readControl(r *parser.Reader) *Control {
 	c := &Control{
-		instance:      required(r, keyInstance, parser.Name),
-		site:          required(r, keySite, parser.Name),
-		region:        required(r, keyRegion, parser.Name),
-		failureDomain: required(r, keyFailureDomain, parser.Name),
-		peer:          required(r, keyPeerAddress, parser.Address),
-		dataFolder:    required(r, "data-folder", parseFolder),
-		voters:        optional(r, "voters", nil, parser.Addresses),
-		seeds:         optional(r, keySeeds, nil, parser.Addresses),
-		logLevel:      optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
+		instance:      parser.Required(r, keyInstance, parser.Name),
+		site:          parser.Required(r, keySite, parser.Name),
+		region:        parser.Required(r, keyRegion, parser.Name),
+		failureDomain: parser.Required(r, keyFailureDomain, parser.Name),
+		peer:          parser.Required(r, keyPeerAddress, parser.Address),
+		dataFolder:    parser.Required(r, "data-folder", parseFolder),
+		voters:        parser.Optional(r, "voters", nil, parser.Addresses),
+		seeds:         parser.Optional(r, keySeeds, nil, parser.Addresses),
+		logLevel:      parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	if len(c.voters) == 0 && len(c.seeds) == 0 {
-		r.failKey("voters", "neither voters nor seeds are set, so the instance could not join")
+		r.FailKey("voters", "neither voters nor seeds are set, so the instance could not join")
 	}
 	if len(c.voters) > maxVoters {
-		r.failKey("voters", fmt.Sprintf("%d voters are more than %d", len(c.voters), maxVoters))
+		r.FailKey("voters", fmt.Sprintf("%d voters are more than %d", len(c.voters), maxVoters))
 	}
 	return c
 }
--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -51,43 +51,43 @@
 		return nil, err
 	}
 	n := readNode(r)
-	if err := r.err(); err != nil {
+	if err := check(r); err != nil {
 		return nil, err
 	}
 	return n, nil
 }
 
-func readNode(r *reader) *Node {
+func readNode(r *parser.Reader) *Node {
 	n := &Node{
-		instance:      required(r, keyInstance, parser.Name),
-		service:       required(r, "service", parser.Name),
-		owner:         required(r, "owner", parser.Name),
-		site:          required(r, keySite, parser.Name),
-		region:        required(r, keyRegion, parser.Name),
-		failureDomain: required(r, keyFailureDomain, parser.Name),
-		http:          required(r, "http-address", parser.Address),
-		peer:          required(r, keyPeerAddress, parser.Address),
-		upstream:      required(r, "upstream-address", parser.Address),
-		slots:         optional(r, "slots", 0, bounded(maxSlots)),
-		connections:   optional(r, "connections", 0, bounded(maxConnections)),
-		seeds:         optional(r, keySeeds, nil, parser.Addresses),
-		controls:      optional(r, "control-addresses", nil, parser.Addresses),
-		policy:        optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
-		logLevel:      optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
+		instance:      parser.Required(r, keyInstance, parser.Name),
+		service:       parser.Required(r, "service", parser.Name),
+		owner:         parser.Required(r, "owner", parser.Name),
+		site:          parser.Required(r, keySite, parser.Name),
+		region:        parser.Required(r, keyRegion, parser.Name),
+		failureDomain: parser.Required(r, keyFailureDomain, parser.Name),
+		http:          parser.Required(r, "http-address", parser.Address),
+		peer:          parser.Required(r, keyPeerAddress, parser.Address),
+		upstream:      parser.Required(r, "upstream-address", parser.Address),
+		slots:         parser.Optional(r, "slots", 0, bounded(maxSlots)),
+		connections:   parser.Optional(r, "connections", 0, bounded(maxConnections)),
+		seeds:         parser.Optional(r, keySeeds, nil, parser.Addresses),
+		controls:      parser.Optional(r, "control-addresses", nil, parser.Addresses),
+		policy:        parser.Optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
+		logLevel:      parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	n.check(r)
 	return n
 }
 
-func (n *Node) check(r *reader) {
+func (n *Node) check(r *parser.Reader) {
 	if len(n.seeds) == 0 && len(n.controls) == 0 {
-		r.failKey(keySeeds, "neither seeds nor control-addresses are set, so the node could not join")
+		r.FailKey(keySeeds, "neither seeds nor control-addresses are set, so the node could not join")
 	}
 	if n.http.IsValid() && n.http == n.peer {
-		r.failKey(keyPeerAddress, "the address is the http-address already")
+		r.FailKey(keyPeerAddress, "the address is the http-address already")
 	}
 	if n.http.IsValid() && n.http == n.upstream {
-		r.failKey("upstream-address", "the address is the http-address already")
+		r.FailKey("upstream-address", "the address is the http-address already")
 	}
 }
 
--- /dev/null
+++ b/internal/process/launcher/control.go
@@ -0,0 +1,200 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/rs/zerolog"
+	"goji.io"
+	"goji.io/pat"
+	"gopkg.in/tomb.v2"
+
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/process/configurer"
+	"github.com/banyanscale/banyanscale/internal/process/controller"
+	"github.com/banyanscale/banyanscale/internal/process/distributor"
+	"github.com/banyanscale/banyanscale/internal/process/exporter"
+	"github.com/banyanscale/banyanscale/internal/process/gossiper"
+	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// voterJournal is the name of the voter's journal in the data folder.
+const voterJournal = "voter"
+
+// documentChecker checks a document for every site before it is accepted.
+type documentChecker struct{}
+
+// Check implements controller.Checker.
+func (documentChecker) Check(doc *controlwire.Document) error { return compiler.CheckAll(doc) }
+
+// Control is a process that keeps configurations and the owners' ledger.
+type Control struct {
+	settings    *configurer.Control
+	log         zerolog.Logger
+	metrics     *exporter.Exporter
+	courier     *courier.Courier
+	gossiper    *gossiper.Gossiper
+	distributor *distributor.Distributor
+	voter       *voter.Voter
+	controller  *controller.Controller
+	tomb        tomb.Tomb
+}
+
+// NewControl assembles a control instance from its settings. It opens the data
+// folder and binds the peer address.
+func NewControl(settings *configurer.Control, logs io.Writer) (*Control, error) {
+	base := logger.New(logs).Level(settings.LogLevel())
+	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control")}
+	if err := c.assembleVoter(base); err != nil {
+		return nil, err
+	}
+	if err := c.assembleGossip(base); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Control) assembleVoter(base zerolog.Logger) error {
+	store, err := journaler.Open(journaler.OS{}, c.settings.DataFolder())
+	if err != nil {
+		return fmt.Errorf("open the data folder: %w", err)
+	}
+	journal, err := store.OpenJournal(voterJournal)
+	if err != nil {
+		return fmt.Errorf("open the journal: %w", err)
+	}
+	c.voter, err = voter.New(voter.Config{
+		Address:   c.settings.PeerAddress().String(),
+		Initial:   addressTexts(c.settings.Voters()),
+		Journal:   journal,
+		Transport: voter.NewConnectTransport(newPeerClient()),
+		Digest:    compiler.Digest,
+		OnVersion: c.offer,
+		Log:       logger.Part(base, "voter"),
+		Scope:     c.metrics.Scope().SubScope("voter"),
+	})
+	if err != nil {
+		return fmt.Errorf("make the voter: %w", err)
+	}
+	c.controller = controller.New(c.voter, documentChecker{}, newLedger())
+	return nil
+}
+
+func (c *Control) assembleGossip(base zerolog.Logger) error {
+	socket, err := courier.New(courier.Config{
+		Address: c.settings.PeerAddress(),
+		Logger:  logger.Part(base, "courier"),
+		Scope:   c.metrics.Scope().SubScope("courier"),
+	})
+	if err != nil {
+		return fmt.Errorf("bind the peer address: %w", err)
+	}
+	c.courier = socket
+	client := newPeerClient()
+	c.distributor = distributor.New(distributor.Config{
+		Client:   distributor.NewClient(client),
+		Digest:   compiler.Digest,
+		Diff:     compiler.Diff,
+		Apply:    compiler.Apply,
+		Announce: func(v *controlwire.VersionDigest) { c.gossiper.SetVersion(v) },
+		Logger:   logger.Part(base, "distributor"),
+		Scope:    c.metrics.Scope().SubScope("distributor"),
+		Random:   newRandom(),
+	})
+	c.gossiper = gossiper.New(gossiper.Config{
+		Instance:  c.instance(),
+		Seeds:     append(c.settings.Seeds(), c.settings.Voters()...),
+		Transport: socket,
+		Client:    gossiper.NewClient(client),
+		OnView:    func(*registrar.View) {},
+		OnVersion: c.distributor.Learn,
+		Logger:    logger.Part(base, "gossiper"),
+		Scope:     c.metrics.Scope().SubScope("gossiper"),
+		Random:    newRandom(),
+	})
+	return nil
+}
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
+	peer, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler())
+	if err != nil {
+		return fmt.Errorf("peer address: %w", err)
+	}
+	c.courier.Start()
+	c.gossiper.Start()
+	c.distributor.Start()
+	c.tomb.Go(peer.serve)
+	c.voter.Start()
+	c.log.Info().Stringer("peer", c.settings.PeerAddress()).Msg("Started.")
+	select {
+	case <-ctx.Done():
+	case <-c.tomb.Dying():
+	}
+	c.log.Info().Msg("Stopping.")
+	c.gossiper.Leave()
+	c.tomb.Kill(nil)
+	err = firstError(peer.close, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.metrics.Close)
+	if err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+// peerHandler serves what other processes and operators ask.
+func (c *Control) peerHandler() http.Handler {
+	mux := goji.NewMux()
+	handle(mux, c.controller.Handler)
+	handle(mux, c.voter.Handler)
+	handle(mux, c.gossiper.Handler)
+	mux.Handle(pat.Get("/metrics"), c.metrics.Handler())
+	return mux
+}
+
+// offer hands a version that the voters accepted to the fleet.
+func (c *Control) offer(version *controlwire.Version) {
+	if err := c.distributor.Offer(version); err != nil {
+		c.log.Error().Err(err).Msg("An accepted version could not be offered.")
+	}
+}
+
+func (c *Control) instance() registrar.Spec {
+	s := c.settings
+	return registrar.Spec{
+		ID:            s.Instance(),
+		State:         registrar.StateReady,
+		Site:          s.Site(),
+		Region:        s.Region(),
+		FailureDomain: s.FailureDomain(),
+		HTTP:          s.PeerAddress(),
+		Peer:          s.PeerAddress(),
+	}
+}
+
+// controlsIn returns the peer addresses of the control instances in a view:
+// those that serve no service.
+func controlsIn(view *registrar.View) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, in := range view.Service("") {
+		if in.State().Routable() {
+			list = append(list, in.Peer())
+		}
+	}
+	return list
+}
+
+func addressTexts(addresses []netip.AddrPort) []string {
+	texts := make([]string, len(addresses))
+	for i, a := range addresses {
+		texts[i] = a.String()
+	}
+	return texts
+}
