--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -20,8 +20,8 @@
 
 // controlClient is what the config commands ask of the control instances.
 type controlClient interface {
-	// Submit proposes a change. An error that is errNotSent means that no
-	// control instance got it.
+	// Submit proposes a change. An error that is errNoEffect proves that the
+	// call changed nothing.
 	Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error)
 	// Current returns the version in force.
 	Current(ctx context.Context) (*controlwire.Version, error)
@@ -29,12 +29,9 @@
 	History(ctx context.Context, limit uint32) ([]*controlwire.HistoryEntry, error)
 }
 
-var (
-	// errNotSent reports that no control instance could be connected to.
-	errNotSent = errors.New("no control instance could be reached")
-	// errRefused reports that a control instance refused the call for good.
-	errRefused = errors.New("the control instance refused the call")
-)
+// errNoEffect reports that each control instance refused the call or could
+// not be connected to.
+var errNoEffect = errors.New("no control instance took the call")
 
 // remoteControl asks control instances in turn until one answers. Each call
 // may reach several of them: reads change nothing, and a change that comes
@@ -72,12 +69,13 @@
 	return resp.GetEntries(), err
 }
 
-// ask calls the control instances in turn until one answers or refuses for good.
+// ask calls the control instances in turn until one answers or refuses what
+// all would refuse.
 func ask[Req, Resp any](
 	ctx context.Context, c *remoteControl, req *Req,
 	call func(controlwireconnect.ControlClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error),
 ) (*Resp, error) {
-	sent := false
+	mayHaveEffect := false
 	var last error
 	for i, client := range c.clients {
 		attempt, cancel := context.WithTimeout(ctx, c.timeout)
@@ -87,28 +85,24 @@
 			return resp.Msg, nil
 		}
 		last = fmt.Errorf("ask control instance %s: %w", c.addresses[i], err)
-		if refusedForGood(err) {
-			return nil, fmt.Errorf("%w: %w", errRefused, last)
-		}
-		sent = sent || !dialFailed(err)
-		if ctx.Err() != nil {
+		mayHaveEffect = mayHaveEffect || !hadNoEffect(err)
+		if connect.CodeOf(err) == connect.CodeInvalidArgument || ctx.Err() != nil {
 			break
 		}
 	}
-	if !sent {
-		return nil, fmt.Errorf("%w: %w", errNotSent, last)
+	if !mayHaveEffect {
+		return nil, fmt.Errorf("%w: %w", errNoEffect, last)
 	}
 	return nil, last
 }
 
-// refusedForGood reports whether err proves that the call had no effect and
-// would fail at any control instance.
-func refusedForGood(err error) bool {
+// hadNoEffect reports whether err proves that a call changed nothing.
+func hadNoEffect(err error) bool {
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented:
 		return true
 	}
-	return false
+	return dialFailed(err)
 }
 
 // dialFailed reports whether err proves that no byte was sent.
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -44,11 +44,16 @@
 
 // commands lists the functions that add a command each, in the order of the help text.
 var commands = []func(*kingpin.Application, *environment) (string, action){
-	addConfigCheck,
-	addConfigDiff,
-	addConfigSubmit,
-	addConfigShow,
-	addConfigHistory,
+	controlCmd,
+	nodeCmd,
+	explainCmd,
+	standInCmd,
+	loadCmd,
+	configCheckCmd,
+	configDiffCmd,
+	configSubmitCmd,
+	configShowCmd,
+	configHistoryCmd,
 }
 
 // Run executes the command that args name and returns the program's exit code.
