--- a/internal/process/configurer/configurer_test.go
+++ b/internal/process/configurer/configurer_test.go
@@ -97,3 +97,16 @@
 	}
 	assert.ErrorContains(t, loadNode("/nonexistent.ini"), "no such file")
 }
+
+func FuzzLoad(f *testing.F) {
+	path := filepath.Join(f.TempDir(), "settings.ini")
+	f.Add(node)
+	f.Add(control)
+	f.Fuzz(func(t *testing.T, text string) {
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		n, nodeErr := configurer.LoadNode(path)
+		c, controlErr := configurer.LoadControl(path)
+		assert.Assert(t, (n == nil) == (nodeErr != nil) && (c == nil) == (controlErr != nil))
+		assert.Assert(t, n == nil || c == nil, "one file serves both daemons")
+	})
+}
--- a/internal/version/compiler/compiler_test.go
+++ b/internal/version/compiler/compiler_test.go
@@ -205,3 +205,23 @@
 	assert.NilError(t, err)
 	assertSame(t, doc, again)
 }
+
+func TestSitesDoNotAffectEachOther(t *testing.T) {
+	kigali := "[site]\nname = kigali\nregion = rw-kigali\nfailure-domains = kgl-a\n[service almacen]\nhosts = tienda.example\n"
+	doc := mustParse(t, base, overlay+"hosts = tienda.example\n", kigali)
+	cfg, err := compiler.Compile(doc, "kigali", 1)
+	assert.NilError(t, err)
+	assert.Equal(t, cfg.Route("tienda.example", "/").Name(), "almacen")
+	next := mustParse(t, base, overlay+"hosts = tienda.example\nqueue-length = 5\n", kigali)
+	effects := compiler.Effects(doc, next)
+	assert.Equal(t, len(effects), 1)
+	assert.Equal(t, effects[0].Scope(), "site oaxaca")
+	assert.Equal(t, effects[0].String(), "service vitrina: queue-length: 32 -> 5")
+}
+
+func TestApplyRefusesDoubledChange(t *testing.T) {
+	doc := mustParse(t, base)
+	changes := compiler.Diff(doc, mustParse(t, base+"slots = 4\n"))
+	_, err := compiler.Apply(doc, append(changes, changes...))
+	assert.Assert(t, errors.Is(err, compiler.ErrBase))
+}
