--- a/internal/cmd/explain.go
+++ b/internal/cmd/explain.go
@@ -14,8 +14,8 @@
 // explainTimeout bounds the question to the node.
 const explainTimeout = 5 * time.Second
 
-// explainCmd adds the command that tells why a request went where it went.
-func explainCmd(app *kingpin.Application, env *environment) (string, action) {
+// addExplain adds the command that tells why a request went where it went.
+func addExplain(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("explain", "Tell why a request went where it went.")
 	node := c.Flag("node", "Peer address of the entry node that took the request.").Required().String()
 	id := c.Arg("request-id", "Id of the request, as in the header Banyanscale-Request-Id.").Required().String()
--- a/internal/cmd/load.go
+++ b/internal/cmd/load.go
@@ -33,8 +33,8 @@
 	compare    []string
 }
 
-// loadCmd adds the command that sends open-loop load.
-func loadCmd(app *kingpin.Application, env *environment) (string, action) {
+// addLoad adds the command that sends open-loop load.
+func addLoad(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("load", "Send open-loop load and measure what callers see.")
 	o := &loadOptions{}
 	c.Flag("experiment", "INI file with the schedule of the load.").StringVar(&o.experiment)
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // The second close after success does nothing.
 	var series []plotter.Series
 	for _, r := range results {
 		for _, m := range r.Mixes {
--- a/internal/process/gossiper/socket_test.go
+++ b/internal/process/gossiper/socket_test.go
@@ -26,8 +26,7 @@
 
 func startSocketNode(tb testing.TB, i int, seeds []netip.AddrPort) *socketNode {
 	tb.Helper()
-	c, err := courier.New(courier.Config{Address: netip.MustParseAddrPort("127.0.0.1:0"), Logger: zerolog.Nop(), Scope: tally.NoopScope})
-	assert.NilError(tb, err)
+	c, listener := bindBoth(tb)
 	n := &socketNode{courier: c, views: make(chan *registrar.View, 1024)}
 	n.Gossiper = New(Config{
 		Instance: registrar.Spec{
@@ -37,8 +36,6 @@
 		OnView: func(v *registrar.View) { n.views <- v },
 		Logger: zerolog.Nop(), Scope: tally.NoopScope, Random: rand.New(rand.NewPCG(uint64(i), 1)),
 	})
-	listener, err := net.Listen("tcp", c.Address().String())
-	assert.NilError(tb, err)
 	mux := http.NewServeMux()
 	mux.Handle(n.Handler())
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -53,6 +50,26 @@
 	return n
 }
 
+// bindBoth binds a UDP and a TCP socket of one address. A port that is free
+// for one protocol may be taken for the other, so that several are tried.
+func bindBoth(tb testing.TB) (*courier.Courier, net.Listener) {
+	tb.Helper()
+	const tries = 100
+	for range tries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(tb, err)
+		c, err := courier.New(courier.Config{
+			Address: netip.MustParseAddrPort(listener.Addr().String()), Logger: zerolog.Nop(), Scope: tally.NoopScope,
+		})
+		if err == nil {
+			return c, listener
+		}
+		assert.NilError(tb, listener.Close())
+	}
+	tb.Fatal("no port is free for both protocols")
+	return nil, nil
+}
+
 // awaitView waits for a view that accept takes.
 func (n *socketNode) awaitView(accept func(*registrar.View) bool) {
 	for v := range n.views {
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
@@ -25,7 +26,43 @@
 	if !ok {
 		return forwarder.Choice{}, false
 	}
-	return forwarder.Choice{Instance: choice.Instance(), Candidates: choice.Candidates()}, true
+	return forwarder.Choice{Instance: choice.Instance(), Candidates: candidates(choice.Candidates())}, true
+}
+
+// candidates shows what a choice was made from in JSON.
+type candidates []picker.Candidate
+
+// candidateView is the JSON form of one candidate.
+type candidateView struct {
+	Instance   string  `json:"instance"`
+	Why        string  `json:"why"`
+	ExpectedMS float64 `json:"expected-ms"`
+	Occupancy  int     `json:"occupancy"`
+	Load       string  `json:"load,omitempty"`
+	SampleMS   float64 `json:"sample-age-ms,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler. It runs only when somebody asks for
+// an explanation.
+func (c candidates) MarshalJSON() ([]byte, error) {
+	views := make([]candidateView, len(c))
+	for i, one := range c {
+		views[i] = candidateView{
+			Instance:   one.ID(),
+			Why:        one.Reason(),
+			ExpectedMS: milliseconds(one.Expected()),
+			Occupancy:  one.Occupancy(),
+			SampleMS:   milliseconds(one.SampleAge()),
+		}
+		if one.Load() != (sampler.Load{}) {
+			views[i].Load = one.Load().String()
+		}
+	}
+	return json.Marshal(views)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
 }
 
 // loadObserver feeds what the entry side sees into the pool of samples.
