feat: watch the upstream and announce its state; measure hops

Cause: a node announced itself ready whatever its upstream did. Ruled out: trusting the status of a health endpoint, which lags and misleads.

--- a/internal/process/emulator/emulator.go
+++ b/internal/process/emulator/emulator.go
@@ -170,6 +170,9 @@
 
 func (e *Emulator) answer(w http.ResponseWriter, r *http.Request, b behavior, body []byte) {
 	w.Header().Set("Standin-Instance", e.spec.ID)
+	if b.kind == behaviorDrain {
+		w.Header().Set(classifier.HeaderDraining, "1")
+	}
 	w.Header().Set("Standin-Request", r.Header.Get(classifier.HeaderRequestID))
 	if b.kind == behaviorFailAfterWork {
 		http.Error(w, "failed after the work", http.StatusServiceUnavailable)
--- a/internal/process/generator/experiment.go
+++ b/internal/process/generator/experiment.go
@@ -29,6 +29,8 @@
 type Mix struct {
 	// Name names the kind in the result.
 	Name string
+	// Targets are the base URLs that the kind is sent to, instead of the experiment's.
+	Targets []string
 	// Weight is the kind's share of the requests, relative to the other kinds.
 	Weight float64
 	// Method, Host and Path are those of the request.
@@ -47,7 +49,7 @@
 type Experiment struct {
 	// Name names the experiment in results and plots.
 	Name string
-	// Targets are the base URLs that requests are sent to, in turn.
+	// Targets are the base URLs that requests are sent to, at random.
 	Targets []string
 	// StandIns are the base URLs of the stand-in upstreams whose executions are checked.
 	StandIns []string
--- a/internal/process/generator/reader.go
+++ b/internal/process/generator/reader.go
@@ -74,6 +74,7 @@
 func readMix(r *parser.Reader, name string) Mix {
 	return Mix{
 		Name:      name,
+		Targets:   parser.Optional(r, "targets", nil, parseURLs),
 		Weight:    parser.Optional(r, "weight", 1, parseWeight),
 		Method:    parser.Optional(r, "method", http.MethodGet, parseText),
 		Host:      parser.Optional(r, "host", "", parseText),
--- a/internal/process/generator/schedule.go
+++ b/internal/process/generator/schedule.go
@@ -60,11 +60,16 @@
 
 func (s *schedule) job() job {
 	s.n++
+	mix := s.drawMix()
+	targets := s.exp.Targets
+	if len(mix.Targets) > 0 {
+		targets = mix.Targets
+	}
 	return job{
 		at:     s.at,
-		mix:    s.drawMix(),
+		mix:    mix,
 		id:     fmt.Sprintf("%s-%d-%d", s.exp.Name, s.exp.Seed, s.n),
-		target: s.exp.Targets[s.n%len(s.exp.Targets)],
+		target: targets[s.rng.IntN(len(targets))],
 		counts: s.at >= s.exp.Warmup,
 	}
 }
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -3,13 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"net/netip"
 	"time"
 
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/process/watcher"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/picker"
 	"github.com/banyanscale/banyanscale/internal/request/server"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
 // choicePicker lets the entry side choose by a picker.Picker.
@@ -106,3 +111,20 @@
 func (p upstreamPermit) Done(result server.Result) {
 	p.permit.Done(admitter.Result{Latency: result.Latency, Failed: result.Failed})
 }
+
+// watchedRequester tells the watcher what the upstream answers.
+type watchedRequester struct {
+	server.Requester
+	watcher *watcher.Watcher
+}
+
+// DoLimited implements server.Requester.
+func (r watchedRequester) DoLimited(
+	ctx context.Context, addr netip.AddrPort, req *http.Request, limits requester.Limits,
+) (*http.Response, error) {
+	resp, err := r.Requester.DoLimited(ctx, addr, req, limits)
+	if err == nil {
+		r.watcher.Answered(resp.Header.Get(classifier.HeaderDraining) != "")
+	}
+	return resp, err
+}
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/announcer"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
@@ -26,6 +27,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/process/watcher"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
@@ -63,6 +65,8 @@
 	server      *server.Server
 	forwarder   *forwarder.Forwarder
 	explainer   *explainer.Explainer
+	watcher     *watcher.Watcher
+	announcer   *announcer.Announcer
 	leaving     atomic.Bool
 	tomb        tomb.Tomb
 }
@@ -124,6 +128,7 @@
 		Scope:     n.metrics.Scope().SubScope("gossiper"),
 		Random:    newRandom(),
 	})
+	n.announcer = announcer.New(announcer.Config{Announce: n.gossiper.Announce, ColdStart: n.coldStart})
 	return nil
 }
 
@@ -137,11 +142,16 @@
 		QueueLength: spec.QueueLength,
 		ColdStart:   spec.ColdStart,
 	})
+	n.watcher = watcher.New(watcher.Config{
+		Upstream: s.UpstreamAddress(),
+		Dialer:   &net.Dialer{},
+		OnChange: n.announcer.Available,
+	})
 	n.server = server.New(server.Config{
 		Instance:  s.Instance(),
 		Service:   s.Service(),
 		Upstream:  s.UpstreamAddress(),
-		Requester: newRequester(orDefault(s.Connections(), spec.Connections)),
+		Requester: watchedRequester{newRequester(orDefault(s.Connections(), spec.Connections)), n.watcher},
 		Admitter:  upstreamAdmitter{n.admitter},
 		Snapshots: n.snapshots,
 		Scope:     n.metrics.Scope().SubScope("server"),
@@ -185,7 +195,7 @@
 	n.distributor.Start()
 	n.tomb.Go(peer.serve)
 	n.tomb.Go(requests.serve)
-	n.tomb.Go(n.announceReadiness)
+	n.watcher.Start()
 	n.log.Info().Stringer("http", n.settings.HTTPAddress()).Stringer("peer", n.settings.PeerAddress()).Msg("Started.")
 	select {
 	case <-ctx.Done():
@@ -198,7 +208,7 @@
 func (n *Node) stop(requests, peer *listener) error {
 	n.log.Info().Msg("Leaving.")
 	n.leaving.Store(true)
-	n.gossiper.Announce(registrar.StateLeaving)
+	n.announcer.Leave()
 	time.Sleep(lameDuck)
 	n.server.Leave()
 	if err := n.server.Drain(context.Background()); err != nil {
@@ -209,7 +219,7 @@
 	}
 	n.gossiper.Leave()
 	n.tomb.Kill(nil)
-	if err := firstError(n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
+	if err := firstError(n.watcher.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
 	n.log.Info().Msg("Stopped.")
@@ -239,42 +249,6 @@
 	return mux
 }
 
-// announceReadiness tells the fleet when the instance takes work: once a
-// configuration is in force, warming first and then ready.
-func (n *Node) announceReadiness() error {
-	if !n.waitFor(func() bool { return n.service() != nil }) {
-		return nil
-	}
-	n.gossiper.Announce(registrar.StateWarming)
-	if !n.sleep(n.service().Spec().ColdStart) || n.leaving.Load() {
-		return nil
-	}
-	n.gossiper.Announce(registrar.StateReady)
-	return nil
-}
-
-// waitFor polls a condition. It reports false if the node ends first.
-func (n *Node) waitFor(condition func() bool) bool {
-	const pollInterval = 20 * time.Millisecond
-	for !condition() {
-		if !n.sleep(pollInterval) {
-			return false
-		}
-	}
-	return true
-}
-
-func (n *Node) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-n.tomb.Dying():
-		return false
-	}
-}
-
 // service returns the configuration of the node's own service, or nil.
 func (n *Node) service() *compiler.Service {
 	cfg := n.snapshots.Snapshot().Configuration()
@@ -284,6 +258,13 @@
 	return cfg.Service(n.settings.Service())
 }
 
+func (n *Node) coldStart() time.Duration {
+	if s := n.service(); s != nil {
+		return s.Spec().ColdStart
+	}
+	return 0
+}
+
 func (n *Node) compile(doc *controlwire.Document, number uint64) (*compiler.Configuration, error) {
 	return compiler.Compile(doc, n.settings.Site(), number)
 }
@@ -294,6 +275,7 @@
 		return false
 	}
 	if s := cfg.Service(n.settings.Service()); s != nil {
+		n.announcer.Configured()
 		spec := s.Spec()
 		slots, connections := orDefault(n.settings.Slots(), spec.Slots), orDefault(n.settings.Connections(), spec.Connections)
 		n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
--- /dev/null
+++ b/internal/process/launcher/path_bench_test.go
@@ -0,0 +1,122 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/configurer"
+	"github.com/banyanscale/banyanscale/internal/process/emulator"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// freeAddress returns a loopback address whose port is free for TCP.
+func freeAddress(tb testing.TB) netip.AddrPort {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// startUpstream runs an emulated upstream that answers at once.
+func startUpstream(tb testing.TB, id string) netip.AddrPort {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	e := emulator.New(emulator.Spec{ID: id, Slots: 1024, Connections: 1024, Seed: 1})
+	srv := &http.Server{Handler: e.Handler()}
+	go func() { _ = srv.Serve(l) }()
+	tb.Cleanup(func() { assert.Check(tb, srv.Close()) })
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// newTestNode assembles a node with a configuration and serves its requests.
+func newTestNode(tb testing.TB, id, service string, upstream netip.AddrPort) *Node {
+	tb.Helper()
+	http, peer := freeAddress(tb), freeAddress(tb)
+	path := filepath.Join(tb.TempDir(), id+".ini")
+	text := fmt.Sprintf("[node]\ninstance = %s\nservice = %s\nowner = o\nsite = s\nregion = r\nfailure-domain = d\n"+
+		"http-address = %s\npeer-address = %s\nupstream-address = %s\nslots = 1024\nconnections = 1024\nseeds = 127.0.0.1:1\n",
+		id, service, http, peer, upstream)
+	assert.NilError(tb, os.WriteFile(path, []byte(text), 0o600))
+	settings, err := configurer.LoadNode(path)
+	assert.NilError(tb, err)
+	n, err := NewNode(settings, io.Discard)
+	assert.NilError(tb, err)
+	n.publish(compiler.NewConfiguration(1, "s", []*compiler.Service{benchService("vitrina"), benchService("almacen")}))
+	return n
+}
+
+func benchService(name string) *compiler.Service {
+	spec := compiler.DefaultServiceSpec(name)
+	spec.Hosts = []string{name + ".oax"}
+	spec.ColdStart = 0
+	return compiler.NewService(spec)
+}
+
+// serveNode takes requests at the node's HTTP address.
+func serveNode(tb testing.TB, n *Node) {
+	tb.Helper()
+	l, err := listen(context.Background(), n.settings.HTTPAddress(), http.HandlerFunc(n.serveRequest))
+	assert.NilError(tb, err)
+	go func() { _ = l.serve() }()
+	tb.Cleanup(func() { assert.Check(tb, l.server.Close()) })
+}
+
+func readyInstance(n *Node) *registrar.Instance {
+	spec := n.instance()
+	spec.State = registrar.StateReady
+	spec.Incarnation = 1
+	return registrar.NewInstance(spec)
+}
+
+// BenchmarkHops compares a direct call with one through the node of the
+// upstream (one hop) and one through another node (two hops).
+func BenchmarkHops(b *testing.B) {
+	upstream := startUpstream(b, "vitrina-1")
+	serving := newTestNode(b, "vitrina-1", "vitrina", upstream)
+	entry := newTestNode(b, "almacen-1", "almacen", startUpstream(b, "almacen-1"))
+	view := registrar.NewView([]*registrar.Instance{readyInstance(serving), readyInstance(entry)})
+	for _, n := range []*Node{serving, entry} {
+		n.setView(view)
+		serveNode(b, n)
+	}
+	for _, bench := range []struct {
+		name string
+		addr netip.AddrPort
+	}{
+		{"direct", upstream},
+		{"one-hop", serving.settings.HTTPAddress()},
+		{"two-hops", entry.settings.HTTPAddress()},
+	} {
+		b.Run(bench.name, func(b *testing.B) { benchmarkCalls(b, bench.addr) })
+	}
+}
+
+func benchmarkCalls(b *testing.B, addr netip.AddrPort) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 5 * time.Second}
+	b.ReportAllocs()
+	for b.Loop() {
+		req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+addr.String()+"/", http.NoBody)
+		assert.NilError(b, err)
+		req.Host = "vitrina.oax"
+		resp, err := client.Do(req)
+		assert.NilError(b, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(b, err)
+		resp.Body.Close()
+		assert.Equal(b, resp.StatusCode, http.StatusOK, resp.Header.Get(classifier.HeaderReason))
+	}
+}
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -27,6 +27,8 @@
 	HeaderService = "Banyanscale-Service"
 	// HeaderLoad holds the serving node's load on answers between nodes.
 	HeaderLoad = "Banyanscale-Load"
+	// HeaderDraining is "1" on an answer of an upstream that takes no new work.
+	HeaderDraining = "Banyanscale-Draining"
 	// HeaderRetryAfter is the standard header that tells, in whole seconds, when to come back.
 	HeaderRetryAfter = "Retry-After"
 	// HeaderIdempotencyKey names a request that may be sent again but must run at most once.
