--- a/internal/cmd/config_history.go
+++ b/internal/cmd/config_history.go
@@ -6,7 +6,8 @@
 	"github.com/alecthomas/kingpin/v2"
 )
 
-func addConfigHistory(app *kingpin.Application, env *environment) (string, action) {
+// configHistoryCmd adds the command that tells who changed what and when.
+func configHistoryCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("history", "Tell who changed what and when, newest first.")
 	flags := &controlFlags{}
 	flags.add(command, true)
--- a/internal/cmd/config_submit.go
+++ b/internal/cmd/config_submit.go
@@ -34,7 +34,8 @@
 // Unwrap returns the cause.
 func (e *submitError) Unwrap() error { return e.err }
 
-func addConfigSubmit(app *kingpin.Application, env *environment) (string, action) {
+// configSubmitCmd adds the command that proposes a change to the control instances.
+func configSubmitCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("submit", "Submit a base file and its overlays to replace a version.")
 	flags := &controlFlags{}
 	flags.add(command, true)
@@ -98,8 +99,8 @@
 
 // failed tells whether the change was refused or its result is not known.
 func (s *submission) failed(err error) error {
-	if errors.Is(err, errNotSent) || errors.Is(err, errRefused) || s.dryRun {
-		return fmt.Errorf("change %s was not submitted: %w", s.req.ChangeId, err)
+	if errors.Is(err, errNoEffect) || s.dryRun {
+		return fmt.Errorf("change %s: this call changed nothing: %w", s.req.ChangeId, err)
 	}
 	err = fmt.Errorf("the result of change %s is unknown; to learn it, run the same command again with --change-id %s: %w",
 		s.req.ChangeId, s.req.ChangeId, err)
--- a/internal/cmd/control.go
+++ b/internal/cmd/control.go
@@ -9,8 +9,8 @@
 	"github.com/banyanscale/banyanscale/internal/process/launcher"
 )
 
-// addControl adds the command that runs on the instances with a disk.
-func addControl(app *kingpin.Application, env *environment) (string, action) {
+// controlCmd adds the command that runs on the instances with a disk.
+func controlCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("control", "Run a control instance, which keeps configurations and the owners' ledger.")
 	path := c.Flag("settings", "INI file with the control instance's settings.").Required().String()
 	return c.FullCommand(), func() error { return runControl(env, *path) }
--- a/internal/cmd/load.go
+++ b/internal/cmd/load.go
@@ -33,8 +33,8 @@
 	compare    []string
 }
 
-// addLoad adds the command that sends open-loop load.
-func addLoad(app *kingpin.Application, env *environment) (string, action) {
+// loadCmd adds the command that sends open-loop load.
+func loadCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("load", "Send open-loop load and measure what callers see.")
 	o := &loadOptions{}
 	c.Flag("experiment", "INI file with the schedule of the load.").StringVar(&o.experiment)
--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -9,8 +9,8 @@
 	"github.com/banyanscale/banyanscale/internal/process/launcher"
 )
 
-// addNode adds the command that runs beside each upstream.
-func addNode(app *kingpin.Application, env *environment) (string, action) {
+// nodeCmd adds the command that runs beside each upstream.
+func nodeCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("node", "Run the process beside one upstream.")
 	path := c.Flag("settings", "INI file with the node's settings.").Required().String()
 	return c.FullCommand(), func() error { return runNode(env, *path) }
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -44,17 +44,17 @@
 
 // commands lists the functions that add a command each, in the order of the help text.
 var commands = []func(*kingpin.Application, *environment) (string, action){
-	addControl,
-	addNode,
-	addStatus,
-	addExplain,
-	addStandIn,
-	addLoad,
-	addConfigCheck,
-	addConfigDiff,
-	addConfigSubmit,
-	addConfigShow,
-	addConfigHistory,
+	controlCmd,
+	nodeCmd,
+	statusCmd,
+	explainCmd,
+	standInCmd,
+	loadCmd,
+	configCheckCmd,
+	configDiffCmd,
+	configSubmitCmd,
+	configShowCmd,
+	configHistoryCmd,
 }
 
 // Run executes the command that args name and returns the program's exit code.
--- a/internal/cmd/standin.go
+++ b/internal/cmd/standin.go
@@ -14,8 +14,8 @@
 // standInHeaderTimeout bounds how long a stand-in waits for a request's head.
 const standInHeaderTimeout = 10 * time.Second
 
-// addStandIn adds the command that runs one stand-in upstream.
-func addStandIn(app *kingpin.Application, env *environment) (string, action) {
+// standInCmd adds the command that runs one stand-in upstream.
+func standInCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("standin", "Run a stand-in upstream for measurements.")
 	address := c.Flag("address", "IP number and port to listen on.").Required().String()
 	var spec emulator.Spec
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -13,8 +13,8 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// addStatus adds the command that tells what is in force and where.
-func addStatus(app *kingpin.Application, env *environment) (string, action) {
+// statusCmd adds the command that tells what is in force and where.
+func statusCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("status", "Tell how the voters are and which version is in force where.")
 	var flags controlFlags
 	flags.add(c, true)
@@ -41,7 +41,7 @@
 		mergeInForce(merged, resp.GetInForce())
 	}
 	if answered == 0 {
-		return errNotSent
+		return errNoEffect
 	}
 	return printInForce(env.stdout, merged, time.Now())
 }
