feat: add load probes under a hard budget

The budget counts what was charged within any one second instead of refilling a token bucket: a bucket lets its rate and its burst through within one window. Answers are charged when the probe is sent, with all datagram headers.

Tested: go test -race ./internal/process/prober. The budget test failed with each of these taken out: the count of messages, the count of bytes, the whole window (20 ms shorter), the node's budget, the budget of answers. TestAnswers failed without the check of the sender.

--- /dev/null
+++ b/internal/process/prober/budget.go
@@ -0,0 +1,57 @@
+package prober
+
+import "time"
+
+// budgetWindow is the time over which a budget counts.
+const budgetWindow = time.Second
+
+// charge is one message that was charged to a budget.
+type charge struct {
+	at    time.Time
+	bytes int
+}
+
+// budget bounds the messages and bytes within every window, wherever it
+// begins: no burst is added to the rate. It keeps one charge for each message
+// of the window. Its limits may change at any time.
+type budget struct {
+	messages, bytes int
+	charges         []charge // In order of time.
+	used            int      // Bytes of the charges.
+}
+
+// allows reports whether a message of the given bytes may be sent now.
+func (b *budget) allows(now time.Time, bytes int) bool {
+	b.expire(now)
+	return len(b.charges) < b.messages && b.used+bytes <= b.bytes
+}
+
+// take charges a message of the given bytes and returns true, or returns false
+// if the budget does not allow it.
+func (b *budget) take(now time.Time, bytes int) bool {
+	if !b.allows(now, bytes) {
+		return false
+	}
+	if n := len(b.charges); n > 0 && b.charges[n-1].at.After(now) {
+		now = b.charges[n-1].at // The clock went back: time stands still until it caught up.
+	}
+	b.charges = append(b.charges, charge{at: now, bytes: bytes})
+	b.used += bytes
+	return true
+}
+
+// unused reports whether nothing is charged.
+func (b *budget) unused(now time.Time) bool {
+	b.expire(now)
+	return len(b.charges) == 0
+}
+
+// expire drops the charges that are older than the window.
+func (b *budget) expire(now time.Time) {
+	n := 0
+	for n < len(b.charges) && now.Sub(b.charges[n].at) >= budgetWindow {
+		b.used -= b.charges[n].bytes
+		n++
+	}
+	b.charges = append(b.charges[:0], b.charges[n:]...)
+}
--- /dev/null
+++ b/internal/process/prober/prober.go
@@ -0,0 +1,326 @@
+// Package prober keeps load samples of other instances fresh by small
+// datagrams, within a budget that nothing exceeds.
+//
+// # Usage
+//
+//	p := prober.New(prober.Config{Pool: pool, Source: snapshots, Transport: socket, Self: id, ...})
+//	t.Go(func() error { return p.Run(t.Dying()) })
+//	answer := p.HandleProbe(from, payload)      // nil if there is nothing to send
+//	p.HandleAnswer(from, payload, time.Now())
+//
+// Samples ride for free on the answers of requests. Probes fill only what
+// those leave stale, for services that this node lately sent requests to: the
+// instance with the oldest sample first, evenly spaced in time.
+//
+// A probe is charged with the bytes of its answer when it is sent, and with
+// the headers of both datagrams, whether or not the answer comes. Three budgets
+// bound what happens within any second: one for each service, which is in the
+// configuration, one for all probes of the node, and one for the answers that
+// it gives to others.
+package prober
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+const (
+	// interval is how often the prober looks for stale samples.
+	interval = 10 * time.Millisecond
+	// activeInterval is how often it looks up which services are in use.
+	activeInterval = 100 * time.Millisecond
+	// activePeriod is how long a service counts as in use after a request.
+	activePeriod = 5 * time.Second
+	// answerTimeout is how long an answer is waited for.
+	answerTimeout = time.Second
+	// defaultMessages and defaultBytes bound, per second, the probes of a node
+	// with their answers, and apart from that the answers that it gives.
+	defaultMessages = 30
+	defaultBytes    = defaultMessages * exchangeCost
+)
+
+// Pool holds the load samples of instances.
+type Pool interface {
+	Observe(instanceID string, incarnation uint64, l sampler.Load, now time.Time)
+	Read(instanceID string, maxAge time.Duration, now time.Time) sampler.Reading
+	SentSince(t time.Time) []string
+}
+
+// Source gives the configuration in force and the picture of the fleet.
+type Source interface {
+	Snapshot() *publisher.Snapshot
+}
+
+// Transport sends datagrams to the peer addresses of other nodes.
+type Transport interface {
+	Send(to netip.AddrPort, payload []byte) error
+}
+
+// LoadCounter tells the load of this node's own upstream.
+type LoadCounter interface {
+	Load() sampler.Load
+}
+
+// Config lists the settings of a Prober.
+type Config struct {
+	// Pool takes the samples.
+	Pool Pool
+	// Source tells which instances there are and what budgets hold.
+	Source Source
+	// Transport sends the probes.
+	Transport Transport
+	// Self and Incarnation name this node's own instance.
+	Self        string
+	Incarnation uint64
+	// Own counts the load of the own upstream; nil if there is none, in which
+	// case probes are not answered.
+	Own LoadCounter
+	// Messages and Bytes bound, per second, the probes of this node and the
+	// bytes of those probes and their answers; 0 for the defaults.
+	Messages, Bytes int
+	// AnswerMessages and AnswerBytes bound, per second, the answers that this
+	// node gives; 0 for the defaults.
+	AnswerMessages, AnswerBytes int
+	// Scope takes the metrics.
+	Scope tally.Scope
+	// Log takes the log lines.
+	Log zerolog.Logger
+	// Random is used by Run alone; nil for a generator with a random seed.
+	Random *rand.Rand
+}
+
+// pending is a probe that was sent and not answered yet.
+type pending struct {
+	instanceID string
+	to         netip.AddrPort
+	sent       time.Time
+}
+
+// Prober sends and answers load probes.
+type Prober struct {
+	cfg     Config
+	metrics metrics
+
+	mu       sync.Mutex // Guards all below.
+	node     budget
+	answers  budget
+	targets  map[string]*target
+	pending  map[uint32]pending
+	active   []string // Names of services, in random order.
+	activeAt time.Time
+}
+
+// New returns a prober with the given settings.
+func New(cfg Config) *Prober {
+	orDefault(&cfg.Messages, defaultMessages)
+	orDefault(&cfg.Bytes, defaultBytes)
+	orDefault(&cfg.AnswerMessages, defaultMessages)
+	orDefault(&cfg.AnswerBytes, defaultBytes)
+	if cfg.Random == nil {
+		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Prober{
+		cfg:     cfg,
+		metrics: newMetrics(cfg.Scope),
+		node:    budget{messages: cfg.Messages, bytes: cfg.Bytes},
+		answers: budget{messages: cfg.AnswerMessages, bytes: cfg.AnswerBytes},
+		targets: make(map[string]*target),
+		pending: make(map[uint32]pending),
+	}
+}
+
+// HandleAnswer takes in the answer to a probe. An answer that was not asked
+// for, comes from elsewhere or comes too late is dropped.
+func (p *Prober) HandleAnswer(from netip.AddrPort, payload []byte, now time.Time) {
+	a, err := decodeAnswer(payload)
+	if err != nil {
+		p.metrics.malformed.Inc(1)
+		return
+	}
+	p.mu.Lock()
+	asked, ok := p.pending[a.nonce]
+	ok = ok && asked.to == unmapped(from) && now.Sub(asked.sent) <= answerTimeout
+	if ok {
+		delete(p.pending, a.nonce)
+	}
+	p.mu.Unlock()
+	if !ok {
+		p.metrics.unexpected.Inc(1)
+		return
+	}
+	p.metrics.answered.Inc(1)
+	p.cfg.Pool.Observe(asked.instanceID, a.incarnation, a.load, now)
+}
+
+// HandleProbe returns the answer to a probe, or nil if there is none: the
+// probe is malformed or meant for another instance, or the budget for answers
+// is spent.
+func (p *Prober) HandleProbe(_ netip.AddrPort, payload []byte) []byte {
+	q, err := decodeProbe(payload)
+	if err != nil {
+		p.metrics.malformed.Inc(1)
+		return nil
+	}
+	if p.cfg.Own == nil || q.instance != hashID(p.cfg.Self) {
+		p.metrics.unexpected.Inc(1)
+		return nil
+	}
+	p.mu.Lock()
+	granted := p.answers.take(time.Now(), answerCost)
+	p.mu.Unlock()
+	if !granted {
+		p.metrics.withheld.Inc(1)
+		return nil
+	}
+	p.metrics.answers.Inc(1)
+	p.metrics.bytes.Inc(answerCost)
+	return answer{nonce: q.nonce, incarnation: p.cfg.Incarnation, load: p.cfg.Own.Load()}.encode()
+}
+
+// Run sends probes until dying is closed.
+func (p *Prober) Run(dying <-chan struct{}) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-dying:
+			return nil
+		case <-ticker.C:
+			p.tick(time.Now())
+		}
+	}
+}
+
+// tick sends the probes that are due.
+func (p *Prober) tick(now time.Time) {
+	if p.cfg.Own != nil {
+		p.cfg.Pool.Observe(p.cfg.Self, p.cfg.Incarnation, p.cfg.Own.Load(), now)
+	}
+	snapshot := p.cfg.Source.Snapshot()
+	if snapshot.Configuration() == nil {
+		return
+	}
+	p.refreshActive(snapshot.View(), now)
+	for _, name := range p.active {
+		service := snapshot.Configuration().Service(name)
+		if service == nil {
+			continue
+		}
+		spec := service.Spec()
+		for to, payload := p.next(&spec, snapshot.View(), now); payload != nil; to, payload = p.next(&spec, snapshot.View(), now) {
+			p.send(to, payload)
+		}
+	}
+}
+
+// refreshActive looks up the services in use, and forgets probes and services
+// that are of no use any more.
+func (p *Prober) refreshActive(view *registrar.View, now time.Time) {
+	if age := now.Sub(p.activeAt); age < activeInterval {
+		return
+	}
+	p.activeAt = now
+	inUse := make(map[string]bool)
+	for _, id := range p.cfg.Pool.SentSince(now.Add(-activePeriod)) {
+		if in := view.Instance(id); in != nil {
+			inUse[in.Service()] = true
+		}
+	}
+	p.active = p.active[:0]
+	for name := range inUse {
+		p.active = append(p.active, name)
+	}
+	p.cfg.Random.Shuffle(len(p.active), func(i, j int) { p.active[i], p.active[j] = p.active[j], p.active[i] })
+	p.forget(inUse, now)
+}
+
+func (p *Prober) forget(inUse map[string]bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for nonce, probe := range p.pending {
+		if now.Sub(probe.sent) > answerTimeout {
+			delete(p.pending, nonce)
+		}
+	}
+	for name, t := range p.targets {
+		if !inUse[name] && t.budget.unused(now) {
+			delete(p.targets, name)
+		}
+	}
+}
+
+// next returns the next probe for a service, charged to its budget and to the
+// node's, or nil if none is due.
+func (p *Prober) next(spec *compiler.ServiceSpec, view *registrar.View, now time.Time) (netip.AddrPort, []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[spec.Name]
+	if t == nil {
+		t = newTarget()
+		p.targets[spec.Name] = t
+	}
+	t.budget.messages = spec.ProbeMessages
+	t.budget.bytes = spec.ProbeBytes
+	perSecond := min(spec.ProbeMessages, spec.ProbeBytes/exchangeCost)
+	if perSecond <= 0 || now.Before(t.next) {
+		return netip.AddrPort{}, nil
+	}
+	in := t.stalest(p.cfg.Pool, p.cfg.Self, view.Service(spec.Name), spec.SampleMaxAge, now)
+	if in == nil {
+		return netip.AddrPort{}, nil
+	}
+	if !t.budget.allows(now, exchangeCost) || !p.node.take(now, exchangeCost) {
+		p.metrics.deferred.Inc(1)
+		return netip.AddrPort{}, nil
+	}
+	t.budget.take(now, exchangeCost)
+	t.next = t.next.Add(time.Second / time.Duration(perSecond))
+	if earliest := now.Add(-interval); t.next.Before(earliest) {
+		t.next = earliest
+	}
+	t.probed[in.ID()] = now
+	q := probe{nonce: p.nonce(), instance: hashID(in.ID())}
+	to := unmapped(in.Peer())
+	p.pending[q.nonce] = pending{instanceID: in.ID(), to: to, sent: now}
+	return to, q.encode()
+}
+
+// nonce returns a number that no pending probe bears.
+func (p *Prober) nonce() uint32 {
+	for {
+		n := p.cfg.Random.Uint32()
+		if _, taken := p.pending[n]; !taken {
+			return n
+		}
+	}
+}
+
+func (p *Prober) send(to netip.AddrPort, payload []byte) {
+	p.metrics.sent.Inc(1)
+	p.metrics.bytes.Inc(exchangeCost)
+	if err := p.cfg.Transport.Send(to, payload); err != nil {
+		p.metrics.failed.Inc(1)
+		p.cfg.Log.Debug().Err(err).Stringer("to", to).Msg("Probe not sent.")
+	}
+}
+
+func orDefault(v *int, value int) {
+	if *v == 0 {
+		*v = value
+	}
+}
+
+// unmapped returns the address in the form of its own family.
+func unmapped(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
--- a/internal/process/sampler/entry.go
+++ b/internal/process/sampler/entry.go
@@ -36,6 +36,7 @@
 // entry is what is known about one instance.
 type entry struct {
 	outstanding atomic.Int64
+	lastSent    atomic.Int64 // Nanoseconds since the epoch.
 	sentSince   atomic.Int64
 	sample      atomic.Pointer[sample]
 	path        atomic.Pointer[path]
--- a/internal/process/sampler/pool.go
+++ b/internal/process/sampler/pool.go
@@ -101,10 +101,24 @@
 // Sent records that a request goes out to an instance. Finished must follow.
 func (p *Pool) Sent(instanceID string) {
 	e := p.entry(instanceID)
+	e.lastSent.Store(time.Now().UnixNano())
 	e.outstanding.Add(1)
 	e.sentSince.Add(1)
 }
 
+// SentSince returns the ids of the instances to which requests were sent at or
+// after t.
+func (p *Pool) SentSince(t time.Time) []string {
+	var ids []string
+	p.entries.Range(func(id, e any) bool {
+		if e.(*entry).lastSent.Load() >= t.UnixNano() {
+			ids = append(ids, id.(string))
+		}
+		return true
+	})
+	return ids
+}
+
 func (p *Pool) entry(instanceID string) *entry {
 	if e, ok := p.entries.Load(instanceID); ok {
 		return e.(*entry)
