--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -287,6 +287,7 @@
 		return err
 	}
 	m.voter.learn(state)
+	m.voter.tryFinishReplacing(ctx, state)
 	return nil
 }
 
@@ -382,7 +383,9 @@
 	status.Version = state.number()
 	status.Voting = isVoter(state.membership(), p.GetIdentity()) && !p.GetFailed()
 	for _, member := range state.membership().GetVoters() {
-		status.Voters = append(status.Voters, last.status(member))
+		voter := last.status(member)
+		voter.Voting = voter.GetVoting() && len(state.membership().GetPrevious()) == 0
+		status.Voters = append(status.Voters, voter)
 	}
 	return status
 }
--- a/internal/process/voter/proposer.go
+++ b/internal/process/voter/proposer.go
@@ -301,15 +301,18 @@
 ) {
 	var t tomb.Tomb
 	replies := make(chan reply[Resp], len(members))
-	for _, m := range members {
-		t.Go(func() error {
-			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			defer cancel()
-			resp, err := request(callCtx, m)
-			replies <- reply[Resp]{member: m, resp: resp, err: err}
-			return nil
-		})
-	}
+	t.Go(func() error {
+		for _, m := range members {
+			t.Go(func() error {
+				callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+				defer cancel()
+				resp, err := request(callCtx, m)
+				replies <- reply[Resp]{member: m, resp: resp, err: err}
+				return nil
+			})
+		}
+		return nil
+	})
 	for range members {
 		select {
 		case r := <-replies:
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -223,6 +223,7 @@
 		case s.replacing:
 			err = v.finishReplacing(ctx, state)
 		default:
+			v.tryFinishReplacing(ctx, state)
 			return s.answer, s.err
 		}
 		if err != nil {
@@ -277,6 +278,18 @@
 	return nil
 }
 
+// tryFinishReplacing ends the replacement of voters, if there is one, at once:
+// until then the group needs a majority of the previous voters too. What fails
+// here is repeated with the heartbeats.
+func (v *Voter) tryFinishReplacing(ctx context.Context, chosen *State) {
+	if len(chosen.membership().GetPrevious()) == 0 {
+		return
+	}
+	if err := v.finishReplacing(ctx, chosen); err != nil {
+		v.cfg.Log.Debug().Err(err).Msg("Replacement of voters not finished yet.")
+	}
+}
+
 // learn takes over a state that is known to be chosen.
 func (v *Voter) learn(state *State) {
 	if !v.acceptor.learn(state) {
--- /dev/null
+++ b/internal/process/voter/voter_test.go
@@ -0,0 +1,254 @@
+package voter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+func TestResend(t *testing.T) {
+	simulate(t, 1, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		assertConflict(t, c.voter("v1"), change("b", 0), "a")
+		for _, address := range c.initial {
+			c.crash(address)
+			c.start(address)
+		}
+		time.Sleep(2 * time.Second)
+		assertAccepted(t, c.voter("v2"), change("a", 0), 1)
+		assertConflict(t, c.voter("v2"), change("b", 0), "a")
+		_, err := c.voter("v2").Submit(context.Background(), change("a", 1))
+		assert.ErrorIs(t, err, voter.ErrInvalid)
+		_, err = c.voter("v2").Submit(context.Background(), change("c", 9))
+		assert.ErrorIs(t, err, voter.ErrInvalid)
+	})
+}
+
+func TestRacingOperators(t *testing.T) {
+	simulate(t, 2, 3, func(t *testing.T, c *cluster) {
+		type outcome struct {
+			id   string
+			resp *controlwire.SubmitResponse
+			err  error
+		}
+		outcomes := make(chan outcome, 6)
+		for i := range cap(outcomes) {
+			go func() {
+				id := fmt.Sprintf("race-%d", i)
+				resp, err := c.voter(c.initial[i%3]).Submit(context.Background(), change(id, 0))
+				outcomes <- outcome{id, resp, err}
+			}()
+		}
+		winners := make(map[string]int)
+		for range cap(outcomes) {
+			o := <-outcomes
+			assert.NilError(t, o.err)
+			if o.resp.GetResult() == controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED {
+				winners[o.id]++
+			} else {
+				winners[o.resp.GetWinner().GetChangeId()]++
+			}
+		}
+		assert.Equal(t, len(winners), 1, "%v", winners)
+		assertCurrent(t, c.voter("v1"), 1)
+	})
+}
+
+func TestStalePartition(t *testing.T) {
+	for name, directions := range map[string][2]bool{"both": {true, true}, "in": {true, false}, "out": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 3, 3, func(t *testing.T, c *cluster) {
+				assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+				c.isolate("v0", directions[0], directions[1])
+				assertAccepted(t, c.voter("v1"), change("b", 1), 2)
+				_, err := c.voter("v0").Current(context.Background())
+				assert.ErrorIs(t, err, voter.ErrNoMajority)
+				assert.Assert(t, c.voter("v0").Status().GetStale())
+				assert.Assert(t, !c.voter("v1").Status().GetStale())
+				c.isolate("v0", false, false)
+				time.Sleep(3 * time.Second)
+				assert.Assert(t, !c.voter("v0").Status().GetStale())
+				assertCurrent(t, c.voter("v0"), 2)
+			})
+		})
+	}
+}
+
+func TestFrozenProposer(t *testing.T) {
+	simulate(t, 4, 3, func(t *testing.T, c *cluster) {
+		v0 := c.voter("v0")
+		// The freeze comes between the promises and the accept requests.
+		c.setFilter(func(_ string, req proto.Message) error {
+			if _, ok := req.(*voterwire.AcceptRequest); ok && c.instances["v0"].frozen == nil {
+				c.instances["v0"].frozen = make(chan struct{})
+			}
+			return nil
+		})
+		done := make(chan error, 1)
+		go func() {
+			_, err := v0.Submit(context.Background(), change("frozen", 0))
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		c.setFilter(nil)
+		assertAccepted(t, c.voter("v1"), change("b", 0), 1)
+		time.Sleep(time.Minute)
+		c.thaw("v0")
+		assert.ErrorIs(t, <-done, voter.ErrOutcomeUnknown)
+		assertCurrent(t, c.voter("v2"), 1)
+		assertConflict(t, v0, change("frozen", 0), "b")
+	})
+}
+
+// awaitRepaired waits until the group's voters are the instances' present
+// identities and no replacement is under way.
+func awaitRepaired(t testing.TB, c *cluster, witness string) {
+	t.Helper()
+	for range 60 {
+		whole := 0
+		for _, s := range c.voter(witness).Status().GetVoters() {
+			if s.GetVoting() && s.GetIdentity() == c.voter(s.GetAddress()).Identity() {
+				whole++
+			}
+		}
+		if whole == len(c.initial) {
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	t.Fatal("the group was not repaired")
+}
+
+func TestLostDisks(t *testing.T) {
+	simulate(t, 5, 3, func(t *testing.T, c *cluster) {
+		// Only v0 and v2 hold the change when v2 loses its disk.
+		c.crash("v1")
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		old := c.voter("v2").Identity()
+		c.start("v1")
+		c.lose("v2")
+		assert.Assert(t, c.voter("v2").Identity() != old)
+		awaitRepaired(t, c, "v0")
+		// A second loss right after the repair.
+		c.lose("v0")
+		assertCurrent(t, c.voter("v1"), 1)
+		awaitRepaired(t, c, "v1")
+		c.lose("v1")
+		awaitRepaired(t, c, "v2")
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		assertAccepted(t, c.voter("v1"), change("b", 1), 2)
+	})
+}
+
+func TestNoSecondGroup(t *testing.T) {
+	simulate(t, 6, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v1"), change("a", 0), 1)
+		c.crash("v2")
+		c.lose("v0") // The instance that forms groups.
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, !c.voter("v0").Status().GetVoting())
+		_, err := c.voter("v0").Submit(context.Background(), change("b", 0))
+		assert.Assert(t, err != nil)
+		c.start("v2")
+		awaitRepaired(t, c, "v1")
+		assertCurrent(t, c.voter("v0"), 1)
+	})
+}
+
+func TestAddAndReplaceVoters(t *testing.T) {
+	simulate(t, 7, 3, func(t *testing.T, c *cluster) {
+		c.add("v3")
+		c.add("v4")
+		req := change("grow", 0)
+		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v0, v1, v2, v3, v4").Entries...)
+		assertAccepted(t, c.voter("v1"), req, 1)
+		time.Sleep(3 * time.Second)
+		c.crash("v0")
+		c.crash("v1")
+		assertCurrent(t, c.voter("v4"), 1)
+		c.start("v0")
+		c.start("v1")
+		time.Sleep(3 * time.Second)
+		req = change("shrink", 1)
+		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v2,v3,v4").Entries...)
+		assertAccepted(t, c.voter("v0"), req, 2)
+		time.Sleep(3 * time.Second)
+		c.crash("v1")
+		c.crash("v2")
+		assertAccepted(t, c.voter("v0"), change("after", 2), 3)
+		assert.Assert(t, !c.voter("v0").Status().GetVoting())
+	})
+}
+
+func TestUnreachableNewVoter(t *testing.T) {
+	simulate(t, 8, 3, func(t *testing.T, c *cluster) {
+		c.add("v3")
+		c.crash("v3")
+		req := &controlwire.SubmitRequest{ChangeId: "grow", Document: document("control", "voters", "v0,v1,v2,v3")}
+		_, err := c.voter("v1").Submit(context.Background(), req)
+		assert.ErrorIs(t, err, voter.ErrVoterUnreachable)
+		assertAccepted(t, c.voter("v2"), change("a", 0), 1)
+	})
+}
+
+func TestCatchUpByOneSnapshot(t *testing.T) {
+	simulate(t, 9, 3, func(t *testing.T, c *cluster) {
+		c.crash("v2")
+		const changes = 400
+		for i := range changes {
+			assertAccepted(t, c.voter("v0"), change(fmt.Sprint(i), uint64(i)), uint64(i)+1)
+		}
+		c.start("v2")
+		before := c.instances["v2"].disk.writes
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, c.voter("v2").Local().Version().GetDigest().GetNumber(), uint64(changes))
+		assert.Assert(t, c.instances["v2"].disk.writes-before <= 2)
+		assertAccepted(t, c.voter("v2"), change("0", 0), 1)
+	})
+}
+
+func TestDiskFull(t *testing.T) {
+	simulate(t, 10, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		full := true
+		for _, address := range c.initial {
+			c.instances[address].disk.fail = func() (bool, error) {
+				if full {
+					return false, journaler.ErrFull
+				}
+				return true, nil
+			}
+		}
+		_, err := c.voter("v0").Submit(context.Background(), change("b", 1))
+		assert.ErrorIs(t, err, voter.ErrNoMajority)
+		assertCurrent(t, c.voter("v1"), 1)
+		full = false
+		assertAccepted(t, c.voter("v0"), change("b", 1), 2)
+	})
+}
+
+func TestFailedSync(t *testing.T) {
+	simulate(t, 11, 3, func(t *testing.T, c *cluster) {
+		c.crash("v2")
+		c.instances["v1"].disk.fail = func() (bool, error) { return true, journaler.ErrFailed }
+		_, err := c.voter("v0").Submit(context.Background(), change("a", 0))
+		assert.Assert(t, errors.Is(err, voter.ErrNoMajority), err)
+		c.instances["v1"].disk.fail = nil
+		_, err = c.voter("v0").Submit(context.Background(), change("a", 0))
+		assert.Assert(t, errors.Is(err, voter.ErrNoMajority), err)
+		assert.Assert(t, !c.voter("v1").Status().GetVoting())
+		c.crash("v1")
+		c.start("v1")
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+	})
+}
