--- a/internal/process/voter/linearizability_test.go
+++ b/internal/process/voter/linearizability_test.go
@@ -162,6 +162,10 @@
 			c.setNetwork(0, 0, time.Millisecond)
 			continue
 		}
+		if fault == 6 {
+			c.restartAll()
+			continue
+		}
 		if c.claim(address) {
 			c.disturbOne(address, fault, pause, random)
 			c.release(address)
@@ -192,9 +196,22 @@
 		fill(c, address, pause)
 	case 5:
 		loseIfWhole(c, address)
-	case 6:
-		c.crash(address)
+	}
+}
+
+// restartAll crashes all instances that no other fault holds, and starts them
+// together.
+func (c *cluster) restartAll() {
+	var claimed []string
+	for _, address := range c.initial {
+		if c.claim(address) {
+			claimed = append(claimed, address)
+			c.crash(address)
+		}
+	}
+	for _, address := range claimed {
 		c.start(address)
+		c.release(address)
 	}
 }
 
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -20,12 +20,11 @@
 	simulate(t, 1, 3, func(t *testing.T, c *cluster) {
 		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
 		assertConflict(t, c.voter("v1"), change("b", 0), "a")
-		for _, address := range c.initial {
-			c.crash(address)
-			c.start(address)
-		}
+		assertAccepted(t, c.voter("v1"), change("a2", 1), 2)
+		c.restartAll()
 		time.Sleep(2 * time.Second)
 		assertAccepted(t, c.voter("v2"), change("a", 0), 1)
+		assertAccepted(t, c.voter("v0"), change("a2", 1), 2)
 		assertConflict(t, c.voter("v2"), change("b", 0), "a")
 		_, err := c.voter("v2").Submit(context.Background(), change("a", 1))
 		assert.ErrorIs(t, err, voter.ErrInvalid)
