--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,7 @@
 	*disk
 	records [][]byte
 	err     error
+	dead    atomic.Bool // Set when the process has ended.
 }
 
 // open returns the disk as a new process finds it; nothing unsynced is left.
@@ -54,6 +56,9 @@
 func (h *handle) Append(records ...[]byte) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.dead.Load() {
+		return errUnreachable
+	}
 	kept, err := true, h.err
 	if err == nil && h.fail != nil {
 		kept, err = h.fail()
@@ -76,7 +81,7 @@
 func (h *handle) AppendUnsynced(records ...[]byte) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.err == nil {
+	if h.err == nil && !h.dead.Load() {
 		h.unsynced = append(h.unsynced, records...)
 	}
 	return h.err
@@ -85,7 +90,7 @@
 func (h *handle) Rewrite(records [][]byte) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.err == nil {
+	if h.err == nil && !h.dead.Load() {
 		h.synced, h.unsynced, h.bytes = records, nil, 0
 	}
 	return h.err
@@ -118,6 +123,7 @@
 	drop      float64       // Share of messages that are lost.
 	double    float64       // Share of requests that arrive twice.
 	delay     time.Duration // Upper bound of a message's time on its way.
+	steady    bool          // Every message takes this time.
 	filter    func(to string, req proto.Message) error
 	bytes     int64
 }
@@ -151,8 +157,7 @@
 	in := c.instances[address]
 	seed := c.random.Uint64()
 	c.mu.Unlock()
-	in.handle = in.disk.open()
-	handle := in.handle
+	handle := in.disk.open()
 	v, err := voter.New(voter.Config{
 		Address: address, Initial: c.initial, Journal: handle,
 		Transport: &simTransport{cluster: c, from: address, handle: handle},
@@ -169,29 +174,34 @@
 	})
 	assert.NilError(c.t, err)
 	c.mu.Lock()
-	in.voter, in.seen = v, 0
+	in.voter, in.handle, in.seen = v, handle, 0
 	c.mu.Unlock()
 	v.Start()
 }
 
-// crash ends an instance at once. Its disk keeps what was synced.
-func (c *cluster) crash(address string) {
+// kill ends an instance at once and returns what is left to stop. Its disk
+// keeps what was synced.
+func (c *cluster) kill(address string) *voter.Voter {
 	c.mu.Lock()
 	in := c.instances[address]
-	v := in.voter
-	in.voter = nil
+	v, h := in.voter, in.handle
+	in.voter, in.handle = nil, nil
 	if in.frozen != nil {
 		close(in.frozen)
 		in.frozen = nil
 	}
 	c.mu.Unlock()
-	if v == nil {
-		return
+	if h != nil {
+		h.dead.Store(true)
+	}
+	return v
+}
+
+// crash kills an instance and waits for its goroutines.
+func (c *cluster) crash(address string) {
+	if v := c.kill(address); v != nil {
+		assert.Check(c.t, v.Stop())
 	}
-	in.handle.mu.Lock()
-	in.handle.err = errUnreachable
-	in.handle.mu.Unlock()
-	assert.Check(c.t, v.Stop())
 }
 
 // lose crashes an instance and returns it with an empty disk.
@@ -348,27 +358,27 @@
 }
 
 // travel waits while a message is on its way, and reports whether it arrives.
+// Faults of either end that begin meanwhile count.
 func (c *cluster) travel(from, to string, sender *handle) bool {
 	c.mu.Lock()
-	delay := time.Duration(c.random.Int64N(int64(c.delay) + 1))
+	delay := c.delay
+	if !c.steady {
+		delay = time.Duration(c.random.Int64N(int64(c.delay) + 1))
+	}
 	lost := c.random.Float64() < c.drop
-	frozen := c.instances[from].frozen
 	c.mu.Unlock()
-	if frozen != nil {
-		<-frozen
-	}
 	time.Sleep(delay)
-	c.mu.Lock()
-	frozen = c.instances[to].frozen
-	lost = lost || c.cut[link{from, to}] || sender != nil && c.instances[from].handle != sender
-	c.mu.Unlock()
-	if lost {
-		return false
-	}
-	if frozen != nil {
-		<-frozen
+	for _, address := range []string{from, to} {
+		c.mu.Lock()
+		frozen := c.instances[address].frozen
+		c.mu.Unlock()
+		if frozen != nil {
+			<-frozen
+		}
 	}
-	return true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !lost && !c.cut[link{from, to}] && (sender == nil || c.instances[from].handle == sender)
 }
 
 // simulate runs a test in fake time on a group of n voters that has formed.
@@ -409,3 +419,9 @@
 	assert.NilError(t, err)
 	assert.Equal(t, state.Version().GetDigest().GetNumber(), version)
 }
+
+func assertNoMajority(t testing.TB, v *voter.Voter) {
+	t.Helper()
+	_, err := v.Current(context.Background())
+	assert.ErrorIs(t, err, voter.ErrNoMajority)
+}
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -70,8 +70,7 @@
 				assertAccepted(t, c.voter("v0"), change("a", 0), 1)
 				c.isolate("v0", directions[0], directions[1])
 				assertAccepted(t, c.voter("v1"), change("b", 1), 2)
-				_, err := c.voter("v0").Current(context.Background())
-				assert.ErrorIs(t, err, voter.ErrNoMajority)
+				assertNoMajority(t, c.voter("v0"))
 				assert.Assert(t, c.voter("v0").Status().GetStale())
 				assert.Assert(t, !c.voter("v1").Status().GetStale())
 				c.isolate("v0", false, false)
@@ -149,6 +148,20 @@
 	})
 }
 
+func TestNewIdentityIsNoVoter(t *testing.T) {
+	simulate(t, 12, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		c.crash("v1")
+		c.lose("v2")
+		time.Sleep(10 * time.Second)
+		assertNoMajority(t, c.voter("v0"))
+		assert.Assert(t, c.voter("v0").Status().GetStale())
+		c.start("v1")
+		awaitRepaired(t, c, "v0")
+		assertCurrent(t, c.voter("v2"), 1)
+	})
+}
+
 func TestNoSecondGroup(t *testing.T) {
 	simulate(t, 6, 3, func(t *testing.T, c *cluster) {
 		assertAccepted(t, c.voter("v1"), change("a", 0), 1)
@@ -189,6 +202,105 @@
 	})
 }
 
+// replacing returns a submission that makes v3, v4 and v5 the voters.
+func replacing(id string, replaces uint64) *controlwire.SubmitRequest {
+	req := change(id, replaces)
+	req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v3,v4,v5").Entries...)
+	return req
+}
+
+// split cuts two sets of instances off from each other, or heals the cut.
+func split(c *cluster, cut bool, a []string, b []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range a {
+		for _, y := range b {
+			c.cut[link{x, y}], c.cut[link{y, x}] = cut, cut
+		}
+	}
+}
+
+func TestInterruptedReplacement(t *testing.T) {
+	simulate(t, 13, 3, func(t *testing.T, c *cluster) {
+		fresh := []string{"v3", "v4", "v5"}
+		for _, address := range fresh {
+			c.add(address)
+		}
+		// The accept requests reach the new voters and v0, but no majority of the old ones.
+		c.setFilter(func(to string, req proto.Message) error {
+			switch req.(type) {
+			case *voterwire.AcceptRequest:
+				if to == "v1" || to == "v2" {
+					return errUnreachable
+				}
+			case *voterwire.FetchStateRequest:
+				return errUnreachable
+			}
+			return nil
+		})
+		_, err := c.voter("v0").Submit(context.Background(), replacing("a", 0))
+		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
+		split(c, true, append(fresh, "v0"), []string{"v1", "v2"})
+		c.setFilter(nil)
+		assertNoMajority(t, c.voter("v0"))
+		assertNoMajority(t, c.voter("v3"))
+		assertAccepted(t, c.voter("v1"), change("b", 0), 1)
+		split(c, false, append(fresh, "v0"), []string{"v1", "v2"})
+		assertConflict(t, c.voter("v0"), replacing("a", 0), "b")
+	})
+}
+
+func TestOldVoterReturns(t *testing.T) {
+	simulate(t, 14, 3, func(t *testing.T, c *cluster) {
+		fresh := []string{"v3", "v4", "v5"}
+		for _, address := range fresh {
+			c.add(address)
+		}
+		c.isolate("v0", true, true)
+		assertAccepted(t, c.voter("v1"), replacing("a", 0), 1)
+		time.Sleep(3 * time.Second)
+		split(c, true, fresh, []string{"v1", "v2"})
+		assertAccepted(t, c.voter("v3"), change("b", 1), 2)
+		// Attempts in vain give v0 the newest ballots.
+		for range 5 {
+			assertNoMajority(t, c.voter("v0"))
+		}
+		c.isolate("v0", false, false)
+		assertConflict(t, c.voter("v0"), change("late", 1), "b")
+	})
+}
+
+func TestMinorityAcceptIsFinished(t *testing.T) {
+	simulate(t, 15, 3, func(t *testing.T, c *cluster) {
+		c.setFilter(func(_ string, req proto.Message) error {
+			if _, ok := req.(*voterwire.AcceptRequest); ok {
+				return errUnreachable
+			}
+			return nil
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := c.voter("v0").Submit(ctx, change("a", 0))
+		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
+		// A proposer that died after its promises keeps the others from catching up.
+		for _, address := range c.initial {
+			peer := c.voter(address).Peer()
+			query, err := peer.Query(context.Background(), &voterwire.QueryRequest{})
+			assert.NilError(t, err)
+			_, err = peer.Prepare(context.Background(), &voterwire.PrepareRequest{
+				Group: query.GetPosition().GetGroup(), To: query.GetPosition().GetIdentity(),
+				Ballot: &voterwire.Ballot{Round: 1000, Proposer: "dead"},
+			})
+			assert.NilError(t, err)
+		}
+		c.setFilter(nil)
+		time.Sleep(10 * time.Second)
+		for _, address := range c.initial {
+			assert.Equal(t, len(c.voter(address).Local().History()), 1)
+		}
+	})
+}
+
 func TestUnreachableNewVoter(t *testing.T) {
 	simulate(t, 8, 3, func(t *testing.T, c *cluster) {
 		c.add("v3")
