--- /dev/null
+++ b/internal/cmd/status.go
@@ -0,0 +1,87 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// addStatus adds the command that tells what is in force and where.
+func addStatus(app *kingpin.Application, env *environment) (string, action) {
+	c := app.Command("status", "Tell how the voters are and which version is in force where.")
+	var flags controlFlags
+	flags.add(c, true)
+	return c.FullCommand(), func() error { return runStatus(env, &flags) }
+}
+
+// runStatus asks every control instance, since each knows its own side of a partition.
+func runStatus(env *environment, flags *controlFlags) error {
+	addresses, err := flags.parse()
+	if err != nil {
+		return err
+	}
+	merged := make(map[string]*controlwire.InForce)
+	answered := 0
+	for _, address := range addresses {
+		client := newRemoteControl([]netip.AddrPort{address}, flags.timeout)
+		resp, err := client.Status(env.ctx)
+		if err != nil {
+			fmt.Fprintf(env.stdout, "%s: no answer: %v\n", address, err)
+			continue
+		}
+		answered++
+		printVoter(env.stdout, address, resp)
+		mergeInForce(merged, resp.GetInForce())
+	}
+	if answered == 0 {
+		return errNotSent
+	}
+	return printInForce(env.stdout, merged, time.Now())
+}
+
+func printVoter(w io.Writer, address netip.AddrPort, s *controlwire.StatusResponse) {
+	role := "not voting"
+	if s.GetVoting() {
+		role = "voting"
+	}
+	freshness := "reaches a majority"
+	if s.GetStale() {
+		freshness = fmt.Sprintf("STALE for %s", time.Duration(s.GetStaleForMs())*time.Millisecond)
+	}
+	fmt.Fprintf(w, "%s: %s, %s, version %d\n", address, role, freshness, s.GetVersion())
+}
+
+// mergeInForce keeps the newest report of each instance.
+func mergeInForce(into map[string]*controlwire.InForce, reports []*controlwire.InForce) {
+	for _, r := range reports {
+		if known, ok := into[r.GetInstance()]; !ok || known.GetReportedUnixMs() < r.GetReportedUnixMs() {
+			into[r.GetInstance()] = r
+		}
+	}
+}
+
+func printInForce(w io.Writer, reports map[string]*controlwire.InForce, now time.Time) error {
+	names := make([]string, 0, len(reports))
+	for name := range reports {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "INSTANCE\tSITE\tVERSION IN FORCE\tREPORTED")
+	for _, name := range names {
+		r := reports[name]
+		age := now.Sub(time.UnixMilli(r.GetReportedUnixMs())).Round(time.Second)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s ago\n", name, r.GetSite(), r.GetVersion().GetNumber(), age)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return nil
+}
