--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -69,6 +69,11 @@
 	return resp.GetEntries(), err
 }
 
+// Status returns what the first control instance that answers knows of the voters.
+func (c *remoteControl) Status(ctx context.Context) (*controlwire.StatusResponse, error) {
+	return ask(ctx, c, &controlwire.StatusRequest{}, controlwireconnect.ControlClient.Status)
+}
+
 // ask calls the control instances in turn until one answers or refuses what
 // all would refuse.
 func ask[Req, Resp any](
--- a/internal/cmd/load.go
+++ b/internal/cmd/load.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // The second close after success does nothing.
 	var series []plotter.Series
 	for _, r := range results {
 		for _, m := range r.Mixes {
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -46,6 +46,7 @@
 var commands = []func(*kingpin.Application, *environment) (string, action){
 	controlCmd,
 	nodeCmd,
+	statusCmd,
 	explainCmd,
 	standInCmd,
 	loadCmd,
