--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -39,6 +39,7 @@
 // commands lists the functions that add a command each, in the order of the help text.
 var commands = []func(*kingpin.Application, *environment) (string, action){
 	standInCmd,
+	costCmd,
 }
 
 // Run executes the command that args name and returns the program's exit code.
