--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -55,6 +55,7 @@
 	configSubmitCmd,
 	configShowCmd,
 	configHistoryCmd,
+	costCmd,
 }
 
 // Run executes the command that args name and returns the program's exit code.
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -45,10 +45,10 @@
 
 // Ledger keeps the owners' usage.
 type Ledger interface {
-	// Merge takes in counters by maximum, and the version that their instance follows.
-	Merge(counters []*controlwire.UsageCounter, inForce *controlwire.InForce) error
-	// Counters returns all counters.
-	Counters() []*controlwire.UsageCounter
+	// Merge takes in counters by maximum.
+	Merge(counters []*controlwire.UsageCounter)
+	// Usage returns the counters that the request asks for.
+	Usage(req *controlwire.UsageRequest) *controlwire.UsageResponse
 }
 
 // Controller answers the calls of the Control service.
@@ -128,19 +128,16 @@
 
 // ReportUsage implements controlwireconnect.ControlHandler.
 func (c *Controller) ReportUsage(_ context.Context, req *connect.Request[controlwire.ReportUsageRequest]) (*connect.Response[controlwire.ReportUsageResponse], error) {
-	inForce := req.Msg.GetInForce()
-	if inForce != nil {
+	if inForce := req.Msg.GetInForce(); inForce != nil {
 		c.reports.add(inForce, time.Now())
 	}
-	if err := c.ledger.Merge(req.Msg.GetCounters(), inForce); err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
+	c.ledger.Merge(req.Msg.GetCounters())
 	return connect.NewResponse(&controlwire.ReportUsageResponse{}), nil
 }
 
 // Usage implements controlwireconnect.ControlHandler.
-func (c *Controller) Usage(context.Context, *connect.Request[controlwire.UsageRequest]) (*connect.Response[controlwire.UsageResponse], error) {
-	return connect.NewResponse(&controlwire.UsageResponse{Counters: c.ledger.Counters()}), nil
+func (c *Controller) Usage(_ context.Context, req *connect.Request[controlwire.UsageRequest]) (*connect.Response[controlwire.UsageResponse], error) {
+	return connect.NewResponse(c.ledger.Usage(req.Msg)), nil
 }
 
 // codeOf returns the connect code of a voter's error.
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
 	"github.com/banyanscale/banyanscale/internal/process/watcher"
@@ -128,3 +129,11 @@
 	}
 	return resp, err
 }
+
+// probeTransport sends load probes over the process's datagram socket.
+type probeTransport struct{ courier *courier.Courier }
+
+// Send implements prober.Transport.
+func (t probeTransport) Send(to netip.AddrPort, payload []byte) error {
+	return t.courier.Send(courier.KindProbe, to, payload)
+}
