--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -16,8 +16,9 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// defaultCallTimeout bounds a call to one control instance.
-const defaultCallTimeout = 10 * time.Second
+// defaultCallTimeout bounds a call to one control instance. It is longer than
+// such an instance takes to give up on a majority.
+const defaultCallTimeout = 15 * time.Second
 
 // errFaults reports that files have faults, which were printed already.
 var errFaults = errors.New("nothing was accepted, since the files have faults")
--- a/internal/cmd/config_history.go
+++ b/internal/cmd/config_history.go
@@ -4,8 +4,12 @@
 	"fmt"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 )
 
+// errHistoryOld reports that the printed history may lack the latest changes.
+var errHistoryOld = errors.New("the history may lack newer changes")
+
 // configHistoryCmd adds the command that tells who changed what and when.
 func configHistoryCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("history", "Tell who changed what and when, newest first.")
@@ -17,13 +21,28 @@
 		if err != nil {
 			return err
 		}
-		entries, err := client.History(env.ctx, *limit)
-		if err != nil {
-			return fmt.Errorf("read the history: %w", err)
-		}
-		for _, e := range entries {
-			printHistoryEntry(env.stdout, e)
-		}
-		return nil
+		return printHistory(env, client, *limit)
+	}
+}
+
+// printHistory prints the history of one control instance. It fails if newer
+// changes than that instance knows may have been accepted.
+func printHistory(env *environment, client controlClient, limit uint32) error {
+	entries, err := client.History(env.ctx, limit)
+	if err != nil {
+		return fmt.Errorf("read the history: %w", err)
+	}
+	var newest uint64
+	for _, e := range entries {
+		newest = max(newest, e.GetNumber())
+		printHistoryEntry(env.stdout, e)
+	}
+	current, err := client.Current(env.ctx)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errHistoryOld, err)
+	}
+	if number := current.GetDigest().GetNumber(); newest < number {
+		return fmt.Errorf("%w: version %d is in force", errHistoryOld, number)
 	}
+	return nil
 }
--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -1,9 +1,17 @@
 package cmd_test
 
 import (
+	"bytes"
+	"fmt"
+	"net/netip"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -11,6 +19,12 @@
 	"github.com/banyanscale/banyanscale/internal/cmd"
 )
 
+// How long runEventually waits at most: 30 s.
+const (
+	eventuallyAttempts = 150
+	eventuallyInterval = 200 * time.Millisecond
+)
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"banyanscale": func() { os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr)) },
@@ -18,19 +32,26 @@
 }
 
 // TestScripts runs the sessions of testdata. Besides the usual commands, a
-// script may use "control" (see fakeControl) and "exits CODE COMMAND ARGS...".
+// script may use "control" (see runFakeControl), "exits CODE COMMAND ARGS...",
+// "eventually REGEXP COMMAND ARGS...", "expand FILES..." and "race COUNT ARGS...".
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
 		UpdateScripts:       os.Getenv("UPDATE_GOLDEN") != "",
 		RequireExplicitExec: true,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"control": runFakeControl,
-			"exits":   runExits,
+			"control":    runFakeControl,
+			"exits":      runExits,
+			"eventually": runEventually,
+			"expand":     runExpand,
+			"race":       runRace,
 		},
 		Setup: func(env *testscript.Env) error {
 			examples, err := os.Getwd()
 			env.Setenv("EXAMPLES", examples+"/../../examples")
+			for i := 1; i <= 3; i++ {
+				env.Setenv(fmt.Sprintf("VOTER%d", i), fmt.Sprintf("%s:710%d", loopback(), i))
+			}
 			return err
 		},
 	})
@@ -51,3 +72,59 @@
 		ts.Fatalf("exit code %d, want %d", code, want)
 	}
 }
+
+// loopback returns an address of the loopback network that no other process
+// of the tests uses.
+func loopback() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(pid)})
+}
+
+// runEventually runs a command again and again until its output matches.
+func runEventually(ts *testscript.TestScript, _ bool, args []string) {
+	want := regexp.MustCompile(args[0])
+	for range eventuallyAttempts {
+		// A failure of the command is part of what is waited out.
+		_ = ts.Exec(args[1], args[2:]...)
+		if want.MatchString(ts.ReadFile("stdout") + ts.ReadFile("stderr")) {
+			return
+		}
+		time.Sleep(eventuallyInterval)
+	}
+	ts.Fatalf("no output matched %s", want)
+}
+
+// runExpand replaces variables in files.
+func runExpand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// runRace submits the last arguments, which are files, as so many operators at
+// the same time, each by another control instance. It fails unless exactly one
+// wins and all others are told the winner.
+func runRace(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	outputs := make([]bytes.Buffer, count)
+	codes := make([]int, count)
+	var wg sync.WaitGroup
+	for i := range count {
+		command := []string{"config", "submit", "--operator", "racer", "--message", "race",
+			"--control", ts.Getenv(fmt.Sprintf("VOTER%d", 1+i%3)), "--change-id", fmt.Sprintf("race-%d", i), "--replaces", args[1]}
+		for _, name := range args[2:] {
+			command = append(command, ts.MkAbs(name))
+		}
+		wg.Go(func() { codes[i] = cmd.Run(command, &outputs[i], &outputs[i]) })
+	}
+	wg.Wait()
+	winner := slices.Index(codes, 0)
+	for i, code := range codes {
+		told := strings.Contains(outputs[i].String(), fmt.Sprintf("change race-%d: race", winner))
+		if i != winner && (code != 3 || !told) || winner < 0 {
+			ts.Fatalf("operator %d, exit code %d, winner %d:\n%s", i, code, winner, outputs[i].String())
+		}
+	}
+}
