docs: operators' pages, reference and design note of the configuration

The console sessions in the pages are run by TestPages against the fake of the control service, and their output is compared; settings of daemons in the pages are loaded. The table of settings is compared with the defaults.

--- a/internal/cmd/fake_control_test.go
+++ b/internal/cmd/fake_control_test.go
@@ -30,33 +30,41 @@
 
 var fakes sync.Map // By script.
 
+// startFakeControl returns a fake and the address at which it serves.
+func startFakeControl(atEnd func(func())) (f *fakeControl, address string) {
+	f = &fakeControl{answers: make(map[string]*controlwire.SubmitResponse)}
+	mux := http.NewServeMux()
+	mux.Handle(controlwireconnect.NewControlHandler(f))
+	server := httptest.NewServer(mux)
+	atEnd(server.Close)
+	return f, server.Listener.Addr().String()
+}
+
 // runFakeControl is the script command "control": "start" sets $CONTROL, "lose"
 // breaks the connection after the next change was accepted, "stale" and
 // "fresh" refuse and take calls, "dead" sets $DEAD to an address with nobody.
 func runFakeControl(ts *testscript.TestScript, _ bool, args []string) {
-	if args[0] == "start" {
-		f := &fakeControl{answers: make(map[string]*controlwire.SubmitResponse)}
-		mux := http.NewServeMux()
-		mux.Handle(controlwireconnect.NewControlHandler(f))
-		server := httptest.NewServer(mux)
-		ts.Defer(server.Close)
-		ts.Setenv("CONTROL", server.Listener.Addr().String())
+	switch args[0] {
+	case "start":
+		f, address := startFakeControl(ts.Defer)
+		ts.Setenv("CONTROL", address)
 		fakes.Store(ts, f)
-		return
-	}
-	if args[0] == "dead" {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	case "dead":
+		l, err := net.Listen("tcp", net.JoinHostPort(loopback().String(), "0"))
 		ts.Check(err)
 		ts.Check(l.Close())
 		ts.Setenv("DEAD", l.Addr().String())
-		return
+	default:
+		value, _ := fakes.Load(ts)
+		value.(*fakeControl).set(args[0])
 	}
-	value, _ := fakes.Load(ts)
-	f := value.(*fakeControl)
+}
+
+func (f *fakeControl) set(fault string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loseNext = f.loseNext || args[0] == "lose"
-	f.stale = args[0] == "stale"
+	f.loseNext = f.loseNext || fault == "lose"
+	f.stale = fault == "stale"
 }
 
 func (f *fakeControl) lock() (unlock func(), err error) {
--- a/internal/version/compiler/benchmark_test.go
+++ b/internal/version/compiler/benchmark_test.go
@@ -59,6 +59,26 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// BenchmarkForms reports the bytes of the forms that a version could have:
+// entries, the text of the files, and a full copy for each site.
+func BenchmarkForms(b *testing.B) {
+	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, files []compiler.Source) {
+		var text, copies int
+		for b.Loop() {
+			text, copies = 0, 0
+			for _, file := range files {
+				text += len(file.Data)
+			}
+			for _, site := range compiler.Sites(doc) {
+				copies += len(compiler.FormatEffective(doc, site))
+			}
+		}
+		b.ReportMetric(float64(proto.Size(doc)), "entries-B")
+		b.ReportMetric(float64(text), "text-B")
+		b.ReportMetric(float64(copies), "full-copies-B")
+	})
+}
+
 func BenchmarkParse(b *testing.B) {
 	benchmarkSites(b, func(b *testing.B, _ *controlwire.Document, files []compiler.Source) {
 		for b.Loop() {
--- a/internal/version/compiler/compiler_test.go
+++ b/internal/version/compiler/compiler_test.go
@@ -1,6 +1,9 @@
 package compiler_test
 
 import (
+	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -225,3 +228,15 @@
 	_, err := compiler.Apply(doc, append(changes, changes...))
 	assert.Assert(t, errors.Is(err, compiler.ErrBase))
 }
+
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/reference/settings.md")
+	assert.NilError(t, err)
+	doc := mustParse(t, "[owner x]\nidle-rate = 1\ncurrency = MXN\n[service a]\nowner = x\n")
+	effective, err := parser.Parse("effective", compiler.FormatEffective(doc, ""))
+	assert.NilError(t, err)
+	for _, key := range effective.Section("service a").Keys() {
+		row := regexp.MustCompile("(?m)^\\| `" + key.Name() + "` \\|.*$").FindString(string(page))
+		assert.Assert(t, key.Name() == "owner" || strings.Contains(row, "| `"+key.Value()+"` |"), "%s = %s", key.Name(), key.Value())
+	}
+}
