--- a/internal/connection/requester/connection.go
+++ b/internal/connection/requester/connection.go
@@ -31,18 +31,18 @@
 
 	// sent is true once a byte of the current request may have reached the socket.
 	sent atomic.Bool
-	// stall is how long a read may make no progress after the first byte of
-	// the answer; 0 for ever.
+	// stall is how long a write, and a read after the first byte of the
+	// answer, may make no progress; 0 for ever.
 	stall time.Duration
 	// received counts the bytes of the current answer.
 	received int64
 	// limit bounds received while the head is read; 0 for no bound.
 	limit int64
-	// readErr is the error of the last read, whatever a parser made of it.
-	readErr error
-	// deadlineSet tells that a read deadline is left on raw.
-	deadlineSet bool
-	closeOnce   sync.Once
+	// readErr is the error of the last read, whatever a parser made of it, and
+	// writeErr that of the last write.
+	readErr, writeErr error
+
+	closeOnce sync.Once
 }
 
 // begin readies the connection for the next exchange.
@@ -51,14 +51,20 @@
 	c.stall = stall
 	c.received = 0
 	c.limit = maxHeadSize
-	c.readErr = nil
+	c.readErr, c.writeErr = nil, nil
 }
 
 // Write sends p. It marks the request as sent before the socket sees a byte,
 // and takes the mark back only if the socket took none.
 func (c *connection) Write(p []byte) (int, error) {
+	if c.stall > 0 {
+		if err := c.raw.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
+			return 0, errors.Wrap(err, "set write deadline")
+		}
+	}
 	first := !c.sent.Swap(true)
 	n, err := c.raw.Write(p)
+	c.writeErr = err
 	if n == 0 && err != nil && first {
 		c.sent.Store(false)
 	}
@@ -71,7 +77,6 @@
 		return 0, errHeadTooLarge
 	}
 	if c.stall > 0 && c.received > 0 {
-		c.deadlineSet = true
 		if err := c.raw.SetReadDeadline(time.Now().Add(c.stall)); err != nil {
 			c.readErr = err
 			return 0, errors.Wrap(err, "set read deadline")
@@ -85,11 +90,7 @@
 
 // rest readies the connection for being idle and reports whether it can be reused.
 func (c *connection) rest() bool {
-	if !c.deadlineSet {
-		return true
-	}
-	c.deadlineSet = false
-	return c.raw.SetReadDeadline(time.Time{}) == nil
+	return c.stall == 0 || c.raw.SetDeadline(time.Time{}) == nil
 }
 
 // close closes the connection and frees its place at the host. It may be
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -90,10 +90,15 @@
 	if e.body != nil {
 		e.body.flush = buf.Flush
 	}
-	if err := req.Write(w); err != nil {
-		return errors.Wrap(err, "write request")
+	err := req.Write(w)
+	if err == nil {
+		err = buf.Flush()
+	}
+	var network net.Error
+	if errors.As(e.conn.writeErr, &network) && network.Timeout() {
+		e.conn.close() // The other side is stuck: no answer will come either.
 	}
-	return errors.Wrap(buf.Flush(), "flush request")
+	return errors.Wrap(err, "write request")
 }
 
 // receive reads answers up to the final one.
--- a/internal/connection/requester/pool.go
+++ b/internal/connection/requester/pool.go
@@ -55,8 +55,8 @@
 	// for 30 s. It must be shorter than that of the other side, so that the
 	// other side does not close a connection on which a request is being sent.
 	IdleTimeout time.Duration
-	// StallTimeout is how long an answer may make no progress after its first
-	// byte; 0 for ever.
+	// StallTimeout is how long sending, and receiving after the first byte of
+	// the answer, may make no progress; 0 for ever.
 	StallTimeout time.Duration
 }
 
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -29,8 +29,8 @@
 }
 
 // try picks an instance that was not tried yet and sends the request there.
-// It returns nil if there is none.
-func (c *call) try(cause classifier.Reason) *attempt {
+// It returns nil if there is none. The headers in extra are added.
+func (c *call) try(cause classifier.Reason, extra http.Header) *attempt {
 	a := &attempt{cause: cause, start: time.Now()}
 	var ok bool
 	a.choice, ok = c.forwarder.cfg.Picker.Pick(Query{
@@ -44,18 +44,18 @@
 	}
 	c.attempts++
 	c.exclude = append(c.exclude, a.choice.Instance.ID())
-	a.resp, a.refusal = c.send(c.ctx, a.choice.Instance) //nolint:bodyclose // Closed by who takes or discards the attempt.
+	a.resp, a.refusal = c.send(c.ctx, a.choice.Instance, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
 	a.end = time.Now()
 	c.trace.AddAttempt(a.explained())
 	return a
 }
 
 // send performs one exchange with an instance and tells the observer.
-func (c *call) send(ctx context.Context, in *registrar.Instance) (*http.Response, *refuser.Refusal) {
+func (c *call) send(ctx context.Context, in *registrar.Instance, extra http.Header) (*http.Response, *refuser.Refusal) {
 	observer := c.forwarder.cfg.Observer
 	start := time.Now()
 	observer.Sent(in.ID())
-	resp, refusal := c.exchange(ctx, in)
+	resp, refusal := c.exchange(ctx, in, extra)
 	failed := blamesInstance(refusal)
 	if resp != nil {
 		failed = resp.StatusCode >= http.StatusInternalServerError
@@ -64,16 +64,29 @@
 	return resp, refusal
 }
 
-func (c *call) exchange(ctx context.Context, in *registrar.Instance) (*http.Response, *refuser.Refusal) {
-	f := c.forwarder
-	req := c.request()
-	if deadline, ok := ctx.Deadline(); ok {
-		left := time.Until(deadline).Milliseconds()
-		if left <= 0 {
-			return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
-		}
-		req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+// exchange sends the request and receives the head of the answer, and the body
+// if it is small.
+func (c *call) exchange(ctx context.Context, in *registrar.Instance, extra http.Header) (*http.Response, *refuser.Refusal) {
+	req := c.request(extra)
+	left := timeLeft(ctx)
+	if left <= 0 {
+		return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
+	}
+	req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	resp, refusal := c.deliver(ctx, in, req)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := holdAnswer(resp); refusal != nil {
+		return nil, refusal
 	}
+	return resp, nil
+}
+
+// deliver hands the request to the instance's serving node, or serves it in
+// process if the instance is this node's own.
+func (c *call) deliver(ctx context.Context, in *registrar.Instance, req *http.Request) (*http.Response, *refuser.Refusal) {
+	f := c.forwarder
 	if in.ID() == f.cfg.Instance && f.cfg.Local != nil {
 		resp, err := f.cfg.Local.Exchange(ctx, req)
 		if err != nil {
@@ -95,6 +108,12 @@
 	return resp, nil
 }
 
+// timeLeft returns the milliseconds until the deadline of ctx.
+func timeLeft(ctx context.Context) int64 {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline).Milliseconds()
+}
+
 // failure returns what is wrong with the attempt; its reason is ReasonNone if nothing is.
 func (a *attempt) failure() retrier.Failure {
 	if a.refusal != nil {
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"maps"
 	"net/http"
 	"strconv"
 
@@ -14,10 +14,6 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// maxBufferedBody is the size, in bytes, up to which the body of a request is
-// held in memory, so that it can be sent to another instance after a not-run.
-const maxBufferedBody = 16 << 10
-
 // call is one request of a caller on its way through attempts.
 type call struct {
 	ctx        context.Context
@@ -61,19 +57,15 @@
 
 // holdBody reads a small body into memory. Nothing was sent if it fails.
 func (c *call) holdBody() *refuser.Refusal {
-	switch n := c.r.ContentLength; {
-	case n == 0:
-		return nil
-	case n < 0 || n > maxBufferedBody:
+	body, err := relayer.HoldBody(c.r)
+	if err != nil {
+		return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
+	}
+	c.body = body
+	if body == nil && c.r.ContentLength != 0 {
 		c.stream = &streamedBody{ReadCloser: c.r.Body}
-		return nil
-	default:
-		c.body = make([]byte, n)
-		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
-			return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
-		}
-		return nil
 	}
+	return nil
 }
 
 // run tries instances until one answers or no further attempt is allowed.
@@ -81,7 +73,7 @@
 	cause := classifier.ReasonNone
 	var last *refuser.Refusal
 	for {
-		a := c.try(cause)
+		a := c.try(cause, nil)
 		if a == nil {
 			return nil, c.conclude(last)
 		}
@@ -152,12 +144,12 @@
 	}
 }
 
-// request returns the request of one attempt, with headers of its own.
-func (c *call) request() *http.Request {
-	header := make(http.Header, len(c.header)+1)
-	for name, values := range c.header {
-		header[name] = values
-	}
+// request returns the request of one attempt, with headers of its own and
+// those in extra.
+func (c *call) request(extra http.Header) *http.Request {
+	header := make(http.Header, len(c.header)+len(extra)+1)
+	maps.Copy(header, c.header)
+	maps.Copy(header, extra)
 	req := relayer.NewRequest(c.r, header)
 	switch {
 	case c.body != nil:
--- /dev/null
+++ b/internal/request/forwarder/fault_test.go
@@ -0,0 +1,208 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// row is one fault at one step. The first serving node or its upstream fails;
+// the second works.
+type row struct {
+	step, fault, where string
+	prepare            func(f *fleet, req *http.Request)
+	// cancel is when the caller goes away; 0 for never.
+	cancel time.Duration
+}
+
+func linkRows() []row {
+	var rows []row
+	for _, link := range []struct{ where, address string }{{"serving node", nodeAddress}, {"upstream", targetAddress}} {
+		for _, f := range []fault{
+			{step: connect, kind: refuse}, {step: connect, kind: stall},
+			{step: sendHead, kind: reset}, {step: sendHead, kind: stall},
+			{step: sendBody, kind: reset}, {step: sendBody, kind: stall},
+			{step: wait, kind: reset}, {step: wait, kind: stall},
+			{step: receiveHead, kind: reset}, {step: receiveHead, kind: stall}, {step: receiveHead, kind: garbage},
+			{step: receiveBody, kind: reset}, {step: receiveBody, kind: stall},
+			{step: finish, kind: reset}, {step: finish, kind: stall},
+		} {
+			f.address = link.address
+			rows = append(rows, row{step: f.step, fault: f.kind, where: link.where, prepare: func(fl *fleet, _ *http.Request) {
+				fl.network.fault = f
+			}})
+		}
+	}
+	return rows
+}
+
+func nodeRows() []row {
+	header := func(name, value string) func(*fleet, *http.Request) {
+		return func(_ *fleet, req *http.Request) { req.Header.Set(name, value) }
+	}
+	refusing := func(reason classifier.Reason) func(*fleet, *http.Request) {
+		return func(f *fleet, _ *http.Request) { f.refusal = admissionRefusal(reason) }
+	}
+	status := func(code int, outcome string) func(*fleet, *http.Request) {
+		return func(f *fleet, _ *http.Request) {
+			answer := f.handle
+			var failed atomic.Bool
+			f.handle = func(w http.ResponseWriter, r *http.Request, run int64) {
+				if failed.Swap(true) {
+					answer(w, r, run)
+					return
+				}
+				if outcome != "" {
+					f.runs.Add(-1) // The upstream says so and did nothing.
+					w.Header().Set(classifier.HeaderOutcome, outcome)
+				}
+				w.WriteHeader(code)
+			}
+		}
+	}
+	slow := func(f *fleet, _ *http.Request) {
+		f.handle = func(_ http.ResponseWriter, r *http.Request, _ int64) { <-r.Context().Done() }
+	}
+	return []row{
+		{step: "accept", fault: "no time left", where: "entry node", prepare: header(classifier.HeaderTimeout, "0")},
+		{step: "accept", fault: "unreadable deadline", where: "entry node", prepare: header(classifier.HeaderTimeout, "soon")},
+		{step: "accept", fault: "too deep", where: "entry node", prepare: header(classifier.HeaderDepth, "8")},
+		{step: "accept", fault: "no such service", where: "entry node", prepare: func(f *fleet, _ *http.Request) { f.spec.PathPrefix = "/other" }},
+		{step: "choose", fault: "no instance", where: "entry node", prepare: func(f *fleet, _ *http.Request) { f.instances = nil }},
+		{step: "choose", fault: "all leaving", where: "entry node", prepare: func(f *fleet, _ *http.Request) {
+			for i, in := range f.instances {
+				spec := in.Spec()
+				spec.State = registrar.StateLeaving
+				f.instances[i] = registrar.NewInstance(spec)
+			}
+		}},
+		{step: "choose", fault: "other service at the address", where: "serving node", prepare: func(f *fleet, _ *http.Request) {
+			f.spec.Name = "biblioteca"
+			for i, in := range f.instances {
+				spec := in.Spec()
+				spec.Service = "biblioteca"
+				f.instances[i] = registrar.NewInstance(spec)
+			}
+		}},
+		{step: "admit", fault: "leaving", where: "serving node", prepare: refusing(classifier.ReasonLeaving)},
+		{step: "admit", fault: "queue full", where: "serving node", prepare: refusing(classifier.ReasonQueueFull)},
+		{step: "wait", fault: "shed before work", where: "upstream", prepare: status(http.StatusServiceUnavailable, "not-run")},
+		{step: "wait", fault: "503 after work", where: "upstream", prepare: status(http.StatusServiceUnavailable, "")},
+		{step: "wait", fault: "500 after work", where: "upstream", prepare: status(http.StatusInternalServerError, "")},
+		{step: "wait", fault: "too slow", where: "upstream", prepare: slow},
+		{step: "wait", fault: "caller goes away", where: "caller", prepare: slow, cancel: time.Second},
+	}
+}
+
+// TestFaults strikes every step of a request with every fault, for a request
+// that may be repeated and one that may not. The golden file is the matrix of
+// docs/FAULTS.md.
+func TestFaults(t *testing.T) {
+	var matrix strings.Builder
+	for _, r := range append(nodeRows(), linkRows()...) {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			if r.step == sendBody && method == http.MethodGet {
+				continue
+			}
+			name := fmt.Sprintf("%s/%s/%s/%s", r.step, r.fault, r.where, method)
+			t.Run(name, func(t *testing.T) { strike(t, r, method, &matrix) })
+		}
+	}
+	golden.Assert(t, matrix.String(), "faults.golden")
+}
+
+func strike(t *testing.T, r row, method string, matrix *strings.Builder) {
+	f := newFleet()
+	req := request(method)
+	r.prepare(f, req)
+	f.run(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if r.cancel > 0 {
+			time.AfterFunc(r.cancel, cancel)
+		}
+		start := time.Now()
+		resp, body, err := f.call(ctx, req)
+		took := time.Since(start)
+		time.Sleep(time.Minute) // Late attempts would run now.
+		result := "aborted"
+		outcome := classifier.Unknown
+		if err == nil {
+			verdict := classifier.FromResponse(resp, nil)
+			outcome = verdict.Outcome()
+			result = fmt.Sprintf("%d %s %s", resp.StatusCode, outcome, verdict.Reason())
+			assert.Assert(t, resp.StatusCode != http.StatusOK || len(body) == answerSize, "answer of %d bytes", len(body))
+		}
+		runs := f.runs.Load()
+		if outcome == classifier.NotRun {
+			assert.Equal(t, runs, int64(0), "a request that was not run ran")
+		}
+		if outcome == classifier.Done {
+			assert.Assert(t, runs > 0, "a request that was done did not run")
+		}
+		if method == http.MethodPost {
+			assert.Assert(t, runs <= 1, "ran %d times", runs)
+		}
+		assert.Assert(t, took <= deadline || errors.Is(err, context.DeadlineExceeded), "answered after %v", took)
+		fmt.Fprintf(matrix, "| %s | %s | %s | %s | %s | %d | %v |\n", r.step, r.fault, r.where, method, result, runs, took)
+	})
+}
+
+func TestRetriedBelow(t *testing.T) {
+	f := newFleet()
+	f.handle = func(w http.ResponseWriter, _ *http.Request, _ int64) {
+		w.Header().Set(classifier.HeaderRetried, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	f.run(t, func(t *testing.T) {
+		resp, _, err := f.call(t.Context(), request(http.MethodGet))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, resp.Header.Get(classifier.HeaderRetried), "1")
+		assert.Equal(t, f.runs.Load(), int64(1))
+	})
+}
+
+func TestUntrustedUpstreamHeaders(t *testing.T) {
+	f := newFleet()
+	f.handle = func(w http.ResponseWriter, _ *http.Request, _ int64) {
+		w.Header().Set(classifier.HeaderOutcome, "not-run") // Only a 503 may say so.
+		w.Header().Set(classifier.HeaderReason, "leaving")
+		w.Header().Set(classifier.HeaderRetried, "1")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	f.run(t, func(t *testing.T) {
+		resp, _, err := f.call(t.Context(), request(http.MethodPost))
+		assertRefused(t, resp, err, classifier.Done, classifier.ReasonNone)
+		assert.Equal(t, resp.Header.Get(classifier.HeaderRetried), "")
+		assert.Equal(t, f.runs.Load(), int64(1))
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	f := newFleet()
+	f.spec.RetryPercent = 0
+	f.refusal = refuser.New(classifier.NotRun, classifier.ReasonQueueFull)
+	f.run(t, func(t *testing.T) {
+		const saved = 10
+		for range saved {
+			resp, body, err := f.call(t.Context(), request(http.MethodPost))
+			assertAnswered(t, resp, body, err)
+		}
+		resp, _, err := f.call(t.Context(), request(http.MethodPost))
+		assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonQueueFull)
+		assert.Equal(t, resp.Header.Get(classifier.HeaderRetried), "1")
+	})
+}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -151,7 +151,7 @@
 		f.refuse(w, trace, refusal)
 		return
 	}
-	defer resp.Body.Close()
+	defer func() { resp.Body.Close() }() // The body may be replaced by its continuation.
 	c.answer(w, resp)
 }
 
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -159,7 +159,17 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 	defer cancel()
-	resp, err := s.Exchange(ctx, relayer.NewRequest(r, relayer.CopyRequestHeader(r.Header)))
+	req := relayer.NewRequest(r, relayer.CopyRequestHeader(r.Header))
+	body, err := relayer.HoldBody(r)
+	if err != nil {
+		s.refusals.Inc(classifier.ReasonCanceled)
+		s.refuse(w, refuser.New(classifier.NotRun, classifier.ReasonCanceled))
+		return
+	}
+	if body != nil {
+		req.Body = requester.NewBytesBody(body)
+	}
+	resp, err := s.Exchange(ctx, req)
 	if err != nil {
 		s.refuse(w, refuser.FromError(err))
 		return
