--- /dev/null
+++ b/internal/process/launcher/adapters.go
@@ -0,0 +1,139 @@
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/process/watcher"
+	"github.com/banyanscale/banyanscale/internal/request/admitter"
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/picker"
+	"github.com/banyanscale/banyanscale/internal/request/server"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// choicePicker lets the entry side choose by a picker.Picker.
+type choicePicker struct{ picker *picker.Picker }
+
+// Pick implements forwarder.Picker.
+func (p choicePicker) Pick(q forwarder.Query) (forwarder.Choice, bool) {
+	choice, ok := p.picker.Pick(picker.Query{
+		Service:   q.Service,
+		Instances: q.Instances,
+		Exclude:   q.Exclude,
+		Now:       q.Now,
+	})
+	if !ok {
+		return forwarder.Choice{}, false
+	}
+	return forwarder.Choice{Instance: choice.Instance(), Candidates: candidates(choice.Candidates())}, true
+}
+
+// candidates shows what a choice was made from in JSON.
+type candidates []picker.Candidate
+
+// candidateView is the JSON form of one candidate.
+type candidateView struct {
+	Instance   string  `json:"instance"`
+	Why        string  `json:"why"`
+	ExpectedMS float64 `json:"expected-ms"`
+	Occupancy  int     `json:"occupancy"`
+	Load       string  `json:"load,omitempty"`
+	SampleMS   float64 `json:"sample-age-ms,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler. It runs only when somebody asks for
+// an explanation.
+func (c candidates) MarshalJSON() ([]byte, error) {
+	views := make([]candidateView, len(c))
+	for i, one := range c {
+		views[i] = candidateView{
+			Instance:   one.ID(),
+			Why:        one.Reason(),
+			ExpectedMS: milliseconds(one.Expected()),
+			Occupancy:  one.Occupancy(),
+			SampleMS:   milliseconds(one.SampleAge()),
+		}
+		if one.Load() != (sampler.Load{}) {
+			views[i].Load = one.Load().String()
+		}
+	}
+	return json.Marshal(views)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// loadObserver feeds what the entry side sees into the pool of samples.
+type loadObserver struct{ pool *sampler.Pool }
+
+// Observe implements forwarder.Observer. A load that cannot be read is as
+// good as none.
+func (o loadObserver) Observe(id string, incarnation uint64, load string, now time.Time) {
+	if l, err := sampler.ParseLoad(load); err == nil {
+		o.pool.Observe(id, incarnation, l, now)
+	}
+}
+
+// Sent implements forwarder.Observer.
+func (o loadObserver) Sent(id string) { o.pool.Sent(id) }
+
+// Finished implements forwarder.Observer.
+func (o loadObserver) Finished(id string, result forwarder.Result) {
+	o.pool.Finished(id, sampler.Result{Latency: result.Latency, Failed: result.Failed})
+}
+
+// upstreamAdmitter lets the serving side admit by an admitter.Admitter.
+type upstreamAdmitter struct{ *admitter.Admitter }
+
+// Admit implements server.Admitter.
+func (a upstreamAdmitter) Admit(ctx context.Context, work server.Work) (server.Permit, error) {
+	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline})
+	if err != nil {
+		return nil, err // A *admitter.Refusal, which the server reads.
+	}
+	return upstreamPermit{permit}, nil
+}
+
+// Load implements server.Admitter.
+func (a upstreamAdmitter) Load() string { return a.Admitter.Load().String() }
+
+// upstreamPermit is an admitter's permit as the server uses it.
+type upstreamPermit struct{ permit *admitter.Permit }
+
+// Done implements server.Permit.
+func (p upstreamPermit) Done(result server.Result) {
+	p.permit.Done(admitter.Result{Latency: result.Latency, Failed: result.Failed})
+}
+
+// watchedRequester tells the watcher what the upstream answers.
+type watchedRequester struct {
+	server.Requester
+	watcher *watcher.Watcher
+}
+
+// DoLimited implements server.Requester.
+func (r watchedRequester) DoLimited(
+	ctx context.Context, addr netip.AddrPort, req *http.Request, limits requester.Limits,
+) (*http.Response, error) {
+	resp, err := r.Requester.DoLimited(ctx, addr, req, limits)
+	if err == nil {
+		r.watcher.Answered(resp.Header.Get(classifier.HeaderDraining) != "")
+	}
+	return resp, err
+}
+
+// probeTransport sends load probes over the process's datagram socket.
+type probeTransport struct{ courier *courier.Courier }
+
+// Send implements prober.Transport.
+func (t probeTransport) Send(to netip.AddrPort, payload []byte) error {
+	return t.courier.Send(courier.KindProbe, to, payload)
+}
--- /dev/null
+++ b/internal/version/compiler/layer.go
@@ -0,0 +1,80 @@
+package compiler
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// layer is the entries of the base file or of one overlay, by section.
+type layer struct {
+	name     string
+	sections map[string]*section
+}
+
+// section is the entries of one section of a layer, by key.
+type section struct {
+	header  entryID
+	entries []*controlwire.Entry
+}
+
+// newLayers returns the document's layers by name, the base among them always.
+func newLayers(doc *controlwire.Document) map[string]*layer {
+	layers := map[string]*layer{baseLayer: {name: baseLayer, sections: make(map[string]*section)}}
+	for _, e := range canonical(doc) {
+		l := layers[e.GetLayer()]
+		if l == nil {
+			l = &layer{name: e.GetLayer(), sections: make(map[string]*section)}
+			layers[l.name] = l
+		}
+		l.add(e)
+	}
+	return layers
+}
+
+func (l *layer) add(e *controlwire.Entry) {
+	s := l.sections[e.GetSection()]
+	if s == nil {
+		s = &section{header: entryID{layer: l.name, section: e.GetSection()}}
+		l.sections[e.GetSection()] = s
+	}
+	s.entries = append(s.entries, e)
+}
+
+// ordered returns the sections by their headers.
+func (l *layer) ordered() []*section {
+	list := make([]*section, 0, len(l.sections))
+	for _, s := range l.sections {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *section) int { return cmp.Compare(a.header.section, b.header.section) })
+	return list
+}
+
+// names returns the names of the sections of one kind, in order.
+func (l *layer) names(kind string) []string {
+	var names []string
+	for header := range l.sections {
+		if k, name, named := strings.Cut(header, " "); named && k == kind {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// value returns the value of a key, and whether it is set.
+func (l *layer) value(header, key string) (string, bool) {
+	s := l.sections[header]
+	if s == nil {
+		return "", false
+	}
+	for _, e := range s.entries {
+		if e.GetKey() == key {
+			return e.GetValue(), true
+		}
+	}
+	return "", false
+}
