--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -43,7 +43,7 @@
 		{"weak entity tag", guide(`W/"v1"`), false},
 		{"other range", func(w http.ResponseWriter, r *http.Request, run int64) {
 			if run > 1 {
-				r.Header.Set("Range", "bytes=4096-")
+				r.Header.Set("Range", "bytes=0-0")
 			}
 			guide(`"v1"`)(w, r, run)
 		}, false},
