feat: tell other nodes of failures and spot stragglers by what serving nodes tell

Load carries the upstream's failure rate as its serving node counted it, and outliers are found by the told latency as well as by own requests. Before, each entry node had to run into a straggler or a fast failer by itself.

Tried and left out: scores that count occupancy among cold candidates, and own requests in flight for stale samples; both were within the noise.

The baselines no longer know outliers or warming instances.

--- a/internal/process/sampler/entry.go
+++ b/internal/process/sampler/entry.go
@@ -94,13 +94,15 @@
 		r.incarnation = s.incarnation
 		r.age = max(now.Sub(s.at), 0)
 		r.fresh = r.age <= maxAge && int64(r.sentSince) < useLimit
+		r.toldLatency = time.Duration(decayed(float64(s.load.Latency()), r.age))
+		r.failureRate = decayed(float64(s.load.FailurePercent())/fullPercent, r.age)
 	}
 	if p := e.path.Load(); p != nil {
 		idle := now.Sub(p.at)
 		r.results = p.results
 		r.lastLatency = p.latency
 		r.pathLatency = time.Duration(decayed(float64(p.latency), idle))
-		r.failureRate = decayed(p.failureRate, idle)
+		r.failureRate = max(r.failureRate, decayed(p.failureRate, idle))
 	}
 	return r
 }
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -14,15 +14,15 @@
 const (
 	maxCount     = 1 << 20
 	maxLatency   = time.Hour
-	fullyWarm    = 100
-	maxLoadBytes = 96
+	fullPercent  = 100
+	maxLoadBytes = 128
 )
 
 // ErrLoad reports text that is not a load header value.
 var ErrLoad = errors.New("malformed load")
 
 // loadKeys lists the keys of a load header value in their order.
-var loadKeys = [...]string{"in-flight", "queued", "limit", "latency-us", "warm-percent"}
+var loadKeys = [...]string{"in-flight", "queued", "limit", "latency-us", "warm-percent", "failure-percent"}
 
 // LoadSpec lists the fields of a Load for NewLoad.
 type LoadSpec struct {
@@ -37,6 +37,8 @@
 	Latency time.Duration
 	// WarmPercent is how far the upstream has come in its cold start, 100 when done.
 	WarmPercent int
+	// FailurePercent is the smoothed share of exchanges that the upstream failed.
+	FailurePercent int
 }
 
 // Load is the load of one instance, as its serving node counted it. It is
@@ -49,7 +51,8 @@
 	spec.InFlight = clamp(spec.InFlight, maxCount)
 	spec.Queued = clamp(spec.Queued, maxCount)
 	spec.Limit = clamp(spec.Limit, maxCount)
-	spec.WarmPercent = clamp(spec.WarmPercent, fullyWarm)
+	spec.WarmPercent = clamp(spec.WarmPercent, fullPercent)
+	spec.FailurePercent = clamp(spec.FailurePercent, fullPercent)
 	spec.Latency = min(max(spec.Latency, 0), maxLatency).Truncate(time.Microsecond)
 	return Load{spec: spec}
 }
@@ -79,11 +82,12 @@
 		values[i] = int(n)
 	}
 	l := NewLoad(LoadSpec{
-		InFlight:    values[0],
-		Queued:      values[1],
-		Limit:       values[2],
-		Latency:     time.Duration(values[3]) * time.Microsecond,
-		WarmPercent: values[4],
+		InFlight:       values[0],
+		Queued:         values[1],
+		Limit:          values[2],
+		Latency:        time.Duration(values[3]) * time.Microsecond,
+		WarmPercent:    values[4],
+		FailurePercent: values[5],
 	})
 	if l.String() != s {
 		return Load{}, errors.Wrapf(ErrLoad, "%q is out of bounds", s)
@@ -91,6 +95,10 @@
 	return l, nil
 }
 
+// FailurePercent returns the smoothed share of exchanges that the upstream
+// failed, from 0 to 100.
+func (l Load) FailurePercent() int { return l.spec.FailurePercent }
+
 // InFlight returns how many requests the upstream works on.
 func (l Load) InFlight() int { return l.spec.InFlight }
 
@@ -105,10 +113,11 @@
 func (l Load) Queued() int { return l.spec.Queued }
 
 // String returns the load as a header value of ASCII characters, such as
-// "in-flight=3;queued=0;limit=6;latency-us=1200;warm-percent=100".
+// "in-flight=3;queued=0;limit=6;latency-us=1200;warm-percent=100;failure-percent=0".
 func (l Load) String() string {
-	return fmt.Sprintf("in-flight=%d;queued=%d;limit=%d;latency-us=%d;warm-percent=%d",
-		l.spec.InFlight, l.spec.Queued, l.spec.Limit, l.spec.Latency.Microseconds(), l.spec.WarmPercent)
+	return fmt.Sprintf("in-flight=%d;queued=%d;limit=%d;latency-us=%d;warm-percent=%d;failure-percent=%d",
+		l.spec.InFlight, l.spec.Queued, l.spec.Limit, l.spec.Latency.Microseconds(),
+		l.spec.WarmPercent, l.spec.FailurePercent)
 }
 
 // WarmPercent returns how far the upstream has come in its cold start, from 0
@@ -116,6 +125,6 @@
 func (l Load) WarmPercent() int { return l.spec.WarmPercent }
 
 // Warming reports whether the upstream is still in its cold start.
-func (l Load) Warming() bool { return l.spec.WarmPercent < fullyWarm }
+func (l Load) Warming() bool { return l.spec.WarmPercent < fullPercent }
 
 func clamp(n, limit int) int { return min(max(n, 0), limit) }
--- a/internal/process/sampler/load_test.go
+++ b/internal/process/sampler/load_test.go
@@ -10,8 +10,8 @@
 )
 
 func TestLoadText(t *testing.T) {
-	l := NewLoad(LoadSpec{InFlight: 3, Queued: 1, Limit: 6, Latency: 1200*time.Microsecond + 7, WarmPercent: 40})
-	assert.Equal(t, l.String(), "in-flight=3;queued=1;limit=6;latency-us=1200;warm-percent=40")
+	l := NewLoad(LoadSpec{InFlight: 3, Queued: 1, Limit: 6, Latency: 1200*time.Microsecond + 7, WarmPercent: 40, FailurePercent: 2})
+	assert.Equal(t, l.String(), "in-flight=3;queued=1;limit=6;latency-us=1200;warm-percent=40;failure-percent=2")
 	assert.Assert(t, l.Warming())
 	back, err := ParseLoad(l.String())
 	assert.NilError(t, err)
@@ -21,11 +21,11 @@
 func TestParseLoadRejects(t *testing.T) {
 	good := NewLoad(LoadSpec{Limit: 6, WarmPercent: 100}).String()
 	for _, s := range []string{
-		"", "in-flight=1", good + ";", good + ";x=1", " " + good, strings.Repeat("0", 97),
+		"", "in-flight=1", good + ";", good + ";x=1", " " + good, strings.Repeat("0", 129),
 		strings.Replace(good, "limit=6", "limit=-6", 1),
 		strings.Replace(good, "limit=6", "limit=06", 1),
 		strings.Replace(good, "limit=6", "limit=4000000000", 1),
-		strings.Replace(good, "=100", "=101", 1),
+		strings.Replace(good, "=100;", "=101;", 1),
 		strings.Replace(good, "queued", "in-flight", 1),
 	} {
 		_, err := ParseLoad(s)
@@ -34,8 +34,8 @@
 }
 
 func FuzzParseLoad(f *testing.F) {
-	f.Add("in-flight=3;queued=1;limit=6;latency-us=1200;warm-percent=40")
-	f.Add("in-flight=;queued=;limit=;latency-us=;warm-percent=")
+	f.Add("in-flight=3;queued=1;limit=6;latency-us=1200;warm-percent=40;failure-percent=2")
+	f.Add("in-flight=;queued=;limit=;latency-us=;warm-percent=;failure-percent=")
 	f.Fuzz(func(t *testing.T, s string) {
 		l, err := ParseLoad(s)
 		if err == nil {
--- a/internal/process/sampler/outliers.go
+++ b/internal/process/sampler/outliers.go
@@ -12,7 +12,8 @@
 const (
 	// evaluationInterval is how long one evaluation of a service's instances holds.
 	evaluationInterval = 20 * time.Millisecond
-	// minResults is how many results an instance needs before it can be an outlier.
+	// minResults is how many own requests must have ended before what they saw
+	// can make an instance an outlier.
 	minResults = 5
 	// failureExcess is by how much an outlier's failure rate exceeds the median of all.
 	failureExcess = 0.3
@@ -20,7 +21,7 @@
 	stragglerRatio = 3
 	// stragglerExcess is the least time by which an outlier exceeds the median.
 	stragglerExcess = 5 * time.Millisecond
-	percent         = 100
+	percent         = fullPercent
 )
 
 // OutlierQuery names the instances to compare with each other.
@@ -62,6 +63,12 @@
 	at       time.Time
 }
 
+// observation is what is known about one instance that is compared.
+type observation struct {
+	id      string
+	reading Reading
+}
+
 // suspect is one candidate for the set of outliers.
 type suspect struct {
 	id       string
@@ -106,18 +113,19 @@
 }
 
 func (p *Pool) evaluate(q OutlierQuery) *Outliers {
-	readings := make(map[string]Reading, len(q.Instances))
+	var observed []observation
 	routable := 0
 	for _, in := range q.Instances {
 		if !in.State().Routable() {
 			continue
 		}
 		routable++
-		if r := p.Read(in.ID(), 0, q.Now); r.results >= minResults {
-			readings[in.ID()] = r
+		r := p.Read(in.ID(), 0, q.Now)
+		if r.sampled && r.incarnation == in.Incarnation() || r.results >= minResults {
+			observed = append(observed, observation{id: in.ID(), reading: r})
 		}
 	}
-	suspects := findSuspects(readings)
+	suspects := findSuspects(observed)
 	keep := (routable*q.MinHealthyPercent + percent - 1) / percent
 	allowed := max(routable-max(keep, 1), 0)
 	suspects = suspects[:min(len(suspects), allowed)]
@@ -130,28 +138,27 @@
 
 // findSuspects returns the instances that stand out from the median, the worst
 // first.
-func findSuspects(readings map[string]Reading) []suspect {
-	var latencies, failureRates []float64
-	for _, r := range readings {
-		failureRates = append(failureRates, r.failureRate)
-		if r.lastLatency > 0 {
-			latencies = append(latencies, float64(r.lastLatency))
-		}
+func findSuspects(observed []observation) []suspect {
+	var told, seen, failureRates []float64
+	for _, o := range observed {
+		failureRates = append(failureRates, o.reading.failureRate)
+		told = appendPositive(told, o.reading.load.Latency())
+		seen = appendPositive(seen, o.reading.lastLatency)
 	}
-	medianLatency := median(latencies)
-	medianFailureRate := median(failureRates)
+	medianTold := upperMedian(told)
+	medianSeen := upperMedian(seen)
+	medianFailureRate := lowerMedian(failureRates)
 	var suspects []suspect
-	for id, r := range readings {
-		severity := 0.0
-		if excess := r.failureRate - medianFailureRate; excess >= failureExcess {
-			severity += percent * excess
+	for _, o := range observed {
+		severity := slowness(o.reading.toldLatency, medianTold)
+		if o.reading.results >= minResults {
+			severity = max(severity, slowness(o.reading.pathLatency, medianSeen))
 		}
-		latency := float64(r.pathLatency)
-		if latency >= stragglerRatio*medianLatency && latency >= medianLatency+float64(stragglerExcess) {
-			severity += min(latency/medianLatency, percent)
+		if excess := o.reading.failureRate - medianFailureRate; excess >= failureExcess {
+			severity += percent * excess
 		}
 		if severity > 0 {
-			suspects = append(suspects, suspect{id: id, severity: severity})
+			suspects = append(suspects, suspect{id: o.id, severity: severity})
 		}
 	}
 	slices.SortFunc(suspects, func(a, b suspect) int {
@@ -160,11 +167,40 @@
 	return suspects
 }
 
-// median returns the lower median of v, which it sorts, or 0 if v is empty.
-func median(v []float64) float64 {
+// slowness returns how many times the median a straggler takes, or 0 for an
+// instance that is none.
+func slowness(latency time.Duration, median float64) float64 {
+	v := float64(latency)
+	if median == 0 || v < stragglerRatio*median || v < median+float64(stragglerExcess) {
+		return 0
+	}
+	return min(v/median, percent)
+}
+
+func appendPositive(list []float64, latency time.Duration) []float64 {
+	if latency <= 0 {
+		return list
+	}
+	return append(list, float64(latency))
+}
+
+// lowerMedian returns the lower median of v, which it sorts, or 0 if v is
+// empty. Of two failure rates it takes the lower one for the usual.
+func lowerMedian(v []float64) float64 {
 	if len(v) == 0 {
 		return 0
 	}
 	slices.Sort(v)
 	return v[(len(v)-1)/2]
 }
+
+// upperMedian returns the upper median of v, which it sorts, or 0 if v is
+// empty. Of two latencies it takes the higher one for the usual, so that an
+// instance that claims to be fast does not make the other a straggler.
+func upperMedian(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
--- a/internal/process/sampler/reading.go
+++ b/internal/process/sampler/reading.go
@@ -10,6 +10,7 @@
 	age                    time.Duration
 	sentSince, outstanding int
 	results                int
+	toldLatency            time.Duration // Of the sample, forgotten with time.
 	lastLatency            time.Duration // Smoothed, when last used.
 	pathLatency            time.Duration // The same, forgotten with time.
 	failureRate            float64
@@ -18,8 +19,8 @@
 // Age returns the age of the sample, or 0 if there is none.
 func (r Reading) Age() time.Duration { return r.age }
 
-// FailureRate returns the smoothed share of own requests that failed, from 0
-// to 1, forgotten with time.
+// FailureRate returns the smoothed share of failures, from 0 to 1, forgotten
+// with time: the larger of what the serving node told and what own requests saw.
 func (r Reading) FailureRate() float64 { return r.failureRate }
 
 // Fresh reports whether there is a sample that is neither too old nor used up.
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -127,11 +127,12 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	return sampler.NewLoad(sampler.LoadSpec{
-		InFlight:    a.inFlight,
-		Queued:      a.queue.len(),
-		Limit:       a.limiter.limit(now),
-		Latency:     a.latency(now),
-		WarmPercent: a.limiter.warmPercent(now),
+		InFlight:       a.inFlight,
+		Queued:         a.queue.len(),
+		Limit:          a.limiter.limit(now),
+		Latency:        a.latency(now),
+		WarmPercent:    a.limiter.warmPercent(now),
+		FailurePercent: int(a.limiter.failureRate(now) * fullPercent),
 	})
 }
 
@@ -206,7 +207,10 @@
 	saturated := a.inFlight >= a.limiter.limit(now)
 	a.inFlight--
 	a.changed = now
-	if !result.Failed {
+	if !result.Abandoned {
+		a.limiter.ended(result.Failed, now)
+	}
+	if !result.Abandoned && !result.Failed {
 		a.limiter.observe(result.Latency, saturated, now)
 	}
 	a.dispatch(now)
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -26,7 +26,12 @@
 	// idleHalfLife is how long an idle upstream takes to lose half of its
 	// latency above the baseline, so that it is tried again.
 	idleHalfLife = time.Second
-	fullyWarm    = 100
+	// failureWeight is the weight of a new result in the failure rate.
+	failureWeight = 1.0 / 8
+	// failureHalfLife is how long it takes until half of a failure rate is
+	// forgotten, so that an upstream without work is tried again.
+	failureHalfLife = 2 * time.Second
+	fullPercent     = 100
 )
 
 // limiter holds the adaptive limit of one upstream: additive increase while it
@@ -43,6 +48,9 @@
 	windowTotal                        time.Duration
 	windowCount                        int
 	saturated                          bool
+
+	failures float64 // Failure rate at endedAt.
+	endedAt  time.Time
 }
 
 func newLimiter(slots, connections int, coldStart time.Duration, now time.Time) *limiter {
@@ -66,6 +74,24 @@
 	return l.baseline + time.Duration(excess*math.Exp2(-float64(age)/float64(idleHalfLife)))
 }
 
+// ended takes in whether an exchange failed.
+func (l *limiter) ended(failed bool, now time.Time) {
+	rate := l.failureRate(now)
+	if failed {
+		rate += failureWeight * (1 - rate)
+	} else {
+		rate -= failureWeight * rate
+	}
+	l.failures = rate
+	l.endedAt = now
+}
+
+// failureRate returns the smoothed share of exchanges that failed.
+func (l *limiter) failureRate(now time.Time) float64 {
+	age := max(now.Sub(l.endedAt), 0)
+	return l.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
+}
+
 // fastestLatency returns the least latency seen lately.
 func (l *limiter) fastestLatency(now time.Time) time.Duration {
 	age := now.Sub(l.fastestAt)
@@ -75,8 +101,8 @@
 // limit returns how many requests may run at once now.
 func (l *limiter) limit(now time.Time) int {
 	limit := l.current
-	if warm := l.warmPercent(now); warm < fullyWarm {
-		share := minShare + (1-minShare)*float64(warm)/fullyWarm
+	if warm := l.warmPercent(now); warm < fullPercent {
+		share := minShare + (1-minShare)*float64(warm)/fullPercent
 		limit = min(limit, share*float64(l.ceiling()))
 	}
 	return max(int(math.Round(limit)), 1)
@@ -110,7 +136,7 @@
 	l.windowTotal = 0
 	l.windowCount = 0
 	l.saturated = false
-	if l.warmPercent(now) < fullyWarm {
+	if l.warmPercent(now) < fullPercent {
 		return
 	}
 	if l.baseline == 0 {
@@ -149,7 +175,7 @@
 func (l *limiter) warmPercent(now time.Time) int {
 	elapsed := now.Sub(l.started)
 	if elapsed >= l.coldStart {
-		return fullyWarm
+		return fullPercent
 	}
-	return int(max(elapsed, 0) * fullyWarm / l.coldStart)
+	return int(max(elapsed, 0) * fullPercent / l.coldStart)
 }
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -9,9 +9,12 @@
 type Result struct {
 	// Latency is the time that the exchange with the upstream took.
 	Latency time.Duration
-	// Failed means that the latency says nothing about the upstream's speed,
-	// as after a broken connection or a canceled request.
+	// Failed means that the upstream failed the request. It counts towards the
+	// failure rate that other nodes are told, and its latency does not count.
 	Failed bool
+	// Abandoned means that the exchange ended for a reason that is not the
+	// upstream's, such as a caller that left. Nothing of it counts.
+	Abandoned bool
 }
 
 // Permit is the right to run one request.
--- /dev/null
+++ b/internal/request/picker/compare_test.go
@@ -0,0 +1,281 @@
+package picker_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/prober"
+	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/request/admitter"
+	"github.com/banyanscale/banyanscale/internal/request/picker"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+var (
+	// compare names the table to print instead of checking one trial.
+	compare = flag.String("compare", "", "print a comparison: policies, candidates, age or budget")
+	entries = flag.Int("entries", 12, "number of entry nodes in a comparison")
+)
+
+const (
+	meanService = 10 * time.Millisecond
+	oneWay      = time.Millisecond
+	length      = 10 * time.Second
+	faultAt     = 2 * time.Second
+)
+
+// trial is one run of open-loop load on the real parts in fake time: requests
+// reach random entry nodes, of which the first ones are the targets.
+type trial struct {
+	policy                          string
+	candidates                      int
+	entries, targets, slots, probes int
+	fault                           string
+	load                            float64 // Share of the capacity.
+	maxAge                          time.Duration
+	*results
+}
+
+// results are what a trial measured.
+type results struct {
+	mu                               sync.Mutex // Guards all below.
+	latencies                        []time.Duration
+	failed, refused, requests, asked int
+}
+
+type node struct {
+	pool   *sampler.Pool
+	picker *picker.Picker
+	prober *prober.Prober
+	own    *admitter.Admitter
+}
+
+type network func(to netip.AddrPort, payload []byte) error
+
+func (n network) Send(to netip.AddrPort, payload []byte) error { return n(to, payload) }
+
+// lockedRandom returns a generator for several goroutines.
+func lockedRandom(seed uint64) func() uint64 {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 1))
+	return func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Uint64()
+	}
+}
+
+// slowness returns the factor of a target's service time at a time of the run.
+func (tr trial) slowness(target int, at time.Duration) float64 {
+	switch {
+	case tr.fault == "noisy" && rand.New(rand.NewPCG(uint64(target), uint64(at/(20*time.Millisecond)))).Float64() < 0.1:
+		return 4
+	case tr.fault == "straggler" && target == 0 && at > faultAt:
+		return 8
+	case tr.fault == "cold" && target == 0:
+		return 1 + 5*max(0, 1-at.Seconds()/3)
+	}
+	return 1
+}
+
+func (tr trial) run(t *testing.T) {
+	spec := compiler.DefaultServiceSpec("s")
+	spec.ProbeMessages, spec.ProbeBytes, spec.SampleMaxAge = tr.probes, tr.probes*100, tr.maxAge
+	service := compiler.NewService(spec)
+	source := publisher.New()
+	source.SetConfiguration(compiler.NewConfiguration(1, "site", []*compiler.Service{service}))
+	begin := time.Now()
+	nodes := make([]*node, tr.entries)
+	var instances []*registrar.Instance
+	for i := range nodes {
+		id, domain := fmt.Sprint(i), fmt.Sprint("domain-", i%3)
+		n := &node{pool: sampler.New(sampler.Config{})}
+		nodes[i] = n
+		p, err := picker.New(picker.Config{Pool: n.pool, Self: id, FailureDomain: domain, Policy: tr.policy, Candidates: tr.candidates, Random: lockedRandom(uint64(i))})
+		assert.NilError(t, err)
+		n.picker = p
+		here := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+		cfg := prober.Config{Pool: n.pool, Source: source, Self: id, Messages: 1000, Bytes: 1 << 20, AnswerMessages: 1000, AnswerBytes: 1 << 20, Random: rand.New(rand.NewPCG(uint64(i), 2))}
+		if i < tr.targets {
+			settings, state := admitter.Config{Slots: tr.slots, Connections: 240, QueueLength: spec.QueueLength}, registrar.StateReady
+			if tr.fault == "cold" && i == 0 {
+				settings.ColdStart, state = spec.ColdStart, registrar.StateWarming
+			}
+			n.own = admitter.New(settings)
+			cfg.Own = n.own
+			instances = append(instances, registrar.NewInstance(registrar.Spec{ID: id, Service: "s", State: state, FailureDomain: domain, Slots: tr.slots, Peer: here}))
+		}
+		cfg.Transport = network(func(to netip.AddrPort, payload []byte) error {
+			tr.count(begin)
+			time.AfterFunc(oneWay, func() {
+				answer := nodes[to.Addr().As4()[3]].prober.HandleProbe(here, payload)
+				time.AfterFunc(oneWay, func() { n.prober.HandleAnswer(to, answer, time.Now()) })
+			})
+			return nil
+		})
+		n.prober = prober.New(cfg)
+	}
+	source.SetView(registrar.NewView(instances))
+	dying := make(chan struct{})
+	for _, n := range nodes {
+		go func() { _ = n.prober.Run(dying) }()
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	rate := tr.load * float64(tr.targets*tr.slots) / float64(meanService)
+	for time.Since(begin) < length {
+		time.Sleep(time.Duration(r.ExpFloat64() / rate))
+		go tr.request(nodes, r.IntN(len(nodes)), picker.Query{Service: service, Instances: instances}, begin, r.Uint64())
+	}
+	time.Sleep(10 * time.Second)
+	close(dying)
+	synctest.Wait()
+	slices.Sort(tr.latencies)
+}
+
+// count counts a probe.
+func (tr trial) count(begin time.Time) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if time.Since(begin) < length {
+		tr.asked++
+	}
+}
+
+// request runs one request: up to three attempts, of which only one runs.
+func (tr trial) request(nodes []*node, entry int, q picker.Query, begin time.Time, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	arrived := time.Now()
+	deadline := arrived.Add(2 * time.Second)
+	ran, failed := false, false
+	for range 3 {
+		q.Now = time.Now()
+		choice, ok := nodes[entry].picker.Pick(q)
+		if !ok {
+			break
+		}
+		q.Exclude = append(q.Exclude, choice.Instance().ID())
+		if ran, failed = tr.attempt(nodes, entry, choice.Instance(), deadline, begin, r); ran {
+			break
+		}
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.requests++
+	switch {
+	case !ran:
+		tr.refused++
+	case failed:
+		tr.failed++
+	default:
+		tr.latencies = append(tr.latencies, time.Since(arrived))
+	}
+}
+
+func (tr trial) attempt(nodes []*node, entry int, in *registrar.Instance, deadline, begin time.Time, r *rand.Rand) (ran, failed bool) {
+	var i int
+	_, _ = fmt.Sscan(in.ID(), &i)
+	way := oneWay
+	switch {
+	case i == entry:
+		way = 0
+	case i%3 == entry%3:
+		way = oneWay / 10
+	}
+	pool, own := nodes[entry].pool, nodes[i].own
+	pool.Sent(in.ID())
+	sent := time.Now()
+	time.Sleep(way)
+	permit, err := own.Admit(context.Background(), admitter.Work{Priority: compiler.PriorityNormal, Deadline: deadline})
+	if err == nil {
+		took := time.Duration(math.Exp(0.6*r.NormFloat64()-0.18) * float64(meanService) * tr.slowness(i, time.Since(begin)))
+		if failed = tr.fault == "fast-failer" && i == 0 && time.Since(begin) > faultAt; failed {
+			took = 200 * time.Microsecond
+		}
+		time.Sleep(took)
+		permit.Done(admitter.Result{Latency: took, Failed: failed})
+	}
+	load := own.Load()
+	time.Sleep(way)
+	pool.Observe(in.ID(), in.Incarnation(), load, time.Now())
+	pool.Finished(in.ID(), sampler.Result{Latency: time.Since(sent), Failed: failed, Refused: err != nil})
+	return err == nil, failed
+}
+
+func (tr trial) at(percentile float64) time.Duration {
+	return tr.latencies[int(percentile/100*float64(len(tr.latencies)-1))].Round(100 * time.Microsecond)
+}
+
+func (tr trial) measure(t *testing.T) trial {
+	tr.results = &results{}
+	synctest.Test(t, tr.run)
+	return tr
+}
+
+func (tr trial) print(t *testing.T) {
+	tr = tr.measure(t)
+	share := func(n int) float64 { return 100 * float64(n) / float64(tr.requests) }
+	t.Logf("%d targets, %d slots, %-11s load %.1f %-22s d=%d age %5v probes %3d: p50 %7v p99 %8v p99.9 %8v failed %5.2f %% refused %5.2f %%, %.1f probes/s a node",
+		tr.targets, tr.slots, tr.fault, tr.load, tr.policy, tr.candidates, tr.maxAge, tr.probes,
+		tr.at(50), tr.at(99), tr.at(99.9), share(tr.failed), share(tr.refused), float64(tr.asked)/length.Seconds()/float64(tr.entries))
+}
+
+// with returns copies of a trial, each with one change.
+func with[T any](tr trial, set func(*trial, T), values ...T) []trial {
+	var list []trial
+	for _, v := range values {
+		set(&tr, v)
+		list = append(list, tr)
+	}
+	return list
+}
+
+// variants returns the trials of one table for a size and a fault.
+func variants(table string, tr trial) []trial {
+	switch table {
+	case "policies":
+		return with(tr, func(tr *trial, v string) { tr.policy = v },
+			picker.PolicyLeastExpectedLatency, picker.PolicyRandom, picker.PolicyRoundRobin, picker.PolicyLeastOwn)
+	case "candidates":
+		return with(tr, func(tr *trial, v int) { tr.candidates = v }, 1, 2, 3, 4, 6)
+	case "age":
+		return with(tr, func(tr *trial, v time.Duration) { tr.maxAge = v * time.Millisecond }, 10, 30, 100, 300, 1000)
+	case "budget":
+		return with(tr, func(tr *trial, v int) { tr.probes = v }, 0, 2, 5, 10, 20, 50, 100)
+	default:
+		return nil
+	}
+}
+
+func TestCompare(t *testing.T) {
+	usual := trial{policy: picker.PolicyLeastExpectedLatency, candidates: picker.DefaultCandidates, entries: 12, targets: 6, slots: 6,
+		probes: 20, fault: "straggler", load: 0.6, maxAge: 100 * time.Millisecond}
+	if *compare == "" {
+		random := usual
+		random.policy = picker.PolicyRandom
+		best, worst := usual.measure(t).at(99), random.measure(t).at(99)
+		assert.Assert(t, 5*best < worst, "%v, random %v", best, worst)
+		return
+	}
+	usual.entries = *entries
+	for _, size := range [][2]int{{6, 6}, {3, 6}, {4, 9}, {3, 9}} {
+		usual.targets, usual.slots = size[0], size[1]
+		for _, usual.fault = range []string{"none", "noisy", "straggler", "fast-failer", "cold"} {
+			for _, tr := range variants(*compare, usual) {
+				tr.print(t)
+			}
+		}
+	}
+}
--- a/internal/request/picker/leastexpectedlatency.go
+++ b/internal/request/picker/leastexpectedlatency.go
@@ -36,6 +36,8 @@
 	return choice
 }
 
+func (c *leastExpectedLatency) usesLoad() bool { return true }
+
 // draw draws the candidates from this node's region, and one of another region
 // for when those have no slot left.
 func (c *leastExpectedLatency) draw(e *eligible, r *request) Choice {
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -45,6 +45,9 @@
 // ErrCandidates reports a number of candidates outside 1 to MaxCandidates.
 var ErrCandidates = errors.New("number of candidates out of bounds")
 
+// noOutliers is the empty set.
+var noOutliers = &sampler.Outliers{}
+
 // Pool tells what is known about the load of instances.
 type Pool interface {
 	Read(instanceID string, maxAge time.Duration, now time.Time) sampler.Reading
@@ -153,14 +156,18 @@
 }
 
 // collect fills e with the best class of instances that is not empty: sound
-// ones, then outliers, then suspects.
+// ones, then outliers, then suspects. Only a policy that uses load knows
+// outliers and warming instances.
 func (p *Picker) collect(e *eligible, r *request) {
-	outliers := p.pool.Outliers(sampler.OutlierQuery{
-		Service:           r.Service.Name(),
-		Instances:         r.Instances,
-		MinHealthyPercent: r.minHealthyPercent,
-		Now:               r.Now,
-	})
+	outliers := noOutliers
+	if p.policy.usesLoad() {
+		outliers = p.pool.Outliers(sampler.OutlierQuery{
+			Service:           r.Service.Name(),
+			Instances:         r.Instances,
+			MinHealthyPercent: r.minHealthyPercent,
+			Now:               r.Now,
+		})
+	}
 	for want := classSound; want <= classSuspect && e.len() == 0; want++ {
 		for _, in := range r.Instances {
 			if classOf(in, outliers) != want || slices.Contains(r.Exclude, in.ID()) {
@@ -183,7 +190,7 @@
 		slots = r.slots
 	}
 	full := uint64(max(slots, 1)) * fullWeight
-	if in.State() != registrar.StateWarming {
+	if in.State() != registrar.StateWarming || !p.policy.usesLoad() {
 		return full
 	}
 	reading := p.read(in, r)
--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -24,25 +24,32 @@
 // policy chooses among instances, of which there is at least one.
 type policy interface {
 	pick(e *eligible, r *request) Choice
+	// usesLoad reports whether outliers and warming instances get less work.
+	usesLoad() bool
 }
 
+// baseline is the part that the baselines share.
+type baseline struct{ p *Picker }
+
+func (baseline) usesLoad() bool { return false }
+
 // newPolicy returns the policy with the given name.
 func newPolicy(name string, p *Picker) (policy, error) {
 	switch name {
 	case "", PolicyLeastExpectedLatency:
 		return &leastExpectedLatency{p}, nil
 	case PolicyRandom:
-		return &randomChoice{p}, nil
+		return &randomChoice{baseline{p}}, nil
 	case PolicyRoundRobin:
-		return &roundRobin{p: p}, nil
+		return &roundRobin{baseline: baseline{p}}, nil
 	case PolicyLeastOwn:
-		return &leastOwn{p}, nil
+		return &leastOwn{baseline{p}}, nil
 	default:
 		return nil, errors.Wrapf(ErrPolicy, "%q", name)
 	}
 }
 
-type randomChoice struct{ p *Picker }
+type randomChoice struct{ baseline }
 
 func (c *randomChoice) pick(e *eligible, r *request) Choice {
 	in := e.draw(true, c.p.random)
@@ -53,7 +60,7 @@
 }
 
 type roundRobin struct {
-	p    *Picker
+	baseline
 	next atomic.Uint64
 }
 
@@ -62,7 +69,7 @@
 	return c.p.only(e.at(int(i)).instance, r)
 }
 
-type leastOwn struct{ p *Picker }
+type leastOwn struct{ baseline }
 
 func (c *leastOwn) pick(e *eligible, r *request) Choice {
 	var best *registrar.Instance
