--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,11 @@
 	eventuallyInterval = 200 * time.Millisecond
 )
 
+// nextPort counts the ports that scripts were given, so that no two share one.
+var nextPort atomic.Uint32
+
 func TestMain(m *testing.M) {
+	nextPort.Store(7100)
 	testscript.Main(m, map[string]func(){
 		"banyanscale": func() { os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
@@ -49,8 +54,8 @@
 		Setup: func(env *testscript.Env) error {
 			examples, err := os.Getwd()
 			env.Setenv("EXAMPLES", examples+"/../../examples")
-			for i := 1; i <= 3; i++ {
-				env.Setenv(fmt.Sprintf("VOTER%d", i), fmt.Sprintf("%s:710%d", loopback(), i))
+			for i := 1; i <= 4; i++ {
+				env.Setenv(fmt.Sprintf("VOTER%d", i), netip.AddrPortFrom(loopback(), uint16(nextPort.Add(1))).String())
 			}
 			return err
 		},
