feat: tell a change id that was used for other files

The voters answer a change id with its first answer, whatever files come with it. After an acceptance the command compares the version with the files, as long as no newer one is in force.

--- a/internal/cmd/config_submit.go
+++ b/internal/cmd/config_submit.go
@@ -1,12 +1,14 @@
 package cmd
 
 import (
+	"bytes"
 	"crypto/rand"
 	"fmt"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -71,20 +73,35 @@
 	}
 	switch resp.GetResult() {
 	case controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED:
-		s.accepted(resp)
-		return nil
+		return s.accepted(resp)
 	case controlwire.SubmitResult_SUBMIT_RESULT_CONFLICT:
 		return s.conflict(resp)
 	}
 	return s.failed(errors.New("the answer tells neither accepted nor conflict"))
 }
 
-func (s *submission) accepted(resp *controlwire.SubmitResponse) {
+func (s *submission) accepted(resp *controlwire.SubmitResponse) error {
 	if s.dryRun {
 		fmt.Fprintf(s.env.stdout, "change %s: would become version %d; nothing was submitted\n", s.req.ChangeId, resp.GetVersion())
-		return
+		return nil
+	}
+	if s.isOther(resp.GetVersion()) {
+		return errors.Errorf("change %s was accepted before as version %d, with other files; submit these as a new change",
+			s.req.ChangeId, resp.GetVersion())
 	}
 	fmt.Fprintf(s.env.stdout, "change %s: accepted as version %d\n", s.req.ChangeId, resp.GetVersion())
+	return nil
+}
+
+// isOther reports whether the accepted version is known to hold something else
+// than what was submitted, because the change id was used before. It reports
+// false if a newer version is in force, since then nobody can tell.
+func (s *submission) isOther(number uint64) bool {
+	current, err := s.client.Current(s.env.ctx)
+	if err != nil || current.GetDigest().GetNumber() != number {
+		return false
+	}
+	return !bytes.Equal(compiler.Digest(current.GetDocument()), compiler.Digest(s.req.GetDocument()))
 }
 
 func (s *submission) conflict(resp *controlwire.SubmitResponse) error {
--- a/internal/cmd/page_test.go
+++ b/internal/cmd/page_test.go
@@ -35,7 +35,7 @@
 func TestPages(t *testing.T) {
 	folder, err := filepath.Abs("../../docs/operators")
 	assert.NilError(t, err)
-	for _, name := range []string{"install.md", "first-site.md", "base-and-overlays.md", "submit-and-conflicts.md", "history.md"} {
+	for _, name := range []string{"install.md", "first-site.md", "base-and-overlays.md", "submit-and-conflicts.md", "history.md", "replace-control.md"} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join(folder, name)
 			text, err := os.ReadFile(path)
