feat: refusals and unreachable instances reach the samples and membership

Cause: the entry side told the samples only of failures, so that a refusal counted as a latency, and membership never learned of connections that could not be opened.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -19,10 +19,15 @@
 )
 
 // choicePicker lets the entry side choose by a picker.Picker.
-type choicePicker struct{ picker *picker.Picker }
+type choicePicker struct {
+	picker *picker.Picker
+	// observeOwn takes a sample of the node's own upstream, which costs nothing.
+	observeOwn func(service string, now time.Time)
+}
 
 // Pick implements forwarder.Picker.
 func (p choicePicker) Pick(q forwarder.Query) (forwarder.Choice, bool) {
+	p.observeOwn(q.Service.Name(), q.Now)
 	choice, ok := p.picker.Pick(picker.Query{
 		Service:   q.Service,
 		Instances: q.Instances,
@@ -71,8 +76,12 @@
 	return float64(d.Microseconds()) / 1000
 }
 
-// loadObserver feeds what the entry side sees into the pool of samples.
-type loadObserver struct{ pool *sampler.Pool }
+// loadObserver feeds what the entry side sees into the pool of samples, and
+// tells membership which instances could not be reached.
+type loadObserver struct {
+	pool              *sampler.Pool
+	reportUnreachable func(id string)
+}
 
 // Observe implements forwarder.Observer. A load that cannot be read is as
 // good as none.
@@ -87,7 +96,14 @@
 
 // Finished implements forwarder.Observer.
 func (o loadObserver) Finished(id string, result forwarder.Result) {
-	o.pool.Finished(id, sampler.Result{Latency: result.Latency, Failed: result.Failed})
+	if result.Unreachable {
+		o.reportUnreachable(id)
+	}
+	o.pool.Finished(id, sampler.Result{
+		Latency: result.Latency,
+		Failed:  result.Failed,
+		Refused: result.Refused,
+	})
 }
 
 // upstreamAdmitter lets the serving side admit by an admitter.Admitter.
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -177,8 +177,8 @@
 	n.forwarder = forwarder.New(forwarder.Config{
 		Instance:  s.Instance(),
 		Snapshots: n.snapshots,
-		Picker:    choicePicker{choice},
-		Observer:  loadObserver{n.pool},
+		Picker:    choicePicker{choice, n.observeOwn},
+		Observer:  loadObserver{n.pool, n.gossiper.ReportUnreachable},
 		Requester: newRequester(maxConnectionsPerNode),
 		Local:     n.server,
 		Explainer: n.explainer,
@@ -329,6 +329,16 @@
 	return true
 }
 
+// observeOwn takes a sample of the own upstream for a choice among its service.
+func (n *Node) observeOwn(service string, now time.Time) {
+	if service != n.settings.Service() {
+		return
+	}
+	if self := n.snapshots.Snapshot().View().Instance(n.settings.Instance()); self != nil {
+		n.pool.Observe(self.ID(), self.Incarnation(), n.admitter.Load(), now)
+	}
+}
+
 // setView puts a new picture of the fleet in force.
 func (n *Node) setView(view *registrar.View) {
 	n.snapshots.SetView(view)
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -60,7 +60,12 @@
 	if resp != nil {
 		failed = resp.StatusCode >= http.StatusInternalServerError
 	}
-	observer.Finished(in.ID(), Result{Latency: time.Since(start), Failed: failed})
+	observer.Finished(in.ID(), Result{
+		Latency:     time.Since(start),
+		Failed:      failed,
+		Refused:     refusal != nil && !failed,
+		Unreachable: refusal != nil && refusal.Reason() == classifier.ReasonConnect,
+	})
 	return resp, refusal
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -61,6 +61,10 @@
 	Latency time.Duration
 	// Failed tells that the instance gave no good answer.
 	Failed bool
+	// Refused tells that there was no answer for which the instance is not to blame.
+	Refused bool
+	// Unreachable tells that no connection to the instance could be opened.
+	Unreachable bool
 }
 
 // Observer learns from the path of requests how instances fare.
