--- a/internal/cmd/explain.go
+++ b/internal/cmd/explain.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/pkg/errors"
 )
 
 // explainTimeout bounds the question to the node.
@@ -23,21 +20,9 @@
 }
 
 func runExplain(env *environment, node, id string) error {
-	req, err := http.NewRequestWithContext(env.ctx, http.MethodGet, "http://"+node+"/explain/"+url.PathEscape(id), http.NoBody)
+	body, err := get(env, "http://"+node+"/explain/"+url.PathEscape(id), explainTimeout)
 	if err != nil {
-		return fmt.Errorf("address %s: %w", node, err)
-	}
-	resp, err := (&http.Client{Timeout: explainTimeout}).Do(req)
-	if err != nil {
-		return fmt.Errorf("ask the node: %w", err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return fmt.Errorf("read the answer: %w", err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s: %s", id, body)
+		return fmt.Errorf("explain %s: %w", id, err)
 	}
 	if _, err := env.stdout.Write(body); err != nil {
 		return fmt.Errorf("write: %w", err)
--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -33,7 +33,8 @@
 
 // TestScripts runs the sessions of testdata. Besides the usual commands, a
 // script may use "control" (see runFakeControl), "exits CODE COMMAND ARGS...",
-// "eventually REGEXP COMMAND ARGS...", "expand FILES..." and "race COUNT ARGS...".
+// "eventually REGEXP COMMAND ARGS...", "expand FILES...", "race COUNT ARGS...",
+// "calls FILE", "await START METHOD ADDRESS HOST PATH" and "behave ADDRESS KIND".
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
@@ -45,6 +46,9 @@
 			"eventually": runEventually,
 			"expand":     runExpand,
 			"race":       runRace,
+			"calls":      runCalls,
+			"await":      runAwait,
+			"behave":     runBehave,
 		},
 		Setup: func(env *testscript.Env) error {
 			examples, err := os.Getwd()
@@ -52,6 +56,9 @@
 			for i := 1; i <= 3; i++ {
 				env.Setenv(fmt.Sprintf("VOTER%d", i), fmt.Sprintf("%s:710%d", loopback(), i))
 			}
+			for i := range callerSessionPorts {
+				env.Setenv(fmt.Sprintf("ADDR%d", i), fmt.Sprintf("%s:72%02d", loopback(), i))
+			}
 			return err
 		},
 	})
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
@@ -9,16 +10,52 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/process/launcher"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
+// errStatusUsage reports that it was not said whom to ask.
+var errStatusUsage = errors.New("give either --control or --node")
+
 // statusCmd adds the command that tells what is in force and where.
 func statusCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("status", "Tell how the voters are and which version is in force where.")
 	var flags controlFlags
-	flags.add(c, true)
-	return c.FullCommand(), func() error { return runStatus(env, &flags) }
+	flags.add(c, false)
+	node := c.Flag("node", "Peer address of a node whose view is asked for instead.").PlaceHolder("ADDR").String()
+	return c.FullCommand(), func() error {
+		if (*node == "") == (flags.addresses == "") {
+			return errStatusUsage
+		}
+		if *node != "" {
+			return runNodeStatus(env, *node, flags.timeout)
+		}
+		return runStatus(env, &flags)
+	}
+}
+
+// runNodeStatus prints what one node sees.
+func runNodeStatus(env *environment, node string, timeout time.Duration) error {
+	body, err := get(env, "http://"+node+"/status", timeout)
+	if err != nil {
+		return err
+	}
+	var s launcher.NodeStatus
+	if err := json.Unmarshal(body, &s); err != nil {
+		return fmt.Errorf("read the node's answer: %w", err)
+	}
+	fmt.Fprintf(env.stdout, "%s at %s: %s, version %d, %d in flight, %s\n", s.Instance, s.Site, s.State, s.Version, s.InFlight, s.Load)
+	t := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "INSTANCE\tSERVICE\tFAILURE DOMAIN\tSTATE")
+	for _, in := range s.Instances {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", in.ID, in.Service, in.FailureDomain, in.State)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write the table: %w", err)
+	}
+	return nil
 }
 
 // runStatus asks every control instance, since each knows its own side of a partition.
