feat: hold goodput and payments under overload

Admission counts the time that a request holds its slot apart from its latency, stretches the wait of a class by the work of higher ones, and counts those before a new request twice (margin). The limit falls in proportion to the latency instead of by a fixed factor, after 12 results instead of 24.

TestDeadlineThatCannotBeMet now expects the margin on arrival: the old numbers were those of an estimate without it.

A choice allocates nothing any more.

--- a/internal/process/prober/metrics.go
+++ b/internal/process/prober/metrics.go
@@ -19,16 +19,15 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	s := scope.SubScope("prober")
 	return metrics{
-		sent:       s.Counter("probes-sent"),
-		answered:   s.Counter("probes-answered"),
-		answers:    s.Counter("answers-sent"),
-		withheld:   s.Counter("answers-withheld"),
-		deferred:   s.Counter("probes-deferred"),
-		failed:     s.Counter("probes-failed"),
-		malformed:  s.Counter("datagrams-malformed"),
-		unexpected: s.Counter("datagrams-unexpected"),
-		bytes:      s.Counter("bytes-charged"),
+		sent:       scope.Counter("probes-sent"),
+		answered:   scope.Counter("probes-answered"),
+		answers:    scope.Counter("answers-sent"),
+		withheld:   scope.Counter("answers-withheld"),
+		deferred:   scope.Counter("probes-deferred"),
+		failed:     scope.Counter("probes-failed"),
+		malformed:  scope.Counter("datagrams-malformed"),
+		unexpected: scope.Counter("datagrams-unexpected"),
+		bytes:      scope.Counter("bytes-charged"),
 	}
 }
--- a/internal/process/sampler/entry.go
+++ b/internal/process/sampler/entry.go
@@ -109,7 +109,7 @@
 
 // decayed returns v after it was forgotten for the given time.
 func decayed(v float64, idle time.Duration) float64 {
-	if idle <= 0 {
+	if v == 0 || idle <= 0 {
 		return v
 	}
 	return v * math.Exp2(-float64(idle)/float64(memoryHalfLife))
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -32,6 +32,10 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// margin is how many times the requests before a new one count, since more of
+// a higher priority may come and some take longer than usual.
+const margin = 2
+
 // Observer is told of each change of the upstream's work, in order. Its method
 // is called with the admitter locked: it must be quick and must not call back.
 type Observer interface {
@@ -98,7 +102,7 @@
 		return nil, refusal
 	}
 	if w == nil {
-		return &Permit{admitter: a}, nil
+		return newPermit(a), nil
 	}
 	return a.wait(ctx, w)
 }
@@ -163,10 +167,10 @@
 		if !work.Deadline.IsZero() && now.Add(a.limiter.fastestLatency(now)).After(work.Deadline) {
 			return nil, a.refuse(classifier.ReasonDeadline, now)
 		}
-		a.begin(now)
+		a.begin(work, now)
 		return nil, nil
 	}
-	if a.late(work, a.queue.ahead(work.Priority), now) {
+	if a.late(work, margin*float64(a.queue.ahead(work.Priority)), now) {
 		return nil, a.refuse(classifier.ReasonDeadline, now)
 	}
 	if a.queue.len() >= a.queue.capacity {
@@ -193,20 +197,22 @@
 }
 
 // begin counts a request that starts to run.
-func (a *Admitter) begin(now time.Time) {
+func (a *Admitter) begin(work Work, now time.Time) {
 	a.inFlight++
+	a.queue.begun(work.Priority)
 	a.changed = now
 	a.notify(now)
 }
 
 // end counts a request that ran, and starts those whose turn it is.
-func (a *Admitter) end(result Result) {
+func (a *Admitter) end(result Result, begun time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	saturated := a.inFlight >= a.limiter.limit(now)
 	a.inFlight--
 	a.changed = now
+	a.limiter.held(now.Sub(begun))
 	if !result.Abandoned {
 		a.limiter.ended(result.Failed, now)
 	}
@@ -240,7 +246,7 @@
 			continue
 		}
 		a.queue.remove(w)
-		a.begin(now)
+		a.begin(w.work, now)
 		w.settle(nil)
 	}
 }
@@ -251,7 +257,7 @@
 	for priority := range a.queue.classes {
 		for {
 			w := a.queue.lastOf(compiler.Priority(priority))
-			if w == nil || !a.late(w.work, a.queue.ahead(w.work.Priority)-1, now) {
+			if w == nil || !a.late(w.work, float64(a.queue.ahead(w.work.Priority)-1), now) {
 				break
 			}
 			a.refuseWaiter(w, classifier.ReasonDeadline, now)
@@ -260,24 +266,34 @@
 }
 
 // late reports whether work that has the given number of waiting requests
-// before it is expected to end after its deadline.
-func (a *Admitter) late(work Work, ahead int, now time.Time) bool {
+// before it is expected to be answered after its deadline. Of the slots that
+// become free, some go to higher classes that have yet to arrive.
+func (a *Admitter) late(work Work, ahead float64, now time.Time) bool {
 	if work.Deadline.IsZero() {
 		return false
 	}
-	latency := a.latency(now)
-	wait := latency * time.Duration(ahead+1) / time.Duration(a.limiter.limit(now))
-	return now.Add(wait + latency).After(work.Deadline)
+	slots := float64(a.limiter.limit(now)) * a.queue.below(work.Priority)
+	wait := time.Duration(float64(a.slotTime(now)) * (ahead + 1) / slots)
+	return now.Add(wait + a.latency(now)).After(work.Deadline)
 }
 
-// latency returns the expected latency of one exchange. While all slots are
-// taken and nothing ends, it is at least the age of the youngest exchange.
+// latency returns the expected time until an answer begins. While all slots
+// are taken and nothing ends, it is at least the age of the youngest exchange.
 func (a *Admitter) latency(now time.Time) time.Duration {
-	expected := a.limiter.expectedLatency(now, a.inFlight == 0)
+	return max(a.limiter.expectedLatency(now, a.inFlight == 0), a.standstill(now))
+}
+
+// slotTime returns the expected time for which a request holds its slot.
+func (a *Admitter) slotTime(now time.Time) time.Duration {
+	return max(a.limiter.slotTime, a.standstill(now))
+}
+
+// standstill returns for how long all slots were taken and no exchange ended.
+func (a *Admitter) standstill(now time.Time) time.Duration {
 	if a.inFlight < a.limiter.limit(now) {
-		return expected
+		return 0
 	}
-	return max(expected, now.Sub(a.changed))
+	return now.Sub(a.changed)
 }
 
 func (a *Admitter) notify(now time.Time) {
@@ -291,7 +307,7 @@
 	work := time.Duration(a.inFlight + a.queue.len())
 	return &Refusal{
 		reason:     reason,
-		retryAfter: a.latency(now) * work / time.Duration(a.limiter.limit(now)),
+		retryAfter: a.slotTime(now) * work / time.Duration(a.limiter.limit(now)),
 	}
 }
 
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -103,10 +103,11 @@
 		low(a)
 		assertRefused(t, within(service+service/2-1), classifier.ReasonDeadline)
 		assertWaiting(t, within(service+service/2))
-		assertRefused(t, within(2*service-1), classifier.ReasonDeadline)
-		waiter := within(2 * service)
+		assertRefused(t, within(2*service+service/2-1), classifier.ReasonDeadline)
+		waiter := within(2*service + service/2) // Counts the one before it with its margin.
 		assertWaiting(t, waiter)
-		high(a) // Goes before and makes the last one late.
+		high(a)
+		high(a) // They go before and make the last one late.
 		assertRefused(t, waiter, classifier.ReasonDeadline)
 	})
 }
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -7,15 +7,15 @@
 
 const (
 	// windowResults is how many latencies decide one step of the limit.
-	windowResults = 24
+	windowResults = 12
 	// tolerance is how many times the baseline a latency may be before the limit falls.
 	tolerance = 2
-	// decrease is the factor by which the limit falls in one step.
-	decrease = 0.75
+	// maxDecrease is the least factor by which the limit falls in one step.
+	maxDecrease = 0.5
 	// minShare is the part of the slots that the limit never falls below, and
 	// at which a cold start begins.
 	minShare = 1.0 / 3
-	// latencyWeight is the weight of a new latency in the moving average.
+	// latencyWeight is the weight of a new duration in a moving average.
 	latencyWeight = 1.0 / 8
 	// baselineFall and baselineRise are the time constants by which the baseline
 	// follows a lower and a higher latency.
@@ -34,9 +34,9 @@
 	fullPercent     = 100
 )
 
-// limiter holds the adaptive limit of one upstream: additive increase while it
-// is reached and latency is near its baseline, multiplicative decrease when
-// latency exceeds the tolerance.
+// limiter holds the adaptive limit of one upstream. The limit grows by one
+// while it is reached and latency is near its baseline, and falls in proportion
+// to how far latency exceeds the tolerance.
 type limiter struct {
 	slots, connections int
 	coldStart          time.Duration
@@ -44,6 +44,7 @@
 	current            float64
 
 	average, baseline, fastest         time.Duration
+	slotTime                           time.Duration // Moving average.
 	windowEnd, fastestAt, lastObserved time.Time
 	windowTotal                        time.Duration
 	windowCount                        int
@@ -98,6 +99,9 @@
 	return min(time.Duration(float64(l.fastest)*math.Exp2(float64(age)/float64(fastestRise))), l.average)
 }
 
+// held takes in for how long an exchange held its slot.
+func (l *limiter) held(d time.Duration) { l.slotTime = smoothed(l.slotTime, d) }
+
 // limit returns how many requests may run at once now.
 func (l *limiter) limit(now time.Time) int {
 	limit := l.current
@@ -112,10 +116,7 @@
 // all of the limit was in use.
 func (l *limiter) observe(latency time.Duration, saturated bool, now time.Time) {
 	l.lastObserved = now
-	if l.average == 0 {
-		l.average = latency
-	}
-	l.average += time.Duration(latencyWeight * float64(latency-l.average))
+	l.average = smoothed(l.average, latency)
 	if l.fastest == 0 || latency <= l.fastestLatency(now) {
 		l.fastest = latency
 		l.fastestAt = now
@@ -144,7 +145,8 @@
 	}
 	switch {
 	case mean > tolerance*l.baseline:
-		l.current = max(l.current*decrease, minShare*float64(l.ceiling()))
+		gradient := float64(tolerance*l.baseline) / float64(mean)
+		l.current = max(l.current*max(gradient, maxDecrease), minShare*float64(l.ceiling()))
 	case saturated:
 		l.current = min(l.current+1, float64(l.ceiling()))
 	}
@@ -179,3 +181,12 @@
 	}
 	return int(max(elapsed, 0) * fullPercent / l.coldStart)
 }
+
+// smoothed returns the moving average after one more duration. The first one
+// stands for itself.
+func smoothed(average, d time.Duration) time.Duration {
+	if average == 0 {
+		return d
+	}
+	return average + time.Duration(latencyWeight*float64(d-average))
+}
--- /dev/null
+++ b/internal/request/admitter/overload_test.go
@@ -0,0 +1,131 @@
+package admitter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// overload is open-loop load on one upstream, a fifth of it of high priority.
+type overload struct {
+	slots    int
+	factor   float64 // Share of the capacity.
+	timeout  time.Duration
+	slowness func(inFlight int, at time.Duration) float64
+}
+
+// tally counts what became of the requests of one priority. A refusal is slow
+// if it took more than half of the request's time.
+type tally struct{ sent, good, late, refused, slowRefusals atomic.Int64 }
+
+func (o overload) run(t *testing.T) (high, low *tally) {
+	high, low = &tally{}, &tally{}
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, o.slots, 32)
+		r := rand.New(rand.NewPCG(1, 2))
+		begin := time.Now()
+		rate := o.factor * float64(o.slots) / float64(service)
+		for time.Since(begin) < 10*time.Second {
+			time.Sleep(time.Duration(r.ExpFloat64() / rate))
+			work, counts := Work{Priority: compiler.PriorityLow, Deadline: time.Now().Add(o.timeout)}, low
+			if r.IntN(5) == 0 {
+				work.Priority, counts = compiler.PriorityHigh, high
+			}
+			took := float64(service) * (0.5 + r.Float64())
+			go func() {
+				if o.slowness != nil {
+					took *= o.slowness(a.InFlight(), time.Since(begin))
+				}
+				counts.request(a, work, time.Duration(took))
+			}()
+		}
+		time.Sleep(10 * time.Second)
+	})
+	return high, low
+}
+
+func (c *tally) request(a *Admitter, work Work, took time.Duration) {
+	c.sent.Add(1)
+	arrived := time.Now()
+	p, err := a.Admit(context.Background(), work)
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		c.refused.Add(1)
+		if refusal.Reason() != classifier.ReasonPreempted && time.Since(arrived) > time.Until(work.Deadline) {
+			c.slowRefusals.Add(1)
+		}
+		return
+	}
+	time.Sleep(took)
+	p.Done(Result{Latency: took})
+	if time.Now().After(work.Deadline) {
+		c.late.Add(1)
+		return
+	}
+	c.good.Add(1)
+}
+
+func TestOverload(t *testing.T) {
+	for _, factor := range []float64{0.9, 1.5, 3} {
+		high, low := overload{slots: 6, factor: factor, timeout: 100 * time.Millisecond}.run(t)
+		good := high.good.Load() + low.good.Load()
+		ran := good + high.late.Load() + low.late.Load()
+		t.Logf("load %.1f: goodput %d of %d possible, late %d, high refused %d of %d, low refused %d of %d, refused slowly %d",
+			factor, good, 6000, ran-good, high.refused.Load(), high.sent.Load(), low.refused.Load(), low.sent.Load(), low.slowRefusals.Load())
+		peak := min(factor, 1) * 6000
+		assert.Assert(t, float64(good) > 0.95*peak)
+		assert.Assert(t, ran-good <= ran/50)
+		assert.Assert(t, high.refused.Load() == 0)
+		assert.Assert(t, low.slowRefusals.Load() <= low.refused.Load()/100)
+	}
+}
+
+// TestSlowUpstream slows the upstream by the work that it has, as contention does.
+func TestSlowUpstream(t *testing.T) {
+	contention := func(inFlight int, at time.Duration) float64 {
+		if at < 3*time.Second {
+			return 1
+		}
+		return 0.4 * float64(max(inFlight*inFlight, 1))
+	}
+	high, low := overload{slots: 6, factor: 0.5, timeout: 200 * time.Millisecond, slowness: contention}.run(t)
+	t.Logf("high: good %d of %d, low: good %d of %d, late %d", high.good.Load(), high.sent.Load(), low.good.Load(), low.sent.Load(), low.late.Load())
+	assert.Assert(t, high.good.Load()*10 >= high.sent.Load()*9)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	b.ReportAllocs()
+	a := New(Config{Slots: 1 << 20, Connections: 1 << 20})
+	ctx := context.Background()
+	b.RunParallel(func(pb *testing.PB) {
+		work := Work{Deadline: time.Now().Add(time.Hour)}
+		for pb.Next() {
+			p, err := a.Admit(ctx, work)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			p.Done(Result{Latency: time.Millisecond})
+		}
+	})
+}
+
+func BenchmarkRefuse(b *testing.B) {
+	b.ReportAllocs()
+	a := New(Config{Slots: 1, Connections: 1})
+	_, _ = a.Admit(context.Background(), Work{})
+	for b.Loop() {
+		if _, err := a.Admit(context.Background(), Work{}); err == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -7,7 +7,7 @@
 
 // Result tells how admitted work ended.
 type Result struct {
-	// Latency is the time that the exchange with the upstream took.
+	// Latency is the time until the upstream's answer began.
 	Latency time.Duration
 	// Failed means that the upstream failed the request. It counts towards the
 	// failure rate that other nodes are told, and its latency does not count.
@@ -17,15 +17,18 @@
 	Abandoned bool
 }
 
-// Permit is the right to run one request.
+// Permit is the right to run one request. It holds one slot until Done.
 type Permit struct {
 	admitter *Admitter
+	begun    time.Time
 	done     atomic.Bool
 }
 
+func newPermit(a *Admitter) *Permit { return &Permit{admitter: a, begun: time.Now()} }
+
 // Done gives the slot back. Only the first call counts.
 func (p *Permit) Done(result Result) {
 	if p.done.CompareAndSwap(false, true) {
-		p.admitter.end(result)
+		p.admitter.end(result, p.begun)
 	}
 }
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -81,7 +81,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return &Permit{admitter: a}, nil
+	return newPermit(a), nil
 }
 
 // abandon takes w out of the queue. If it got its permit in the meantime, the
--- a/internal/request/picker/eligible.go
+++ b/internal/request/picker/eligible.go
@@ -10,8 +10,6 @@
 	fullWeight = 100
 	// minWarmWeight is the least weight of one slot of a warming instance.
 	minWarmWeight = 10
-	// inlineEligible is how many instances are held without an allocation.
-	inlineEligible = 32
 )
 
 // class orders instances by how willingly they are chosen.
@@ -45,39 +43,26 @@
 	local    bool
 }
 
-// eligible holds the instances that may be chosen. It lives on the stack of
-// one Pick unless there are many.
-type eligible struct {
-	inline [inlineEligible]member
-	more   []member
-	n      int
-}
+// eligible holds the instances that may be chosen.
+type eligible struct{ members []member }
 
 func (e *eligible) add(in *registrar.Instance, weight uint64, local bool) {
-	m := member{instance: in, weight: weight, local: local}
-	if e.n < inlineEligible {
-		e.inline[e.n] = m
-	} else {
-		e.more = append(e.more, m)
-	}
-	e.n++
+	e.members = append(e.members, member{instance: in, weight: weight, local: local})
 }
 
-func (e *eligible) at(i int) *member {
-	if i < inlineEligible {
-		return &e.inline[i]
-	}
-	return &e.more[i-inlineEligible]
-}
+func (e *eligible) len() int { return len(e.members) }
 
-func (e *eligible) len() int { return e.n }
+func (e *eligible) reset() {
+	clear(e.members)
+	e.members = e.members[:0]
+}
 
 // draw removes a random instance, by weight, from those inside or outside this
 // node's region, and returns it; nil if there is none.
 func (e *eligible) draw(local bool, random func() uint64) *registrar.Instance {
 	var total uint64
-	for i := range e.n {
-		if m := e.at(i); m.local == local {
+	for i := range e.members {
+		if m := &e.members[i]; m.local == local {
 			total += m.weight
 		}
 	}
@@ -85,8 +70,8 @@
 		return nil
 	}
 	rest := random() % total
-	for i := range e.n {
-		m := e.at(i)
+	for i := range e.members {
+		m := &e.members[i]
 		if m.local != local || m.weight == 0 {
 			continue
 		}
--- a/internal/request/picker/leastexpectedlatency.go
+++ b/internal/request/picker/leastexpectedlatency.go
@@ -19,12 +19,13 @@
 // cold one before a hot one and then the one with the least expected latency.
 type leastExpectedLatency struct{ p *Picker }
 
-func (c *leastExpectedLatency) pick(e *eligible, r *request) Choice {
-	choice := c.draw(e, r)
+func (c *leastExpectedLatency) pick(r *request, choice *Choice) {
+	c.draw(r, choice)
+	known := choice.knownLatency()
 	best := -1
 	for i := range choice.n {
 		candidate := &choice.candidates[i]
-		c.score(candidate, choice.knownLatency())
+		c.score(candidate, known)
 		if candidate.ground == GroundNoSample {
 			continue
 		}
@@ -33,29 +34,26 @@
 		}
 	}
 	choice.chosen = max(best, 0)
-	return choice
 }
 
 func (c *leastExpectedLatency) usesLoad() bool { return true }
 
 // draw draws the candidates from this node's region, and one of another region
 // for when those have no slot left.
-func (c *leastExpectedLatency) draw(e *eligible, r *request) Choice {
-	var choice Choice
+func (c *leastExpectedLatency) draw(r *request, choice *Choice) {
 	for choice.n < c.p.candidates {
-		in := e.draw(true, c.p.random)
+		in := r.eligible.draw(true, c.p.random)
 		if in == nil {
 			break
 		}
 		choice.add(c.candidate(in, r))
 	}
 	if choice.n == MaxCandidates {
-		return choice
+		return
 	}
-	if in := e.draw(false, c.p.random); in != nil {
+	if in := r.eligible.draw(false, c.p.random); in != nil {
 		choice.add(c.candidate(in, r))
 	}
-	return choice
 }
 
 func (c *leastExpectedLatency) candidate(in *registrar.Instance, r *request) Candidate {
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -23,6 +23,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,12 +86,27 @@
 	Now time.Time
 }
 
-// request is a query with the settings of its service that a choice uses.
+// request is a query with the settings of its service that a choice uses, and
+// the room that the choice needs.
 type request struct {
 	Query
 	sampleMaxAge      time.Duration
 	slots             int
 	minHealthyPercent int
+	eligible          eligible
+	choice            Choice
+}
+
+// requests keeps the room of requests for the next ones.
+var requests = sync.Pool{New: func() any { return &request{} }}
+
+// release gives the request's room back.
+func (r *request) release() {
+	r.Query = Query{}
+	r.choice.n = 0
+	r.choice.chosen = 0
+	r.eligible.reset()
+	requests.Put(r)
 }
 
 // Picker chooses among the instances of a service.
@@ -141,24 +157,25 @@
 // take the request.
 func (p *Picker) Pick(q Query) (Choice, bool) {
 	spec := q.Service.Spec()
-	r := &request{
-		Query:             q,
-		sampleMaxAge:      spec.SampleMaxAge,
-		slots:             spec.Slots,
-		minHealthyPercent: spec.MinHealthyPercent,
-	}
-	var e eligible
-	p.collect(&e, r)
-	if e.len() == 0 {
+	r := requests.Get().(*request)
+	defer r.release()
+	r.Query = q
+	r.sampleMaxAge = spec.SampleMaxAge
+	r.slots = spec.Slots
+	r.minHealthyPercent = spec.MinHealthyPercent
+	p.collect(r)
+	if r.eligible.len() == 0 {
 		return Choice{}, false
 	}
-	return p.policy.pick(&e, r), true
+	p.policy.pick(r, &r.choice)
+	return r.choice, true
 }
 
-// collect fills e with the best class of instances that is not empty: sound
+// collect fills r.eligible with the best class of instances that is not empty: sound
 // ones, then outliers, then suspects. Only a policy that uses load knows
 // outliers and warming instances.
-func (p *Picker) collect(e *eligible, r *request) {
+func (p *Picker) collect(r *request) {
+	e := &r.eligible
 	outliers := noOutliers
 	if p.policy.usesLoad() {
 		outliers = p.pool.Outliers(sampler.OutlierQuery{
--- a/internal/request/picker/picker_test.go
+++ b/internal/request/picker/picker_test.go
@@ -192,3 +192,21 @@
 	got := float64(counts[id]) / picks
 	assert.Assert(t, got > share-0.04 && got < share+0.04, "%s: %.3f, want %.3f", id, got, share)
 }
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 15, 100} {
+		b.Run(fmt.Sprint(n, " instances"), func(b *testing.B) {
+			f := newFleet(b, make([]registrar.Spec, n)...)
+			for _, in := range f.instances {
+				f.sample(in.ID(), 1, time.Millisecond)
+			}
+			f.picker.random = rand.Uint64
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					f.picker.Pick(Query{Service: f.service, Instances: f.instances, Now: f.now})
+				}
+			})
+		})
+	}
+}
--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -21,9 +21,9 @@
 	PolicyLeastOwn = "least-own"
 )
 
-// policy chooses among instances, of which there is at least one.
+// policy chooses among eligible instances, of which there is at least one.
 type policy interface {
-	pick(e *eligible, r *request) Choice
+	pick(r *request, choice *Choice)
 	// usesLoad reports whether outliers and warming instances get less work.
 	usesLoad() bool
 }
@@ -51,12 +51,12 @@
 
 type randomChoice struct{ baseline }
 
-func (c *randomChoice) pick(e *eligible, r *request) Choice {
-	in := e.draw(true, c.p.random)
+func (c *randomChoice) pick(r *request, choice *Choice) {
+	in := r.eligible.draw(true, c.p.random)
 	if in == nil {
-		in = e.draw(false, c.p.random)
+		in = r.eligible.draw(false, c.p.random)
 	}
-	return c.p.only(in, r)
+	c.p.only(in, r, choice)
 }
 
 type roundRobin struct {
@@ -64,34 +64,32 @@
 	next atomic.Uint64
 }
 
-func (c *roundRobin) pick(e *eligible, r *request) Choice {
-	i := (c.next.Add(1) - 1) % uint64(e.len())
-	return c.p.only(e.at(int(i)).instance, r)
+func (c *roundRobin) pick(r *request, choice *Choice) {
+	i := (c.next.Add(1) - 1) % uint64(r.eligible.len())
+	c.p.only(r.eligible.members[i].instance, r, choice)
 }
 
 type leastOwn struct{ baseline }
 
-func (c *leastOwn) pick(e *eligible, r *request) Choice {
+func (c *leastOwn) pick(r *request, choice *Choice) {
 	var best *registrar.Instance
 	var bestReading sampler.Reading
-	start := int(c.p.random() % uint64(e.len()))
-	for i := range e.len() {
-		in := e.at((start + i) % e.len()).instance
+	start := int(c.p.random() % uint64(r.eligible.len()))
+	for i := range r.eligible.len() {
+		in := r.eligible.members[(start+i)%r.eligible.len()].instance
 		reading := c.p.read(in, r)
 		if best == nil || reading.Outstanding() < bestReading.Outstanding() {
 			best, bestReading = in, reading
 		}
 	}
-	return c.p.only(best, r)
+	c.p.only(best, r, choice)
 }
 
-// only returns the choice of in as the single candidate.
-func (p *Picker) only(in *registrar.Instance, r *request) Choice {
-	var choice Choice
+// only makes in the single candidate of the choice.
+func (p *Picker) only(in *registrar.Instance, r *request, choice *Choice) {
 	choice.add(Candidate{
 		instance: in,
 		reading:  p.read(in, r),
 		ground:   GroundPolicy,
 	})
-	return choice
 }
