--- /dev/null
+++ b/internal/process/controller/controller_test.go
@@ -0,0 +1,180 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/controller"
+	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+)
+
+// refusal is a key that the fake checker refuses.
+const refusal = "refused"
+
+type fakeChecker struct{}
+
+func (fakeChecker) Check(doc *controlwire.Document) error {
+	for _, e := range doc.GetEntries() {
+		if e.GetKey() == refusal {
+			return errors.New("refused key")
+		}
+	}
+	return nil
+}
+
+type fakeLedger struct {
+	counters []*controlwire.UsageCounter
+	err      error
+}
+
+func (l *fakeLedger) Merge(counters []*controlwire.UsageCounter, _ *controlwire.InForce) error {
+	l.counters = counters
+	return l.err
+}
+
+func (l *fakeLedger) Counters() []*controlwire.UsageCounter { return l.counters }
+
+func digest(doc *controlwire.Document) []byte { return fmt.Append(nil, len(doc.GetEntries())) }
+
+// unreachable is a transport that reaches nobody.
+type unreachable struct{}
+
+func (unreachable) Peer(string) voter.Peer {
+	return voter.NewConnectTransport(http.DefaultClient).Peer("127.0.0.1:1")
+}
+
+// start starts a controller over a voter of the given group and returns a client.
+func start(t *testing.T, ledger *fakeLedger, group ...string) controlwireconnect.ControlClient {
+	t.Helper()
+	store, err := journaler.Open(journaler.OS{}, t.TempDir())
+	assert.NilError(t, err)
+	journal, err := store.OpenJournal("voter")
+	assert.NilError(t, err)
+	v, err := voter.New(voter.Config{
+		Address: group[0], Initial: group, Journal: journal, Transport: unreachable{},
+		Digest: digest, Log: zerolog.Nop(), Scope: tally.NoopScope,
+	})
+	assert.NilError(t, err)
+	v.Start()
+	t.Cleanup(func() { assert.NilError(t, v.Stop()) })
+	mux := http.NewServeMux()
+	mux.Handle(controller.New(v, fakeChecker{}, ledger).Handler())
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	client := controlwireconnect.NewControlClient(server.Client(), server.URL)
+	if len(group) > 1 {
+		return client
+	}
+	for v.Local() == nil {
+		_, _ = v.Current(context.Background())
+	}
+	assert.NilError(t, submit(client, "one", 0, "a", "1", "b", "1"))
+	return client
+}
+
+func submit(client controlwireconnect.ControlClient, id string, replaces uint64, entries ...string) error {
+	doc := &controlwire.Document{}
+	for i := 0; i < len(entries); i += 2 {
+		doc.Entries = append(doc.Entries, &controlwire.Entry{Section: "service x", Key: entries[i], Value: entries[i+1]})
+	}
+	_, err := client.Submit(context.Background(), connect.NewRequest(&controlwire.SubmitRequest{
+		ChangeId: id, Replaces: replaces, Document: doc,
+	}))
+	return err
+}
+
+func assertCode(t *testing.T, err error, code connect.Code) {
+	t.Helper()
+	assert.Assert(t, err != nil)
+	assert.Equal(t, connect.CodeOf(err), code, err.Error())
+}
+
+func fetch(t *testing.T, client controlwireconnect.ControlClient, number uint64, sum string) *controlwire.FetchResponse {
+	t.Helper()
+	have := &controlwire.VersionDigest{Number: number, Digest: []byte(sum)}
+	resp, err := client.Fetch(context.Background(), connect.NewRequest(&controlwire.FetchRequest{Have: have}))
+	assert.NilError(t, err)
+	return resp.Msg
+}
+
+func TestErrorCodes(t *testing.T) {
+	client := start(t, &fakeLedger{}, "v0")
+	assertCode(t, submit(client, "two", 1, refusal, "1"), connect.CodeInvalidArgument)
+	assertCode(t, submit(client, "", 1), connect.CodeInvalidArgument)
+	assertCode(t, submit(client, "two", 7), connect.CodeInvalidArgument)
+	assertCode(t, submit(client, "two", 1, "a", "1", "a", "2"), connect.CodeInvalidArgument)
+	alone := start(t, &fakeLedger{err: errors.New("disk is full")}, "v0", "v1")
+	assertCode(t, submit(alone, "one", 0), connect.CodeFailedPrecondition)
+	_, err := alone.Fetch(context.Background(), connect.NewRequest(&controlwire.FetchRequest{}))
+	assertCode(t, err, connect.CodeFailedPrecondition)
+	_, err = alone.ReportUsage(context.Background(), connect.NewRequest(&controlwire.ReportUsageRequest{}))
+	assertCode(t, err, connect.CodeUnavailable)
+}
+
+func TestFetch(t *testing.T) {
+	client := start(t, &fakeLedger{}, "v0")
+	assert.NilError(t, submit(client, "two", 1, "a", "2", "b", "1", "c", "1"))
+	assert.NilError(t, submit(client, "three", 2, "a", "3", "c", "1"))
+	assert.Equal(t, fetch(t, client, 0, "").GetSnapshot().GetDigest().GetNumber(), uint64(3))
+	assert.Equal(t, len(fetch(t, client, 3, "2").GetDelta().GetChanges()), 0)
+	assert.Equal(t, fetch(t, client, 3, "other").GetSnapshot().GetDigest().GetNumber(), uint64(3))
+	assert.Equal(t, fetch(t, client, 9, "").GetSnapshot().GetDigest().GetNumber(), uint64(3))
+	delta := fetch(t, client, 1, "2").GetDelta()
+	assert.Equal(t, delta.GetTarget().GetNumber(), uint64(3))
+	want := []*controlwire.EntryChange{
+		{Entry: &controlwire.Entry{Section: "service x", Key: "a", Value: "3"}},
+		{Entry: &controlwire.Entry{Section: "service x", Key: "b", Value: "1"}, Removed: true},
+		{Entry: &controlwire.Entry{Section: "service x", Key: "c", Value: "1"}},
+	}
+	for i, change := range delta.GetChanges() {
+		assert.Assert(t, proto.Equal(change, want[i]), "%v", change)
+	}
+	assert.Equal(t, len(delta.GetChanges()), len(want))
+}
+
+func TestHistoryAndCurrent(t *testing.T) {
+	client := start(t, &fakeLedger{}, "v0")
+	assert.NilError(t, submit(client, "two", 1))
+	assert.NilError(t, submit(client, "three", 2, "a", "1"))
+	resp, err := client.History(context.Background(), connect.NewRequest(&controlwire.HistoryRequest{Limit: 2}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(resp.Msg.GetEntries()), 2)
+	assert.Equal(t, resp.Msg.GetEntries()[0].GetChangeId(), "three")
+	current, err := client.Current(context.Background(), connect.NewRequest(&controlwire.CurrentRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, current.Msg.GetVersion().GetDigest().GetNumber(), uint64(3))
+}
+
+func TestReports(t *testing.T) {
+	ledger := &fakeLedger{}
+	client := start(t, ledger, "v0")
+	for _, incarnation := range []uint64{2, 1} {
+		_, err := client.ReportUsage(context.Background(), connect.NewRequest(&controlwire.ReportUsageRequest{
+			Counters: []*controlwire.UsageCounter{{Instance: "i", Incarnation: incarnation}},
+			InForce:  &controlwire.InForce{Instance: "i", Incarnation: incarnation},
+		}))
+		assert.NilError(t, err)
+	}
+	status, err := client.Status(context.Background(), connect.NewRequest(&controlwire.StatusRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(status.Msg.GetInForce()), 1)
+	assert.Equal(t, status.Msg.GetInForce()[0].GetIncarnation(), uint64(2))
+	assert.Assert(t, status.Msg.GetInForce()[0].GetReportedUnixMs() > 0)
+	assert.Assert(t, status.Msg.GetVoting() && !status.Msg.GetStale())
+	usage, err := client.Usage(context.Background(), connect.NewRequest(&controlwire.UsageRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(usage.Msg.GetCounters()), 1)
+}
