--- a/internal/process/gossiper/budget.go
+++ b/internal/process/gossiper/budget.go
@@ -14,11 +14,14 @@
 // bulkReserve is the share of the budget that is kept for pings and acks.
 const bulkReserve = 0.4
 
-func newBudget(bytesPerSecond int, now time.Time) *budget {
-	return &budget{rate: float64(bytesPerSecond), tokens: float64(bytesPerSecond), updated: now}
+func newBudget(bytesPerSecond int) *budget {
+	return &budget{rate: float64(bytesPerSecond), tokens: float64(bytesPerSecond), updated: time.Now()}
 }
 
-func (b *budget) refill(now time.Time) {
+// refill reads the clock itself: a time that was read earlier may be from
+// before the process stood still, and would let it spend twice.
+func (b *budget) refill() {
+	now := time.Now()
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
 		b.tokens = min(b.rate, b.tokens+b.rate*elapsed.Seconds())
 		b.updated = now
@@ -26,8 +29,8 @@
 }
 
 // take spends n bytes, and reports whether it could.
-func (b *budget) take(now time.Time, n int) bool {
-	b.refill(now)
+func (b *budget) take(n int) bool {
+	b.refill()
 	if b.tokens < float64(n) {
 		return false
 	}
@@ -36,12 +39,12 @@
 }
 
 // takeBulk spends n bytes without touching the reserve for pings and acks.
-func (b *budget) takeBulk(now time.Time, n int) bool {
-	return n <= b.bulk(now) && b.take(now, n)
+func (b *budget) takeBulk(n int) bool {
+	return n <= b.bulk() && b.take(n)
 }
 
 // bulk returns how many bytes may be spent without touching the reserve.
-func (b *budget) bulk(now time.Time) int {
-	b.refill(now)
+func (b *budget) bulk() int {
+	b.refill()
 	return max(0, int(b.tokens-bulkReserve*b.rate))
 }
--- a/internal/process/gossiper/detector.go
+++ b/internal/process/gossiper/detector.go
@@ -38,7 +38,8 @@
 	forgetInterval = 10 * time.Second
 	// lateRetention is how long a ping is remembered, so that a late ack is noticed.
 	lateRetention = time.Minute
-	// reportInterval is the time between probes that the path of a request asks for.
+	// reportInterval is the shortest time between probes out of turn: those that
+	// the path of a request asks for, and those that verify a suspicion.
 	reportInterval = 100 * time.Millisecond
 )
 
@@ -99,7 +100,7 @@
 	return false
 }
 
-// allowReport limits the probes that the path of a request asks for.
+// allowReport limits the probes out of turn.
 func (d *detector) allowReport(now time.Time) bool {
 	if now.Before(d.nextReport) {
 		return false
@@ -187,7 +188,7 @@
 		msg.Updates = append(msg.Updates, encodeShort(m))
 	}
 	g.detector.probes[nonce] = &probe{id: m.spec.ID, to: m.spec.Peer, sent: now, deadline: now.Add(g.health.ackTimeout())}
-	g.send(m.spec.Peer, msg, now)
+	g.send(m.spec.Peer, msg)
 }
 
 func (g *Gossiper) expireProbes(now time.Time) {
@@ -212,7 +213,7 @@
 	for nonce, r := range d.relays {
 		if now.After(r.deadline) {
 			delete(d.relays, nonce)
-			g.send(r.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_NACK, Nonce: r.nonce}, now)
+			g.send(r.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_NACK, Nonce: r.nonce})
 		}
 	}
 }
@@ -245,7 +246,7 @@
 			Receiver:  m.spec.ID,
 			Subject:   encodeAddress(p.to),
 			SubjectId: p.id,
-		}, now)
+		})
 	}
 }
 
@@ -288,7 +289,15 @@
 // expireSuspicions concludes the failure of members that did not refute in time.
 func (g *Gossiper) expireSuspicions(now time.Time) {
 	for _, m := range g.table.members {
-		if m.status != statusSuspect || now.Sub(m.suspicion.started) < g.suspicionTimeout(m.suspicion) {
+		if m.status != statusSuspect {
+			continue
+		}
+		timeout := g.suspicionTimeout(m.suspicion)
+		elapsed := now.Sub(m.suspicion.started)
+		if elapsed >= timeout/2 {
+			g.verify(m, now)
+		}
+		if elapsed < timeout {
 			continue
 		}
 		if m.heard.After(m.suspicion.started) {
@@ -301,6 +310,17 @@
 	}
 }
 
+// verify pings a suspect once that others accused, in case its refutation was
+// lost on the way here. Of many suspects at once only a few are pinged.
+func (g *Gossiper) verify(m *member, now time.Time) {
+	s := m.suspicion
+	if s.verified || s.accusers[g.self.spec.ID] || !g.detector.allowReport(now) {
+		return
+	}
+	s.verified = true
+	g.probe(m, now)
+}
+
 func (g *Gossiper) fail(m *member, now time.Time) {
 	g.setStatus(m, statusFailed, now)
 	g.queue.push(encodeShort(m))
@@ -351,7 +371,7 @@
 			Sequence:    d.accused.sequence,
 			State:       gossipwire.State_STATE_FAILED,
 		}},
-	}, now)
+	})
 }
 
 // dispute remembers a disagreement about a member, to be settled in its turn.
@@ -370,11 +390,12 @@
 		g.accuse(m.spec.ID, dispute{to: m.spec.Peer, accused: m.stamp()}, now)
 	}
 	if seed, ok := g.missingSeed(); ok {
-		g.send(seed, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PING, Nonce: g.cfg.Random.Uint64()}, now)
+		g.send(seed, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PING, Nonce: g.cfg.Random.Uint64()})
 	}
 }
 
-// missingSeed returns a random seed that is not the address of a live member.
+// missingSeed returns the next seed, in turn, that is not the address of a
+// live member.
 func (g *Gossiper) missingSeed() (netip.AddrPort, bool) {
 	live := make(map[netip.AddrPort]bool, len(g.cfg.Seeds))
 	for _, m := range g.table.members {
@@ -382,16 +403,14 @@
 			live[m.spec.Peer] = true
 		}
 	}
-	var missing []netip.AddrPort
-	for _, seed := range g.cfg.Seeds {
+	for range g.cfg.Seeds {
+		seed := g.cfg.Seeds[g.nextSeed%len(g.cfg.Seeds)]
+		g.nextSeed++
 		if !live[seed] {
-			missing = append(missing, seed)
+			return seed, true
 		}
 	}
-	if len(missing) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return missing[g.cfg.Random.IntN(len(missing))], true
+	return netip.AddrPort{}, false
 }
 
 // refute answers a wrong conclusion about this instance.
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -19,13 +19,15 @@
 
 const (
 	// exchangeInterval is the average time between exchanges with peers whose tables differ.
-	exchangeInterval = 10 * time.Second
+	exchangeInterval = 3 * time.Second
 	// joinInterval is the average time between exchanges while the table is not complete.
 	joinInterval = 200 * time.Millisecond
 	// seedInterval is the average time between exchanges while no other instance is known.
 	seedInterval = time.Second
-	// exchangeTimeout bounds one call.
+	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 2 * time.Second
+	// joinTimeout bounds one exchange while the table is not complete.
+	joinTimeout = time.Second
 	// callOverhead is the bytes of headers that a call or an answer adds, with those of TCP.
 	callOverhead = 400
 	// maxCallBytes bounds the body of one call or answer.
@@ -94,12 +96,16 @@
 	peer, ok := g.exchangePeer(now)
 	x.next = now.Add(g.exchangeDelay())
 	x.differing = netip.AddrPort{}
-	if !ok || !g.budget.takeBulk(now, callOverhead) {
+	if !ok || !g.budget.takeBulk(callOverhead) {
 		return
 	}
+	timeout := exchangeTimeout
+	if x.joining {
+		timeout = joinTimeout
+	}
 	x.running = true
 	g.tomb.Go(func() error {
-		g.runExchange(peer)
+		g.runExchange(peer, timeout)
 		return nil
 	})
 }
@@ -127,8 +133,8 @@
 	return g.missingSeed()
 }
 
-func (g *Gossiper) runExchange(peer netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), exchangeTimeout)
+func (g *Gossiper) runExchange(peer netip.AddrPort, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), timeout)
 	defer cancel()
 	g.metrics.count(eventExchange)
 	version, err := g.compareWith(ctx, peer)
@@ -172,11 +178,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	req := &gossipwire.CompareRequest{Sender: encodeFull(g.self), Digests: append([]uint32(nil), g.table.digests[:]...)}
-	return req, g.spendCall(proto.Size(req), time.Now())
+	return req, g.spendCall(proto.Size(req))
 }
 
-func (g *Gossiper) spendCall(size int, now time.Time) bool {
-	if !g.budget.takeBulk(now, size) {
+func (g *Gossiper) spendCall(size int) bool {
+	if !g.budget.takeBulk(size) {
 		g.metrics.count(eventOverBudget)
 		return false
 	}
@@ -196,11 +202,11 @@
 		g.apply(u, now)
 	}
 	req := &gossipwire.ReconcileRequest{}
-	room := g.budget.bulk(now) - callOverhead
+	room := g.budget.bulk() - callOverhead
 	for _, b := range resp.GetBuckets() {
 		room = g.reconcileBucket(b, req, room, now)
 	}
-	if !g.spendCall(proto.Size(req)+callOverhead, now) {
+	if !g.spendCall(proto.Size(req) + callOverhead) {
 		return &gossipwire.ReconcileRequest{}
 	}
 	return req
@@ -293,7 +299,7 @@
 	g.noticeFreeze(now)
 	g.apply(req.GetSender(), now)
 	resp := &gossipwire.CompareResponse{Sender: encodeFull(g.self), Version: g.version, More: true}
-	room := g.budget.bulk(now) - callOverhead - proto.Size(resp)
+	room := g.budget.bulk() - callOverhead - proto.Size(resp)
 	if room < 0 {
 		g.metrics.count(eventOverBudget)
 		return nil, errBudget
@@ -301,7 +307,7 @@
 	if !g.detector.resyncing(now) && len(req.GetDigests()) == bucketCount {
 		resp.More = g.addBuckets(resp, req, room)
 	}
-	g.spendCall(proto.Size(resp)+callOverhead, now)
+	g.spendCall(proto.Size(resp) + callOverhead)
 	return resp, nil
 }
 
@@ -360,7 +366,7 @@
 		g.apply(u, now)
 	}
 	resp := &gossipwire.ReconcileResponse{}
-	room := g.budget.bulk(now) - callOverhead
+	room := g.budget.bulk() - callOverhead
 	if room < 0 {
 		g.metrics.count(eventOverBudget)
 		return nil, errBudget
@@ -376,6 +382,6 @@
 		}
 		resp.Records = append(resp.Records, record)
 	}
-	g.spendCall(proto.Size(resp)+callOverhead, now)
+	g.spendCall(proto.Size(resp) + callOverhead)
 	return resp, nil
 }
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -114,6 +114,7 @@
 	lastSeen time.Time // When any work was last done, to notice a freeze.
 	lastView time.Time
 	nextPush time.Time
+	nextSeed int  // The place in the configured seeds, which are tried in turn.
 	dirty    bool // True if the view is older than the table.
 	pushes   int  // How often the version is still pushed to random members.
 }
@@ -136,11 +137,14 @@
 		self:     &member{spec: cfg.Instance, changed: now, heard: now},
 		table:    newTable(cfg.Random),
 		queue:    newQueue(),
-		budget:   newBudget(cfg.BytesPerSecond, now),
+		budget:   newBudget(cfg.BytesPerSecond),
 		detector: newDetector(),
 		lastSeen: now,
 		dirty:    true,
 	}
+	if len(cfg.Seeds) > 0 {
+		g.nextSeed = cfg.Random.IntN(len(cfg.Seeds))
+	}
 	g.exchange.joining = true
 	g.table.put(g.self)
 	g.queue.push(encodeFull(g.self))
--- a/internal/process/gossiper/member.go
+++ b/internal/process/gossiper/member.go
@@ -87,4 +87,5 @@
 	started   time.Time
 	accusers  map[string]bool
 	confirmed bool // True if another node concluded the failure.
+	verified  bool // True once this node pinged the suspect.
 }
--- a/internal/process/gossiper/messenger.go
+++ b/internal/process/gossiper/messenger.go
@@ -23,12 +23,12 @@
 // send completes a message with what every message carries, adds updates as
 // far as the budget allows, and sends it. A message that the budget does not
 // allow is dropped and counted.
-func (g *Gossiper) send(to netip.AddrPort, msg *gossipwire.Datagram, now time.Time) {
+func (g *Gossiper) send(to netip.AddrPort, msg *gossipwire.Datagram) {
 	msg.Sender = g.self.spec.ID
 	msg.TableDigest = g.table.digest
 	msg.Version = g.version
 	base := proto.Size(msg)
-	bulk := min(courier.MaxPayload, g.budget.bulk(now)-courier.Overhead)
+	bulk := min(courier.MaxPayload, g.budget.bulk()-courier.Overhead)
 	msg.Updates = append(msg.Updates, g.queue.take(bulk-base, g.table.live)...)
 	payload, err := proto.Marshal(msg)
 	if err != nil || len(payload) > courier.MaxPayload {
@@ -36,7 +36,7 @@
 		return
 	}
 	cost := len(payload) + courier.Overhead
-	if !g.spend(msg.GetKind(), cost, now) {
+	if !g.spend(msg.GetKind(), cost) {
 		g.metrics.count(eventOverBudget)
 		return
 	}
@@ -47,11 +47,11 @@
 	}
 }
 
-func (g *Gossiper) spend(kind gossipwire.Datagram_Kind, cost int, now time.Time) bool {
+func (g *Gossiper) spend(kind gossipwire.Datagram_Kind, cost int) bool {
 	if kind == gossipwire.Datagram_KIND_PUSH {
-		return g.budget.takeBulk(now, cost)
+		return g.budget.takeBulk(cost)
 	}
-	return g.budget.take(now, cost)
+	return g.budget.take(cost)
 }
 
 // spread pushes updates and a new version to random members.
@@ -70,7 +70,7 @@
 	g.pushes = max(g.pushes-1, 0)
 	members := g.table.sample(pushMembers, func(m *member) bool { return m != g.self })
 	for _, m := range members {
-		g.send(m.spec.Peer, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PUSH}, now)
+		g.send(m.spec.Peer, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PUSH})
 	}
 }
 
@@ -101,7 +101,7 @@
 	g.applyAll(msg.GetUpdates(), msg.GetSender(), now)
 	switch msg.GetKind() {
 	case gossipwire.Datagram_KIND_PING:
-		g.answer(from, msg, now)
+		g.answer(from, msg)
 	case gossipwire.Datagram_KIND_ACK:
 		g.acknowledge(msg, now)
 	case gossipwire.Datagram_KIND_NACK:
@@ -131,12 +131,12 @@
 }
 
 // answer acks a ping. A sender that is doubted here is told so.
-func (g *Gossiper) answer(from netip.AddrPort, msg *gossipwire.Datagram, now time.Time) {
+func (g *Gossiper) answer(from netip.AddrPort, msg *gossipwire.Datagram) {
 	ack := &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_ACK, Nonce: msg.GetNonce(), Receiver: msg.GetSender()}
 	if m := g.table.members[msg.GetSender()]; m != nil && m.status != statusAlive {
 		ack.Updates = append(ack.Updates, encodeShort(m))
 	}
-	g.send(from, ack, now)
+	g.send(from, ack)
 }
 
 // acknowledge takes the ack of an own ping or of one for another node.
@@ -145,7 +145,7 @@
 	nonce := msg.GetNonce()
 	if r := d.relays[nonce]; r != nil {
 		delete(d.relays, nonce)
-		g.send(r.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_ACK, Nonce: r.nonce, SubjectId: msg.GetSender()}, now)
+		g.send(r.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_ACK, Nonce: r.nonce, SubjectId: msg.GetSender()})
 		return
 	}
 	if sent, late := d.late[nonce]; late {
@@ -193,7 +193,7 @@
 		Kind:     gossipwire.Datagram_KIND_PING,
 		Nonce:    nonce,
 		Receiver: msg.GetSubjectId(),
-	}, now)
+	})
 }
 
 // compareDigest notes a peer whose table differs, for the next exchange.
