fix: a report is refused while the ledger cannot be written

Report now fails after a failed write until one succeeds; the new test fails without that check (run with 'l.saveErr != nil' taken out).

TestReports of the controller failed about two times in three: it asked for the status before any majority had answered, when 'stale' is the truth.

--- a/internal/process/accountant/accountant_test.go
+++ b/internal/process/accountant/accountant_test.go
@@ -326,3 +326,17 @@
 		NewBill(once, time.Now())
 	})
 }
+
+func TestReportsAreRefusedWhileTheLedgerCannotBeWritten(t *testing.T) {
+	store := newMemory()
+	l := openLedger(t, store)
+	reports := history(rand.New(rand.NewPCG(1, 1)), dayOf(time.Now()))
+	assert.NilError(t, l.Report(reports[:1]))
+	store.full = true
+	assert.ErrorIs(t, l.Save(), journaler.ErrFull)
+	assert.ErrorIs(t, l.Report(reports), journaler.ErrFull)
+	store.full = false
+	assert.NilError(t, l.Save())
+	assert.NilError(t, l.Report(reports))
+	assertCounters(t, all(openLedger(t, store)), all(l))
+}
--- a/internal/process/accountant/ledger.go
+++ b/internal/process/accountant/ledger.go
@@ -53,6 +53,7 @@
 	days    map[uint32]map[key]*entry
 	dirty   map[uint32]bool
 	changed uint64
+	saveErr error // Of the last write; nil if it succeeded.
 }
 
 // NewLedger returns the ledger that store holds.
@@ -121,6 +122,18 @@
 	}
 }
 
+// Report takes counters from a node. It fails while the ledger cannot be
+// written, so that the node keeps its counters and reports them elsewhere.
+func (l *Ledger) Report(counters []*controlwire.UsageCounter) error {
+	l.Merge(counters)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.saveErr != nil {
+		return fmt.Errorf("keep the report: %w", l.saveErr)
+	}
+	return nil
+}
+
 // Merge takes counters from a report or from another ledger.
 func (l *Ledger) Merge(counters []*controlwire.UsageCounter) {
 	l.mu.Lock()
@@ -207,6 +220,9 @@
 			failed = err
 		}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.saveErr = failed
 	return failed
 }
 
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -45,8 +45,8 @@
 
 // Ledger keeps the owners' usage.
 type Ledger interface {
-	// Merge takes in counters by maximum.
-	Merge(counters []*controlwire.UsageCounter)
+	// Report takes in a node's counters. It fails if they cannot be kept.
+	Report(counters []*controlwire.UsageCounter) error
 	// Usage returns the counters that the request asks for.
 	Usage(req *controlwire.UsageRequest) *controlwire.UsageResponse
 }
@@ -131,7 +131,9 @@
 	if inForce := req.Msg.GetInForce(); inForce != nil {
 		c.reports.add(inForce, time.Now())
 	}
-	c.ledger.Merge(req.Msg.GetCounters())
+	if err := c.ledger.Report(req.Msg.GetCounters()); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	return connect.NewResponse(&controlwire.ReportUsageResponse{}), nil
 }
 
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -40,12 +40,14 @@
 	err      error
 }
 
-func (l *fakeLedger) Merge(counters []*controlwire.UsageCounter, _ *controlwire.InForce) error {
+func (l *fakeLedger) Report(counters []*controlwire.UsageCounter) error {
 	l.counters = counters
 	return l.err
 }
 
-func (l *fakeLedger) Counters() []*controlwire.UsageCounter { return l.counters }
+func (l *fakeLedger) Usage(*controlwire.UsageRequest) *controlwire.UsageResponse {
+	return &controlwire.UsageResponse{Counters: l.counters}
+}
 
 func digest(doc *controlwire.Document) []byte { return fmt.Append(nil, len(doc.GetEntries())) }
 
@@ -168,6 +170,9 @@
 		}))
 		assert.NilError(t, err)
 	}
+	// An instance counts as stale until a majority answered it once.
+	_, err := client.Current(context.Background(), connect.NewRequest(&controlwire.CurrentRequest{}))
+	assert.NilError(t, err)
 	status, err := client.Status(context.Background(), connect.NewRequest(&controlwire.StatusRequest{}))
 	assert.NilError(t, err)
 	assert.Equal(t, len(status.Msg.GetInForce()), 1)
