--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 lint: bin/golangci-lint
 	bin/golangci-lint fmt --diff
-	bin/golangci-lint run
+	bin/golangci-lint run --allow-parallel-runners
 
 format: bin/golangci-lint
 	bin/golangci-lint fmt
