feat: idempotency keys that run at most once in a service

The run goes on when its caller goes away. classifier gets ReasonKeyAnswer and HeaderKeyHome. Without Config.Keys the forwarder treats keyed requests as any other.

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -51,6 +51,7 @@
 	c.header.Set(classifier.HeaderDepth, strconv.Itoa(route.depth))
 	c.header[classifier.HeaderRequestID] = []string{trace.ID()}
 	c.header.Set(classifier.HeaderHop, "1")
+	c.header.Del(classifier.HeaderKeyHome)
 	c.header.Set(classifier.HeaderService, route.spec.Name)
 	return c, c.holdBody()
 }
@@ -68,6 +69,15 @@
 	return nil
 }
 
+// serve answers a request, by way of the home of its idempotency key if it has one.
+func (c *call) serve() (*http.Response, *refuser.Refusal) {
+	key := c.r.Header.Get(classifier.HeaderIdempotencyKey)
+	if key == "" || c.repeatable || c.forwarder.cfg.Keys == nil {
+		return c.run()
+	}
+	return c.serveKeyed(key)
+}
+
 // run tries instances until one answers or no further attempt is allowed.
 func (c *call) run() (*http.Response, *refuser.Refusal) {
 	cause := classifier.ReasonNone
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/keyer"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -47,6 +48,8 @@
 	// refusal is what the first serving node's admission says.
 	refusal   error
 	instances []*registrar.Instance
+	// keys makes the entry node the home of all keys, if it is not nil.
+	keys *keyer.Keyer
 
 	runs      atomic.Int64
 	publisher *publisher.Publisher
@@ -79,10 +82,14 @@
 		f.publisher.SetView(registrar.NewView(f.instances))
 		f.serve("almacen-1", nodeAddress, targetAddress, f.refusal)
 		f.serve("almacen-2", otherAddress, anotherAddress, nil)
-		f.entry = forwarder.New(forwarder.Config{
+		cfg := forwarder.Config{
 			Instance: "vitrina-1", Snapshots: f.publisher, Picker: firstPicker{}, Observer: observer{}, Requester: f.pool(),
 			Explainer: f.explainer, Scope: tally.NoopScope, Log: zerolog.Nop(),
-		})
+		}
+		if f.keys != nil {
+			cfg.Keys = f.keys
+		}
+		f.entry = forwarder.New(cfg)
 		f.listen(entryAddress, f.entry)
 		defer func() {
 			for _, c := range f.closers {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
+	"github.com/banyanscale/banyanscale/internal/request/keyer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
@@ -83,12 +84,18 @@
 	Exchange(ctx context.Context, req *http.Request) (*http.Response, error)
 }
 
+// Keys lets a request with an idempotency key run at most once. It keeps the
+// keys whose home is the node's own instance.
+type Keys interface {
+	Begin(ctx context.Context, req keyer.Request) (*keyer.Run, *keyer.Answer, error)
+}
+
 // Snapshots gives the configuration in force and the view of the fleet.
 type Snapshots interface {
 	Snapshot() *publisher.Snapshot
 }
 
-// Config lists the dependencies of a Forwarder. All but Local are needed.
+// Config lists the dependencies of a Forwarder. All but Local and Keys are needed.
 type Config struct {
 	// Instance is the id of the node's own instance.
 	Instance  string
@@ -97,7 +104,9 @@
 	Observer  Observer
 	Requester Requester
 	// Local is nil if the node has no upstream.
-	Local     LocalServer
+	Local LocalServer
+	// Keys is nil if the node keeps no keys.
+	Keys      Keys
 	Explainer *explainer.Explainer
 	Scope     tally.Scope
 	Log       zerolog.Logger
@@ -146,7 +155,7 @@
 		f.refuse(w, trace, refusal)
 		return
 	}
-	resp, refusal := c.run()
+	resp, refusal := c.serve()
 	if refusal != nil {
 		f.refuse(w, trace, refusal)
 		return
--- a/internal/request/forwarder/held_answer.go
+++ b/internal/request/forwarder/held_answer.go
@@ -27,12 +27,15 @@
 		resp.Body.Close()
 		return refuser.FromError(err)
 	}
-	resp.Body = &heldBody{first: bytes.NewReader(held), rest: resp.Body}
+	whole := int64(len(held)) == resp.ContentLength
+	resp.Body = &heldBody{held: held, whole: whole, first: bytes.NewReader(held), rest: resp.Body}
 	return nil
 }
 
 // heldBody is a body whose first bytes were received already.
 type heldBody struct {
+	held  []byte
+	whole bool // All of the body is held.
 	first *bytes.Reader
 	rest  io.ReadCloser
 }
--- /dev/null
+++ b/internal/request/forwarder/keyed_test.go
@@ -0,0 +1,102 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/keyer"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// key is one whose home is the entry node.
+const key = "k5"
+
+// runKeyed runs a fleet whose entry node, of the same service, keeps all keys.
+func runKeyed(t *testing.T, f *fleet, test func(t *testing.T)) {
+	t.Helper()
+	f.handle = func(w http.ResponseWriter, _ *http.Request, _ int64) {
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(w, "paid")
+	}
+	f.keys = keyer.New(keyer.Config{Instance: "vitrina-1", MaxKeys: 8, MaxBytes: 1 << 20})
+	f.instances = append(f.instances, registrar.NewInstance(registrar.Spec{
+		ID: "vitrina-1", State: registrar.StateReady, Service: "almacen", HTTP: netip.MustParseAddrPort(entryAddress),
+	}))
+	f.run(t, func(t *testing.T) {
+		f.keys.Observe(f.instances, f.spec.KeyRetention)
+		time.Sleep(time.Hour)
+		home := keyer.Home(f.instances, key, f.spec.KeyRetention, time.Now())
+		assert.Equal(t, home.ID(), "vitrina-1")
+		test(t)
+	})
+}
+
+func keyed(body string) *http.Request {
+	req := request(http.MethodPost)
+	req.Header.Set(classifier.HeaderIdempotencyKey, key)
+	req.URL.RawQuery = body
+	return req
+}
+
+func TestKeyedRequest(t *testing.T) {
+	t.Run("is answered again without a second run", func(t *testing.T) {
+		f := newFleet()
+		runKeyed(t, f, func(t *testing.T) {
+			for range 3 {
+				resp, body, err := f.call(t.Context(), keyed(""))
+				assert.NilError(t, err)
+				assert.Equal(t, body, "paid")
+				assert.Equal(t, resp.Header.Get(classifier.HeaderOutcome), "done")
+			}
+			resp, _, err := f.call(t.Context(), keyed("other"))
+			assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonKeyMismatch)
+			assert.Equal(t, f.runs.Load(), int64(1))
+		})
+	})
+	t.Run("goes on when the caller goes away", func(t *testing.T) {
+		f := newFleet()
+		runKeyed(t, f, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
+			defer cancel()
+			_, _, err := f.call(ctx, keyed(""))
+			assert.ErrorContains(t, err, string(classifier.ReasonTimeout))
+			resp, _, err := f.call(t.Context(), keyed(""))
+			assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonKeyRunning)
+			time.Sleep(time.Second)
+			_, body, err := f.call(t.Context(), keyed(""))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "paid")
+			assert.Equal(t, f.runs.Load(), int64(1))
+		})
+	})
+	t.Run("never runs again after an unknown outcome", func(t *testing.T) {
+		f := newFleet()
+		f.network.fault = fault{address: targetAddress, step: receiveHead, kind: reset}
+		runKeyed(t, f, func(t *testing.T) {
+			resp, _, err := f.call(t.Context(), keyed(""))
+			assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonTruncated)
+			resp, _, err = f.call(t.Context(), keyed(""))
+			assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonKeyUnknown)
+			assert.Equal(t, f.runs.Load(), int64(1))
+		})
+	})
+	t.Run("runs after a proved not-run", func(t *testing.T) {
+		f := newFleet()
+		f.spec.MaxAttempts = 1
+		f.network.fault = fault{address: nodeAddress, step: connect, kind: refuse}
+		runKeyed(t, f, func(t *testing.T) {
+			resp, _, err := f.call(t.Context(), keyed(""))
+			assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonConnect)
+			_, body, err := f.call(t.Context(), keyed(""))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "paid")
+		})
+	})
+}
--- a/internal/request/forwarder/network_test.go
+++ b/internal/request/forwarder/network_test.go
@@ -97,6 +97,7 @@
 	net.Conn
 	fault          fault
 	sent, received []byte
+	cut            bool
 	closed         chan struct{}
 	once           sync.Once
 	writeDeadline  time.Time
@@ -142,6 +143,9 @@
 		time.Sleep(time.Millisecond) // Lets the request be sent.
 		return c.fail(p)
 	}
+	if c.cut {
+		return c.fail(p)
+	}
 	n, err := c.Conn.Read(p)
 	pass := passing(c.fault.step, c.received, p[:n])
 	c.received = append(c.received, p[:n]...)
@@ -151,7 +155,9 @@
 	case c.fault.kind == garbage:
 		copy(p[pass:n], bytes.Repeat([]byte{0}, n-pass))
 		return n, err
-	case pass > 0:
+	}
+	c.cut = true
+	if pass > 0 {
 		return pass, nil
 	}
 	return c.fail(p)
--- a/internal/request/refuser/refusal.go
+++ b/internal/request/refuser/refusal.go
@@ -162,7 +162,7 @@
 		return http.StatusLoopDetected
 	case classifier.ReasonWrongInstance:
 		return http.StatusMisdirectedRequest
-	case classifier.ReasonKeyRunning:
+	case classifier.ReasonKeyRunning, classifier.ReasonKeyAnswer:
 		return http.StatusConflict
 	case classifier.ReasonKeyMismatch:
 		return http.StatusUnprocessableEntity
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -25,6 +25,9 @@
 	HeaderHop = "Banyanscale-Hop"
 	// HeaderService holds the service's name on requests between nodes.
 	HeaderService = "Banyanscale-Service"
+	// HeaderKeyHome holds the id of the instance that keeps a request's
+	// idempotency key, on requests from an entry node to that instance's node.
+	HeaderKeyHome = "Banyanscale-Key-Home"
 	// HeaderLoad holds the serving node's load on answers between nodes.
 	HeaderLoad = "Banyanscale-Load"
 	// HeaderDraining is "1" on an answer of an upstream that takes no new work.
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -59,6 +59,8 @@
 	ReasonKeyMismatch Reason = "key-mismatch"
 	// ReasonKeyUnknown means that it cannot be known whether the idempotency key ran before.
 	ReasonKeyUnknown Reason = "key-unknown"
+	// ReasonKeyAnswer means that the idempotency key ran before, and was answered, but the answer was too large to keep.
+	ReasonKeyAnswer Reason = "key-answer-not-kept"
 	// ReasonWrongInstance means that the request reached an instance that is not its home or not of its service.
 	ReasonWrongInstance Reason = "wrong-instance"
 )
