--- a/internal/request/forwarder/answer.go
+++ b/internal/request/forwarder/answer.go
@@ -30,7 +30,7 @@
 		resp.Body = resumer.New(resp, c.resume)
 	}
 	relayer.WriteHead(w, resp)
-	n, err := relayer.CopyBody(w, resp.Body, resp.ContentLength < 0)
+	n, err := relayer.CopyBody(w, resp.Body)
 	c.trace.SetBytes(n)
 	if err != nil {
 		c.abort(w, resp, err)
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -31,6 +31,18 @@
 // try picks an instance that was not tried yet and sends the request there.
 // It returns nil if there is none. The headers in extra are added.
 func (c *call) try(cause classifier.Reason, extra http.Header) *attempt {
+	a := c.pick(cause)
+	if a == nil {
+		return nil
+	}
+	c.send(c.ctx, a, extra)
+	c.trace.AddAttempt(a.explained())
+	return a
+}
+
+// pick starts an attempt at an instance that was not tried yet, or returns nil
+// if there is none.
+func (c *call) pick(cause classifier.Reason) *attempt {
 	a := &attempt{cause: cause, start: time.Now()}
 	var ok bool
 	a.choice, ok = c.forwarder.cfg.Picker.Pick(Query{
@@ -44,24 +56,19 @@
 	}
 	c.attempts++
 	c.exclude = append(c.exclude, a.choice.Instance.ID())
-	a.resp, a.refusal = c.send(c.ctx, a.choice.Instance, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
-	a.end = time.Now()
-	c.trace.AddAttempt(a.explained())
 	return a
 }
 
-// send performs one exchange with an instance and tells the observer.
-func (c *call) send(ctx context.Context, in *registrar.Instance, extra http.Header) (*http.Response, *refuser.Refusal) {
+// send performs the exchange of an attempt and tells the observer.
+func (c *call) send(ctx context.Context, a *attempt, extra http.Header) {
 	observer := c.forwarder.cfg.Observer
-	start := time.Now()
-	observer.Sent(in.ID())
-	resp, refusal := c.exchange(ctx, in, extra)
-	failed := blamesInstance(refusal)
-	if resp != nil {
-		failed = resp.StatusCode >= http.StatusInternalServerError
-	}
-	observer.Finished(in.ID(), Result{Latency: time.Since(start), Failed: failed})
-	return resp, refusal
+	id := a.choice.Instance.ID()
+	observer.Sent(id)
+	resp, refusal := c.exchange(ctx, a.choice.Instance, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
+	a.resp, a.refusal = resp, refusal
+	a.end = time.Now()
+	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
+	observer.Finished(id, Result{Latency: a.end.Sub(a.start), Failed: failed})
 }
 
 // exchange sends the request and receives the head of the answer, and the body
@@ -136,17 +143,23 @@
 	}
 }
 
-func (a *attempt) explained() explainer.Attempt {
-	e := explainer.Attempt{
+// begun returns what there is to explain before the attempt has ended.
+func (a *attempt) begun() explainer.Attempt {
+	return explainer.Attempt{
 		Instance:   a.choice.Instance.ID(),
 		Candidates: a.choice.Candidates,
 		Cause:      a.cause,
 		Start:      a.start,
-		End:        a.end,
-		Outcome:    classifier.Done,
 	}
+}
+
+// explained returns what there is to explain after the attempt has ended.
+func (a *attempt) explained() explainer.Attempt {
+	e := a.begun()
+	e.End = a.end
 	if a.resp != nil {
 		e.Status = a.resp.StatusCode
+		e.Outcome = classifier.Done
 		return e
 	}
 	e.Outcome = a.refusal.Outcome()
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -83,7 +83,7 @@
 	cause := classifier.ReasonNone
 	var last *refuser.Refusal
 	for {
-		a := c.try(cause, nil)
+		a := c.tryHedged(cause)
 		if a == nil {
 			return nil, c.conclude(last)
 		}
--- a/internal/request/forwarder/held_answer.go
+++ b/internal/request/forwarder/held_answer.go
@@ -42,10 +42,14 @@
 
 // Read reads the body.
 func (b *heldBody) Read(p []byte) (int, error) {
-	if b.first.Len() > 0 {
-		return b.first.Read(p)
+	if b.first.Len() == 0 {
+		return b.rest.Read(p)
 	}
-	return b.rest.Read(p)
+	n, err := b.first.Read(p)
+	if b.whole && b.first.Len() == 0 {
+		return n, io.EOF
+	}
+	return n, err
 }
 
 // Close ends the answer.
--- a/internal/request/keyer/keyer_test.go
+++ b/internal/request/keyer/keyer_test.go
@@ -356,15 +356,16 @@
 	k := keyer.New(keyer.Config{Instance: "kwishyura-0", Client: g, MaxKeys: 1 << 30, MaxBytes: 1 << 40})
 	k.Observe(g.instances[:1], retention)
 	b.ReportAllocs()
+	time.Sleep(10 * time.Millisecond)
 	before := heap()
 	n := 0
 	for i := 0; b.Loop(); i++ {
 		n++
 		// The time in the key spares asking: the cost is that of the record.
-		run, _, err := begin(k, timed(time.Now().Add(9*time.Second))+strconv.Itoa(i), "1000")
-		if err == nil {
-			run.Done(paid())
-		}
+		key := timed(time.Now().Add(10*time.Second - time.Millisecond))
+		run, _, err := begin(k, key[:24]+fmt.Sprintf("%012x", i), "1000")
+		assert.NilError(b, err)
+		run.Done(paid())
 	}
 	b.ReportMetric(float64(heap()-before)/float64(n), "kept-B/key")
 	runtime.KeepAlive(k)
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -35,7 +35,7 @@
 // the caller's connection must be aborted.
 func Relay(w http.ResponseWriter, resp *http.Response) error {
 	WriteHead(w, resp)
-	if _, err := CopyBody(w, resp.Body, resp.ContentLength < 0); err != nil {
+	if _, err := CopyBody(w, resp.Body); err != nil {
 		return fmt.Errorf("relay body: %w", err)
 	}
 	WriteTrailer(w, resp)
@@ -58,9 +58,9 @@
 	}
 }
 
-// CopyBody copies src to w and returns how many bytes it wrote. With flush,
-// each piece is handed on at once.
-func CopyBody(w http.ResponseWriter, src io.Reader, flush bool) (int64, error) {
+// CopyBody copies src to w and returns how many bytes it wrote. It hands each
+// piece on before it waits for the next.
+func CopyBody(w http.ResponseWriter, src io.Reader) (int64, error) {
 	if src == http.NoBody {
 		return 0, nil
 	}
@@ -76,9 +76,6 @@
 			if err != nil {
 				return total, &WriteError{cause: err}
 			}
-			if flush && flusher != nil {
-				flusher.Flush()
-			}
 		}
 		if errors.Is(readErr, io.EOF) {
 			return total, nil
@@ -86,6 +83,9 @@
 		if readErr != nil {
 			return total, fmt.Errorf("read body: %w", readErr)
 		}
+		if flusher != nil {
+			flusher.Flush()
+		}
 	}
 }
 
