fix: keep the limit of an upstream through bursts of a noisy neighbor

A window of 12 latencies is shorter than a burst of 20 ms at full load, so the limit fell for slowness that less work does not cure. A window now lasts at least 300 ms.

--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// windowResults is how many latencies decide one step of the limit.
+	// windowResults and windowLength are how many latencies, over at least what
+	// time, decide one step of the limit. A burst of a noisy neighbor is shorter.
 	windowResults = 12
+	windowLength  = 300 * time.Millisecond
 	// tolerance is how many times the baseline a latency may be before the limit falls.
 	tolerance = 2
 	// maxDecrease is the least factor by which the limit falls in one step.
@@ -124,8 +126,8 @@
 	l.windowTotal += latency
 	l.windowCount++
 	l.saturated = l.saturated || saturated
-	if l.windowCount >= windowResults {
-		l.step(l.windowTotal/windowResults, now)
+	if l.windowCount >= windowResults && now.Sub(l.windowEnd) >= windowLength {
+		l.step(l.windowTotal/time.Duration(l.windowCount), now)
 	}
 }
 
