--- /dev/null
+++ b/internal/process/voter/acceptor_test.go
@@ -0,0 +1,98 @@
+package voter
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+// nullJournal forgets everything.
+type nullJournal struct{}
+
+func (nullJournal) Records() [][]byte              { return nil }
+func (nullJournal) Append(...[]byte) error         { return nil }
+func (nullJournal) AppendUnsynced(...[]byte) error { return nil }
+func (nullJournal) Rewrite([][]byte) error         { return nil }
+func (nullJournal) Appended() int64                { return 0 }
+
+func ballot(round uint64) *voterwire.Ballot { return &voterwire.Ballot{Round: round, Proposer: "p"} }
+
+func genesisOf(group string) *voterwire.State {
+	return &voterwire.State{
+		Group: group, Origin: &voterwire.Ballot{Proposer: group}, Version: &controlwire.Version{},
+		Membership: &voterwire.Membership{Voters: []*voterwire.Member{{Identity: "me"}}},
+	}
+}
+
+// member returns an acceptor of group g that accepted its first state at
+// round 3 and promised round 5.
+func member(t *testing.T) *acceptor {
+	t.Helper()
+	a, err := newAcceptor(nullJournal{}, "me")
+	assert.NilError(t, err)
+	ok, err := a.catchUp(ballot(3), newState(genesisOf("g")))
+	assert.NilError(t, err)
+	assert.Assert(t, ok)
+	assert.Assert(t, promises(t, a, "g", "me", 5))
+	return a
+}
+
+func promises(t *testing.T, a *acceptor, group, to string, round uint64) bool {
+	t.Helper()
+	resp, err := a.prepare(&voterwire.PrepareRequest{Group: group, To: to, Ballot: ballot(round)})
+	assert.NilError(t, err)
+	return resp.GetPromised()
+}
+
+func accepts(t *testing.T, a *acceptor, group, to string, round uint64) bool {
+	t.Helper()
+	state := newState(genesisOf(group))
+	resp, err := a.accept(&voterwire.AcceptRequest{
+		Group: group, To: to, Ballot: ballot(round), Origin: state.origin(), Transfer: state.transferFrom(nil),
+	})
+	assert.NilError(t, err)
+	return resp.GetAccepted()
+}
+
+func TestAcceptorRefuses(t *testing.T) {
+	for name, c := range map[string]struct {
+		group, to string
+		round     uint64
+		voted     bool
+	}{
+		"newer ballot":     {"g", "me", 6, true},
+		"same ballot":      {"g", "me", 5, true},
+		"older ballot":     {"g", "me", 4, false},
+		"another group":    {"h", "me", 6, false},
+		"another identity": {"g", "you", 6, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, promises(t, member(t), c.group, c.to, c.round), c.voted)
+			assert.Equal(t, accepts(t, member(t), c.group, c.to, c.round), c.voted)
+		})
+	}
+}
+
+func TestCatchUpKeepsPromise(t *testing.T) {
+	a := member(t)
+	ok, err := a.catchUp(ballot(4), newState(genesisOf("g")))
+	assert.NilError(t, err)
+	assert.Assert(t, !ok)
+}
+
+func TestReserve(t *testing.T) {
+	resp, err := member(t).reserve(genesisOf("h"))
+	assert.NilError(t, err)
+	assert.Assert(t, !resp.GetReserved())
+	fresh, err := newAcceptor(nullJournal{}, "me")
+	assert.NilError(t, err)
+	resp, err = fresh.reserve(genesisOf("h"))
+	assert.NilError(t, err)
+	assert.Assert(t, resp.GetReserved())
+	// A reservation holds against other groups.
+	assert.Assert(t, !promises(t, fresh, "g", "me", 1))
+	assert.Assert(t, promises(t, fresh, "h", "me", 1))
+}
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -184,6 +185,12 @@
 		req := change("grow", 0)
 		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v0, v1, v2, v3, v4").Entries...)
 		assertAccepted(t, c.voter("v1"), req, 1)
+		// The replacement is over when the answer comes.
+		fetched, err := c.voter("v1").Peer().FetchState(context.Background(), &voterwire.FetchStateRequest{})
+		assert.NilError(t, err)
+		membership := fetched.GetTransfer().GetSnapshot().GetMembership()
+		assert.Equal(t, len(membership.GetVoters()), 5)
+		assert.Equal(t, len(membership.GetPrevious()), 0)
 		time.Sleep(3 * time.Second)
 		c.crash("v0")
 		c.crash("v1")
@@ -220,24 +227,29 @@
 	}
 }
 
+// withholding keeps states that are not chosen yet from the given instances.
+func withholding(addresses ...string) func(to string, req proto.Message) error {
+	return func(to string, req proto.Message) error {
+		switch req.(type) {
+		case *voterwire.AcceptRequest:
+			if slices.Contains(addresses, to) {
+				return errUnreachable
+			}
+		case *voterwire.FetchStateRequest:
+			return errUnreachable
+		}
+		return nil
+	}
+}
+
 func TestInterruptedReplacement(t *testing.T) {
 	simulate(t, 13, 3, func(t *testing.T, c *cluster) {
 		fresh := []string{"v3", "v4", "v5"}
 		for _, address := range fresh {
 			c.add(address)
 		}
-		// The accept requests reach the new voters and v0, but no majority of the old ones.
-		c.setFilter(func(to string, req proto.Message) error {
-			switch req.(type) {
-			case *voterwire.AcceptRequest:
-				if to == "v1" || to == "v2" {
-					return errUnreachable
-				}
-			case *voterwire.FetchStateRequest:
-				return errUnreachable
-			}
-			return nil
-		})
+		// The state reaches the new voters and v0, but no majority of the old ones.
+		c.setFilter(withholding("v1", "v2"))
 		_, err := c.voter("v0").Submit(context.Background(), replacing("a", 0))
 		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		split(c, true, append(fresh, "v0"), []string{"v1", "v2"})
@@ -272,12 +284,7 @@
 
 func TestMinorityAcceptIsFinished(t *testing.T) {
 	simulate(t, 15, 3, func(t *testing.T, c *cluster) {
-		c.setFilter(func(_ string, req proto.Message) error {
-			if _, ok := req.(*voterwire.AcceptRequest); ok {
-				return errUnreachable
-			}
-			return nil
-		})
+		c.setFilter(withholding("v1", "v2"))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_, err := c.voter("v0").Submit(ctx, change("a", 0))
@@ -308,6 +315,11 @@
 		req := &controlwire.SubmitRequest{ChangeId: "grow", Document: document("control", "voters", "v0,v1,v2,v3")}
 		_, err := c.voter("v1").Submit(context.Background(), req)
 		assert.ErrorIs(t, err, voter.ErrVoterUnreachable)
+		// One that answers but can't store the state is not added either.
+		c.start("v3")
+		c.instances["v3"].disk.setFail(func() (bool, error) { return false, journaler.ErrFull })
+		_, err = c.voter("v1").Submit(context.Background(), req)
+		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		assertAccepted(t, c.voter("v2"), change("a", 0), 1)
 	})
 }
