--- a/internal/request/forwarder/held_answer.go
+++ b/internal/request/forwarder/held_answer.go
@@ -27,22 +27,29 @@
 		resp.Body.Close()
 		return refuser.FromError(err)
 	}
-	resp.Body = &heldBody{first: bytes.NewReader(held), rest: resp.Body}
+	whole := int64(len(held)) == resp.ContentLength
+	resp.Body = &heldBody{held: held, whole: whole, first: bytes.NewReader(held), rest: resp.Body}
 	return nil
 }
 
 // heldBody is a body whose first bytes were received already.
 type heldBody struct {
+	held  []byte
+	whole bool // All of the body is held.
 	first *bytes.Reader
 	rest  io.ReadCloser
 }
 
 // Read reads the body.
 func (b *heldBody) Read(p []byte) (int, error) {
-	if b.first.Len() > 0 {
-		return b.first.Read(p)
+	if b.first.Len() == 0 {
+		return b.rest.Read(p)
 	}
-	return b.rest.Read(p)
+	n, err := b.first.Read(p)
+	if b.whole && b.first.Len() == 0 {
+		return n, io.EOF
+	}
+	return n, err
 }
 
 // Close ends the answer.
