chore: shorten the tests of the configuration

The steps share one benchmark, the fake of the control service one interceptor, and what asserted doubled changes stands with the other faults of Apply. TestFormat went: FuzzSources asserts the same of its seeds in each test run, and config-session has the names of the files in golden output.

--- a/internal/cmd/fake_control_test.go
+++ b/internal/cmd/fake_control_test.go
@@ -35,7 +35,7 @@
 func startFakeControl(atEnd func(func())) (f *fakeControl, address string) {
 	f = &fakeControl{answers: make(map[string]*controlwire.SubmitResponse)}
 	mux := http.NewServeMux()
-	mux.Handle(controlwireconnect.NewControlHandler(f))
+	mux.Handle(controlwireconnect.NewControlHandler(f, connect.WithInterceptors(connect.UnaryInterceptorFunc(f.serialize))))
 	server := httptest.NewServer(mux)
 	atEnd(server.Close)
 	return f, server.Listener.Addr().String()
@@ -69,21 +69,19 @@
 	f.behind = fault == "behind"
 }
 
-func (f *fakeControl) lock() (unlock func(), err error) {
-	f.mu.Lock()
-	if f.stale {
-		f.mu.Unlock()
-		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no majority of voters is reachable"))
+// serialize handles one call at a time, and none while the instance is stale.
+func (f *fakeControl) serialize(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.stale {
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("no majority of voters is reachable"))
+		}
+		return next(ctx, req)
 	}
-	return f.mu.Unlock, nil
 }
 
 func (f *fakeControl) Submit(_ context.Context, r *connect.Request[controlwire.SubmitRequest]) (*connect.Response[controlwire.SubmitResponse], error) {
-	unlock, err := f.lock()
-	if err != nil {
-		return nil, err
-	}
-	defer unlock()
 	answer, known := f.answers[r.Msg.GetChangeId()]
 	if !known {
 		answer = f.decide(r.Msg)
@@ -114,21 +112,11 @@
 }
 
 func (f *fakeControl) Current(context.Context, *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
-	unlock, err := f.lock()
-	if err != nil {
-		return nil, err
-	}
-	defer unlock()
 	digest := &controlwire.VersionDigest{Number: uint64(len(f.history)), Digest: compiler.Digest(f.doc)}
 	return connect.NewResponse(&controlwire.CurrentResponse{Version: &controlwire.Version{Digest: digest, Document: f.doc}}), nil
 }
 
 func (f *fakeControl) History(_ context.Context, r *connect.Request[controlwire.HistoryRequest]) (*connect.Response[controlwire.HistoryResponse], error) {
-	unlock, err := f.lock()
-	if err != nil {
-		return nil, err
-	}
-	defer unlock()
 	entries := f.history
 	if f.behind {
 		entries = entries[1:]
--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -30,7 +30,7 @@
 var nextPort atomic.Uint32
 
 func TestMain(m *testing.M) {
-	nextPort.Store(7100)
+	nextPort.Store(7300)
 	testscript.Main(m, map[string]func(){
 		"banyanscale": func() { os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
--- a/internal/version/compiler/benchmark_test.go
+++ b/internal/version/compiler/benchmark_test.go
@@ -79,40 +79,27 @@
 	})
 }
 
-func BenchmarkParse(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, _ *controlwire.Document, files []compiler.Source) {
-		for b.Loop() {
+func BenchmarkSteps(b *testing.B) {
+	for name, step := range map[string]func(*controlwire.Document, []compiler.Source) error{
+		"parse": func(_ *controlwire.Document, files []compiler.Source) error {
 			_, err := compiler.Parse(files)
-			assert.NilError(b, err)
-		}
-	})
-}
-
-func BenchmarkCheckAll(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, _ []compiler.Source) {
-		for b.Loop() {
-			assert.NilError(b, compiler.CheckAll(doc))
-		}
-	})
-}
-
-func BenchmarkCompile(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, _ []compiler.Source) {
-		for b.Loop() {
+			return err
+		},
+		"check": func(doc *controlwire.Document, _ []compiler.Source) error { return compiler.CheckAll(doc) },
+		"compile": func(doc *controlwire.Document, _ []compiler.Source) error {
 			_, err := compiler.Compile(doc, "site-0", 1)
-			assert.NilError(b, err)
-		}
-		b.ReportMetric(float64(proto.Size(doc)), "document-B")
-		b.ReportMetric(float64(len(doc.GetEntries())), "entries")
-	})
-}
-
-func BenchmarkDigest(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, _ []compiler.Source) {
-		for b.Loop() {
-			compiler.Digest(doc)
-		}
-	})
+			return err
+		},
+		"digest": func(doc *controlwire.Document, _ []compiler.Source) error { compiler.Digest(doc); return nil },
+	} {
+		b.Run(name, func(b *testing.B) {
+			benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, files []compiler.Source) {
+				for b.Loop() {
+					assert.NilError(b, step(doc, files))
+				}
+			})
+		})
+	}
 }
 
 func BenchmarkApply(b *testing.B) {
--- a/internal/version/compiler/compiler_test.go
+++ b/internal/version/compiler/compiler_test.go
@@ -195,21 +195,13 @@
 	assert.Equal(t, len(compiler.Diff(old, old)), 0)
 	_, err = compiler.Apply(next, changes)
 	assert.Assert(t, errors.Is(err, compiler.ErrBase))
+	_, err = compiler.Apply(old, append(changes, changes...))
+	assert.Assert(t, errors.Is(err, compiler.ErrBase))
 	fromNothing, err := compiler.Apply(nil, compiler.Diff(nil, old))
 	assert.NilError(t, err)
 	assertSame(t, fromNothing, old)
 }
 
-func TestFormat(t *testing.T) {
-	doc := mustParse(t, base, overlay)
-	files := compiler.Format(doc)
-	assert.Equal(t, len(files), 2)
-	assert.Equal(t, files[1].Name, "oaxaca.ini")
-	again, err := compiler.Parse(files)
-	assert.NilError(t, err)
-	assertSame(t, doc, again)
-}
-
 func TestSitesDoNotAffectEachOther(t *testing.T) {
 	kigali := "[site]\nname = kigali\nregion = rw-kigali\nfailure-domains = kgl-a\n[service almacen]\nhosts = tienda.example\n"
 	doc := mustParse(t, base, overlay+"hosts = tienda.example\n", kigali)
@@ -223,13 +215,6 @@
 	assert.Equal(t, effects[0].String(), "service vitrina: queue-length: 32 -> 5")
 }
 
-func TestApplyRefusesDoubledChange(t *testing.T) {
-	doc := mustParse(t, base)
-	changes := compiler.Diff(doc, mustParse(t, base+"slots = 4\n"))
-	_, err := compiler.Apply(doc, append(changes, changes...))
-	assert.Assert(t, errors.Is(err, compiler.ErrBase))
-}
-
 func TestRoute(t *testing.T) {
 	service := func(name, hosts, prefix string) string {
 		return "[service " + name + "]\nowner = x\nhosts = " + hosts + "\npath-prefix = " + prefix + "\n"
