feat: a starting state, slots from the configuration, quick reports

Cause: an instance without a configuration was announced, and metered, as leaving; slots set in the configuration were never announced; the version in force was reported up to 30 s late. The new test fails without the comparison of versions.

--- a/internal/process/accountant/accountant_test.go
+++ b/internal/process/accountant/accountant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -234,6 +235,34 @@
 	})
 }
 
+// inForceReports is a Sender that notes the versions reported.
+type inForceReports struct{ numbers []uint64 }
+
+func (r *inForceReports) ReportUsage(_ context.Context, _ netip.AddrPort, req *controlwire.ReportUsageRequest) error {
+	r.numbers = append(r.numbers, req.GetInForce().GetVersion().GetNumber())
+	return nil
+}
+
+func TestAChangeOfTheVersionInForceIsReportedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var inForce atomic.Pointer[controlwire.VersionDigest]
+		sender := &inForceReports{}
+		r := NewReporter(ReporterConfig{
+			Meter: NewMeter(instance(1), time.Now()), Self: func() *registrar.Instance { return instance(1) },
+			InForce: inForce.Load, Sender: sender,
+			Control: func() []netip.AddrPort { return make([]netip.AddrPort, 1) },
+			Logger:  zerolog.Nop(), Scope: tally.NoopScope, Random: rand.New(rand.NewPCG(1, 1)),
+		})
+		r.Start()
+		time.Sleep(firstReport + 2*meterInterval)
+		inForce.Store(&controlwire.VersionDigest{Number: 7})
+		time.Sleep(inForceReport + 2*meterInterval)
+		synctest.Wait()
+		assert.DeepEqual(t, sender.numbers, []uint64{0, 7})
+		assert.NilError(t, r.Stop())
+	})
+}
+
 // usageOf is a Reader of one ledger.
 type usageOf struct{ *Ledger }
 
--- a/internal/process/accountant/meter.go
+++ b/internal/process/accountant/meter.go
@@ -203,7 +203,7 @@
 	rest := elapsed * time.Duration(slots-busy)
 	m.used.busy += elapsed * time.Duration(busy)
 	switch m.state {
-	case registrar.StateWarming:
+	case registrar.StateStarting, registrar.StateWarming:
 		m.used.warming += rest
 	case registrar.StateLeaving:
 		m.used.leaving += rest
--- a/internal/process/accountant/reporter.go
+++ b/internal/process/accountant/reporter.go
@@ -25,6 +25,9 @@
 	// firstReport bounds the random time until the first report, so that
 	// control soon knows which version a new instance follows.
 	firstReport = 5 * time.Second
+	// inForceReport bounds the random time until a change of the version in
+	// force is reported.
+	inForceReport = 2 * time.Second
 	// meterInterval is the time between ticks of the meter.
 	meterInterval = time.Second
 	// reportTimeout bounds one call.
@@ -102,7 +105,8 @@
 func (r *Reporter) run() error {
 	ticker := time.NewTicker(meterInterval)
 	defer ticker.Stop()
-	next := time.Now().Add(time.Duration(r.cfg.Random.Int64N(int64(firstReport))))
+	next := time.Now().Add(r.random(firstReport))
+	reported := r.cfg.InForce().GetNumber()
 	for {
 		select {
 		case <-r.tomb.Dying():
@@ -113,6 +117,10 @@
 		now := time.Now()
 		r.cfg.Meter.Tick(now)
 		r.cfg.Meter.SetInstance(now, r.cfg.Self())
+		if number := r.cfg.InForce().GetNumber(); number != reported {
+			reported = number
+			next = earlier(next, now.Add(r.random(inForceReport)))
+		}
 		if now.Before(next) {
 			continue
 		}
@@ -121,6 +129,17 @@
 	}
 }
 
+func (r *Reporter) random(bound time.Duration) time.Duration {
+	return time.Duration(r.cfg.Random.Int64N(int64(bound)))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // report sends the counters to the given number of control instances, and
 // asks the others if some do not answer.
 func (r *Reporter) report(copies int) {
--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -41,7 +41,7 @@
 // New returns an announcer of an instance that is not configured yet and whose
 // upstream is available.
 func New(cfg Config) *Announcer {
-	return &Announcer{cfg: cfg, available: true, announced: registrar.StateLeaving}
+	return &Announcer{cfg: cfg, available: true, announced: registrar.StateStarting}
 }
 
 // Available tells whether the upstream takes work.
@@ -69,13 +69,21 @@
 }
 
 func (a *Announcer) update() {
-	working := a.configured && a.available && !a.leaving
+	working := a.announced == registrar.StateWarming || a.announced == registrar.StateReady
 	switch {
-	case working && a.announced == registrar.StateLeaving:
+	case a.leaving || a.configured && !a.available:
+		a.stopWork()
+	case a.configured && !working:
 		a.announce(registrar.StateWarming)
 		a.warmed = time.AfterFunc(a.cfg.ColdStart(), a.finishWarming)
-	case !working && a.announced != registrar.StateLeaving:
+	}
+}
+
+func (a *Announcer) stopWork() {
+	if a.warmed != nil {
 		a.warmed.Stop()
+	}
+	if a.announced != registrar.StateLeaving {
 		a.announce(registrar.StateLeaving)
 	}
 }
--- a/internal/process/announcer/announcer_test.go
+++ b/internal/process/announcer/announcer_test.go
@@ -51,6 +51,11 @@
 			},
 			[]string{"warming", "ready", "leaving", "warming", "ready"},
 		},
+		"upstream gone before it was configured": {
+			func(a *Announcer) { a.Available(false); a.Configured(); a.Available(true) },
+			[]string{"leaving", "warming", "ready"},
+		},
+		"leaving before it was configured": {func(a *Announcer) { a.Leave(); a.Configured() }, []string{"leaving"}},
 		"leaving is final": {
 			func(a *Announcer) { a.Configured(); a.Leave(); a.Available(false); a.Available(true); a.Configured() },
 			[]string{"warming", "leaving"},
--- a/internal/process/gossiper/encoder.go
+++ b/internal/process/gossiper/encoder.go
@@ -79,7 +79,7 @@
 
 // checkUpdate reports whether an update from the network can be used.
 func checkUpdate(u *gossipwire.Update) error {
-	known := u.GetState() >= gossipwire.State_STATE_WARMING && u.GetState() <= gossipwire.State_STATE_FAILED
+	known := u.GetState() >= gossipwire.State_STATE_STARTING && u.GetState() <= gossipwire.State_STATE_FAILED
 	if u.GetId() == "" || len(u.GetId()) > maxNameLength || u.GetIncarnation() == 0 || !known {
 		return errBadUpdate
 	}
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -173,6 +173,15 @@
 	}
 }
 
+// Resize tells the fleet how many slots and connections the upstream has.
+func (g *Gossiper) Resize(slots, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.self.spec.Slots != slots || g.self.spec.Connections != connections {
+		g.announce(func(s *registrar.Spec) { s.Slots, s.Connections = slots, connections })
+	}
+}
+
 // Leave announces that this instance ended in order, and returns once that
 // was sent on, or after a second.
 func (g *Gossiper) Leave() {
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -325,6 +325,7 @@
 		spec := s.Spec()
 		slots, connections := orDefault(n.settings.Slots(), spec.Slots), orDefault(n.settings.Connections(), spec.Connections)
 		n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
+		n.gossiper.Resize(slots, connections)
 	}
 	return true
 }
@@ -355,7 +356,7 @@
 	spec := compiler.DefaultServiceSpec(s.Service())
 	return registrar.Spec{
 		ID:            s.Instance(),
-		State:         registrar.StateLeaving, // It takes no work before a configuration is in force.
+		State:         registrar.StateStarting,
 		Service:       s.Service(),
 		Owner:         s.Owner(),
 		Site:          s.Site(),
--- a/internal/process/registrar/instance.go
+++ b/internal/process/registrar/instance.go
@@ -20,8 +20,10 @@
 type State uint8
 
 const (
+	// StateStarting means that the instance has no configuration yet and takes no work.
+	StateStarting State = iota + 1
 	// StateWarming means that the instance started and takes a reduced share of work.
-	StateWarming State = iota + 1
+	StateWarming
 	// StateReady means that the instance takes its full share of work.
 	StateReady
 	// StateLeaving means that the instance finishes what it has and takes no new work.
@@ -35,12 +37,13 @@
 )
 
 var stateNames = map[State]string{
-	StateWarming: "warming",
-	StateReady:   "ready",
-	StateLeaving: "leaving",
-	StateLeft:    "left",
-	StateSuspect: "suspect",
-	StateFailed:  "failed",
+	StateStarting: "starting",
+	StateWarming:  "warming",
+	StateReady:    "ready",
+	StateLeaving:  "leaving",
+	StateLeft:     "left",
+	StateSuspect:  "suspect",
+	StateFailed:   "failed",
 }
 
 // String returns the state's name, in kebab case.
