--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -21,7 +21,7 @@
 const defaultCallTimeout = 15 * time.Second
 
 // errFaults reports that files have faults, which were printed already.
-var errFaults = errors.New("nothing was accepted, since the files have faults")
+var errFaults = errors.New("the files have faults")
 
 // configCommand returns the parent of the config commands.
 func configCommand(app *kingpin.Application) *kingpin.CmdClause {
@@ -101,9 +101,31 @@
 	if err != nil {
 		return "", fmt.Errorf("describe configuration: %w", err)
 	}
-	sites := "no overlays"
+	sites := "no overlay"
 	if names := compiler.Sites(doc); len(names) > 0 {
 		sites = "overlays for " + strings.Join(names, ", ")
 	}
-	return fmt.Sprintf("%d services, %d owners, %s", len(cfg.Services()), len(cfg.Owners()), sites), nil
+	return fmt.Sprintf("%s, %s, %s", count(len(cfg.Services()), "service"), count(len(cfg.Owners()), "owner"), sites), nil
 }
+
+func count(n int, noun string) string {
+	if n != 1 {
+		noun += "s"
+	}
+	return fmt.Sprintf("%d %s", n, noun)
+}
+
+// codedError is an error with the exit code that it asks for.
+type codedError struct {
+	code int
+	err  error
+}
+
+// Error returns the text of the cause.
+func (e *codedError) Error() string { return e.err.Error() }
+
+// ExitCode returns the exit code of the program.
+func (e *codedError) ExitCode() int { return e.code }
+
+// Unwrap returns the cause.
+func (e *codedError) Unwrap() error { return e.err }
--- a/internal/cmd/config_submit.go
+++ b/internal/cmd/config_submit.go
@@ -20,22 +20,6 @@
 	dryRun bool
 }
 
-// submitError is a submission that was not accepted for sure. Its exit code
-// tells a conflict from an unknown result.
-type submitError struct {
-	code int
-	err  error
-}
-
-// Error returns what became of the change.
-func (e *submitError) Error() string { return e.err.Error() }
-
-// ExitCode returns the exit code of the program.
-func (e *submitError) ExitCode() int { return e.code }
-
-// Unwrap returns the cause.
-func (e *submitError) Unwrap() error { return e.err }
-
 // configSubmitCmd adds the command that proposes a change to the control instances.
 func configSubmitCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("submit", "Submit a base file and its overlays to replace a version.")
@@ -50,7 +34,7 @@
 	files := command.Arg("files", "The base file and the overlays of all sites.").Required().Strings()
 	return command.FullCommand(), func() (err error) {
 		if s.req.Document, err = readDocument(env.stderr, *files); err != nil {
-			return err
+			return fmt.Errorf("nothing was submitted: %w", err)
 		}
 		if s.client, err = flags.client(); err != nil {
 			return err
@@ -111,7 +95,7 @@
 	}
 	err := errors.Errorf("change %s was not accepted, since version %d is not the newest; "+
 		"show the version in force, edit that and submit it as a new change", s.req.ChangeId, s.req.Replaces)
-	return &submitError{code: exitConflict, err: err}
+	return &codedError{code: exitConflict, err: err}
 }
 
 // failed tells whether the change was refused or its result is not known.
@@ -121,5 +105,5 @@
 	}
 	err = fmt.Errorf("the result of change %s is unknown; to learn it, run the same command again with --change-id %s: %w",
 		s.req.ChangeId, s.req.ChangeId, err)
-	return &submitError{code: exitUnknown, err: err}
+	return &codedError{code: exitUnknown, err: err}
 }
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -49,20 +49,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("parse settings: %w", err)
 	}
-	var errs parser.Errors
+	if file.Section(section) == nil {
+		missing := parser.NewError(path, 0, section, "the section is missing")
+		return nil, fmt.Errorf("check settings: %w", parser.Errors{missing})
+	}
+	r := parser.NewReader(path, file.Section(section))
 	for _, other := range file.Sections() {
 		if other.Name() != section {
-			message := parser.Unknown("section", other.Name(), []string{section})
-			errs = append(errs, parser.NewError(path, other.Line(), other.Name(), message))
+			r.Fail(other.Line(), other.Name(), parser.Unknown("section", other.Name(), []string{section}))
 		}
 	}
-	if file.Section(section) == nil {
-		errs = append(errs, parser.NewError(path, 0, section, "the section is missing"))
-	}
-	if len(errs) > 0 {
-		return nil, fmt.Errorf("check settings: %w", errs)
-	}
-	return parser.NewReader(path, file.Section(section)), nil
+	return r, nil
 }
 
 // check returns all faults of the section that r reads.
