--- /dev/null
+++ b/internal/request/retrier/retrier_test.go
@@ -0,0 +1,119 @@
+package retrier_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name    string
+		failure retrier.Failure
+		state   retrier.State
+		retry   bool
+		denied  classifier.Reason
+	}{
+		{"not-run", retrier.Failure{Outcome: classifier.NotRun, Reason: classifier.ReasonConnect}, retrier.State{}, true, ""},
+		{"unknown", retrier.Failure{Reason: classifier.ReasonReset}, retrier.State{}, false, ""},
+		{"unknown but repeatable", retrier.Failure{Reason: classifier.ReasonReset}, retrier.State{Repeatable: true}, true, ""},
+		{"503 after work", retrier.Failure{Outcome: classifier.Done, Reason: classifier.ReasonUpstreamError}, retrier.State{}, false, ""},
+		{"body spent", retrier.Failure{Outcome: classifier.NotRun, Reason: classifier.ReasonConnect}, retrier.State{BodySpent: true}, false, ""},
+		{"last attempt", retrier.Failure{Outcome: classifier.NotRun, Reason: classifier.ReasonConnect}, retrier.State{Attempts: 3}, false, ""},
+		{"no time left", retrier.Failure{Reason: classifier.ReasonTimeout}, retrier.State{Repeatable: true}, false, ""},
+		{"retried below", retrier.Failure{Outcome: classifier.NotRun, Reason: classifier.ReasonShed, Retried: true}, retrier.State{}, false, classifier.ReasonRetriedBelow},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.state.MaxAttempts = 3
+			tt.state.Budget = retrier.NewBudget()
+			decision := retrier.Decide(tt.failure, tt.state)
+			assert.Equal(t, decision.Retry(), tt.retry)
+			assert.Equal(t, decision.Denied(), tt.denied)
+		})
+	}
+}
+
+func TestBudget(t *testing.T) {
+	const requests, percent, saved = 10_000, 10, 10
+	b := retrier.NewBudget()
+	var wg sync.WaitGroup
+	spent := make([]int, 8)
+	for i := range spent {
+		wg.Go(func() {
+			for range requests / len(spent) {
+				b.Earn(percent)
+				if b.Spend() {
+					spent[i]++
+				}
+			}
+		})
+	}
+	wg.Wait()
+	total := 0
+	for _, n := range spent {
+		total += n
+	}
+	assert.Assert(t, total <= requests*percent/100+saved, "spent %d", total)
+	assert.Assert(t, total >= requests*percent/100, "spent %d", total)
+}
+
+// BenchmarkAmplification reports how many calls reach the lowest service of a
+// chain for one request at the top, while that service refuses all.
+func BenchmarkAmplification(b *testing.B) {
+	const depth = 4
+	for _, policy := range []struct {
+		name          string
+		budget, below bool
+	}{
+		{"attempts-only", false, false},
+		{"budget", true, false},
+		{"lowest-level-only", false, true},
+		{"budget-and-lowest-level-only", true, true},
+	} {
+		b.Run(fmt.Sprintf("%s/depth-%d", policy.name, depth), func(b *testing.B) {
+			c := chain{below: policy.below}
+			for range depth {
+				c.budgets = append(c.budgets, retrier.NewBudget())
+			}
+			for b.Loop() {
+				c.call(depth-1, policy.budget)
+			}
+			b.ReportMetric(float64(c.calls)/float64(b.N), "calls/request")
+		})
+	}
+}
+
+type chain struct {
+	budgets []*retrier.Budget
+	below   bool
+	calls   int
+}
+
+// call calls the service at the given level, and reports whether it retried.
+func (c *chain) call(level int, bounded bool) bool {
+	budget := c.budgets[level]
+	budget.Earn(10)
+	state := retrier.State{MaxAttempts: 3, Budget: budget}
+	for {
+		state.Attempts++
+		failure := retrier.Failure{Outcome: classifier.NotRun, Reason: classifier.ReasonQueueFull}
+		if level == 0 {
+			c.calls++
+		} else {
+			failure.Retried = c.call(level-1, bounded) && c.below
+		}
+		if !bounded {
+			state.Budget = retrier.NewBudget()
+		}
+		decision := retrier.Decide(failure, state)
+		if !decision.Retry() {
+			return state.Attempts > 1 || decision.Denied() != ""
+		}
+	}
+}
