--- /dev/null
+++ b/internal/process/voter/bench_test.go
@@ -0,0 +1,178 @@
+package voter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+// Size of the document that the benchmarks change.
+const (
+	designServices = 190
+	designKeys     = 12
+	designSites    = 2
+	designOverlay  = 2 // Entries of each service in each overlay.
+)
+
+// designDocument returns a document of the design size; note is the value of
+// the entry that changes.
+func designDocument(note string) *controlwire.Document {
+	doc := &controlwire.Document{}
+	add := func(layer string, service, key int, value string) {
+		doc.Entries = append(doc.Entries, &controlwire.Entry{
+			Layer: layer, Section: fmt.Sprintf("service service-%03d", service),
+			Key: fmt.Sprintf("some-setting-%02d", key), Value: value,
+		})
+	}
+	for s := range designServices {
+		for k := range designKeys {
+			add("", s, k, "1500ms")
+		}
+		for site := range designSites {
+			for k := range designOverlay {
+				add(fmt.Sprintf("site-%d", site), s, k, "2500ms")
+			}
+		}
+	}
+	doc.Entries[0].Value = note
+	return doc
+}
+
+// submitDesign submits one more change of one entry.
+func submitDesign(b testing.TB, v *voter.Voter, n uint64) {
+	req := &controlwire.SubmitRequest{
+		ChangeId: fmt.Sprintf("0123456789abcdef-%d", n), Operator: "ana", Message: "more slots",
+		Replaces: n, Document: designDocument(fmt.Sprint(n)),
+	}
+	resp, err := v.Submit(context.Background(), req)
+	assert.NilError(b, err)
+	assert.Equal(b, resp.GetVersion(), n+1)
+}
+
+// BenchmarkSubmit measures changes of the design document by three voters
+// over TCP with real files.
+func BenchmarkSubmit(b *testing.B) {
+	voters := startConnected(b, 3)
+	submitDesign(b, voters[0], 0)
+	n := uint64(1)
+	for b.Loop() {
+		submitDesign(b, voters[0], n)
+		n++
+	}
+}
+
+// BenchmarkCurrent measures reads confirmed by a majority.
+func BenchmarkCurrent(b *testing.B) {
+	voters := startConnected(b, 3)
+	submitDesign(b, voters[0], 0)
+	for b.Loop() {
+		_, err := voters[0].Current(context.Background())
+		assert.NilError(b, err)
+	}
+}
+
+// countingJournal counts what a journal writes.
+type countingJournal struct {
+	voter.Journal
+	bytes, syncs int64
+}
+
+func (j *countingJournal) Append(records ...[]byte) error {
+	j.syncs++
+	for _, r := range records {
+		j.bytes += int64(len(r))
+	}
+	return j.Journal.Append(records...)
+}
+
+// startAlone starts a group of one voter in the given folder.
+func startAlone(b testing.TB, folder string) (*voter.Voter, *journaler.Store, *countingJournal) {
+	b.Helper()
+	store, err := journaler.Open(journaler.OS{}, folder)
+	assert.NilError(b, err)
+	journal, err := store.OpenJournal("voter")
+	assert.NilError(b, err)
+	counting := &countingJournal{Journal: journal}
+	v, err := voter.New(voter.Config{
+		Address: "v0", Initial: []string{"v0"}, Journal: counting, Digest: digest,
+		Log: zerolog.Nop(), Scope: tally.NoopScope,
+	})
+	assert.NilError(b, err)
+	return v, store, counting
+}
+
+// BenchmarkRecovery measures opening the data folder after histories of
+// different lengths, until the newest version is known.
+func BenchmarkRecovery(b *testing.B) {
+	for _, length := range []uint64{10, 100, 1000, 8100, 16384} {
+		b.Run(fmt.Sprintf("changes=%d", length), func(b *testing.B) {
+			folder := b.TempDir()
+			v, store, _ := startAlone(b, folder)
+			v.Start()
+			awaitGroup(b, v)
+			for n := range length {
+				submitDesign(b, v, n)
+			}
+			assert.NilError(b, v.Stop())
+			assert.NilError(b, store.Close())
+			for b.Loop() {
+				v, store, _ := startAlone(b, folder)
+				assert.Equal(b, v.Local().Version().GetDigest().GetNumber(), length)
+				assert.NilError(b, store.Close())
+			}
+		})
+	}
+}
+
+// BenchmarkBytesPerChange counts records and bytes of each change: to the disk
+// of a voter, and to another voter.
+func BenchmarkBytesPerChange(b *testing.B) {
+	v, store, journal := startAlone(b, b.TempDir())
+	v.Start()
+	awaitGroup(b, v)
+	submitDesign(b, v, 0)
+	journal.bytes, journal.syncs = 0, 0
+	n := uint64(1)
+	for b.Loop() {
+		submitDesign(b, v, n)
+		n++
+	}
+	b.ReportMetric(float64(journal.bytes)/float64(n-1), "disk-B/op")
+	b.ReportMetric(float64(journal.syncs)/float64(n-1), "syncs/op")
+	resp, err := v.Peer().FetchState(context.Background(), &voterwire.FetchStateRequest{})
+	assert.NilError(b, err)
+	b.ReportMetric(float64(proto.Size(resp)), "snapshot-B")
+	assert.NilError(b, v.Stop())
+	assert.NilError(b, store.Close())
+}
+
+// BenchmarkSnapshot measures encoding and decoding the state with the longest
+// history and the design document.
+func BenchmarkSnapshot(b *testing.B) {
+	state := &voterwire.State{Version: &controlwire.Version{Document: designDocument("1")}}
+	for n := range uint64(16384) {
+		state.History = append(state.History, &controlwire.HistoryEntry{
+			Number: n + 1, ChangeId: fmt.Sprintf("0123456789abcdef-%d", n), Operator: "ana",
+			Message: "more slots", AcceptedUnixMs: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli(),
+		})
+	}
+	size := 0
+	for b.Loop() {
+		data, err := proto.Marshal(state)
+		assert.NilError(b, err)
+		assert.NilError(b, proto.Unmarshal(data, &voterwire.State{}))
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "B")
+}
