fix: a caller that sends its body slowly is refused at the deadline

Reading a small body ahead of the first attempt had no bound. The matrix now also has faults of the node's own upstream, served in process. Run: go test -race -count=5 on forwarder: pass; TestSlowCaller was seen to fail without the read deadline.

--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -168,3 +168,18 @@
 		assert.Equal(t, seen, "2500 3")
 	})
 }
+
+func TestSlowCaller(t *testing.T) {
+	f := newFleet()
+	f.run(t, func(t *testing.T) {
+		conn, err := f.network.DialContext(t.Context(), "tcp", entryAddress)
+		assert.NilError(t, err)
+		defer conn.Close()
+		fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: almacen.example\r\nContent-Length: 9\r\n\r\n12")
+		start := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonDeadline)
+		assert.Equal(t, time.Since(start), deadline)
+		assert.Equal(t, f.runs.Load(), int64(0))
+	})
+}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
@@ -36,7 +37,7 @@
 	mayHaveRun bool
 }
 
-func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) (*call, *refuser.Refusal) {
+func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) *call {
 	c := &call{
 		ctx:        ctx,
 		forwarder:  f,
@@ -53,17 +54,29 @@
 	c.header.Set(classifier.HeaderHop, "1")
 	c.header.Del(classifier.HeaderKeyHome)
 	c.header.Set(classifier.HeaderService, route.spec.Name)
-	return c, c.holdBody()
+	return c
 }
 
-// holdBody reads a small body into memory. Nothing was sent if it fails.
-func (c *call) holdBody() *refuser.Refusal {
+// holdBody reads a small body into memory, until the deadline. Nothing was
+// sent if it fails.
+func (c *call) holdBody(w http.ResponseWriter) *refuser.Refusal {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	deadline, _ := c.ctx.Deadline()
+	// A writer that takes no deadline belongs to no connection that could stall.
+	_ = control.SetReadDeadline(deadline)
 	body, err := relayer.HoldBody(c.r)
+	if err != nil && c.ctx.Err() != nil {
+		return refuser.New(classifier.NotRun, classifier.ReasonDeadline)
+	}
 	if err != nil {
 		return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
-	if body == nil && c.r.ContentLength != 0 {
+	if body == nil {
 		c.stream = &streamedBody{ReadCloser: c.r.Body}
 	}
 	return nil
--- a/internal/request/forwarder/fault_test.go
+++ b/internal/request/forwarder/fault_test.go
@@ -29,7 +29,14 @@
 
 func linkRows() []row {
 	var rows []row
-	for _, link := range []struct{ where, address string }{{"serving node", nodeAddress}, {"upstream", targetAddress}} {
+	for _, link := range []struct {
+		where, address string
+		local          bool
+	}{
+		{"serving node", nodeAddress, false},
+		{"upstream", targetAddress, false},
+		{"own upstream", targetAddress, true},
+	} {
 		for _, f := range []fault{
 			{step: connect, kind: refuse}, {step: connect, kind: stall},
 			{step: sendHead, kind: reset}, {step: sendHead, kind: stall},
@@ -42,6 +49,7 @@
 			f.address = link.address
 			rows = append(rows, row{step: f.step, fault: f.kind, where: link.where, prepare: func(fl *fleet, _ *http.Request) {
 				fl.network.fault = f
+				fl.local = link.local
 			}})
 		}
 	}
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -48,6 +48,8 @@
 	// refusal is what the first serving node's admission says.
 	refusal   error
 	instances []*registrar.Instance
+	// local makes the entry node serve the first instance's upstream itself.
+	local bool
 	// keys makes the entry node the home of all keys, if it is not nil.
 	keys *keyer.Keyer
 
@@ -89,6 +91,10 @@
 		if f.keys != nil {
 			cfg.Keys = f.keys
 		}
+		if f.local {
+			cfg.Instance = "almacen-1"
+			cfg.Local = f.servers[0]
+		}
 		f.entry = forwarder.New(cfg)
 		f.listen(entryAddress, f.entry)
 		defer func() {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -150,8 +150,8 @@
 	trace.SetService(route.service.Name())
 	ctx, cancel := context.WithTimeout(r.Context(), route.timeout)
 	defer cancel()
-	c, refusal := newCall(ctx, f, r, route, trace)
-	if refusal != nil {
+	c := newCall(ctx, f, r, route, trace)
+	if refusal := c.holdBody(w); refusal != nil {
 		f.refuse(w, trace, refusal)
 		return
 	}
