--- a/internal/process/gossiper/detector.go
+++ b/internal/process/gossiper/detector.go
@@ -12,8 +12,6 @@
 const (
 	// probePeriod is how often one member is pinged.
 	probePeriod = time.Second
-	// ackTimeout is how long a ping waits for its ack before others are asked.
-	ackTimeout = 400 * time.Millisecond
 	// indirectProbes is how many others are asked to ping a member.
 	indirectProbes = 3
 	// suspicionPeriods scales the shortest suspicion timeout, in probe periods.
@@ -38,9 +36,10 @@
 	retryInterval = 5 * time.Second
 	// forgetInterval is the time between searches for members to forget.
 	forgetInterval = 10 * time.Second
-	// lateRetention is how long a ping is remembered after its time is over.
-	lateRetention = 10 * time.Second
-	// reportInterval is the time between probes that the path of a request asks for.
+	// lateRetention is how long a ping is remembered, so that a late ack is noticed.
+	lateRetention = time.Minute
+	// reportInterval is the shortest time between probes out of turn: those that
+	// the path of a request asks for, and those that verify a suspicion.
 	reportInterval = 100 * time.Millisecond
 )
 
@@ -48,6 +47,7 @@
 type probe struct {
 	id       string
 	to       netip.AddrPort
+	sent     time.Time
 	deadline time.Time // When others are asked, then when the member is suspect.
 	indirect bool
 	asked    int // How many others were asked.
@@ -71,7 +71,7 @@
 // detector holds the timers of failure detection.
 type detector struct {
 	probes      map[uint64]*probe
-	late        map[uint64]time.Time // Pings whose time is over, and until when they are remembered.
+	late        map[uint64]time.Time // When pings whose time is over were sent.
 	relays      map[uint64]*relay
 	disputes    map[string]dispute
 	nextProbe   time.Time
@@ -100,7 +100,7 @@
 	return false
 }
 
-// allowReport limits the probes that the path of a request asks for.
+// allowReport limits the probes out of turn.
 func (d *detector) allowReport(now time.Time) bool {
 	if now.Before(d.nextReport) {
 		return false
@@ -187,8 +187,8 @@
 	if m.status != statusAlive {
 		msg.Updates = append(msg.Updates, encodeShort(m))
 	}
-	g.detector.probes[nonce] = &probe{id: m.spec.ID, to: m.spec.Peer, deadline: now.Add(g.health.scale(ackTimeout))}
-	g.send(m.spec.Peer, msg, now)
+	g.detector.probes[nonce] = &probe{id: m.spec.ID, to: m.spec.Peer, sent: now, deadline: now.Add(g.health.ackTimeout())}
+	g.send(m.spec.Peer, msg)
 }
 
 func (g *Gossiper) expireProbes(now time.Time) {
@@ -202,18 +202,18 @@
 			continue
 		}
 		delete(d.probes, nonce)
-		d.late[nonce] = now.Add(lateRetention)
+		d.late[nonce] = p.sent
 		g.concludeProbe(p, now)
 	}
-	for nonce, until := range d.late {
-		if now.After(until) {
+	for nonce, sent := range d.late {
+		if now.Sub(sent) > lateRetention {
 			delete(d.late, nonce)
 		}
 	}
 	for nonce, r := range d.relays {
 		if now.After(r.deadline) {
 			delete(d.relays, nonce)
-			g.send(r.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_NACK, Nonce: r.nonce}, now)
+			g.send(r.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_NACK, Nonce: r.nonce})
 		}
 	}
 }
@@ -234,7 +234,7 @@
 // askOthers asks random members to ping a member that did not ack in time.
 func (g *Gossiper) askOthers(nonce uint64, p *probe, now time.Time) {
 	p.indirect = true
-	p.deadline = now.Add(g.health.scale(probePeriod - ackTimeout))
+	p.deadline = now.Add(g.health.indirectTimeout())
 	others := g.table.sample(indirectProbes, func(m *member) bool {
 		return m != g.self && m.spec.ID != p.id && m.status == statusAlive
 	})
@@ -246,7 +246,7 @@
 			Receiver:  m.spec.ID,
 			Subject:   encodeAddress(p.to),
 			SubjectId: p.id,
-		}, now)
+		})
 	}
 }
 
@@ -275,18 +275,29 @@
 
 // suspicionTimeout shrinks with the number of independent accusers and grows
 // with the fleet and with this node's own lateness.
-func (g *Gossiper) suspicionTimeout(accusers int) time.Duration {
+func (g *Gossiper) suspicionTimeout(s *suspicion) time.Duration {
 	scale := max(1, math.Log10(float64(g.table.live+1)))
 	shortest := time.Duration(suspicionPeriods * scale * float64(probePeriod))
 	longest := maxSuspicionFactor * shortest
-	confirmed := min(1, math.Log(float64(max(accusers, 1)))/math.Log(confirmations+1))
+	confirmed := min(1, math.Log(float64(max(len(s.accusers), 1)))/math.Log(confirmations+1))
+	if s.confirmed {
+		confirmed = 1
+	}
 	return g.health.scale(longest - time.Duration(confirmed*float64(longest-shortest)))
 }
 
 // expireSuspicions concludes the failure of members that did not refute in time.
 func (g *Gossiper) expireSuspicions(now time.Time) {
 	for _, m := range g.table.members {
-		if m.status != statusSuspect || now.Sub(m.suspicion.started) < g.suspicionTimeout(len(m.suspicion.accusers)) {
+		if m.status != statusSuspect {
+			continue
+		}
+		timeout := g.suspicionTimeout(m.suspicion)
+		elapsed := now.Sub(m.suspicion.started)
+		if elapsed >= timeout/2 {
+			g.verify(m, now)
+		}
+		if elapsed < timeout {
 			continue
 		}
 		if m.heard.After(m.suspicion.started) {
@@ -299,6 +310,17 @@
 	}
 }
 
+// verify pings a suspect once that others accused, in case its refutation was
+// lost on the way here. Of many suspects at once only a few are pinged.
+func (g *Gossiper) verify(m *member, now time.Time) {
+	s := m.suspicion
+	if s.verified || s.accusers[g.self.spec.ID] || !g.detector.allowReport(now) {
+		return
+	}
+	s.verified = true
+	g.probe(m, now)
+}
+
 func (g *Gossiper) fail(m *member, now time.Time) {
 	g.setStatus(m, statusFailed, now)
 	g.queue.push(encodeShort(m))
@@ -337,7 +359,7 @@
 func (g *Gossiper) accuse(id string, d dispute, now time.Time) {
 	nonce := g.cfg.Random.Uint64()
 	if d.suspects {
-		g.detector.probes[nonce] = &probe{id: id, to: d.to, deadline: now.Add(g.health.scale(ackTimeout))}
+		g.detector.probes[nonce] = &probe{id: id, to: d.to, sent: now, deadline: now.Add(g.health.ackTimeout())}
 	}
 	g.send(d.to, &gossipwire.Datagram{
 		Kind:     gossipwire.Datagram_KIND_PING,
@@ -349,7 +371,7 @@
 			Sequence:    d.accused.sequence,
 			State:       gossipwire.State_STATE_FAILED,
 		}},
-	}, now)
+	})
 }
 
 // dispute remembers a disagreement about a member, to be settled in its turn.
@@ -368,11 +390,12 @@
 		g.accuse(m.spec.ID, dispute{to: m.spec.Peer, accused: m.stamp()}, now)
 	}
 	if seed, ok := g.missingSeed(); ok {
-		g.send(seed, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PING, Nonce: g.cfg.Random.Uint64()}, now)
+		g.send(seed, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PING, Nonce: g.cfg.Random.Uint64()})
 	}
 }
 
-// missingSeed returns a random seed that is not the address of a live member.
+// missingSeed returns the next seed, in turn, that is not the address of a
+// live member.
 func (g *Gossiper) missingSeed() (netip.AddrPort, bool) {
 	live := make(map[netip.AddrPort]bool, len(g.cfg.Seeds))
 	for _, m := range g.table.members {
@@ -380,16 +403,14 @@
 			live[m.spec.Peer] = true
 		}
 	}
-	var missing []netip.AddrPort
-	for _, seed := range g.cfg.Seeds {
+	for range g.cfg.Seeds {
+		seed := g.cfg.Seeds[g.nextSeed%len(g.cfg.Seeds)]
+		g.nextSeed++
 		if !live[seed] {
-			missing = append(missing, seed)
+			return seed, true
 		}
 	}
-	if len(missing) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return missing[g.cfg.Random.IntN(len(missing))], true
+	return netip.AddrPort{}, false
 }
 
 // refute answers a wrong conclusion about this instance.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -68,7 +68,12 @@
 	a.resp, a.refusal = resp, refusal
 	a.end = time.Now()
 	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
-	observer.Finished(id, Result{Latency: a.end.Sub(a.start), Failed: failed})
+	observer.Finished(id, Result{
+		Latency:     a.end.Sub(a.start),
+		Failed:      failed,
+		Refused:     refusal != nil && !failed,
+		Unreachable: refusal != nil && refusal.Reason() == classifier.ReasonConnect,
+	})
 }
 
 // exchange sends the request and receives the head of the answer, and the body
--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -21,70 +21,75 @@
 	PolicyLeastOwn = "least-own"
 )
 
-// policy chooses among instances, of which there is at least one.
+// policy chooses among eligible instances, of which there is at least one.
 type policy interface {
-	pick(e *eligible, r *request) Choice
+	pick(r *request, choice *Choice)
+	// usesLoad reports whether outliers and warming instances get less work.
+	usesLoad() bool
 }
 
+// baseline is the part that the baselines share.
+type baseline struct{ p *Picker }
+
+func (baseline) usesLoad() bool { return false }
+
 // newPolicy returns the policy with the given name.
 func newPolicy(name string, p *Picker) (policy, error) {
 	switch name {
 	case "", PolicyLeastExpectedLatency:
 		return &leastExpectedLatency{p}, nil
 	case PolicyRandom:
-		return &randomChoice{p}, nil
+		return &randomChoice{baseline{p}}, nil
 	case PolicyRoundRobin:
-		return &roundRobin{p: p}, nil
+		return &roundRobin{baseline: baseline{p}}, nil
 	case PolicyLeastOwn:
-		return &leastOwn{p}, nil
+		return &leastOwn{baseline{p}}, nil
 	default:
 		return nil, errors.Wrapf(ErrPolicy, "%q", name)
 	}
 }
 
-type randomChoice struct{ p *Picker }
+type randomChoice struct{ baseline }
 
-func (c *randomChoice) pick(e *eligible, r *request) Choice {
-	in := e.draw(true, c.p.random)
+func (c *randomChoice) pick(r *request, choice *Choice) {
+	in := r.eligible.draw(true, c.p.random)
 	if in == nil {
-		in = e.draw(false, c.p.random)
+		in = r.eligible.draw(false, c.p.random)
 	}
-	return c.p.only(in, r)
+	c.p.only(in, r, choice)
 }
 
 type roundRobin struct {
-	p    *Picker
+	baseline
 	next atomic.Uint64
 }
 
-func (c *roundRobin) pick(e *eligible, r *request) Choice {
-	i := (c.next.Add(1) - 1) % uint64(e.len())
-	return c.p.only(e.at(int(i)).instance, r)
+func (c *roundRobin) pick(r *request, choice *Choice) {
+	i := (c.next.Add(1) - 1) % uint64(r.eligible.len())
+	c.p.only(r.eligible.members[i].instance, r, choice)
 }
 
-type leastOwn struct{ p *Picker }
+type leastOwn struct{ baseline }
 
-func (c *leastOwn) pick(e *eligible, r *request) Choice {
+func (c *leastOwn) pick(r *request, choice *Choice) {
 	var best *registrar.Instance
 	var bestReading sampler.Reading
-	start := int(c.p.random() % uint64(e.len()))
-	for i := range e.len() {
-		in := e.at((start + i) % e.len()).instance
+	start := int(c.p.random() % uint64(r.eligible.len()))
+	for i := range r.eligible.len() {
+		in := r.eligible.members[(start+i)%r.eligible.len()].instance
 		reading := c.p.read(in, r)
 		if best == nil || reading.Outstanding() < bestReading.Outstanding() {
 			best, bestReading = in, reading
 		}
 	}
-	return c.p.only(best, r)
+	c.p.only(best, r, choice)
 }
 
-// only returns the choice of in as the single candidate.
-func (p *Picker) only(in *registrar.Instance, r *request) Choice {
-	var choice Choice
+// only makes in the single candidate of the choice.
+func (p *Picker) only(in *registrar.Instance, r *request, choice *Choice) {
 	choice.add(Candidate{
 		instance: in,
 		reading:  p.read(in, r),
 		ground:   GroundPolicy,
 	})
-	return choice
 }
--- a/internal/version/compiler/benchmark_test.go
+++ b/internal/version/compiler/benchmark_test.go
@@ -59,40 +59,47 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-func BenchmarkParse(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, _ *controlwire.Document, files []compiler.Source) {
+// BenchmarkForms reports the bytes of the forms that a version could have:
+// entries, the text of the files, and a full copy for each site.
+func BenchmarkForms(b *testing.B) {
+	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, files []compiler.Source) {
+		var text, copies int
 		for b.Loop() {
-			_, err := compiler.Parse(files)
-			assert.NilError(b, err)
+			text, copies = 0, 0
+			for _, file := range files {
+				text += len(file.Data)
+			}
+			for _, site := range compiler.Sites(doc) {
+				copies += len(compiler.FormatEffective(doc, site))
+			}
 		}
+		b.ReportMetric(float64(proto.Size(doc)), "entries-B")
+		b.ReportMetric(float64(text), "text-B")
+		b.ReportMetric(float64(copies), "full-copies-B")
 	})
 }
 
-func BenchmarkCheckAll(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, _ []compiler.Source) {
-		for b.Loop() {
-			assert.NilError(b, compiler.CheckAll(doc))
-		}
-	})
-}
-
-func BenchmarkCompile(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, _ []compiler.Source) {
-		for b.Loop() {
+func BenchmarkSteps(b *testing.B) {
+	for name, step := range map[string]func(*controlwire.Document, []compiler.Source) error{
+		"parse": func(_ *controlwire.Document, files []compiler.Source) error {
+			_, err := compiler.Parse(files)
+			return err
+		},
+		"check": func(doc *controlwire.Document, _ []compiler.Source) error { return compiler.CheckAll(doc) },
+		"compile": func(doc *controlwire.Document, _ []compiler.Source) error {
 			_, err := compiler.Compile(doc, "site-0", 1)
-			assert.NilError(b, err)
-		}
-		b.ReportMetric(float64(proto.Size(doc)), "document-B")
-		b.ReportMetric(float64(len(doc.GetEntries())), "entries")
-	})
-}
-
-func BenchmarkDigest(b *testing.B) {
-	benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, _ []compiler.Source) {
-		for b.Loop() {
-			compiler.Digest(doc)
-		}
-	})
+			return err
+		},
+		"digest": func(doc *controlwire.Document, _ []compiler.Source) error { compiler.Digest(doc); return nil },
+	} {
+		b.Run(name, func(b *testing.B) {
+			benchmarkSites(b, func(b *testing.B, doc *controlwire.Document, files []compiler.Source) {
+				for b.Loop() {
+					assert.NilError(b, step(doc, files))
+				}
+			})
+		})
+	}
 }
 
 func BenchmarkApply(b *testing.B) {
