feat: idempotency keys in the node

The home of a key keeps it; a planned stop hands the keys over. Tried with three real nodes and a retention of 4 s: the same key through three nodes got one run; keys whose home was killed were refused; what is still wrong: such a refusal says not-run, which is true of this sending only.

--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -33,6 +33,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/keyer"
 	"github.com/banyanscale/banyanscale/internal/request/picker"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
@@ -48,6 +49,12 @@
 	rememberedRequests = 8192
 	// maxConnectionsPerNode bounds the connections to one other node.
 	maxConnectionsPerNode = 1024
+	// maxKeys bounds the remembered idempotency keys.
+	maxKeys = 200_000
+	// maxKeyBytes bounds the bytes of the answers that are kept for them.
+	maxKeyBytes = 48 << 20
+	// handOverTimeout bounds how long the keys are handed over on a planned stop.
+	handOverTimeout = 10 * time.Second
 	// connectionShare is the inverse of the share of an upstream's connections
 	// that stays free for others than this node.
 	connectionShare = 10
@@ -67,6 +74,7 @@
 	server      *server.Server
 	forwarder   *forwarder.Forwarder
 	explainer   *explainer.Explainer
+	keyer       *keyer.Keyer
 	watcher     *watcher.Watcher
 	meter       *accountant.Meter
 	reporter    *accountant.Reporter
@@ -164,6 +172,13 @@
 		Snapshots: n.snapshots,
 		Scope:     n.metrics.Scope().SubScope("server"),
 	})
+	n.keyer = keyer.New(keyer.Config{
+		Instance: s.Instance(),
+		Started:  n.gossiper.Self().Incarnation(),
+		Client:   keyer.NewClient(newPeerClient()),
+		MaxKeys:  maxKeys,
+		MaxBytes: maxKeyBytes,
+	})
 	choice, err := picker.New(picker.Config{
 		Pool:          n.pool,
 		Self:          s.Instance(),
@@ -181,6 +196,7 @@
 		Observer:  loadObserver{n.pool, n.gossiper.ReportUnreachable},
 		Requester: newRequester(maxConnectionsPerNode),
 		Local:     n.server,
+		Keys:      n.keyer,
 		Explainer: n.explainer,
 		Scope:     n.metrics.Scope().SubScope("forwarder"),
 		Log:       logger.Part(base, "forwarder"),
@@ -263,6 +279,7 @@
 	if err := requests.server.Shutdown(context.Background()); err != nil {
 		return fmt.Errorf("finish callers' requests: %w", err)
 	}
+	n.handOverKeys()
 	n.gossiper.Leave()
 	n.tomb.Kill(nil)
 	if err := firstError(n.reporter.Stop, n.watcher.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
@@ -272,6 +289,25 @@
 	return nil
 }
 
+// handOverKeys gives the idempotency keys to their next homes. Keys that could
+// not be handed over are answered with "unknown" there.
+func (n *Node) handOverKeys() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	instances := n.snapshots.Snapshot().View().Service(n.settings.Service())
+	if err := n.keyer.HandOver(ctx, instances, n.keyRetention()); err != nil {
+		n.log.Warn().Err(err).Msg("Idempotency keys could not be handed over.")
+	}
+}
+
+// keyRetention returns how long idempotency keys are remembered.
+func (n *Node) keyRetention() time.Duration {
+	if s := n.service(); s != nil {
+		return s.Spec().KeyRetention
+	}
+	return compiler.DefaultServiceSpec(n.settings.Service()).KeyRetention
+}
+
 // serveRequest tells requests of other nodes from those of callers.
 func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if n.leaving.Load() {
@@ -289,6 +325,7 @@
 	mux := goji.NewMux()
 	handle(mux, n.distributor.Handler)
 	handle(mux, n.gossiper.Handler)
+	mux.Handle(pat.New(keyer.PathPrefix+"*"), n.keyer.Handler(n.keyRetention))
 	mux.Handle(pat.Get("/metrics"), n.metrics.Handler())
 	mux.HandleFunc(pat.Get("/explain/:id"), n.serveExplain)
 	mux.HandleFunc(pat.Get("/status"), n.serveStatus)
@@ -342,6 +379,7 @@
 
 // setView puts a new picture of the fleet in force.
 func (n *Node) setView(view *registrar.View) {
+	n.keyer.Observe(view.Service(n.settings.Service()), n.keyRetention())
 	n.snapshots.SetView(view)
 	n.pool.Retain(func(id string) bool { return view.Instance(id) != nil })
 }
