--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -30,7 +30,7 @@
 var nextPort atomic.Uint32
 
 func TestMain(m *testing.M) {
-	nextPort.Store(7300)
+	nextPort.Store(7100)
 	testscript.Main(m, map[string]func(){
 		"banyanscale": func() { os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
@@ -58,11 +58,10 @@
 		Setup: func(env *testscript.Env) error {
 			examples, err := os.Getwd()
 			env.Setenv("EXAMPLES", examples+"/../../examples")
-			for i := 1; i <= 4; i++ {
-				env.Setenv(fmt.Sprintf("VOTER%d", i), netip.AddrPortFrom(loopback(), uint16(nextPort.Add(1))).String())
-			}
-			for i := range callerSessionPorts {
-				env.Setenv(fmt.Sprintf("ADDR%d", i), fmt.Sprintf("%s:72%02d", loopback(), i))
+			for i := range sessionAddresses {
+				address := netip.AddrPortFrom(loopback(), uint16(nextPort.Add(1))).String()
+				env.Setenv(fmt.Sprintf("ADDR%d", i), address)
+				env.Setenv(fmt.Sprintf("VOTER%d", i), address)
 			}
 			return err
 		},
--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// callerSessionPorts is how many addresses the caller's session gets, as $ADDR0 and so on.
-	callerSessionPorts = 10
+	// sessionAddresses is how many addresses each session gets, as $ADDR0 and
+	// so on, and as $VOTER1 and so on for control instances.
+	sessionAddresses = 10
 	// awaitTimeout bounds the wait for a condition of a session. Sessions go
 	// on as soon as it holds.
 	awaitTimeout = 60 * time.Second
