fix: a failed attempt takes no bytes of a streamed body from the next one

The sender of an attempt that failed before it sent anything could still read from the caller's body while the next attempt did: each would have sent a part. Now each attempt has a view of the body that ends with the attempt. Run: go test -race -count=3 on forwarder and explainer: pass; TestStreamedBody was seen to fail without the check of the owner.

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -26,7 +26,7 @@
 	repeatable bool
 	// body holds the request's body if it is small and of known length.
 	body []byte
-	// stream counts the reads of a body that is not held.
+	// stream is the body if it is not held.
 	stream *streamedBody
 	// header holds the end-to-end headers that all attempts have.
 	header  http.Header
@@ -77,7 +77,7 @@
 	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
 	if body == nil {
-		c.stream = &streamedBody{ReadCloser: c.r.Body}
+		c.stream = &streamedBody{src: c.r.Body}
 	}
 	return nil
 }
@@ -160,7 +160,7 @@
 func (c *call) state() retrier.State {
 	return retrier.State{
 		Repeatable:  c.repeatable,
-		BodySpent:   c.stream != nil && c.stream.spent.Load(),
+		BodySpent:   c.stream != nil && c.stream.revoke(),
 		Attempts:    c.attempts,
 		MaxAttempts: c.route.spec.MaxAttempts,
 		Budget:      c.budget,
@@ -178,7 +178,7 @@
 	case c.body != nil:
 		req.Body = requester.NewBytesBody(c.body)
 	case c.stream != nil:
-		req.Body = c.stream
+		req.Body = c.stream.view()
 	default:
 		req.Body = http.NoBody
 	}
