test: streamed bodies in the fault matrix

The reason of a request that broke while its body was streamed depended on whether the sender or the receiver noticed first; it is send-failed now unless the request was sent whole. Run: go test -race -count=12, and -cpu 1,3 -count=20, on forwarder: pass.

--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -53,12 +53,9 @@
 	if err == nil {
 		return e.accept(resp)
 	}
-	if sendErr == nil {
-		sendErr = e.senderError()
-	}
 	reason := receiveReason(e.conn)
-	if sendErr != nil && reason != classifier.ReasonMalformed {
-		return nil, e.fail(e.sendReason(), sendErr)
+	if reason == classifier.ReasonReset && (sendErr != nil || !e.sentWhole()) {
+		reason = e.sendReason()
 	}
 	return nil, e.fail(reason, err)
 }
@@ -182,13 +179,7 @@
 	return e.sender == nil || (!e.sender.Alive() && e.sender.Err() == nil)
 }
 
-func (e *exchange) senderError() error {
-	if e.sender == nil || e.sender.Alive() {
-		return nil
-	}
-	return e.sender.Err()
-}
-
+// sendReason returns why a request could not be sent to its end.
 func (e *exchange) sendReason() classifier.Reason {
 	if e.body != nil && e.body.failed.Load() {
 		return classifier.ReasonCanceled
--- a/internal/request/forwarder/fault_test.go
+++ b/internal/request/forwarder/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -120,20 +121,28 @@
 func TestFaults(t *testing.T) {
 	var matrix strings.Builder
 	for _, r := range append(nodeRows(), linkRows()...) {
-		for _, method := range []string{http.MethodGet, http.MethodPost} {
-			if r.step == sendBody && method == http.MethodGet {
+		for _, kind := range []string{"GET", "POST", streamedPost} {
+			if r.step == sendBody && kind == "GET" {
 				continue
 			}
-			name := fmt.Sprintf("%s/%s/%s/%s", r.step, r.fault, r.where, method)
-			t.Run(name, func(t *testing.T) { strike(t, r, method, &matrix) })
+			name := fmt.Sprintf("%s/%s/%s/%s", r.step, r.fault, r.where, kind)
+			t.Run(name, func(t *testing.T) { strike(t, r, kind, &matrix) })
 		}
 	}
 	golden.Assert(t, matrix.String(), "faults.golden")
 }
 
-func strike(t *testing.T, r row, method string, matrix *strings.Builder) {
+// streamedPost is a POST with a body that is not held in memory.
+const streamedPost = "streamed POST"
+
+func strike(t *testing.T, r row, kind string, matrix *strings.Builder) {
 	f := newFleet()
-	req := request(method)
+	req := request(kind)
+	if kind == streamedPost {
+		req = request(http.MethodPost)
+		req.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 40<<10)))
+		req.ContentLength = -1
+	}
 	r.prepare(f, req)
 	f.run(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -160,11 +169,11 @@
 		if outcome == classifier.Done {
 			assert.Assert(t, runs > 0, "a request that was done did not run")
 		}
-		if method == http.MethodPost {
+		if kind != http.MethodGet {
 			assert.Assert(t, runs <= 1, "ran %d times", runs)
 		}
 		assert.Assert(t, took <= deadline || errors.Is(err, context.DeadlineExceeded), "answered after %v", took)
-		fmt.Fprintf(matrix, "| %s | %s | %s | %s | %s | %d | %v |\n", r.step, r.fault, r.where, method, result, runs, took)
+		fmt.Fprintf(matrix, "| %s | %s | %s | %s | %s | %d | %v |\n", r.step, r.fault, r.where, kind, result, runs, took)
 	})
 }
 
