--- a/internal/process/sampler/pool.go
+++ b/internal/process/sampler/pool.go
@@ -25,7 +25,7 @@
 )
 
 // defaultUseLimit is how many own requests one sample may serve.
-const defaultUseLimit = 16
+const defaultUseLimit = 1
 
 // Config lists the settings of a Pool.
 type Config struct {
