--- a/internal/cmd/main_test.go
+++ b/internal/cmd/main_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,11 @@
 	eventuallyInterval = 200 * time.Millisecond
 )
 
+// nextPort counts the ports that scripts were given, so that no two share one.
+var nextPort atomic.Uint32
+
 func TestMain(m *testing.M) {
+	nextPort.Store(7300)
 	testscript.Main(m, map[string]func(){
 		"banyanscale": func() { os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
@@ -33,7 +38,8 @@
 
 // TestScripts runs the sessions of testdata. Besides the usual commands, a
 // script may use "control" (see runFakeControl), "exits CODE COMMAND ARGS...",
-// "eventually REGEXP COMMAND ARGS...", "expand FILES..." and "race COUNT ARGS...".
+// "eventually REGEXP COMMAND ARGS...", "expand FILES...", "race COUNT ARGS...",
+// "calls FILE", "await START METHOD ADDRESS HOST PATH" and "behave ADDRESS KIND".
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
@@ -45,12 +51,18 @@
 			"eventually": runEventually,
 			"expand":     runExpand,
 			"race":       runRace,
+			"calls":      runCalls,
+			"await":      runAwait,
+			"behave":     runBehave,
 		},
 		Setup: func(env *testscript.Env) error {
 			examples, err := os.Getwd()
 			env.Setenv("EXAMPLES", examples+"/../../examples")
-			for i := 1; i <= 3; i++ {
-				env.Setenv(fmt.Sprintf("VOTER%d", i), fmt.Sprintf("%s:710%d", loopback(), i))
+			for i := 1; i <= 4; i++ {
+				env.Setenv(fmt.Sprintf("VOTER%d", i), netip.AddrPortFrom(loopback(), uint16(nextPort.Add(1))).String())
+			}
+			for i := range callerSessionPorts {
+				env.Setenv(fmt.Sprintf("ADDR%d", i), fmt.Sprintf("%s:72%02d", loopback(), i))
 			}
 			return err
 		},
