--- a/internal/process/voter/faults_test.go
+++ b/internal/process/voter/faults_test.go
@@ -176,7 +176,7 @@
 
 func matrixRow(t *testing.T, c *cluster, step at, f fault) string {
 	t.Helper()
-	c.steady = true
+	c.setSteady()
 	assertAccepted(t, c.voter("v0"), change("first", 0), 1)
 	time.Sleep(2 * time.Second)
 	v0 := c.voter("v0")
--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -71,8 +71,7 @@
 
 // beat does the work of one heartbeat.
 func (m *monitor) beat(ctx context.Context) {
-	if held, _ := m.voter.acceptor.held(); held == nil {
-		m.join(ctx)
+	if held, _ := m.voter.acceptor.held(); held == nil && !m.join(ctx) {
 		return
 	}
 	s := m.survey(ctx)
@@ -87,8 +86,9 @@
 	m.repair(ctx, s, chosen)
 }
 
-// join looks for a group to belong to, or forms one.
-func (m *monitor) join(ctx context.Context) {
+// join looks for a group to belong to, or forms one. It reports whether the
+// instance now holds the group's state.
+func (m *monitor) join(ctx context.Context) bool {
 	for _, address := range m.voter.cfg.Initial {
 		if address == m.voter.cfg.Address {
 			continue
@@ -99,17 +99,19 @@
 		cancel()
 		if err == nil && resp.GetPosition().GetLearnedOrigin() != nil && m.pullFrom(ctx, peer, resp.GetPosition()) {
 			m.voter.cfg.Log.Info().Str("from", address).Msg("State of the group received.")
-			return
+			return true
 		}
 	}
 	if !m.voter.mayForm() {
-		return
+		return false
 	}
 	formCtx, cancel := context.WithTimeout(ctx, operationTimeout)
 	defer cancel()
 	if err := m.voter.form(formCtx); err != nil {
 		m.voter.cfg.Log.Debug().Err(err).Msg("Group not formed yet.")
+		return false
 	}
+	return true
 }
 
 // survey asks all voters what they hold.
--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -50,6 +50,13 @@
 	return &handle{disk: d, records: d.synced}
 }
 
+// count returns how many appends were made durable.
+func (d *disk) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.writes
+}
+
 func (h *handle) Records() [][]byte { return h.records }
 func (h *handle) Appended() int64   { h.mu.Lock(); defer h.mu.Unlock(); return h.bytes }
 
@@ -146,7 +153,9 @@
 
 // add starts an instance with an empty disk.
 func (c *cluster) add(address string) {
+	c.mu.Lock()
 	c.instances[address] = &instance{address: address, disk: &disk{}}
+	c.mu.Unlock()
 	c.start(address)
 }
 
@@ -207,7 +216,9 @@
 // lose crashes an instance and returns it with an empty disk.
 func (c *cluster) lose(address string) {
 	c.crash(address)
+	c.mu.Lock()
 	c.instances[address].disk = &disk{}
+	c.mu.Unlock()
 	c.start(address)
 }
 
@@ -218,6 +229,13 @@
 	time.Sleep(10 * time.Second) // Lets what is on its way come to its end.
 }
 
+// setSteady makes every message take the same time.
+func (c *cluster) setSteady() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.steady = true
+}
+
 func (c *cluster) setFilter(filter func(to string, req proto.Message) error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -309,6 +327,7 @@
 		err  error
 	}
 	results := make(chan result, 2)
+	req = proto.Clone(req).(Req) // The sender may change its own.
 	deliver := func() {
 		if !p.cluster.travel(p.from, p.to, p.handle) {
 			return
--- a/internal/process/voter/state.go
+++ b/internal/process/voter/state.go
@@ -99,10 +99,14 @@
 // changeNumbered returns the change that made the given version, or nil.
 func (s *State) changeNumbered(number uint64) *controlwire.HistoryEntry {
 	history := s.wire.GetHistory()
-	if len(history) == 0 || number < history[0].GetNumber() || number > s.number() {
+	if len(history) == 0 || number < history[0].GetNumber() {
 		return nil
 	}
-	return history[number-history[0].GetNumber()]
+	i := number - history[0].GetNumber()
+	if i >= uint64(len(history)) {
+		return nil
+	}
+	return history[i]
 }
 
 // changeNamed returns the accepted change with the given id, or nil.
