--- a/internal/cmd/config_check.go
+++ b/internal/cmd/config_check.go
@@ -6,7 +6,8 @@
 	"github.com/alecthomas/kingpin/v2"
 )
 
-func addConfigCheck(app *kingpin.Application, env *environment) (string, action) {
+// configCheckCmd adds the command that checks files without any control instance.
+func configCheckCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("check", "Check a base file and its overlays, for every site.")
 	files := command.Arg("files", "The base file and the overlays of all sites.").Required().Strings()
 	return command.FullCommand(), func() error {
--- a/internal/cmd/config_diff.go
+++ b/internal/cmd/config_diff.go
@@ -14,7 +14,8 @@
 // errDiffUsage reports that the command was not told what to compare with.
 var errDiffUsage = errors.New("give either --control or --against")
 
-func addConfigDiff(app *kingpin.Application, env *environment) (string, action) {
+// configDiffCmd adds the command that tells what files would change at each site.
+func configDiffCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("diff", "Tell what a base file and its overlays would change at each site.")
 	flags := &controlFlags{}
 	flags.add(command, false)
--- a/internal/cmd/config_show.go
+++ b/internal/cmd/config_show.go
@@ -31,7 +31,8 @@
 	effective bool
 }
 
-func addConfigShow(app *kingpin.Application, env *environment) (string, action) {
+// configShowCmd adds the command that shows the version in force.
+func configShowCmd(app *kingpin.Application, env *environment) (string, action) {
 	command := configCommand(app).Command("show", "Show the version in force, as files to edit.")
 	flags := &controlFlags{}
 	flags.add(command, true)
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -18,13 +19,15 @@
 
 const (
 	// exchangeInterval is the average time between exchanges with peers whose tables differ.
-	exchangeInterval = 10 * time.Second
+	exchangeInterval = 3 * time.Second
 	// joinInterval is the average time between exchanges while the table is not complete.
 	joinInterval = 200 * time.Millisecond
 	// seedInterval is the average time between exchanges while no other instance is known.
 	seedInterval = time.Second
-	// exchangeTimeout bounds one call.
+	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 2 * time.Second
+	// joinTimeout bounds one exchange while the table is not complete.
+	joinTimeout = time.Second
 	// callOverhead is the bytes of headers that a call or an answer adds, with those of TCP.
 	callOverhead = 400
 	// maxCallBytes bounds the body of one call or answer.
@@ -33,6 +36,9 @@
 	maxWanted = 64
 )
 
+// errBudget tells an asking process to turn to another one.
+var errBudget = errors.New("the byte budget for membership is spent")
+
 // Client calls the membership service of another process.
 type Client interface {
 	Compare(ctx context.Context, to netip.AddrPort, req *gossipwire.CompareRequest) (*gossipwire.CompareResponse, error)
@@ -90,12 +96,16 @@
 	peer, ok := g.exchangePeer(now)
 	x.next = now.Add(g.exchangeDelay())
 	x.differing = netip.AddrPort{}
-	if !ok || !g.budget.takeBulk(now, callOverhead) {
+	if !ok || !g.budget.takeBulk(callOverhead) {
 		return
 	}
+	timeout := exchangeTimeout
+	if x.joining {
+		timeout = joinTimeout
+	}
 	x.running = true
 	g.tomb.Go(func() error {
-		g.runExchange(peer)
+		g.runExchange(peer, timeout)
 		return nil
 	})
 }
@@ -123,8 +133,8 @@
 	return g.missingSeed()
 }
 
-func (g *Gossiper) runExchange(peer netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), exchangeTimeout)
+func (g *Gossiper) runExchange(peer netip.AddrPort, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), timeout)
 	defer cancel()
 	g.metrics.count(eventExchange)
 	version, err := g.compareWith(ctx, peer)
@@ -168,11 +178,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	req := &gossipwire.CompareRequest{Sender: encodeFull(g.self), Digests: append([]uint32(nil), g.table.digests[:]...)}
-	return req, g.spendCall(proto.Size(req), time.Now())
+	return req, g.spendCall(proto.Size(req))
 }
 
-func (g *Gossiper) spendCall(size int, now time.Time) bool {
-	if !g.budget.takeBulk(now, size) {
+func (g *Gossiper) spendCall(size int) bool {
+	if !g.budget.takeBulk(size) {
 		g.metrics.count(eventOverBudget)
 		return false
 	}
@@ -192,11 +202,11 @@
 		g.apply(u, now)
 	}
 	req := &gossipwire.ReconcileRequest{}
-	room := g.budget.bulk(now) - callOverhead
+	room := g.budget.bulk() - callOverhead
 	for _, b := range resp.GetBuckets() {
 		room = g.reconcileBucket(b, req, room, now)
 	}
-	if !g.spendCall(proto.Size(req)+callOverhead, now) {
+	if !g.spendCall(proto.Size(req) + callOverhead) {
 		return &gossipwire.ReconcileRequest{}
 	}
 	return req
@@ -265,27 +275,45 @@
 
 // Compare answers with differing buckets, as many as the budget allows.
 func (s server) Compare(_ context.Context, req *connect.Request[gossipwire.CompareRequest]) (*connect.Response[gossipwire.CompareResponse], error) {
-	return connect.NewResponse(s.g.ServeCompare(req.Msg)), nil
+	resp, err := s.g.ServeCompare(req.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // Reconcile takes newer records and answers with those that are wanted.
 func (s server) Reconcile(_ context.Context, req *connect.Request[gossipwire.ReconcileRequest]) (*connect.Response[gossipwire.ReconcileResponse], error) {
-	return connect.NewResponse(s.g.ServeReconcile(req.Msg)), nil
+	resp, err := s.g.ServeReconcile(req.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	return connect.NewResponse(resp), nil
 }
 
-// ServeCompare answers a comparison of tables.
-func (g *Gossiper) ServeCompare(req *gossipwire.CompareRequest) *gossipwire.CompareResponse {
+// ServeCompare answers a comparison of tables. It fails if the budget is spent.
+func (g *Gossiper) ServeCompare(req *gossipwire.CompareRequest) (*gossipwire.CompareResponse, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.noticeFreeze(now)
 	g.apply(req.GetSender(), now)
-	resp := &gossipwire.CompareResponse{Sender: encodeFull(g.self), Version: g.version}
-	if g.detector.resyncing(now) || len(req.GetDigests()) != bucketCount {
-		resp.More = true
-		return resp
+	resp := &gossipwire.CompareResponse{Sender: encodeFull(g.self), Version: g.version, More: true}
+	room := g.budget.bulk() - callOverhead - proto.Size(resp)
+	if room < 0 {
+		g.metrics.count(eventOverBudget)
+		return nil, errBudget
 	}
-	room := g.budget.bulk(now) - callOverhead - proto.Size(resp)
+	if !g.detector.resyncing(now) && len(req.GetDigests()) == bucketCount {
+		resp.More = g.addBuckets(resp, req, room)
+	}
+	g.spendCall(proto.Size(resp) + callOverhead)
+	return resp, nil
+}
+
+// addBuckets adds differing buckets within room bytes, beginning with a random
+// one, and reports whether some were left out.
+func (g *Gossiper) addBuckets(resp *gossipwire.CompareResponse, req *gossipwire.CompareRequest, room int) bool {
 	start := g.cfg.Random.IntN(bucketCount)
 	byBucket := g.table.byBucket()
 	for i := range bucketCount {
@@ -295,13 +323,11 @@
 		}
 		used, ok := addBucket(resp, index, byBucket[index], req.GetDigests()[index] == 0, room)
 		if !ok {
-			resp.More = true
-			break
+			return true
 		}
 		room -= used
 	}
-	g.spendCall(proto.Size(resp)+callOverhead, now)
-	return resp
+	return false
 }
 
 // addBucket adds one bucket to an answer, as full records if the asking
@@ -309,7 +335,7 @@
 func addBucket(resp *gossipwire.CompareResponse, index int, members []*member, full bool, room int) (int, bool) {
 	bucket := &gossipwire.Bucket{Index: uint32(index)}
 	var records []*gossipwire.Update
-	size := fieldOverhead
+	size := 2 * fieldOverhead
 	for _, m := range members {
 		u := encodeShort(m)
 		if full && m.live() {
@@ -330,8 +356,8 @@
 	return size, true
 }
 
-// ServeReconcile answers an exchange of records.
-func (g *Gossiper) ServeReconcile(req *gossipwire.ReconcileRequest) *gossipwire.ReconcileResponse {
+// ServeReconcile answers an exchange of records. It fails if the budget is spent.
+func (g *Gossiper) ServeReconcile(req *gossipwire.ReconcileRequest) (*gossipwire.ReconcileResponse, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -340,7 +366,11 @@
 		g.apply(u, now)
 	}
 	resp := &gossipwire.ReconcileResponse{}
-	room := g.budget.bulk(now) - callOverhead
+	room := g.budget.bulk() - callOverhead
+	if room < 0 {
+		g.metrics.count(eventOverBudget)
+		return nil, errBudget
+	}
 	for _, id := range req.GetWanted() {
 		m := g.table.members[id]
 		if m == nil || !m.live() {
@@ -352,6 +382,6 @@
 		}
 		resp.Records = append(resp.Records, record)
 	}
-	g.spendCall(proto.Size(resp)+callOverhead, now)
-	return resp
+	g.spendCall(proto.Size(resp) + callOverhead)
+	return resp, nil
 }
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 
 	"github.com/rs/zerolog"
 	"goji.io"
@@ -13,6 +14,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/controller"
 	"github.com/banyanscale/banyanscale/internal/process/distributor"
@@ -45,6 +47,8 @@
 	distributor *distributor.Distributor
 	voter       *voter.Voter
 	controller  *controller.Controller
+	ledger      *accountant.Ledger
+	replicator  *accountant.Replicator
 	tomb        tomb.Tomb
 }
 
@@ -84,7 +88,12 @@
 	if err != nil {
 		return fmt.Errorf("make the voter: %w", err)
 	}
-	c.controller = controller.New(c.voter, documentChecker{}, newLedger())
+	c.ledger, err = accountant.NewLedger(store, base, c.metrics.Scope().SubScope("accountant"))
+	if err != nil {
+		return fmt.Errorf("read the ledger: %w", err)
+	}
+	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(newPeerClient()), c.otherControls, base)
+	c.controller = controller.New(c.voter, documentChecker{}, c.ledger)
 	return nil
 }
 
@@ -134,6 +143,8 @@
 	c.distributor.Start()
 	c.tomb.Go(peer.serve)
 	c.voter.Start()
+	c.ledger.Start()
+	c.replicator.Start()
 	c.log.Info().Stringer("peer", c.settings.PeerAddress()).Msg("Started.")
 	select {
 	case <-ctx.Done():
@@ -142,7 +153,7 @@
 	c.log.Info().Msg("Stopping.")
 	c.gossiper.Leave()
 	c.tomb.Kill(nil)
-	err = firstError(peer.close, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.metrics.Close)
+	err = firstError(peer.close, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.metrics.Close)
 	if err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
@@ -159,6 +170,12 @@
 	return mux
 }
 
+// otherControls returns where the other control instances are.
+func (c *Control) otherControls() []netip.AddrPort {
+	all := controlsIn(c.gossiper.View())
+	return slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == c.settings.PeerAddress() })
+}
+
 // offer hands a version that the voters accepted to the fleet.
 func (c *Control) offer(version *controlwire.Version) {
 	if err := c.distributor.Offer(version); err != nil {
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -18,12 +18,14 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/process/gossiper"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
@@ -66,6 +68,9 @@
 	forwarder   *forwarder.Forwarder
 	explainer   *explainer.Explainer
 	watcher     *watcher.Watcher
+	meter       *accountant.Meter
+	reporter    *accountant.Reporter
+	prober      *prober.Prober
 	announcer   *announcer.Announcer
 	leaving     atomic.Bool
 	tomb        tomb.Tomb
@@ -136,12 +141,15 @@
 func (n *Node) assemblePath(base zerolog.Logger) error {
 	s := n.settings
 	spec := compiler.DefaultServiceSpec(s.Service())
+	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
 	n.admitter = admitter.New(admitter.Config{
 		Slots:       orDefault(s.Slots(), spec.Slots),
 		Connections: orDefault(s.Connections(), spec.Connections),
 		QueueLength: spec.QueueLength,
 		ColdStart:   spec.ColdStart,
+		Observer:    n.meter,
 	})
+	n.assembleReports(base)
 	n.watcher = watcher.New(watcher.Config{
 		Upstream: s.UpstreamAddress(),
 		Dialer:   &net.Dialer{},
@@ -169,8 +177,8 @@
 	n.forwarder = forwarder.New(forwarder.Config{
 		Instance:  s.Instance(),
 		Snapshots: n.snapshots,
-		Picker:    choicePicker{choice},
-		Observer:  loadObserver{n.pool},
+		Picker:    choicePicker{choice, n.observeOwn},
+		Observer:  loadObserver{n.pool, n.gossiper.ReportUnreachable},
 		Requester: newRequester(maxConnectionsPerNode),
 		Local:     n.server,
 		Explainer: n.explainer,
@@ -180,6 +188,42 @@
 	return nil
 }
 
+// assembleReports makes the parts that measure and report load.
+func (n *Node) assembleReports(base zerolog.Logger) {
+	n.reporter = accountant.NewReporter(accountant.ReporterConfig{
+		Meter:   n.meter,
+		Self:    n.gossiper.Self,
+		InForce: n.distributor.InForce,
+		Control: n.controlAddresses,
+		Sender:  accountant.NewSender(newPeerClient()),
+		Logger:  logger.Part(base, "accountant"),
+		Scope:   n.metrics.Scope().SubScope("accountant"),
+		Random:  newRandom(),
+	})
+	n.prober = prober.New(prober.Config{
+		Pool:        n.pool,
+		Source:      n.snapshots,
+		Transport:   probeTransport{n.courier},
+		Self:        n.settings.Instance(),
+		Incarnation: n.gossiper.Self().Incarnation(),
+		Own:         n.admitter,
+		Scope:       n.metrics.Scope().SubScope("prober"),
+		Log:         logger.Part(base, "prober"),
+	})
+	n.courier.Handle(courier.KindProbe, n.answerProbe)
+	n.courier.Handle(courier.KindProbeAnswer, func(from netip.AddrPort, payload []byte) {
+		n.prober.HandleAnswer(from, payload, time.Now())
+	})
+}
+
+// answerProbe tells another node the load of this one's upstream. An answer
+// that cannot be sent is like one that is lost.
+func (n *Node) answerProbe(from netip.AddrPort, payload []byte) {
+	if answer := n.prober.HandleProbe(from, payload); answer != nil {
+		_ = n.courier.Send(courier.KindProbeAnswer, from, answer)
+	}
+}
+
 // Run takes requests until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	peer, err := listen(ctx, n.settings.PeerAddress(), n.peerHandler())
@@ -196,6 +240,8 @@
 	n.tomb.Go(peer.serve)
 	n.tomb.Go(requests.serve)
 	n.watcher.Start()
+	n.reporter.Start()
+	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
 	n.log.Info().Stringer("http", n.settings.HTTPAddress()).Stringer("peer", n.settings.PeerAddress()).Msg("Started.")
 	select {
 	case <-ctx.Done():
@@ -219,7 +265,7 @@
 	}
 	n.gossiper.Leave()
 	n.tomb.Kill(nil)
-	if err := firstError(n.watcher.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
+	if err := firstError(n.reporter.Stop, n.watcher.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
 	n.log.Info().Msg("Stopped.")
@@ -279,10 +325,21 @@
 		spec := s.Spec()
 		slots, connections := orDefault(n.settings.Slots(), spec.Slots), orDefault(n.settings.Connections(), spec.Connections)
 		n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
+		n.gossiper.Resize(slots, connections)
 	}
 	return true
 }
 
+// observeOwn takes a sample of the own upstream for a choice among its service.
+func (n *Node) observeOwn(service string, now time.Time) {
+	if service != n.settings.Service() {
+		return
+	}
+	if self := n.snapshots.Snapshot().View().Instance(n.settings.Instance()); self != nil {
+		n.pool.Observe(self.ID(), self.Incarnation(), n.admitter.Load(), now)
+	}
+}
+
 // setView puts a new picture of the fleet in force.
 func (n *Node) setView(view *registrar.View) {
 	n.snapshots.SetView(view)
@@ -299,7 +356,7 @@
 	spec := compiler.DefaultServiceSpec(s.Service())
 	return registrar.Spec{
 		ID:            s.Instance(),
-		State:         registrar.StateLeaving, // It takes no work before a configuration is in force.
+		State:         registrar.StateStarting,
 		Service:       s.Service(),
 		Owner:         s.Owner(),
 		Site:          s.Site(),
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -6,16 +6,18 @@
 )
 
 const (
-	// windowResults is how many latencies decide one step of the limit.
-	windowResults = 24
+	// windowResults and windowLength are how many latencies, over at least what
+	// time, decide one step of the limit. A burst of a noisy neighbor is shorter.
+	windowResults = 12
+	windowLength  = 300 * time.Millisecond
 	// tolerance is how many times the baseline a latency may be before the limit falls.
 	tolerance = 2
-	// decrease is the factor by which the limit falls in one step.
-	decrease = 0.75
+	// maxDecrease is the least factor by which the limit falls in one step.
+	maxDecrease = 0.5
 	// minShare is the part of the slots that the limit never falls below, and
 	// at which a cold start begins.
 	minShare = 1.0 / 3
-	// latencyWeight is the weight of a new latency in the moving average.
+	// latencyWeight is the weight of a new duration in a moving average.
 	latencyWeight = 1.0 / 8
 	// baselineFall and baselineRise are the time constants by which the baseline
 	// follows a lower and a higher latency.
@@ -26,12 +28,17 @@
 	// idleHalfLife is how long an idle upstream takes to lose half of its
 	// latency above the baseline, so that it is tried again.
 	idleHalfLife = time.Second
-	fullyWarm    = 100
+	// failureWeight is the weight of a new result in the failure rate.
+	failureWeight = 1.0 / 8
+	// failureHalfLife is how long it takes until half of a failure rate is
+	// forgotten, so that an upstream without work is tried again.
+	failureHalfLife = 2 * time.Second
+	fullPercent     = 100
 )
 
-// limiter holds the adaptive limit of one upstream: additive increase while it
-// is reached and latency is near its baseline, multiplicative decrease when
-// latency exceeds the tolerance.
+// limiter holds the adaptive limit of one upstream. The limit grows by one
+// while it is reached and latency is near its baseline, and falls in proportion
+// to how far latency exceeds the tolerance.
 type limiter struct {
 	slots, connections int
 	coldStart          time.Duration
@@ -39,10 +46,14 @@
 	current            float64
 
 	average, baseline, fastest         time.Duration
+	slotTime                           time.Duration // Moving average.
 	windowEnd, fastestAt, lastObserved time.Time
 	windowTotal                        time.Duration
 	windowCount                        int
 	saturated                          bool
+
+	failures float64 // Failure rate at endedAt.
+	endedAt  time.Time
 }
 
 func newLimiter(slots, connections int, coldStart time.Duration, now time.Time) *limiter {
@@ -66,17 +77,38 @@
 	return l.baseline + time.Duration(excess*math.Exp2(-float64(age)/float64(idleHalfLife)))
 }
 
+// ended takes in whether an exchange failed.
+func (l *limiter) ended(failed bool, now time.Time) {
+	rate := l.failureRate(now)
+	if failed {
+		rate += failureWeight * (1 - rate)
+	} else {
+		rate -= failureWeight * rate
+	}
+	l.failures = rate
+	l.endedAt = now
+}
+
+// failureRate returns the smoothed share of exchanges that failed.
+func (l *limiter) failureRate(now time.Time) float64 {
+	age := max(now.Sub(l.endedAt), 0)
+	return l.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
+}
+
 // fastestLatency returns the least latency seen lately.
 func (l *limiter) fastestLatency(now time.Time) time.Duration {
 	age := now.Sub(l.fastestAt)
 	return min(time.Duration(float64(l.fastest)*math.Exp2(float64(age)/float64(fastestRise))), l.average)
 }
 
+// held takes in for how long an exchange held its slot.
+func (l *limiter) held(d time.Duration) { l.slotTime = smoothed(l.slotTime, d) }
+
 // limit returns how many requests may run at once now.
 func (l *limiter) limit(now time.Time) int {
 	limit := l.current
-	if warm := l.warmPercent(now); warm < fullyWarm {
-		share := minShare + (1-minShare)*float64(warm)/fullyWarm
+	if warm := l.warmPercent(now); warm < fullPercent {
+		share := minShare + (1-minShare)*float64(warm)/fullPercent
 		limit = min(limit, share*float64(l.ceiling()))
 	}
 	return max(int(math.Round(limit)), 1)
@@ -86,10 +118,7 @@
 // all of the limit was in use.
 func (l *limiter) observe(latency time.Duration, saturated bool, now time.Time) {
 	l.lastObserved = now
-	if l.average == 0 {
-		l.average = latency
-	}
-	l.average += time.Duration(latencyWeight * float64(latency-l.average))
+	l.average = smoothed(l.average, latency)
 	if l.fastest == 0 || latency <= l.fastestLatency(now) {
 		l.fastest = latency
 		l.fastestAt = now
@@ -97,8 +126,8 @@
 	l.windowTotal += latency
 	l.windowCount++
 	l.saturated = l.saturated || saturated
-	if l.windowCount >= windowResults {
-		l.step(l.windowTotal/windowResults, now)
+	if l.windowCount >= windowResults && now.Sub(l.windowEnd) >= windowLength {
+		l.step(l.windowTotal/time.Duration(l.windowCount), now)
 	}
 }
 
@@ -110,7 +139,7 @@
 	l.windowTotal = 0
 	l.windowCount = 0
 	l.saturated = false
-	if l.warmPercent(now) < fullyWarm {
+	if l.warmPercent(now) < fullPercent {
 		return
 	}
 	if l.baseline == 0 {
@@ -118,7 +147,8 @@
 	}
 	switch {
 	case mean > tolerance*l.baseline:
-		l.current = max(l.current*decrease, minShare*float64(l.ceiling()))
+		gradient := float64(tolerance*l.baseline) / float64(mean)
+		l.current = max(l.current*max(gradient, maxDecrease), minShare*float64(l.ceiling()))
 	case saturated:
 		l.current = min(l.current+1, float64(l.ceiling()))
 	}
@@ -149,7 +179,16 @@
 func (l *limiter) warmPercent(now time.Time) int {
 	elapsed := now.Sub(l.started)
 	if elapsed >= l.coldStart {
-		return fullyWarm
+		return fullPercent
+	}
+	return int(max(elapsed, 0) * fullPercent / l.coldStart)
+}
+
+// smoothed returns the moving average after one more duration. The first one
+// stands for itself.
+func smoothed(average, d time.Duration) time.Duration {
+	if average == 0 {
+		return d
 	}
-	return int(max(elapsed, 0) * fullyWarm / l.coldStart)
+	return average + time.Duration(latencyWeight*float64(d-average))
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -29,8 +29,20 @@
 }
 
 // try picks an instance that was not tried yet and sends the request there.
-// It returns nil if there is none.
-func (c *call) try(cause classifier.Reason) *attempt {
+// It returns nil if there is none. The headers in extra are added.
+func (c *call) try(cause classifier.Reason, extra http.Header) *attempt {
+	a := c.pick(cause)
+	if a == nil {
+		return nil
+	}
+	c.send(c.ctx, a, extra)
+	c.trace.AddAttempt(a.explained())
+	return a
+}
+
+// pick starts an attempt at an instance that was not tried yet, or returns nil
+// if there is none.
+func (c *call) pick(cause classifier.Reason) *attempt {
 	a := &attempt{cause: cause, start: time.Now()}
 	var ok bool
 	a.choice, ok = c.forwarder.cfg.Picker.Pick(Query{
@@ -44,36 +56,49 @@
 	}
 	c.attempts++
 	c.exclude = append(c.exclude, a.choice.Instance.ID())
-	a.resp, a.refusal = c.send(c.ctx, a.choice.Instance) //nolint:bodyclose // Closed by who takes or discards the attempt.
-	a.end = time.Now()
-	c.trace.AddAttempt(a.explained())
 	return a
 }
 
-// send performs one exchange with an instance and tells the observer.
-func (c *call) send(ctx context.Context, in *registrar.Instance) (*http.Response, *refuser.Refusal) {
+// send performs the exchange of an attempt and tells the observer.
+func (c *call) send(ctx context.Context, a *attempt, extra http.Header) {
 	observer := c.forwarder.cfg.Observer
-	start := time.Now()
-	observer.Sent(in.ID())
-	resp, refusal := c.exchange(ctx, in)
-	failed := blamesInstance(refusal)
-	if resp != nil {
-		failed = resp.StatusCode >= http.StatusInternalServerError
-	}
-	observer.Finished(in.ID(), Result{Latency: time.Since(start), Failed: failed})
-	return resp, refusal
+	id := a.choice.Instance.ID()
+	observer.Sent(id)
+	resp, refusal := c.exchange(ctx, a.choice.Instance, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
+	a.resp, a.refusal = resp, refusal
+	a.end = time.Now()
+	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
+	observer.Finished(id, Result{
+		Latency:     a.end.Sub(a.start),
+		Failed:      failed,
+		Refused:     refusal != nil && !failed,
+		Unreachable: refusal != nil && refusal.Reason() == classifier.ReasonConnect,
+	})
 }
 
-func (c *call) exchange(ctx context.Context, in *registrar.Instance) (*http.Response, *refuser.Refusal) {
-	f := c.forwarder
-	req := c.request()
-	if deadline, ok := ctx.Deadline(); ok {
-		left := time.Until(deadline).Milliseconds()
-		if left <= 0 {
-			return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
-		}
-		req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+// exchange sends the request and receives the head of the answer, and the body
+// if it is small.
+func (c *call) exchange(ctx context.Context, in *registrar.Instance, extra http.Header) (*http.Response, *refuser.Refusal) {
+	req := c.request(extra)
+	left := timeLeft(ctx)
+	if left <= 0 {
+		return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
+	}
+	req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	resp, refusal := c.deliver(ctx, in, req)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := holdAnswer(resp); refusal != nil {
+		return nil, refusal
 	}
+	return resp, nil
+}
+
+// deliver hands the request to the instance's serving node, or serves it in
+// process if the instance is this node's own.
+func (c *call) deliver(ctx context.Context, in *registrar.Instance, req *http.Request) (*http.Response, *refuser.Refusal) {
+	f := c.forwarder
 	if in.ID() == f.cfg.Instance && f.cfg.Local != nil {
 		resp, err := f.cfg.Local.Exchange(ctx, req)
 		if err != nil {
@@ -95,6 +120,12 @@
 	return resp, nil
 }
 
+// timeLeft returns the milliseconds until the deadline of ctx.
+func timeLeft(ctx context.Context) int64 {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline).Milliseconds()
+}
+
 // failure returns what is wrong with the attempt; its reason is ReasonNone if nothing is.
 func (a *attempt) failure() retrier.Failure {
 	if a.refusal != nil {
@@ -117,17 +148,23 @@
 	}
 }
 
-func (a *attempt) explained() explainer.Attempt {
-	e := explainer.Attempt{
+// begun returns what there is to explain before the attempt has ended.
+func (a *attempt) begun() explainer.Attempt {
+	return explainer.Attempt{
 		Instance:   a.choice.Instance.ID(),
 		Candidates: a.choice.Candidates,
 		Cause:      a.cause,
 		Start:      a.start,
-		End:        a.end,
-		Outcome:    classifier.Done,
 	}
+}
+
+// explained returns what there is to explain after the attempt has ended.
+func (a *attempt) explained() explainer.Attempt {
+	e := a.begun()
+	e.End = a.end
 	if a.resp != nil {
 		e.Status = a.resp.StatusCode
+		e.Outcome = classifier.Done
 		return e
 	}
 	e.Outcome = a.refusal.Outcome()
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"io"
+	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
@@ -14,10 +15,6 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// maxBufferedBody is the size, in bytes, up to which the body of a request is
-// held in memory, so that it can be sent to another instance after a not-run.
-const maxBufferedBody = 16 << 10
-
 // call is one request of a caller on its way through attempts.
 type call struct {
 	ctx        context.Context
@@ -40,7 +37,7 @@
 	mayHaveRun bool
 }
 
-func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) (*call, *refuser.Refusal) {
+func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) *call {
 	c := &call{
 		ctx:        ctx,
 		forwarder:  f,
@@ -55,25 +52,43 @@
 	c.header.Set(classifier.HeaderDepth, strconv.Itoa(route.depth))
 	c.header[classifier.HeaderRequestID] = []string{trace.ID()}
 	c.header.Set(classifier.HeaderHop, "1")
+	c.header.Del(classifier.HeaderKeyHome)
 	c.header.Set(classifier.HeaderService, route.spec.Name)
-	return c, c.holdBody()
+	return c
 }
 
-// holdBody reads a small body into memory. Nothing was sent if it fails.
-func (c *call) holdBody() *refuser.Refusal {
-	switch n := c.r.ContentLength; {
-	case n == 0:
+// holdBody reads a small body into memory, until the deadline. Nothing was
+// sent if it fails.
+func (c *call) holdBody(w http.ResponseWriter) *refuser.Refusal {
+	if c.r.ContentLength == 0 {
 		return nil
-	case n < 0 || n > maxBufferedBody:
+	}
+	control := http.NewResponseController(w)
+	deadline, _ := c.ctx.Deadline()
+	// A writer that takes no deadline belongs to no connection that could stall.
+	_ = control.SetReadDeadline(deadline)
+	body, err := relayer.HoldBody(c.r)
+	if err != nil && c.ctx.Err() != nil {
+		return refuser.New(classifier.NotRun, classifier.ReasonDeadline)
+	}
+	if err != nil {
+		return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	c.body = body
+	if body == nil {
 		c.stream = &streamedBody{ReadCloser: c.r.Body}
-		return nil
-	default:
-		c.body = make([]byte, n)
-		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
-			return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
-		}
-		return nil
 	}
+	return nil
+}
+
+// serve answers a request, by way of the home of its idempotency key if it has one.
+func (c *call) serve() (*http.Response, *refuser.Refusal) {
+	key := c.r.Header.Get(classifier.HeaderIdempotencyKey)
+	if key == "" || c.repeatable || c.forwarder.cfg.Keys == nil {
+		return c.run()
+	}
+	return c.serveKeyed(key)
 }
 
 // run tries instances until one answers or no further attempt is allowed.
@@ -81,7 +96,7 @@
 	cause := classifier.ReasonNone
 	var last *refuser.Refusal
 	for {
-		a := c.try(cause)
+		a := c.tryHedged(cause)
 		if a == nil {
 			return nil, c.conclude(last)
 		}
@@ -152,12 +167,12 @@
 	}
 }
 
-// request returns the request of one attempt, with headers of its own.
-func (c *call) request() *http.Request {
-	header := make(http.Header, len(c.header)+1)
-	for name, values := range c.header {
-		header[name] = values
-	}
+// request returns the request of one attempt, with headers of its own and
+// those in extra.
+func (c *call) request(extra http.Header) *http.Request {
+	header := make(http.Header, len(c.header)+len(extra)+1)
+	maps.Copy(header, c.header)
+	maps.Copy(header, extra)
 	req := relayer.NewRequest(c.r, header)
 	switch {
 	case c.body != nil:
