fix: deltas fit what the compiler applies; changes are diffed in one place

A delta over versions in which an entry came and went removed an entry that the asking process never had, which compiler.Apply refuses. The voter now uses compiler.Diff and compiler.Apply in place of its own.

--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -145,6 +145,10 @@
 		assert.Assert(t, proto.Equal(change, want[i]), "%v", change)
 	}
 	assert.Equal(t, len(delta.GetChanges()), len(want))
+	// Whether version 1 had an entry that came and went can't be told.
+	assert.NilError(t, submit(client, "four", 3, "a", "3"))
+	assert.Equal(t, fetch(t, client, 1, "2").GetSnapshot().GetDigest().GetNumber(), uint64(4))
+	assert.Equal(t, len(fetch(t, client, 3, "2").GetDelta().GetChanges()), 1)
 }
 
 func TestHistoryAndCurrent(t *testing.T) {
--- a/internal/process/voter/acceptor_test.go
+++ b/internal/process/voter/acceptor_test.go
@@ -119,9 +119,9 @@
 		if held == nil {
 			return
 		}
-		s := &submission{req: &controlwire.SubmitRequest{ChangeId: "c", Replaces: 1}, document: &controlwire.Document{}}
+		s := &submission{req: &controlwire.SubmitRequest{ChangeId: "c", Replaces: 1}}
 		if t := s.next(held); t != nil {
-			held.apply(t)
+			_, _ = held.apply(t)
 		}
 	})
 }
--- a/internal/process/voter/document.go
+++ b/internal/process/voter/document.go
@@ -14,81 +14,69 @@
 	votersKey      = "voters"
 )
 
-// compareEntries orders entries by layer, section and key.
-func compareEntries(a, b *controlwire.Entry) int {
-	return cmp.Or(
-		strings.Compare(a.GetLayer(), b.GetLayer()),
-		strings.Compare(a.GetSection(), b.GetSection()),
-		strings.Compare(a.GetKey(), b.GetKey()),
-	)
+// entryKey names an entry of a document.
+type entryKey struct{ layer, section, key string }
+
+func keyOf(e *controlwire.Entry) entryKey {
+	return entryKey{layer: e.GetLayer(), section: e.GetSection(), key: e.GetKey()}
 }
 
-// canonical returns the document with its entries in order.
-func canonical(doc *controlwire.Document) *controlwire.Document {
-	entries := slices.Clone(doc.GetEntries())
-	slices.SortStableFunc(entries, compareEntries)
-	return &controlwire.Document{Entries: entries}
+func compareKeys(a, b entryKey) int {
+	return cmp.Or(cmp.Compare(a.layer, b.layer), cmp.Compare(a.section, b.section), cmp.Compare(a.key, b.key))
 }
 
-// diff returns the changes that lead from one canonical document to another.
-func diff(from, to *controlwire.Document) []*controlwire.EntryChange {
-	var changes []*controlwire.EntryChange
-	a, b := from.GetEntries(), to.GetEntries()
-	for len(a) > 0 || len(b) > 0 {
-		switch order := compareHeads(a, b); {
-		case order < 0:
-			changes = append(changes, &controlwire.EntryChange{Entry: a[0], Removed: true})
-			a = a[1:]
-		case order > 0:
-			changes = append(changes, &controlwire.EntryChange{Entry: b[0]})
-			b = b[1:]
-		default:
-			if a[0].GetValue() != b[0].GetValue() {
-				changes = append(changes, &controlwire.EntryChange{Entry: b[0]})
-			}
-			a, b = a[1:], b[1:]
+// doubled returns an entry that the document has twice, or nil.
+func doubled(doc *controlwire.Document) *controlwire.Entry {
+	seen := make(map[entryKey]bool, len(doc.GetEntries()))
+	for _, e := range doc.GetEntries() {
+		if seen[keyOf(e)] {
+			return e
 		}
+		seen[keyOf(e)] = true
 	}
-	return changes
+	return nil
+}
+
+// netChange is what several changes do to one entry.
+type netChange struct {
+	last         *controlwire.EntryChange
+	firstRemoved bool // The first of them removed the entry, so that it was there.
 }
 
-// compareHeads compares the first entries of two lists; an empty list comes last.
-func compareHeads(a, b []*controlwire.Entry) int {
-	switch {
-	case len(a) == 0:
-		return 1
-	case len(b) == 0:
-		return -1
-	default:
-		return compareEntries(a[0], b[0])
+// merger sums up changes that follow each other.
+type merger map[entryKey]*netChange
+
+// add takes in the next change.
+func (m merger) add(change *controlwire.EntryChange) {
+	key := keyOf(change.GetEntry())
+	if net, ok := m[key]; ok {
+		net.last = change
+		return
 	}
+	m[key] = &netChange{last: change, firstRemoved: change.GetRemoved()}
 }
 
-// patch returns the canonical document to which the changes lead. The changes
-// are ordered as diff orders them.
-func patch(doc *controlwire.Document, changes []*controlwire.EntryChange) *controlwire.Document {
-	entries := make([]*controlwire.Entry, 0, len(doc.GetEntries())+len(changes))
-	rest := doc.GetEntries()
-	for _, change := range changes {
-		for len(rest) > 0 && compareEntries(rest[0], change.GetEntry()) < 0 {
-			entries = append(entries, rest[0])
-			rest = rest[1:]
-		}
-		if len(rest) > 0 && compareEntries(rest[0], change.GetEntry()) == 0 {
-			rest = rest[1:]
-		}
-		if !change.GetRemoved() {
-			entries = append(entries, change.GetEntry())
+// changes returns the sum, in the order of the entries. It reports false if it
+// can't tell whether an entry that is gone was there at the start.
+func (m merger) changes() ([]*controlwire.EntryChange, bool) {
+	list := make([]*controlwire.EntryChange, 0, len(m))
+	for _, net := range m {
+		if net.last.GetRemoved() && !net.firstRemoved {
+			return nil, false
 		}
+		list = append(list, net.last)
 	}
-	return &controlwire.Document{Entries: append(entries, rest...)}
+	slices.SortFunc(list, func(a, b *controlwire.EntryChange) int {
+		return compareKeys(keyOf(a.GetEntry()), keyOf(b.GetEntry()))
+	})
+	return list, true
 }
 
 // voterAddresses returns the addresses of the voters that the document names,
 // in order and each once, or none.
 func voterAddresses(doc *controlwire.Document) []string {
 	for _, e := range doc.GetEntries() {
-		if e.GetLayer() == "" && e.GetSection() == controlSection && e.GetKey() == votersKey {
+		if keyOf(e) == (entryKey{section: controlSection, key: votersKey}) {
 			return splitAddresses(e.GetValue())
 		}
 	}
--- a/internal/process/voter/proposer.go
+++ b/internal/process/voter/proposer.go
@@ -116,7 +116,10 @@
 	if t := proposal.next(prepared.base); t != nil {
 		t.Base = prepared.base.origin()
 		t.Origin = ballot
-		target = prepared.base.apply(t)
+		target, err = prepared.base.apply(t)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+		}
 		proposal.sent = true
 	} else if !proposal.accept && hasQuorum(prepared.base.membership(), prepared.current) {
 		return target, nil
--- a/internal/process/voter/state.go
+++ b/internal/process/voter/state.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"maps"
+	"fmt"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
@@ -48,7 +49,7 @@
 func (s *State) membership() *voterwire.Membership { return s.wire.GetMembership() }
 
 // apply returns the state to which the transition leads.
-func (s *State) apply(t *voterwire.Transition) *State {
+func (s *State) apply(t *voterwire.Transition) (*State, error) {
 	next := &voterwire.State{
 		Group:      s.wire.GetGroup(),
 		Origin:     t.GetOrigin(),
@@ -58,9 +59,13 @@
 		Membership: s.wire.GetMembership(),
 	}
 	if change := t.GetChange(); change != nil {
+		document, err := compiler.Apply(s.wire.GetVersion().GetDocument(), change.GetChanges())
+		if err != nil {
+			return nil, fmt.Errorf("apply change %s: %w", change.GetChangeId(), err)
+		}
 		next.Version = &controlwire.Version{
 			Digest:   &controlwire.VersionDigest{Number: change.GetNumber(), Digest: t.GetDigest()},
-			Document: patch(s.wire.GetVersion().GetDocument(), change.GetChanges()),
+			Document: document,
 		}
 		next.History = appendHistory(s.wire.GetHistory(), change)
 	}
@@ -68,7 +73,7 @@
 		next.Membership = t.GetMembership()
 	}
 	recent := s.recent[max(0, len(s.recent)+1-maxRecent):]
-	return &State{wire: next, recent: append(slices.Clip(recent), t)}
+	return &State{wire: next, recent: append(slices.Clip(recent), t)}, nil
 }
 
 // appendHistory returns the history with one more change, within its bounds.
@@ -146,7 +151,11 @@
 		if !sameBallot(t.GetBase(), s.origin()) {
 			return nil, false
 		}
-		s = s.apply(t)
+		next, err := s.apply(t)
+		if err != nil {
+			return nil, false
+		}
+		s = next
 	}
 	return s, true
 }
@@ -161,25 +170,17 @@
 		return nil, false
 	}
 	delta := &controlwire.Delta{Base: have, Target: s.Version().GetDigest()}
-	latest := make(map[entryKey]*controlwire.EntryChange)
+	sum := make(merger)
 	for number := have.GetNumber() + 1; number <= s.number(); number++ {
 		e := s.changeNumbered(number)
 		if e == nil || len(e.GetChanges()) == 0 {
 			return nil, false
 		}
 		for _, change := range e.GetChanges() {
-			latest[keyOf(change.GetEntry())] = change
+			sum.add(change)
 		}
 	}
-	delta.Changes = slices.SortedFunc(maps.Values(latest), func(a, b *controlwire.EntryChange) int {
-		return compareEntries(a.GetEntry(), b.GetEntry())
-	})
-	return delta, true
-}
-
-// entryKey names an entry of a document.
-type entryKey struct{ layer, section, key string }
-
-func keyOf(e *controlwire.Entry) entryKey {
-	return entryKey{layer: e.GetLayer(), section: e.GetSection(), key: e.GetKey()}
+	var ok bool
+	delta.Changes, ok = sum.changes()
+	return delta, ok
 }
--- a/internal/process/voter/submission.go
+++ b/internal/process/voter/submission.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
@@ -21,9 +22,8 @@
 
 // submission decides what one request means on a given state.
 type submission struct {
-	req      *controlwire.SubmitRequest
-	document *controlwire.Document // In canonical order.
-	digest   []byte
+	req    *controlwire.SubmitRequest
+	digest []byte
 	// identities holds the identities of instances that are to become voters, by address.
 	identities map[string]string
 
@@ -39,18 +39,7 @@
 	if err := checkRequest(req); err != nil {
 		return nil, err
 	}
-	document := canonical(req.GetDocument())
-	for i, e := range document.GetEntries()[min(1, len(document.GetEntries())):] {
-		if compareEntries(document.GetEntries()[i], e) == 0 {
-			return nil, fmt.Errorf("%w: two entries for [%s] %s in layer %q", ErrInvalid, e.GetSection(), e.GetKey(), e.GetLayer())
-		}
-	}
-	return &submission{
-		req:        req,
-		document:   document,
-		digest:     digest(document),
-		identities: make(map[string]string),
-	}, nil
+	return &submission{req: req, digest: digest(req.GetDocument()), identities: make(map[string]string)}, nil
 }
 
 func checkRequest(req *controlwire.SubmitRequest) error {
@@ -63,9 +52,11 @@
 		return fmt.Errorf("%w: message longer than %d bytes", ErrInvalid, maxMessageBytes)
 	case proto.Size(req.GetDocument()) > maxDocumentBytes:
 		return fmt.Errorf("%w: document larger than %d bytes", ErrInvalid, maxDocumentBytes)
-	default:
-		return nil
 	}
+	if e := doubled(req.GetDocument()); e != nil {
+		return fmt.Errorf("%w: two entries for [%s] %s in layer %q", ErrInvalid, e.GetSection(), e.GetKey(), e.GetLayer())
+	}
+	return nil
 }
 
 // next implements step.
@@ -131,7 +122,7 @@
 			Operator:       s.req.GetOperator(),
 			AcceptedUnixMs: time.Now().UnixMilli(),
 			Message:        s.req.GetMessage(),
-			Changes:        diff(base.Version().GetDocument(), s.document),
+			Changes:        compiler.Diff(base.Version().GetDocument(), s.req.GetDocument()),
 		},
 		Digest:     s.digest,
 		Membership: membership,
@@ -141,7 +132,7 @@
 // membership returns the membership that the document asks for, or nil if it
 // asks for no other than m. It reports false if the change must wait.
 func (s *submission) membership(m *voterwire.Membership) (*voterwire.Membership, bool) {
-	addresses := voterAddresses(s.document)
+	addresses := voterAddresses(s.req.GetDocument())
 	if len(addresses) == 0 || slices.Equal(addresses, addressesOf(m)) {
 		return nil, true
 	}
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -235,7 +235,7 @@
 // classify tells whether a failed proposal may have been accepted.
 func classify(err error, sent bool) error {
 	switch {
-	case errors.Is(err, ErrNoGroup):
+	case errors.Is(err, ErrNoGroup), errors.Is(err, ErrInvalid):
 		return err
 	case sent:
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
