feat: small joins, and measurements of membership against the size of the fleet

A joining node sent on all that it learned and compared the whole table each time: at 200 nodes a join took 6.0 s in the simulated network.

Run: go test -count=5 ./internal/process/gossiper passed; TestSlopes with -scale at 100 and 200 nodes.

--- a/internal/process/gossiper/budget.go
+++ b/internal/process/gossiper/budget.go
@@ -11,8 +11,12 @@
 	updated time.Time
 }
 
-// bulkReserve is the share of the budget that is kept for pings and acks.
-const bulkReserve = 0.4
+const (
+	// bulkReserve is the share of the budget that is kept for pings and acks.
+	bulkReserve = 0.4
+	// pushReserve is the share that is kept for these and for comparisons of tables.
+	pushReserve = 0.65
+)
 
 func newBudget(bytesPerSecond int) *budget {
 	return &budget{rate: float64(bytesPerSecond), tokens: float64(bytesPerSecond), updated: time.Now()}
@@ -43,6 +47,12 @@
 	return n <= b.bulk() && b.take(n)
 }
 
+// push returns how many bytes may be spent on pushes of updates.
+func (b *budget) push() int {
+	b.refill()
+	return max(0, int(b.tokens-pushReserve*b.rate))
+}
+
 // bulk returns how many bytes may be spent without touching the reserve.
 func (b *budget) bulk() int {
 	b.refill()
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,7 +22,10 @@
 	// exchangeInterval is the average time between exchanges with peers whose tables differ.
 	exchangeInterval = 3 * time.Second
 	// joinInterval is the average time between exchanges while the table is not complete.
-	joinInterval = 200 * time.Millisecond
+	joinInterval = 100 * time.Millisecond
+	// windowBuckets is how many buckets are compared at once while the table is
+	// not complete, so that a request stays small.
+	windowBuckets = 32
 	// seedInterval is the average time between exchanges while no other instance is known.
 	seedInterval = time.Second
 	// exchangeTimeout bounds one exchange.
@@ -47,7 +51,8 @@
 
 // exchangeState says when to compare tables with whom.
 type exchangeState struct {
-	joining   bool           // True until a peer had nothing more to tell.
+	joining   bool           // True until peers had nothing more to tell.
+	windows   []int          // First buckets of the windows that peers have more of, while joining.
 	running   bool           // True while a call is under way.
 	differing netip.AddrPort // A peer whose table differed lately.
 	next      time.Time
@@ -170,14 +175,23 @@
 		}
 		g.takeRecords(answer.GetRecords())
 	}
-	g.finishExchange(resp.GetMore())
+	g.finishExchange(req, resp.GetMore())
 	return resp.GetVersion(), nil
 }
 
+// compareRequest asks to compare the whole table, or, after a peer had more to
+// tell than fits, a window of it.
 func (g *Gossiper) compareRequest() (*gossipwire.CompareRequest, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	req := &gossipwire.CompareRequest{Sender: encodeFull(g.self), Digests: append([]uint32(nil), g.table.digests[:]...)}
+	req := &gossipwire.CompareRequest{Sender: encodeFull(g.self)}
+	digests := g.table.digests[:]
+	if windows := g.exchange.windows; len(windows) > 0 {
+		first := windows[g.cfg.Random.IntN(len(windows))]
+		req.First = uint32(first)
+		digests = digests[first : first+windowBuckets]
+	}
+	req.Digests = append(req.Digests, digests...)
 	return req, g.spendCall(proto.Size(req))
 }
 
@@ -261,13 +275,34 @@
 	}
 }
 
-func (g *Gossiper) finishExchange(more bool) {
+// finishExchange notes what is left to ask for while joining.
+func (g *Gossiper) finishExchange(req *gossipwire.CompareRequest, more bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.exchange.joining = g.exchange.joining && (more || g.table.live < 2)
 	if !more {
 		g.detector.resyncUntil = time.Time{}
 	}
+	x := &g.exchange
+	whole := len(req.GetDigests()) == bucketCount
+	switch {
+	case !x.joining:
+		x.windows = nil
+	case whole && more:
+		x.windows = allWindows()
+	case whole:
+		x.joining = g.table.live < 2
+	case !more:
+		x.windows = slices.DeleteFunc(x.windows, func(first int) bool { return first == int(req.GetFirst()) })
+		x.joining = len(x.windows) > 0
+	}
+}
+
+func allWindows() []int {
+	var windows []int
+	for first := 0; first < bucketCount; first += windowBuckets {
+		windows = append(windows, first)
+	}
+	return windows
 }
 
 // server answers the calls of other processes.
@@ -304,7 +339,7 @@
 		g.metrics.count(eventOverBudget)
 		return nil, errBudget
 	}
-	if !g.detector.resyncing(now) && len(req.GetDigests()) == bucketCount {
+	if !g.detector.resyncing(now) && int(req.GetFirst())+len(req.GetDigests()) <= bucketCount {
 		resp.More = g.addBuckets(resp, req, room)
 	}
 	g.spendCall(proto.Size(resp) + callOverhead)
@@ -314,14 +349,20 @@
 // addBuckets adds differing buckets within room bytes, beginning with a random
 // one, and reports whether some were left out.
 func (g *Gossiper) addBuckets(resp *gossipwire.CompareResponse, req *gossipwire.CompareRequest, room int) bool {
-	start := g.cfg.Random.IntN(bucketCount)
+	n := len(req.GetDigests())
+	if n == 0 {
+		return false
+	}
+	start := g.cfg.Random.IntN(n)
 	byBucket := g.table.byBucket()
-	for i := range bucketCount {
-		index := (start + i) % bucketCount
-		if req.GetDigests()[index] == g.table.digests[index] {
+	for i := range n {
+		offset := (start + i) % n
+		theirs := req.GetDigests()[offset]
+		index := int(req.GetFirst()) + offset
+		if theirs == g.table.digests[index] {
 			continue
 		}
-		used, ok := addBucket(resp, index, byBucket[index], req.GetDigests()[index] == 0, room)
+		used, ok := addBucket(resp, index, byBucket[index], theirs == 0, room)
 		if !ok {
 			return true
 		}
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -61,7 +61,7 @@
 	// tickInterval is how often timers are looked at.
 	tickInterval = 100 * time.Millisecond
 	// viewInterval is the shortest time between two views.
-	viewInterval = 200 * time.Millisecond
+	viewInterval = 500 * time.Millisecond
 	// leaveTimeout bounds how long Leave spreads the announcement.
 	leaveTimeout = time.Second
 )
--- a/internal/process/gossiper/merger.go
+++ b/internal/process/gossiper/merger.go
@@ -105,9 +105,13 @@
 	g.log.Info().Str("instance", spec.ID).Uint64("incarnation", spec.Incarnation).Msg("Instance restarted.")
 }
 
+// insert adds a member. While this node joins, most of what is new to it is
+// known to all others, and is not sent on.
 func (g *Gossiper) insert(spec registrar.Spec, u *gossipwire.Update, now time.Time) {
 	g.table.put(&member{spec: spec, changed: now})
-	g.queue.push(u)
+	if !g.exchange.joining {
+		g.queue.push(u)
+	}
 	g.dirty = true
 }
 
--- a/internal/process/gossiper/messenger.go
+++ b/internal/process/gossiper/messenger.go
@@ -28,7 +28,7 @@
 	msg.TableDigest = g.table.digest
 	msg.Version = g.version
 	base := proto.Size(msg)
-	bulk := min(courier.MaxPayload, g.budget.bulk()-courier.Overhead)
+	bulk := min(courier.MaxPayload, g.budget.push()-courier.Overhead)
 	msg.Updates = append(msg.Updates, g.queue.take(bulk-base, g.table.live)...)
 	payload, err := proto.Marshal(msg)
 	if err != nil || len(payload) > courier.MaxPayload {
@@ -49,7 +49,7 @@
 
 func (g *Gossiper) spend(kind gossipwire.Datagram_Kind, cost int) bool {
 	if kind == gossipwire.Datagram_KIND_PUSH {
-		return g.budget.takeBulk(cost)
+		return cost <= g.budget.push() && g.budget.take(cost)
 	}
 	return g.budget.take(cost)
 }
@@ -202,7 +202,10 @@
 		g.exchange.differing = from
 		return
 	}
-	g.exchange.joining = g.exchange.joining && g.table.live < 2
+	if g.table.live > 1 {
+		g.exchange.joining = false
+		g.exchange.windows = nil
+	}
 	if g.detector.resyncing(now) {
 		g.detector.resyncUntil = time.Time{}
 	}
--- a/internal/process/gossiper/queue.go
+++ b/internal/process/gossiper/queue.go
@@ -12,6 +12,10 @@
 const (
 	// repeatFactor scales how often an update is sent on with the logarithm of the fleet.
 	repeatFactor = 4
+	// longQueue is the number of waiting updates from which on each is sent
+	// longQueueRepeats times only, and comparisons of tables bring the rest.
+	longQueue        = 64
+	longQueueRepeats = 2
 	// fieldOverhead bounds the bytes of the tag and length before an update.
 	fieldOverhead = 4
 )
@@ -51,7 +55,7 @@
 
 // take returns updates of up to size bytes, those that were sent least and
 // among them the newest first, and counts them as sent. An update that was
-// sent repeatLimit(n) times is dropped.
+// sent repeatLimit(n) times is dropped, or earlier if many wait.
 func (q *queue) take(size, n int) []*gossipwire.Update {
 	if len(q.rumors) == 0 {
 		return nil
@@ -68,6 +72,9 @@
 	})
 	var updates []*gossipwire.Update
 	limit := repeatLimit(n)
+	if len(list) > longQueue {
+		limit = longQueueRepeats
+	}
 	for _, r := range list {
 		if r.size > size {
 			continue
--- /dev/null
+++ b/internal/process/gossiper/scale_test.go
@@ -0,0 +1,202 @@
+package gossiper
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
+)
+
+// scale makes TestSlopes measure the sizes that the extrapolation needs.
+var scale = flag.Bool("scale", false, "measure the slopes of membership against the size of the fleet")
+
+const (
+	membershipEventsPerDay = 1600
+	versionsPerDay         = 8100
+	day                    = 24 * time.Hour
+	measured               = 5 * time.Minute
+)
+
+// traffic returns the bytes and messages that one node sends in a second
+// while f runs.
+func (fl *fleet) traffic(f func()) (bytes, messages float64) {
+	for _, x := range fl.nodes {
+		x.sent, x.messages = 0, 0
+	}
+	start := time.Now()
+	f()
+	for _, x := range fl.nodes {
+		bytes += float64(x.sent)
+		messages += float64(x.messages)
+	}
+	seconds := time.Since(start).Seconds() * float64(len(fl.nodes))
+	return bytes / seconds, messages / seconds
+}
+
+// churn restarts nodes and makes versions at the rates of the design size.
+func (fl *fleet) churn() {
+	end := time.Now().Add(measured)
+	nextEvent := time.Now().Add(10 * time.Second)
+	number := uint64(1000)
+	for next := 0; time.Now().Before(end); time.Sleep(day / versionsPerDay) {
+		number++
+		fl.nodes[number%uint64(len(fl.nodes))].SetVersion(&controlwire.VersionDigest{Number: number, Digest: make([]byte, 32)})
+		if time.Now().After(nextEvent) {
+			nextEvent = nextEvent.Add(day / membershipEventsPerDay)
+			next++
+			fl.nodes[2+next%20].kill()
+			fl.nodes[2+next%20].start(registrar.StateReady)
+		}
+	}
+}
+
+// spreadTime returns how long one node's new version takes to reach all.
+func (fl *fleet) spreadTime(number uint64) time.Duration {
+	start := time.Now()
+	fl.nodes[number%uint64(len(fl.nodes))].SetVersion(&controlwire.VersionDigest{Number: number, Digest: make([]byte, 32)})
+	for {
+		behind := 0
+		for _, x := range fl.nodes {
+			if x.versionNumber() < number {
+				behind++
+			}
+		}
+		if behind == 0 || time.Since(start) > time.Minute {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (x *fakeNode) versionNumber() uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.version.GetNumber()
+}
+
+func (x *fakeNode) live() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.live
+}
+
+// awaitAll returns how long all nodes take to know n live members.
+func (fl *fleet) awaitAll(n int) time.Duration {
+	start := time.Now()
+	fl.await("all know all", 10*time.Minute, fl.nodes, func(x *fakeNode) bool { return x.live() == n })
+	return time.Since(start)
+}
+
+// TestSlopes checks that a fleet's traffic stays small, and with the flag
+// -scale prints how it grows with the fleet. Times are of a fake network with
+// 1 ms one way.
+func TestSlopes(t *testing.T) {
+	sizes := []int{25}
+	if *scale {
+		sizes = []int{25, 50, 100, 200}
+	}
+	for _, n := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet(t, uint64(n))
+			for range n {
+				fl.add(registrar.StateReady)
+			}
+			start := fl.awaitAll(n)
+			time.Sleep(30 * time.Second)
+			idle, idleMessages := fl.traffic(func() { time.Sleep(measured) })
+			var slowest time.Duration
+			for number := range uint64(20) {
+				slowest = max(slowest, fl.spreadTime(number+1))
+				time.Sleep(2 * time.Second)
+			}
+			busy, busyMessages := fl.traffic(fl.churn)
+			fl.add(registrar.StateReady)
+			join := fl.awaitAll(n + 1)
+			fl.cut = func(from, to *fakeNode) bool { return from.index%2 != to.index%2 }
+			time.Sleep(5 * time.Minute)
+			fl.cut = func(_, _ *fakeNode) bool { return false }
+			heal := fl.awaitAll(n + 1)
+			t.Logf("n=%d idle %.0f B/s %.2f msg/s, churn %.0f B/s %.2f msg/s, version at all in %v, start %v, join %v, heal %v",
+				n, idle, idleMessages, busy, busyMessages, slowest, start, join, heal)
+			assert.Assert(t, idle < DefaultBytesPerSecond/10)
+			assert.Assert(t, slowest < 5*time.Second)
+			fl.assertBudget()
+		})
+	}
+}
+
+// BenchmarkFleet runs fleets over loopback sockets and reports the processor
+// time of one node, in which that of the kernel is included.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{25, 50, 100, 200} {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			nodes := []*socketNode{startSocketNode(b, 0, nil)}
+			seeds := []netip.AddrPort{nodes[0].courier.Address()}
+			for i := 1; i < n; i++ {
+				nodes = append(nodes, startSocketNode(b, i, seeds))
+			}
+			for _, x := range nodes {
+				x.awaitView(func(v *registrar.View) bool { return v.Len() == n })
+			}
+			time.Sleep(10 * time.Second)
+			const seconds = 10
+			before := processorTime(b)
+			for b.Loop() {
+				time.Sleep(seconds * time.Second)
+			}
+			used := processorTime(b) - before
+			b.ReportMetric(float64(used.Microseconds())/float64(n*seconds*b.N), "cpu-us/node/s")
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkTable reports the memory of one known member, and the time to make
+// a view and a comparison of the table.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{350, 700, 1400, 2800} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			fl := newFleet(b, 1)
+			x := fl.add(registrar.StateReady)
+			x.kill()
+			x.exchange.joining = true
+			for i := range n - 1 {
+				u := encodeFull(x.self)
+				u.Id = fmt.Sprintf("vitrina-%d", i)
+				data, err := proto.Marshal(u)
+				assert.NilError(b, err)
+				received := &gossipwire.Update{}
+				assert.NilError(b, proto.Unmarshal(data, received))
+				x.apply(received, time.Now())
+			}
+			view := x.table.view()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				view = x.table.view()
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/member")
+			assert.Equal(b, view.Len(), n)
+		})
+	}
+}
