fix: a resent key is not called not-run by those who cannot know

Cause: an entry node that could not reach a key's home, had no route or no instance, answered not-run to a resent key whose first sending had run; with real nodes and the home killed, 3 of 6 resent keys were told so. Ruled out: saying that not-run speaks of this sending only, which invites a caller to order anew under a new key. Now only the home that knows says not-run.

--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -148,7 +148,7 @@
 	defer f.cfg.Explainer.Add(trace)
 	route, refusal := f.route(r)
 	if refusal != nil {
-		f.refuse(w, trace, refusal)
+		f.refuseEarly(w, r, trace, refusal)
 		return
 	}
 	trace.SetService(route.service.Name())
@@ -156,7 +156,7 @@
 	defer cancel()
 	c := newCall(ctx, f, r, route, trace)
 	if refusal := c.holdBody(w); refusal != nil {
-		f.refuse(w, trace, refusal)
+		f.refuseEarly(w, r, trace, refusal)
 		return
 	}
 	resp, refusal := c.serve()
@@ -168,6 +168,14 @@
 	c.answer(w, resp)
 }
 
+// refuseEarly refuses a request before its key, if it has one, was looked at.
+func (f *Forwarder) refuseEarly(w http.ResponseWriter, r *http.Request, trace *explainer.Trace, refusal *refuser.Refusal) {
+	if r.Header.Get(classifier.HeaderIdempotencyKey) != "" {
+		refusal = unproved(refusal)
+	}
+	f.refuse(w, trace, refusal)
+}
+
 // refuse answers with a refusal, counts it and logs it.
 func (f *Forwarder) refuse(w http.ResponseWriter, trace *explainer.Trace, refusal *refuser.Refusal) {
 	f.refusals.Inc(refusal.Reason())
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -15,23 +15,36 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// keyRetryAfter is when a key is worth sending again if nothing better is known.
+const keyRetryAfter = time.Second
+
 // serveKeyed serves a request with an idempotency key at the key's home: here,
 // or at the node of another instance.
 func (c *call) serveKeyed(key string) (*http.Response, *refuser.Refusal) {
 	home := keyer.Home(c.route.instances, key, c.route.spec.KeyRetention, time.Now())
 	switch {
 	case home == nil:
-		return nil, refuser.New(classifier.NotRun, classifier.ReasonNoInstance)
+		return nil, unproved(refuser.New(classifier.NotRun, classifier.ReasonNoInstance))
 	case home.ID() == c.forwarder.cfg.Instance:
 		return c.serveAsHome(key)
 	case c.r.Header.Get(classifier.HeaderKeyHome) != "":
 		// The two nodes see the fleet differently for the moment.
-		return nil, refuser.New(classifier.NotRun, classifier.ReasonWrongInstance)
+		return nil, unproved(refuser.New(classifier.NotRun, classifier.ReasonWrongInstance))
 	default:
 		return c.sendHome(home)
 	}
 }
 
+// unproved returns a refusal that was made before it was known whether the key
+// ran. It is not called not-run: an earlier sending of the same key, whose
+// answer was lost, may have run. Another request with the key never runs.
+func unproved(refusal *refuser.Refusal) *refuser.Refusal {
+	if refusal.Outcome() != classifier.NotRun || refusal.Reason() == classifier.ReasonKeyMismatch {
+		return refusal
+	}
+	return refusal.WithOutcome(classifier.Unknown).After(max(refusal.RetryAfter(), keyRetryAfter))
+}
+
 // sendHome sends the request to the node of the key's home as it came.
 func (c *call) sendHome(home *registrar.Instance) (*http.Response, *refuser.Refusal) {
 	req := c.request(nil)
@@ -45,7 +58,7 @@
 	resp, err := c.forwarder.cfg.Requester.DoLimited(c.ctx, home.HTTP(), req, limits)
 	switch {
 	case err != nil:
-		a.refusal = refuser.FromError(err)
+		a.refusal = unproved(refuser.FromError(err))
 	default:
 		a.resp = resp
 		if a.refusal = refuser.FromResponse(resp); a.refusal != nil {
@@ -66,7 +79,7 @@
 		Retention:   c.route.spec.KeyRetention,
 	})
 	if err != nil {
-		return nil, refuser.FromError(err)
+		return nil, unproved(refuser.FromError(err))
 	}
 	if answer != nil {
 		return stored(answer), nil
