--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -9,11 +9,13 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/emulator"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -120,3 +122,44 @@
 		assert.Equal(b, resp.StatusCode, http.StatusOK, resp.Header.Get(classifier.HeaderReason))
 	}
 }
+
+// BenchmarkIdlePath reports the memory of an idle connection between two nodes
+// and of the one to the upstream that the request used, all four ends together.
+func BenchmarkIdlePath(b *testing.B) {
+	const connections = 1000
+	serving := newTestNode(b, "vitrina-1", "vitrina", startUpstream(b, "vitrina-1"))
+	serveNode(b, serving)
+	for b.Loop() {
+		pool := requester.New(requester.Config{Dialer: &net.Dialer{}})
+		before := memoryInUse()
+		openIdle(b, pool, serving.settings.HTTPAddress(), connections)
+		b.ReportMetric(float64(memoryInUse()-before)/connections, "B/path")
+		assert.NilError(b, pool.Close())
+	}
+}
+
+// openIdle opens connections by as many exchanges at the same time.
+func openIdle(b *testing.B, pool *requester.Pool, addr netip.AddrPort, connections int) {
+	var bodies []io.Closer
+	for range connections {
+		req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://vitrina.oax/guide/1", http.NoBody)
+		assert.NilError(b, err)
+		resp, err := pool.Do(context.Background(), addr, req)
+		assert.NilError(b, err)
+		bodies = append(bodies, resp.Body)
+	}
+	for _, body := range bodies {
+		_, err := io.Copy(io.Discard, body.(io.Reader))
+		assert.NilError(b, err)
+		assert.NilError(b, body.Close())
+	}
+}
+
+// memoryInUse returns the bytes of heap and stacks in use.
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
