--- a/internal/process/configurer/control.go
+++ b/internal/process/configurer/control.go
@@ -6,12 +6,10 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/version/parser"
 )
 
-// maxVoters bounds the voters among the control instances.
-const maxVoters = 7
-
 // Control is the settings of a control daemon. It is immutable.
 type Control struct {
 	instance, site, region, failureDomain string
@@ -50,8 +48,8 @@
 	if len(c.voters) == 0 && len(c.seeds) == 0 {
 		r.FailKey("voters", "neither voters nor seeds are set, so the instance could not join")
 	}
-	if len(c.voters) > maxVoters {
-		r.FailKey("voters", fmt.Sprintf("%d voters are more than %d", len(c.voters), maxVoters))
+	if len(c.voters) > compiler.MaxVoters {
+		r.FailKey("voters", fmt.Sprintf("%d voters are more than %d", len(c.voters), compiler.MaxVoters))
 	}
 	return c
 }
--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -5,15 +5,10 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/version/parser"
 )
 
-// Bounds of what an upstream may announce.
-const (
-	maxSlots       = 10_000
-	maxConnections = 100_000
-)
-
 // Policy names how a node chooses an instance.
 type Policy string
 
@@ -68,8 +63,8 @@
 		http:          parser.Required(r, "http-address", parser.Address),
 		peer:          parser.Required(r, keyPeerAddress, parser.Address),
 		upstream:      parser.Required(r, "upstream-address", parser.Address),
-		slots:         parser.Optional(r, "slots", 0, bounded(maxSlots)),
-		connections:   parser.Optional(r, "connections", 0, bounded(maxConnections)),
+		slots:         parser.Optional(r, "slots", 0, bounded(compiler.MaxSlots)),
+		connections:   parser.Optional(r, "connections", 0, bounded(compiler.MaxConnections)),
 		seeds:         parser.Optional(r, keySeeds, nil, parser.Addresses),
 		controls:      parser.Optional(r, "control-addresses", nil, parser.Addresses),
 		policy:        parser.Optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -253,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = parser.Int(strconv.Itoa(len(voters)), 1, maxVoters)
+	_, err = parser.Int(strconv.Itoa(len(voters)), 1, MaxVoters)
 	return err
 }
 
--- a/internal/version/compiler/configuration.go
+++ b/internal/version/compiler/configuration.go
@@ -6,6 +6,10 @@
 //	doc, err := compiler.Parse(files)      // every error names file, line and key
 //	cfg, err := compiler.Compile(doc, "oaxaca", number)
 //	service := cfg.Route("catalogo.example", "/colores/ocre")
+//	changes := compiler.Diff(old, doc)     // what a Delta carries
+//	doc, err = compiler.Apply(old, changes)
+//	effects := compiler.Effects(old, doc)  // what changes at each site
+//	files = compiler.Format(doc)           // to be edited again
 //
 // A Document is what operators wrote: entries of a base layer and of one layer
 // per site. It is what voters agree on and what nodes hand to each other,
--- a/internal/version/compiler/section.go
+++ b/internal/version/compiler/section.go
@@ -19,8 +19,15 @@
 	keyVoters         = "voters"
 )
 
-// maxVoters bounds the voters among the control instances.
-const maxVoters = 7
+// Bounds of what operators and instances may set.
+const (
+	// MaxVoters bounds the voters among the control instances.
+	MaxVoters = 7
+	// MaxSlots bounds the slots of one instance.
+	MaxSlots = 10_000
+	// MaxConnections bounds the connections to one upstream.
+	MaxConnections = 100_000
+)
 
 var (
 	controlKeys = []string{keyVoters}
