--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -136,7 +136,12 @@
 
 // call sends a request to the entry node and returns the answer with its whole body.
 func (f *fleet) call(ctx context.Context, req *http.Request) (*http.Response, string, error) {
-	resp, err := f.pool().Do(ctx, netip.MustParseAddrPort(entryAddress), req)
+	return f.callAt(ctx, netip.MustParseAddrPort(entryAddress), req)
+}
+
+// callAt does what call does at another node.
+func (f *fleet) callAt(ctx context.Context, entry netip.AddrPort, req *http.Request) (*http.Response, string, error) {
+	resp, err := f.pool().Do(ctx, entry, req)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/request/forwarder/keyed_test.go
+++ b/internal/request/forwarder/keyed_test.go
@@ -8,9 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/keyer"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -38,6 +41,16 @@
 	})
 }
 
+// otherEntry starts a node that is the home of no key, and returns its address.
+func (f *fleet) otherEntry() netip.AddrPort {
+	const address = "192.0.2.9:80"
+	f.listen(address, forwarder.New(forwarder.Config{
+		Instance: "biblioteca-1", Snapshots: f.publisher, Picker: firstPicker{}, Observer: observer{}, Requester: f.pool(),
+		Keys: keyer.New(keyer.Config{Instance: "biblioteca-1"}), Explainer: f.explainer, Scope: tally.NoopScope, Log: zerolog.Nop(),
+	}))
+	return netip.MustParseAddrPort(address)
+}
+
 func keyed(body string) *http.Request {
 	req := request(http.MethodPost)
 	req.Header.Set(classifier.HeaderIdempotencyKey, key)
@@ -99,4 +112,36 @@
 			assert.Equal(t, body, "paid")
 		})
 	})
+	t.Run("is sent to its home from elsewhere", func(t *testing.T) {
+		f := newFleet()
+		f.network.fault = fault{address: entryAddress, step: receiveHead, kind: reset}
+		runKeyed(t, f, func(t *testing.T) {
+			var depth string
+			answer := f.handle
+			f.handle = func(w http.ResponseWriter, r *http.Request, run int64) {
+				depth = r.Header.Get(classifier.HeaderDepth)
+				answer(w, r, run)
+			}
+			entry := f.otherEntry()
+			resp, _, err := f.callAt(t.Context(), entry, keyed(""))
+			assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonTruncated)
+			_, body, err := f.callAt(t.Context(), entry, keyed(""))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "paid")
+			resp, _, err = f.callAt(t.Context(), entry, keyed("other"))
+			assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonKeyMismatch)
+			assert.Equal(t, f.runs.Load(), int64(1))
+			assert.Equal(t, depth, "1")
+		})
+	})
+	t.Run("is refused by a node that sees another home", func(t *testing.T) {
+		f := newFleet()
+		runKeyed(t, f, func(t *testing.T) {
+			req := keyed("")
+			req.Header.Set(classifier.HeaderKeyHome, "biblioteca-1")
+			resp, _, err := f.callAt(t.Context(), f.otherEntry(), req)
+			assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonWrongInstance)
+			assert.Equal(t, f.runs.Load(), int64(0))
+		})
+	})
 }
