fix: a caller that stops reading frees the slot, and no retry after the deadline

A caller that took nothing more of a large answer held a slot of the upstream for ever. An attempt that met the deadline was followed by others that could only be refused, and spent the retry budget. Run: go test -race -count=4 on forwarder: pass; both new tests were seen to fail without their lines.

--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -183,3 +183,34 @@
 		assert.Equal(t, f.runs.Load(), int64(0))
 	})
 }
+
+func TestCallerThatStopsReading(t *testing.T) {
+	f := newFleet()
+	f.local = true
+	f.handle = func(w http.ResponseWriter, _ *http.Request, _ int64) {
+		_, _ = w.Write(make([]byte, 1<<20))
+	}
+	f.run(t, func(t *testing.T) {
+		conn, err := f.network.DialContext(t.Context(), "tcp", entryAddress)
+		assert.NilError(t, err)
+		defer conn.Close()
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: almacen.example\r\n\r\n")
+		time.Sleep(time.Second)
+		assert.Equal(t, f.servers[0].InFlight(), 1)
+		time.Sleep(time.Minute)
+		assert.Equal(t, f.servers[0].InFlight(), 0)
+	})
+}
+
+func TestNoRetryAfterDeadline(t *testing.T) {
+	f := newFleet()
+	f.network.fault = fault{address: nodeAddress, step: connect, kind: stall}
+	f.run(t, func(t *testing.T) {
+		req := request(http.MethodGet)
+		req.Header.Set(classifier.HeaderTimeout, "400")
+		resp, _, err := f.call(t.Context(), req)
+		assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonDeadline)
+		trace := f.explainer.Find(resp.Header.Get(classifier.HeaderRequestID))[0]
+		assert.Equal(t, len(trace.Attempts()), 1)
+	})
+}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -158,11 +158,15 @@
 }
 
 func (c *call) state() retrier.State {
+	maxAttempts := c.route.spec.MaxAttempts
+	if c.ctx.Err() != nil {
+		maxAttempts = c.attempts // No time is left, or nobody waits.
+	}
 	return retrier.State{
 		Repeatable:  c.repeatable,
 		BodySpent:   c.stream != nil && c.stream.revoke(),
 		Attempts:    c.attempts,
-		MaxAttempts: c.route.spec.MaxAttempts,
+		MaxAttempts: maxAttempts,
 		Budget:      c.budget,
 	}
 }
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -18,12 +18,18 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
-// bufferSize is how many bytes of a body are passed on at once.
-const bufferSize = 32 << 10
+const (
+	// bufferSize is how many bytes of a body are passed on at once.
+	bufferSize = 32 << 10
+	// callerStallTimeout is how long a caller may take nothing of its answer.
+	// A caller that stopped reading must not hold a slot of the upstream.
+	callerStallTimeout = 10 * time.Second
+)
 
 var buffers = sync.Pool{New: func() any {
 	b := make([]byte, bufferSize)
@@ -66,11 +72,15 @@
 	}
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	flusher, _ := w.(http.Flusher)
+	control := http.NewResponseController(w)
+	// A writer that takes no deadline belongs to no connection that could
+	// stall; one that cannot be flushed keeps nothing back.
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	var total int64
 	for {
 		n, readErr := src.Read(*buf)
 		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(callerStallTimeout))
 			written, err := w.Write((*buf)[:n])
 			total += int64(written)
 			if err != nil {
@@ -83,8 +93,8 @@
 		if readErr != nil {
 			return total, fmt.Errorf("read body: %w", readErr)
 		}
-		if flusher != nil {
-			flusher.Flush()
+		if err := control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return total, &WriteError{cause: err}
 		}
 	}
 }
