test: guard what is told by others, the floor, refusals and a late grant

The clamp of a clock that goes back was dead code in the budget: charges expire in the order of charging, so it went. Guards that had no test before this commit: Refused in entry.finished, upperMedian, the told latency and failure rate, the incarnation of a sample in the picker, release of a slot granted to a caller that had left, the standstill in slotTime, expiry when the clock goes back.

go test -race of sampler, prober and admitter, go test of picker: pass.

--- a/internal/process/prober/budget.go
+++ b/internal/process/prober/budget.go
@@ -16,7 +16,7 @@
 // of the window. Its limits may change at any time.
 type budget struct {
 	messages, bytes int
-	charges         []charge // In order of time.
+	charges         []charge // In order of charging.
 	used            int      // Bytes of the charges.
 }
 
@@ -32,9 +32,6 @@
 	if !b.allows(now, bytes) {
 		return false
 	}
-	if n := len(b.charges); n > 0 && b.charges[n-1].at.After(now) {
-		now = b.charges[n-1].at // The clock went back: time stands still until it caught up.
-	}
 	b.charges = append(b.charges, charge{at: now, bytes: bytes})
 	b.used += bytes
 	return true
@@ -46,7 +43,8 @@
 	return len(b.charges) == 0
 }
 
-// expire drops the charges that are older than the window.
+// expire drops the charges that are older than the window, the first charged
+// first. When the clock went back, none is dropped until it has caught up.
 func (b *budget) expire(now time.Time) {
 	n := 0
 	for n < len(b.charges) && now.Sub(b.charges[n].at) >= budgetWindow {
--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -192,6 +192,16 @@
 	})
 }
 
+func TestBudgetWhenTheClockGoesBack(t *testing.T) {
+	b := budget{messages: 2, bytes: 1000}
+	assert.Assert(t, b.take(time.UnixMilli(10000), 1))
+	assert.Assert(t, b.take(time.UnixMilli(5000), 1))
+	for ms := int64(5000); ms < 11000; ms += 100 {
+		assert.Assert(t, !b.take(time.UnixMilli(ms), 1), "%d", ms)
+	}
+	assert.Assert(t, b.take(time.UnixMilli(11000), 1))
+}
+
 // assertWithin checks the sum over one second from each message on.
 func assertWithin(t *testing.T, log []charge, messages, bytes int) {
 	t.Helper()
--- a/internal/process/sampler/pool_test.go
+++ b/internal/process/sampler/pool_test.go
@@ -73,6 +73,7 @@
 		{"the floor is rounded up", 3, 1, 0, 70, 0},
 		{"all fail", 4, 4, 0, 50, 0},
 		{"a floor of nothing leaves one", 2, 1, 1, 0, 1},
+		{"of two, the slow one is usual", 2, 0, 1, 0, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -102,6 +103,28 @@
 	}
 }
 
+func TestOutliersThatOthersTellOf(t *testing.T) {
+	p := New(Config{})
+	q := OutlierQuery{Service: "s", Now: time.Now()}
+	for i, spec := range []LoadSpec{{Latency: time.Second}, {FailurePercent: 90}, {}, {}, {}} {
+		spec.Latency = max(spec.Latency, time.Millisecond)
+		q.Instances = append(q.Instances, registrar.NewInstance(registrar.Spec{ID: fmt.Sprint(i), State: registrar.StateReady}))
+		p.Observe(fmt.Sprint(i), 0, NewLoad(spec), q.Now)
+	}
+	assert.Assert(t, p.Outliers(q).Has("0"))
+	assert.Assert(t, p.Outliers(q).Has("1"))
+	assert.Equal(t, p.Outliers(q).Len(), 2)
+}
+
+func TestRefusalIsNoLatency(t *testing.T) {
+	p := New(Config{})
+	succeed(p, "a", 1, time.Second)
+	p.Sent("a")
+	p.Finished("a", Result{Refused: true, Latency: time.Microsecond})
+	assert.Assert(t, p.Read("a", maxAge, time.Now()).Latency() > 900*time.Millisecond)
+	assert.Equal(t, p.Read("a", maxAge, time.Now()).Outstanding(), 0)
+}
+
 func assertReading(t *testing.T, p *Pool, fresh bool, occupancy int) {
 	t.Helper()
 	r := p.Read("a", maxAge, time.Now())
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -122,6 +122,7 @@
 		synctest.Wait()
 		assertRefusal(t, waiter, classifier.ReasonDeadline)
 		assert.Assert(t, waiter.took <= 600*time.Millisecond, "%v", waiter.took)
+		assert.Equal(t, a.refuse(classifier.ReasonLeaving, time.Now()).RetryAfter(), time.Second)
 	})
 }
 
@@ -142,6 +143,23 @@
 	})
 }
 
+func TestCallerThatLeavesAsItIsAdmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 1, 1)
+		low(a)
+		ctx, cancel := context.WithCancel(context.Background())
+		waiter := admit(ctx, a, Work{})
+		a.mu.Lock()
+		cancel()
+		a.inFlight--
+		a.dispatch(time.Now()) // Grants the slot before the caller's leave is seen.
+		a.mu.Unlock()
+		synctest.Wait()
+		assertRefusal(t, waiter, classifier.ReasonCanceled)
+		assert.Equal(t, a.InFlight(), 0)
+	})
+}
+
 func TestLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := trained(t, 1, 1)
--- a/internal/request/picker/picker_test.go
+++ b/internal/request/picker/picker_test.go
@@ -108,6 +108,13 @@
 	assertOnly(t, f.counts(), "0") // All hot: the shortest wait.
 }
 
+func TestSampleOfAnEarlierIncarnation(t *testing.T) {
+	f := newFleet(t, registrar.Spec{Incarnation: 1}, registrar.Spec{})
+	f.sample("0", 0, time.Microsecond) // Of incarnation 0.
+	f.sample("1", 0, time.Millisecond)
+	assertOnly(t, f.counts(), "1")
+}
+
 func TestDistance(t *testing.T) {
 	f := newFleet(t,
 		registrar.Spec{ID: "self"},
