fix: space the probes of a node evenly and forget old ones

When many services wanted probes, the node's budget went in a burst and every service was then looked through at each tick. The times of probes to instances that left are dropped after 10 s; they were kept as long as the service was in use.

TestProbesAreSpacedEvenly fails without the node's due time; the budget tests fail without either budget (8 lines tried again on a copy).

--- a/internal/process/prober/metrics.go
+++ b/internal/process/prober/metrics.go
@@ -8,7 +8,7 @@
 	answered   tally.Counter // Answers taken in.
 	answers    tally.Counter // Answers given.
 	withheld   tally.Counter // Answers not given, for lack of budget.
-	deferred   tally.Counter // Probes that were due but not sent, for lack of budget.
+	deferred   tally.Counter // Times that a service's probe waited for budget.
 	failed     tally.Counter // Probes that the transport did not take.
 	malformed  tally.Counter // Datagrams that could not be understood.
 	unexpected tally.Counter // Datagrams that were late or meant for another.
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -113,6 +113,7 @@
 
 	mu       sync.Mutex // Guards all below.
 	node     budget
+	due      time.Time // Before that the node sends no probe.
 	answers  budget
 	targets  map[string]*target
 	pending  map[uint32]pending
@@ -253,6 +254,7 @@
 		}
 	}
 	for name, t := range p.targets {
+		t.forget(now)
 		if !inUse[name] && t.budget.unused(now) {
 			delete(p.targets, name)
 		}
@@ -272,22 +274,21 @@
 	t.budget.messages = spec.ProbeMessages
 	t.budget.bytes = spec.ProbeBytes
 	perSecond := min(spec.ProbeMessages, spec.ProbeBytes/exchangeCost)
-	if perSecond <= 0 || now.Before(t.next) {
+	if perSecond <= 0 || now.Before(t.next) || now.Before(p.due) {
 		return netip.AddrPort{}, nil
 	}
-	in := t.stalest(p.cfg.Pool, p.cfg.Self, view.Service(spec.Name), spec.SampleMaxAge, now)
-	if in == nil {
+	if !t.budget.allows(now, exchangeCost) || !p.node.allows(now, exchangeCost) {
+		p.metrics.deferred.Inc(1)
 		return netip.AddrPort{}, nil
 	}
-	if !t.budget.allows(now, exchangeCost) || !p.node.take(now, exchangeCost) {
-		p.metrics.deferred.Inc(1)
+	in := t.stalest(p.cfg.Pool, p.cfg.Self, view.Service(spec.Name), spec.SampleMaxAge, now)
+	if in == nil {
 		return netip.AddrPort{}, nil
 	}
 	t.budget.take(now, exchangeCost)
-	t.next = t.next.Add(time.Second / time.Duration(perSecond))
-	if earliest := now.Add(-interval); t.next.Before(earliest) {
-		t.next = earliest
-	}
+	p.node.take(now, exchangeCost)
+	t.next = following(t.next, perSecond, now)
+	p.due = following(p.due, min(p.cfg.Messages, p.cfg.Bytes/exchangeCost), now)
 	t.probed[in.ID()] = now
 	q := probe{nonce: p.nonce(), instance: hashID(in.ID())}
 	to := unmapped(in.Peer())
@@ -314,6 +315,16 @@
 	}
 }
 
+// following returns the time of the next probe, spaced evenly; a time that was
+// missed is made up for within one interval only.
+func following(due time.Time, perSecond int, now time.Time) time.Time {
+	next := due.Add(time.Second / time.Duration(max(perSecond, 1)))
+	if earliest := now.Add(-interval); next.Before(earliest) {
+		return earliest
+	}
+	return next
+}
+
 func orDefault(v *int, value int) {
 	if *v == 0 {
 		*v = value
--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -148,6 +148,18 @@
 	})
 }
 
+func TestProbesAreSpacedEvenly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(4, 4, Config{Messages: 10})
+		b.configure(1, 4, 20, 2000)
+		for _, id := range b.ids {
+			b.pool.Sent(id)
+		}
+		b.run(t, 300*time.Millisecond)
+		assert.Assert(t, len(b.network.log) == 3 || len(b.network.log) == 4, "%d", len(b.network.log))
+	})
+}
+
 func TestOnlyStaleInstancesOfServicesInUseAreProbed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(2, 3, Config{})
@@ -202,6 +214,32 @@
 	assert.Assert(t, b.take(time.UnixMilli(11000), 1))
 }
 
+// usedPool is a pool of which the given instances are always in use.
+type usedPool struct {
+	*sampler.Pool
+	ids []string
+}
+
+func (p usedPool) SentSince(time.Time) []string { return p.ids }
+
+// BenchmarkTick has the size of two years ahead: 190 services of 15 instances,
+// of which the node uses 20 services.
+func BenchmarkTick(b *testing.B) {
+	const services, each, used = 190, 15, 20
+	f := newBench(services, each, Config{})
+	f.configure(1, services, 20, 2000)
+	f.prober.cfg.Pool = usedPool{f.pool, f.ids[:used*each]}
+	now := time.Now()
+	for _, id := range f.ids {
+		f.pool.Observe(id, 0, ownLoad{}.Load(), now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(interval)
+		f.prober.tick(now)
+	}
+}
+
 // assertWithin checks the sum over one second from each message on.
 func assertWithin(t *testing.T, log []charge, messages, bytes int) {
 	t.Helper()
--- a/internal/process/prober/target.go
+++ b/internal/process/prober/target.go
@@ -6,6 +6,9 @@
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 )
 
+// probedPeriod is for how long the time of a probe is remembered.
+const probedPeriod = 10 * time.Second
+
 // target is what the prober holds for one service.
 type target struct {
 	budget budget
@@ -15,6 +18,16 @@
 
 func newTarget() *target { return &target{probed: make(map[string]time.Time)} }
 
+// forget drops the instances that were not probed lately: they left, or their
+// samples are fresh.
+func (t *target) forget(now time.Time) {
+	for id, at := range t.probed {
+		if now.Sub(at) > probedPeriod {
+			delete(t.probed, id)
+		}
+	}
+}
+
 // stalest returns the routable instance whose sample or newest probe is the longest
 // ago, or nil if no sample is about to be too old.
 func (t *target) stalest(pool Pool, self string, instances []*registrar.Instance, maxAge time.Duration, now time.Time) *registrar.Instance {
