--- a/internal/process/voter/bench_test.go
+++ b/internal/process/voter/bench_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,21 +63,78 @@
 	assert.Equal(b, resp.GetVersion(), n+1)
 }
 
+// meter counts the requests of a client and the bytes of its connections.
+type meter struct{ requests, bytes atomic.Int64 }
+
+func (m *meter) client() *http.Client {
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &meteredConn{Conn: conn, meter: m}, err
+	}}
+	return &http.Client{Transport: &meteredTripper{transport, m}}
+}
+
+type meteredTripper struct {
+	http.RoundTripper
+	meter *meter
+}
+
+func (t *meteredTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	t.meter.requests.Add(1)
+	return t.RoundTripper.RoundTrip(req)
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *meter
+}
+
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.bytes.Add(int64(n))
+	return n, err
+}
+
 // BenchmarkSubmit measures changes of the design document by three voters
 // over TCP with real files.
 func BenchmarkSubmit(b *testing.B) {
-	voters := startConnected(b, 3)
+	var m meter
+	voters := startConnected(b, 3, m.client())
 	submitDesign(b, voters[0], 0)
+	requests, bytes := m.requests.Load(), m.bytes.Load()
 	n := uint64(1)
 	for b.Loop() {
 		submitDesign(b, voters[0], n)
 		n++
 	}
+	b.ReportMetric(float64(m.requests.Load()-requests)/float64(n-1), "requests/op")
+	b.ReportMetric(float64(m.bytes.Load()-bytes)/float64(n-1), "network-B/op")
+}
+
+// BenchmarkHeartbeats measures what three idle voters send in a second.
+func BenchmarkHeartbeats(b *testing.B) {
+	var m meter
+	voters := startConnected(b, 3, m.client())
+	submitDesign(b, voters[0], 0)
+	requests, bytes := m.requests.Load(), m.bytes.Load()
+	n := 0
+	for b.Loop() {
+		time.Sleep(time.Second)
+		n++
+	}
+	b.ReportMetric(float64(m.requests.Load()-requests)/float64(n), "requests/op")
+	b.ReportMetric(float64(m.bytes.Load()-bytes)/float64(n), "network-B/op")
 }
 
 // BenchmarkCurrent measures reads confirmed by a majority.
 func BenchmarkCurrent(b *testing.B) {
-	voters := startConnected(b, 3)
+	voters := startConnected(b, 3, &http.Client{})
 	submitDesign(b, voters[0], 0)
 	for b.Loop() {
 		_, err := voters[0].Current(context.Background())
--- a/internal/process/voter/connect_test.go
+++ b/internal/process/voter/connect_test.go
@@ -34,8 +34,8 @@
 	return doc
 }
 
-// startConnected starts voters that talk over TCP and keep real files.
-func startConnected(t testing.TB, n int) []*voter.Voter {
+// startConnected starts voters that talk over TCP by the client and keep real files.
+func startConnected(t testing.TB, n int, client *http.Client) []*voter.Voter {
 	t.Helper()
 	listeners := make([]net.Listener, n)
 	addresses := make([]string, n)
@@ -54,7 +54,7 @@
 			Address:   addresses[i],
 			Initial:   addresses,
 			Journal:   journal,
-			Transport: voter.NewConnectTransport(&http.Client{}),
+			Transport: voter.NewConnectTransport(client),
 			Digest:    digest,
 			Log:       zerolog.Nop(),
 			Scope:     tally.NoopScope,
@@ -88,7 +88,7 @@
 }
 
 func TestConnectedVoters(t *testing.T) {
-	voters := startConnected(t, 3)
+	voters := startConnected(t, 3, &http.Client{})
 	ctx := context.Background()
 	first := &controlwire.SubmitRequest{ChangeId: "a", Operator: "ana", Document: document("service x", "slots", "3")}
 	resp, err := voters[2].Submit(ctx, first)
