fix: a voter that returns after all others were replaced finds the group

It knew only voters that are gone. Without a majority of those it now also asks the instances that its settings name. Tests: that return, the bounds of the history and the refusal of a change that is too old to tell.

--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -76,6 +76,10 @@
 	}
 	s := m.survey(ctx)
 	m.pull(ctx, s)
+	if !hasQuorum(s.known.membership(), s.responded) {
+		// The voters known here may have been replaced long ago.
+		m.pullFromInitial(ctx, s.known.wire.GetGroup())
+	}
 	chosen := m.voter.acceptor.chosen(s)
 	if chosen == nil {
 		m.undecided++
@@ -89,18 +93,9 @@
 // join looks for a group to belong to, or forms one. It reports whether the
 // instance now holds the group's state.
 func (m *monitor) join(ctx context.Context) bool {
-	for _, address := range m.voter.cfg.Initial {
-		if address == m.voter.cfg.Address {
-			continue
-		}
-		peer := m.voter.peerAt(address)
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		resp, err := peer.Query(callCtx, &voterwire.QueryRequest{})
-		cancel()
-		if err == nil && resp.GetPosition().GetLearnedOrigin() != nil && m.pullFrom(ctx, peer, resp.GetPosition()) {
-			m.voter.cfg.Log.Info().Str("from", address).Msg("State of the group received.")
-			return true
-		}
+	if m.pullFromInitial(ctx, "") {
+		m.voter.cfg.Log.Info().Msg("State of the group received.")
+		return true
 	}
 	if !m.voter.mayForm() {
 		return false
@@ -114,6 +109,29 @@
 	return true
 }
 
+// pullFromInitial brings this instance up to date with those that its settings
+// name, whether these vote or not. A group that is not empty must be theirs.
+// It reports whether the instance now holds a state.
+func (m *monitor) pullFromInitial(ctx context.Context, group string) bool {
+	for _, address := range m.voter.cfg.Initial {
+		if address == m.voter.cfg.Address {
+			continue
+		}
+		peer := m.voter.peerAt(address)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		resp, err := peer.Query(callCtx, &voterwire.QueryRequest{})
+		cancel()
+		p := resp.GetPosition()
+		if err != nil || p.GetLearnedOrigin() == nil || group != "" && p.GetGroup() != group {
+			continue
+		}
+		if m.pullFrom(ctx, peer, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // survey asks all voters what they hold.
 func (m *monitor) survey(ctx context.Context) *survey {
 	start := time.Now()
--- /dev/null
+++ b/internal/process/voter/state_test.go
@@ -0,0 +1,78 @@
+package voter
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+// changed returns the state after a change whose one entry has a value of the
+// given size.
+func changed(t *testing.T, s *State, size int) *State {
+	t.Helper()
+	number := s.number() + 1
+	entry := &controlwire.Entry{Section: "service x", Key: "note", Value: string(make([]byte, size))}
+	next, err := s.apply(&voterwire.Transition{
+		Origin: ballot(number),
+		Change: &controlwire.HistoryEntry{
+			Number: number, ChangeId: fmt.Sprint(number), Changes: []*controlwire.EntryChange{{Entry: entry}},
+		},
+	})
+	assert.NilError(t, err)
+	return next
+}
+
+// longHistory returns a state that remembers as many changes as it may.
+func longHistory() *State {
+	wire := genesisOf("g")
+	wire.Version.Digest = &controlwire.VersionDigest{Number: maxHistory}
+	for n := range uint64(maxHistory) {
+		wire.History = append(wire.History, &controlwire.HistoryEntry{Number: n + 1, ChangeId: fmt.Sprint(n + 1)})
+	}
+	return newState(wire)
+}
+
+func TestRememberedChanges(t *testing.T) {
+	s := changed(t, changed(t, longHistory(), 1), 1)
+	assert.Equal(t, len(s.History()), maxHistory)
+	for _, c := range []struct {
+		id       string
+		replaces uint64
+		err      error
+		result   controlwire.SubmitResult
+	}{
+		{"3", 2, nil, controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED},
+		{"2", 1, ErrTooOld, 0},
+		{"new", 1, ErrTooOld, 0},
+		{"new", 2, nil, controlwire.SubmitResult_SUBMIT_RESULT_CONFLICT},
+	} {
+		sub := &submission{req: &controlwire.SubmitRequest{ChangeId: c.id, Replaces: c.replaces}}
+		assert.Assert(t, sub.next(s) == nil)
+		assert.Assert(t, errors.Is(sub.err, c.err), "%s: %v", c.id, sub.err)
+		assert.Equal(t, sub.answer.GetResult(), c.result)
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	s := newState(genesisOf("g"))
+	for range maxDetailed + 10 {
+		s = changed(t, s, 1)
+	}
+	detailed := 0
+	for _, e := range s.History() {
+		detailed += min(1, len(e.GetChanges()))
+	}
+	assert.Equal(t, detailed, maxDetailed)
+	for range 5 {
+		s = changed(t, s, maxDetailedBytes/2)
+	}
+	assert.Assert(t, proto.Size(s.wire) < 3*maxDetailedBytes)
+	newest := s.History()[len(s.History())-1]
+	assert.Equal(t, len(newest.GetChanges()), 1)
+}
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -282,6 +282,25 @@
 	})
 }
 
+func TestVoterReturnsAfterAllWereReplaced(t *testing.T) {
+	simulate(t, 16, 3, func(t *testing.T, c *cluster) {
+		fresh := []string{"v3", "v4", "v5"}
+		for _, address := range fresh {
+			c.add(address)
+		}
+		c.crash("v0")
+		assertAccepted(t, c.voter("v1"), replacing("a", 0), 1)
+		time.Sleep(3 * time.Second)
+		c.crash("v1")
+		c.crash("v2")
+		c.initial = fresh // As an operator writes it into the settings of v0.
+		c.start("v0")
+		time.Sleep(5 * time.Second)
+		assertAccepted(t, c.voter("v0"), change("b", 1), 2)
+		assert.Assert(t, !c.voter("v0").Status().GetVoting())
+	})
+}
+
 func TestMinorityAcceptIsFinished(t *testing.T) {
 	simulate(t, 15, 3, func(t *testing.T, c *cluster) {
 		c.setFilter(withholding("v1", "v2"))
