--- a/internal/process/voter/bench_test.go
+++ b/internal/process/voter/bench_test.go
@@ -105,7 +105,7 @@
 // over TCP with real files.
 func BenchmarkSubmit(b *testing.B) {
 	var m meter
-	voters := startConnected(b, 3, m.client())
+	voters := startConnected(b, m.client())
 	submitDesign(b, voters[0], 0)
 	requests, bytes := m.requests.Load(), m.bytes.Load()
 	n := uint64(1)
@@ -120,7 +120,7 @@
 // BenchmarkHeartbeats measures what three idle voters send in a second.
 func BenchmarkHeartbeats(b *testing.B) {
 	var m meter
-	voters := startConnected(b, 3, m.client())
+	voters := startConnected(b, m.client())
 	submitDesign(b, voters[0], 0)
 	requests, bytes := m.requests.Load(), m.bytes.Load()
 	n := 0
@@ -134,7 +134,7 @@
 
 // BenchmarkCurrent measures reads confirmed by a majority.
 func BenchmarkCurrent(b *testing.B) {
-	voters := startConnected(b, 3, &http.Client{})
+	voters := startConnected(b, &http.Client{})
 	submitDesign(b, voters[0], 0)
 	for b.Loop() {
 		_, err := voters[0].Current(context.Background())
--- a/internal/process/voter/connect_test.go
+++ b/internal/process/voter/connect_test.go
@@ -34,9 +34,10 @@
 	return doc
 }
 
-// startConnected starts voters that talk over TCP by the client and keep real files.
-func startConnected(t testing.TB, n int, client *http.Client) []*voter.Voter {
+// startConnected starts three voters that talk over TCP by the client and keep real files.
+func startConnected(t testing.TB, client *http.Client) []*voter.Voter {
 	t.Helper()
+	const n = 3
 	listeners := make([]net.Listener, n)
 	addresses := make([]string, n)
 	for i := range n {
@@ -88,7 +89,7 @@
 }
 
 func TestConnectedVoters(t *testing.T) {
-	voters := startConnected(t, 3, &http.Client{})
+	voters := startConnected(t, &http.Client{})
 	ctx := context.Background()
 	first := &controlwire.SubmitRequest{ChangeId: "a", Operator: "ana", Document: document("service x", "slots", "3")}
 	resp, err := voters[2].Submit(ctx, first)
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -209,9 +209,9 @@
 	})
 }
 
-// replacing returns a submission that makes v3, v4 and v5 the voters.
-func replacing(id string, replaces uint64) *controlwire.SubmitRequest {
-	req := change(id, replaces)
+// replacing returns the submission "a", which makes v3, v4 and v5 the voters.
+func replacing() *controlwire.SubmitRequest {
+	req := change("a", 0)
 	req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v3,v4,v5").Entries...)
 	return req
 }
@@ -250,7 +250,7 @@
 		}
 		// The state reaches the new voters and v0, but no majority of the old ones.
 		c.setFilter(withholding("v1", "v2"))
-		_, err := c.voter("v0").Submit(context.Background(), replacing("a", 0))
+		_, err := c.voter("v0").Submit(context.Background(), replacing())
 		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		split(c, true, append(fresh, "v0"), []string{"v1", "v2"})
 		c.setFilter(nil)
@@ -258,7 +258,7 @@
 		assertNoMajority(t, c.voter("v3"))
 		assertAccepted(t, c.voter("v1"), change("b", 0), 1)
 		split(c, false, append(fresh, "v0"), []string{"v1", "v2"})
-		assertConflict(t, c.voter("v0"), replacing("a", 0), "b")
+		assertConflict(t, c.voter("v0"), replacing(), "b")
 	})
 }
 
@@ -269,7 +269,7 @@
 			c.add(address)
 		}
 		c.isolate("v0", true, true)
-		assertAccepted(t, c.voter("v1"), replacing("a", 0), 1)
+		assertAccepted(t, c.voter("v1"), replacing(), 1)
 		time.Sleep(3 * time.Second)
 		split(c, true, fresh, []string{"v1", "v2"})
 		assertAccepted(t, c.voter("v3"), change("b", 1), 2)
@@ -289,7 +289,7 @@
 			c.add(address)
 		}
 		c.crash("v0")
-		assertAccepted(t, c.voter("v1"), replacing("a", 0), 1)
+		assertAccepted(t, c.voter("v1"), replacing(), 1)
 		time.Sleep(3 * time.Second)
 		c.crash("v1")
 		c.crash("v2")
