--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -71,6 +71,11 @@
 				assertAccepted(t, c.voter("v0"), change("a", 0), 1)
 				c.isolate("v0", directions[0], directions[1])
 				assertAccepted(t, c.voter("v1"), change("b", 1), 2)
+				ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+				defer cancel()
+				_, err := c.voter("v0").Submit(ctx, change("c", 1))
+				assert.ErrorIs(t, err, voter.ErrNoMajority)
+				assert.NilError(t, ctx.Err(), "the outcome came too late")
 				assertNoMajority(t, c.voter("v0"))
 				assert.Assert(t, c.voter("v0").Status().GetStale())
 				assert.Assert(t, !c.voter("v1").Status().GetStale())
@@ -209,9 +214,9 @@
 	})
 }
 
-// replacing returns a submission that makes v3, v4 and v5 the voters.
-func replacing(id string, replaces uint64) *controlwire.SubmitRequest {
-	req := change(id, replaces)
+// replacing returns the submission "a", which makes v3, v4 and v5 the voters.
+func replacing() *controlwire.SubmitRequest {
+	req := change("a", 0)
 	req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v3,v4,v5").Entries...)
 	return req
 }
@@ -250,7 +255,7 @@
 		}
 		// The state reaches the new voters and v0, but no majority of the old ones.
 		c.setFilter(withholding("v1", "v2"))
-		_, err := c.voter("v0").Submit(context.Background(), replacing("a", 0))
+		_, err := c.voter("v0").Submit(context.Background(), replacing())
 		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		split(c, true, append(fresh, "v0"), []string{"v1", "v2"})
 		c.setFilter(nil)
@@ -258,7 +263,7 @@
 		assertNoMajority(t, c.voter("v3"))
 		assertAccepted(t, c.voter("v1"), change("b", 0), 1)
 		split(c, false, append(fresh, "v0"), []string{"v1", "v2"})
-		assertConflict(t, c.voter("v0"), replacing("a", 0), "b")
+		assertConflict(t, c.voter("v0"), replacing(), "b")
 	})
 }
 
@@ -269,7 +274,7 @@
 			c.add(address)
 		}
 		c.isolate("v0", true, true)
-		assertAccepted(t, c.voter("v1"), replacing("a", 0), 1)
+		assertAccepted(t, c.voter("v1"), replacing(), 1)
 		time.Sleep(3 * time.Second)
 		split(c, true, fresh, []string{"v1", "v2"})
 		assertAccepted(t, c.voter("v3"), change("b", 1), 2)
@@ -282,6 +287,25 @@
 	})
 }
 
+func TestVoterReturnsAfterAllWereReplaced(t *testing.T) {
+	simulate(t, 16, 3, func(t *testing.T, c *cluster) {
+		fresh := []string{"v3", "v4", "v5"}
+		for _, address := range fresh {
+			c.add(address)
+		}
+		c.crash("v0")
+		assertAccepted(t, c.voter("v1"), replacing(), 1)
+		time.Sleep(3 * time.Second)
+		c.crash("v1")
+		c.crash("v2")
+		c.initial = fresh // As an operator writes it into the settings of v0.
+		c.start("v0")
+		time.Sleep(5 * time.Second)
+		assertAccepted(t, c.voter("v0"), change("b", 1), 2)
+		assert.Assert(t, !c.voter("v0").Status().GetVoting())
+	})
+}
+
 func TestMinorityAcceptIsFinished(t *testing.T) {
 	simulate(t, 15, 3, func(t *testing.T, c *cluster) {
 		c.setFilter(withholding("v1", "v2"))
