--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -196,10 +196,12 @@
 	})
 }
 
-func TestSuspicionDoesNotHideLeaving(t *testing.T) {
-	m := &member{spec: registrar.Spec{State: registrar.StateLeaving}, status: statusSuspect}
-	assert.Assert(t, !m.state().Routable())
-	m.spec.State = registrar.StateReady
+func TestSuspicionMakesNothingRoutable(t *testing.T) {
+	for _, state := range []registrar.State{registrar.StateStarting, registrar.StateLeaving, registrar.StateLeft} {
+		m := &member{spec: registrar.Spec{State: state}, status: statusSuspect}
+		assert.Equal(t, m.state(), state)
+	}
+	m := &member{spec: registrar.Spec{State: registrar.StateReady}, status: statusSuspect}
 	assert.Equal(t, m.state(), registrar.StateSuspect)
 }
 
--- a/internal/process/gossiper/member.go
+++ b/internal/process/gossiper/member.go
@@ -46,14 +46,14 @@
 }
 
 // state returns the state that a view shows. A suspicion does not hide that an
-// instance is leaving.
+// instance takes no work.
 func (m *member) state() registrar.State {
 	switch {
 	case m.spec.State == registrar.StateLeft:
 		return registrar.StateLeft
 	case m.status == statusFailed:
 		return registrar.StateFailed
-	case m.status == statusSuspect && m.spec.State != registrar.StateLeaving:
+	case m.status == statusSuspect && m.spec.State.Routable():
 		return registrar.StateSuspect
 	default:
 		return m.spec.State
