test: the fake network of membership takes its lock everywhere

go test -race showed unlocked reads and writes in the fake network and in the tests (a map read while a node starts again could have ended the test process); none in the gossiper itself. No assertion changed but the check of versions that go back, which now covers all lives of a node in one comparison.

--- a/internal/process/gossiper/fault_test.go
+++ b/internal/process/gossiper/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -36,20 +37,20 @@
 	last := func(fl *fleet) *fakeNode { return fl.nodes[9] }
 	return []fault{
 		{"none", func(*fleet) []*fakeNode { return nil }},
-		{"20 % of datagrams lost", func(fl *fleet) []*fakeNode { fl.loss = 0.2; return nil }},
-		{"delays of up to 300 ms, out of order", func(fl *fleet) []*fakeNode { fl.maxDelay = 300 * time.Millisecond; return nil }},
-		{"datagrams doubled", func(fl *fleet) []*fakeNode { fl.double = true; return nil }},
+		{"20 % of datagrams lost", func(fl *fleet) []*fakeNode { fl.change(func() { fl.loss = 0.2 }); return nil }},
+		{"delays of up to 300 ms, out of order", func(fl *fleet) []*fakeNode { fl.change(func() { fl.maxDelay = 300 * time.Millisecond }); return nil }},
+		{"datagrams doubled", func(fl *fleet) []*fakeNode { fl.change(func() { fl.double = true }); return nil }},
 		{"one node hears nothing", func(fl *fleet) []*fakeNode {
-			fl.cut = func(_, to *fakeNode) bool { return to == last(fl) }
+			fl.change(func() { fl.cut = func(_, to *fakeNode) bool { return to == last(fl) } })
 			return []*fakeNode{last(fl)}
 		}},
 		{"one node is not heard", func(fl *fleet) []*fakeNode {
-			fl.cut = func(from, _ *fakeNode) bool { return from == last(fl) }
+			fl.change(func() { fl.cut = func(from, _ *fakeNode) bool { return from == last(fl) } })
 			return []*fakeNode{last(fl)}
 		}},
 		{"four nodes cut off", func(fl *fleet) []*fakeNode {
 			off := func(x *fakeNode) bool { return x.index >= 6 && x.index < 10 }
-			fl.cut = func(from, to *fakeNode) bool { return off(from) != off(to) }
+			fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return off(from) != off(to) } })
 			return fl.nodes[6:10:10]
 		}},
 		{"one node frozen", func(fl *fleet) []*fakeNode {
@@ -120,7 +121,8 @@
 			subject(fl).kill()
 			subject(fl).start(registrar.StateReady)
 			return func(x *fakeNode) bool {
-				return len(x.published) > 0 && x.published[len(x.published)-1] == 2
+				published := x.versions()
+				return len(published) > 0 && published[len(published)-1] == 2
 			}
 		}},
 	}
@@ -161,23 +163,23 @@
 	time.Sleep(faultLength + time.Second - time.Since(begun))
 	for _, x := range spared {
 		for _, o := range spared {
-			if x.failures[o.index] > 0 {
-				during += fmt.Sprintf(", node-%d failed at node-%d", o.index, x.index)
-			}
+			fl.change(func() {
+				if x.failures[o.index] > 0 {
+					during += fmt.Sprintf(", node-%d failed at node-%d", o.index, x.index)
+				}
+			})
 		}
 	}
-	fl.loss, fl.double, fl.maxDelay = 0, false, 2*time.Millisecond
-	fl.cut = func(_, _ *fakeNode) bool { return false }
+	fl.change(func() { fl.loss, fl.double, fl.maxDelay = 0, false, 2*time.Millisecond })
+	fl.change(func() { fl.cut = func(_, _ *fakeNode) bool { return false } })
 	all := living(fl.nodes)
 	after := "within 1m"
 	if done := fl.reach(time.Minute, all, reached); done < len(all) {
 		after = fmt.Sprintf("%d of %d within 1m", done, len(all))
 	}
 	for _, x := range fl.nodes {
-		for i := 1; i < len(x.published); i++ {
-			if x.published[i] < x.published[i-1] {
-				after += fmt.Sprintf(", node-%d went back to version %d", x.index, x.published[i])
-			}
+		if published := x.versions(); !slices.IsSorted(published) {
+			after += fmt.Sprintf(", node-%d went back: %v", x.index, published)
 		}
 	}
 	return during + " | " + after
@@ -193,6 +195,13 @@
 	return alive
 }
 
+// versions returns the versions that the node published, over all its lives.
+func (x *fakeNode) versions() []uint64 {
+	x.fleet.mu.Lock()
+	defer x.fleet.mu.Unlock()
+	return slices.Clone(x.published)
+}
+
 func version(number uint64) *controlwire.Version {
 	return &controlwire.Version{Digest: &controlwire.VersionDigest{Number: number, Digest: make([]byte, 32)}, Document: &controlwire.Document{}}
 }
@@ -211,7 +220,7 @@
 		return nil
 	}
 	return distributor.New(distributor.Config{
-		Control: func() []netip.AddrPort { return []netip.AddrPort{fl.nodes[0].peer} },
+		Control: func() []netip.AddrPort { return []netip.AddrPort{peerOf(0)} },
 		Client:  x,
 		Compile: func(_ *controlwire.Document, number uint64) (*compiler.Configuration, error) {
 			return compiler.NewConfiguration(number, "oaxaca", nil), nil
@@ -222,7 +231,7 @@
 			return doc, nil
 		},
 		Publish: func(c *compiler.Configuration) bool {
-			x.published = append(x.published, c.Number())
+			fl.change(func() { x.published = append(x.published, c.Number()) })
 			return true
 		},
 		Announce: func(v *controlwire.VersionDigest) { x.SetVersion(v) },
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -101,7 +101,7 @@
 func TestFrozenNodeSuspectsNobodyBeforeItCompared(t *testing.T) {
 	runFleet(t, 10, 6, func(fl *fleet) {
 		x := fl.nodes[7]
-		fl.cut = func(from, to *fakeNode) bool { return (from == x) != (to == x) }
+		fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return (from == x) != (to == x) } })
 		x.freeze(10 * time.Second)
 		time.Sleep(resyncTimeout - time.Second)
 		for _, o := range fl.without(x) {
@@ -113,7 +113,7 @@
 func TestDeafNodeIsNotBelievedOnceItFailed(t *testing.T) {
 	runFleet(t, 10, 15, func(fl *fleet) {
 		x := fl.nodes[7]
-		fl.cut = func(_, to *fakeNode) bool { return to == x }
+		fl.change(func() { fl.cut = func(_, to *fakeNode) bool { return to == x } })
 		fl.awaitState(fl.without(x), x, 30*time.Second, registrar.StateFailed)
 		time.Sleep(spreadBound)
 		before := make(map[*fakeNode]uint64)
@@ -130,7 +130,7 @@
 func TestPartitionHealsWithoutAStorm(t *testing.T) {
 	runFleet(t, 20, 7, func(fl *fleet) {
 		side := func(x *fakeNode) bool { return x.index%2 == 0 }
-		fl.cut = func(from, to *fakeNode) bool { return side(from) != side(to) }
+		fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return side(from) != side(to) } })
 		for _, x := range fl.nodes {
 			x.mu.Lock()
 			x.cfg.Seeds = nil // The sides find each other by the failed members that they know.
@@ -142,7 +142,7 @@
 			}
 		}
 		time.Sleep(5 * time.Minute)
-		fl.cut = func(_, _ *fakeNode) bool { return false }
+		fl.change(func() { fl.cut = func(_, _ *fakeNode) bool { return false } })
 		for _, o := range fl.nodes {
 			fl.awaitState(fl.nodes, o, time.Minute, registrar.StateReady)
 		}
@@ -153,10 +153,10 @@
 func TestPartitionLongerThanMemoryHeals(t *testing.T) {
 	runFleet(t, 6, 8, func(fl *fleet) {
 		side := func(x *fakeNode) bool { return x.index%2 == 0 }
-		fl.cut = func(from, to *fakeNode) bool { return side(from) != side(to) }
+		fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return side(from) != side(to) } })
 		time.Sleep(failedRetention + 5*time.Minute)
 		assert.Equal(t, fl.nodes[0].View().Len(), 3)
-		fl.cut = func(_, _ *fakeNode) bool { return false }
+		fl.change(func() { fl.cut = func(_, _ *fakeNode) bool { return false } })
 		for _, o := range fl.nodes {
 			fl.awaitState(fl.nodes, o, 2*time.Minute, registrar.StateReady)
 		}
@@ -172,7 +172,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 20, 9, func(fl *fleet) {
-				load(fl)
+				fl.change(func() { load(fl) })
 				time.Sleep(10 * time.Minute)
 				fl.assertHealthy()
 			})
@@ -232,7 +232,7 @@
 
 func TestBudgetHoldsInAStorm(t *testing.T) {
 	runFleet(t, 40, 12, func(fl *fleet) {
-		fl.loss = 0.3
+		fl.change(func() { fl.loss = 0.3 })
 		for round := range 10 {
 			for _, x := range fl.nodes[5:35] {
 				x.kill()
@@ -249,16 +249,16 @@
 			}
 		}
 		fl.assertBudget()
-		fl.loss = 0
+		fl.change(func() { fl.loss = 0 })
 		fl.await("all back", time.Minute, fl.nodes, func(x *fakeNode) bool {
-			return x.table.live == len(fl.nodes)
+			return x.live() == len(fl.nodes)
 		})
 	})
 }
 
 func TestVersionSpreadsAndNeverReverts(t *testing.T) {
 	runFleet(t, 20, 13, func(fl *fleet) {
-		fl.loss = 0.2
+		fl.change(func() { fl.loss = 0.2 })
 		for number := uint64(1); number <= 10; number++ {
 			fl.nodes[number].SetVersion(&controlwire.VersionDigest{Number: number})
 			fl.await("version", spreadBound, fl.nodes, func(x *fakeNode) bool { return x.versionNumber() == number })
--- a/internal/process/gossiper/network_test.go
+++ b/internal/process/gossiper/network_test.go
@@ -85,11 +85,22 @@
 	return fl
 }
 
+// change changes the network.
+func (fl *fleet) change(f func()) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	f()
+}
+
+func peerOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
 // add starts a node with the next free number.
 func (fl *fleet) add(state registrar.State) *fakeNode {
 	i := len(fl.nodes)
-	x := &fakeNode{fleet: fl, index: i, failures: make(map[int]int), peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)}
-	fl.nodes = append(fl.nodes, x)
+	x := &fakeNode{fleet: fl, index: i, failures: make(map[int]int), peer: peerOf(i)}
+	fl.change(func() { fl.nodes = append(fl.nodes, x) })
 	x.start(state)
 	return x
 }
@@ -113,7 +124,7 @@
 		}
 	}
 	x.distributor = fl.newDistributor(x)
-	x.Gossiper = New(Config{
+	g := New(Config{
 		Instance: registrar.Spec{
 			ID: fmt.Sprintf("node-%d", x.index), State: state, Service: "vitrina", Owner: "oaxaca", Site: "oaxaca",
 			Region: "sur", FailureDomain: "oax-centro", HTTP: x.peer, Peer: x.peer, Slots: 6, Connections: 240,
@@ -129,7 +140,8 @@
 		},
 		Logger: zerolog.Nop(), Scope: tally.NoopScope, Random: rand.New(rand.NewPCG(seed, 0)),
 	})
-	x.Start()
+	fl.change(func() { x.Gossiper = g })
+	g.Start()
 	if x.distributor != nil {
 		x.distributor.Start()
 	}
@@ -138,8 +150,14 @@
 // checkView counts live nodes that the view shows as failed.
 func (x *fakeNode) checkView(v *registrar.View) {
 	for _, in := range v.Instances() {
-		if in.State() == registrar.StateFailed && x.fleet.byPeer[in.Peer()].lives(in.Incarnation()) {
-			x.failures[x.fleet.byPeer[in.Peer()].index]++
+		if in.State() != registrar.StateFailed {
+			continue
+		}
+		x.fleet.mu.Lock()
+		other := x.fleet.byPeer[in.Peer()]
+		x.fleet.mu.Unlock()
+		if other.lives(in.Incarnation()) {
+			x.fleet.change(func() { x.failures[other.index]++ })
 		}
 	}
 }
@@ -198,7 +216,9 @@
 }
 
 // Handle implements Transport.
-func (x *fakeNode) Handle(_ courier.Kind, h courier.Handler) { x.handler = h }
+func (x *fakeNode) Handle(_ courier.Kind, h courier.Handler) {
+	x.fleet.change(func() { x.handler = h })
+}
 
 // Send implements Transport.
 func (x *fakeNode) Send(_ courier.Kind, to netip.AddrPort, payload []byte) error {
@@ -254,10 +274,11 @@
 	fl := x.fleet
 	fl.mu.Lock()
 	other := fl.byPeer[to]
+	delay := fl.maxDelay
 	lost := other == nil || other.dead || other.frozen() || fl.cut(x, other) || fl.cut(other, x)
 	fl.mu.Unlock()
 	if !lost {
-		time.Sleep(fl.maxDelay)
+		time.Sleep(delay)
 		return other, nil
 	}
 	<-ctx.Done()
@@ -271,7 +292,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := other.ServeCompare(req)
+	resp, err := other.gossiper().ServeCompare(req)
 	other.accountCall(proto.Size(resp))
 	x.awaitGate()
 	return resp, err
@@ -283,12 +304,19 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := other.ServeReconcile(req)
+	resp, err := other.gossiper().ServeReconcile(req)
 	other.accountCall(proto.Size(resp))
 	x.awaitGate()
 	return resp, err
 }
 
+// gossiper returns the gossiper of the node's present life.
+func (x *fakeNode) gossiper() *Gossiper {
+	x.fleet.mu.Lock()
+	defer x.fleet.mu.Unlock()
+	return x.Gossiper
+}
+
 func (x *fakeNode) accountCall(n int) {
 	x.fleet.mu.Lock()
 	defer x.fleet.mu.Unlock()
@@ -349,14 +377,18 @@
 // node exceeded its budget, which is one second's bytes in a burst.
 func (fl *fleet) assertHealthy() {
 	fl.t.Helper()
-	for _, x := range fl.nodes {
-		assert.Equal(fl.t, len(x.failures), 0, "node-%d saw %v failed", x.index, x.failures)
-	}
+	fl.change(func() {
+		for _, x := range fl.nodes {
+			assert.Check(fl.t, len(x.failures) == 0, "node-%d saw %v failed", x.index, x.failures)
+		}
+	})
 	fl.assertBudget()
 }
 
 func (fl *fleet) assertBudget() {
 	fl.t.Helper()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	for _, x := range fl.nodes {
 		assert.Assert(fl.t, x.overrun < DefaultBytesPerSecond+1, "node-%d: %v bytes at once", x.index, x.overrun)
 	}
--- a/internal/process/gossiper/scale_test.go
+++ b/internal/process/gossiper/scale_test.go
@@ -30,11 +30,15 @@
 // traffic returns the bytes and messages that one node sends in a second
 // while f runs.
 func (fl *fleet) traffic(f func()) (bytes, messages float64) {
-	for _, x := range fl.nodes {
-		x.sent, x.messages = 0, 0
-	}
+	fl.change(func() {
+		for _, x := range fl.nodes {
+			x.sent, x.messages = 0, 0
+		}
+	})
 	start := time.Now()
 	f()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	for _, x := range fl.nodes {
 		bytes += float64(x.sent)
 		messages += float64(x.messages)
@@ -118,9 +122,9 @@
 			busy, busyMessages := fl.traffic(fl.churn)
 			fl.add(registrar.StateReady)
 			join := fl.awaitAll(n + 1)
-			fl.cut = func(from, to *fakeNode) bool { return from.index%2 != to.index%2 }
+			fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return from.index%2 != to.index%2 } })
 			time.Sleep(5 * time.Minute)
-			fl.cut = func(_, _ *fakeNode) bool { return false }
+			fl.change(func() { fl.cut = func(_, _ *fakeNode) bool { return false } })
 			heal := fl.awaitAll(n + 1)
 			t.Logf("n=%d idle %.0f B/s %.2f msg/s, churn %.0f B/s %.2f msg/s, version at all in %v, start %v, join %v, heal %v",
 				n, idle, idleMessages, busy, busyMessages, slowest, start, join, heal)
