fix: a caller that goes away says nothing about the upstream's speed

Cause: its early end counted as a short latency of the upstream, which the adaptive limit and the fleet were told. It is marked as abandoned now, as the admitter offers.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -126,7 +126,11 @@
 
 // Done implements server.Permit.
 func (p upstreamPermit) Done(result server.Result) {
-	p.permit.Done(admitter.Result{Latency: result.Latency, Failed: result.Failed})
+	p.permit.Done(admitter.Result{
+		Latency:   result.Latency,
+		Failed:    result.Failed,
+		Abandoned: result.Abandoned,
+	})
 }
 
 // watchedRequester tells the watcher what the upstream answers.
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -46,7 +46,8 @@
 	latency := time.Since(start)
 	if err != nil {
 		refusal := refuser.FromError(err)
-		permit.Done(Result{Latency: latency, Failed: refusal.Reason() != classifier.ReasonCanceled})
+		abandoned := refusal.Reason() == classifier.ReasonCanceled
+		permit.Done(Result{Latency: latency, Failed: !abandoned, Abandoned: abandoned})
 		return nil, refusal
 	}
 	if refusal := shed(resp); refusal != nil {
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -40,6 +40,8 @@
 	Latency time.Duration
 	// Failed tells that the upstream gave no good answer.
 	Failed bool
+	// Abandoned tells that the caller went away: the end says nothing about the upstream.
+	Abandoned bool
 }
 
 // Permit is the leave to send one request to the upstream.
