feat: submit only what was edited

Operators edit the base file or an overlay and submit it. Until now each submission had to hold all files, and an overlay that was forgotten put its site back on the base without a word. What the voters get is a whole document as before.

--- a/internal/cmd/config.go
+++ b/internal/cmd/config.go
@@ -63,9 +63,30 @@
 	return addresses, nil
 }
 
-// readDocument reads and checks the base file and overlays. It prints each
-// fault as a line to w.
-func readDocument(w io.Writer, names []string) (*controlwire.Document, error) {
+// editFlags are the flags of a command that edits the version in force.
+type editFlags struct {
+	files       []string
+	removeSites []string
+}
+
+func (f *editFlags) add(command *kingpin.CmdClause) {
+	command.Flag("remove-site", "Remove the overlay of this site. May be repeated.").PlaceHolder("NAME").StringsVar(&f.removeSites)
+	command.Arg("files", "What was edited: the base file, overlays, or both.").Required().StringsVar(&f.files)
+}
+
+// apply returns the document with the edits. It prints each fault as a line to w.
+func (f *editFlags) apply(w io.Writer, doc *controlwire.Document) (*controlwire.Document, error) {
+	doc, err := compiler.WithoutSites(doc, f.removeSites)
+	if err != nil {
+		return nil, fmt.Errorf("remove overlays: %w", err)
+	}
+	return readDocument(w, doc, f.files)
+}
+
+// readDocument reads and checks the base file and overlays. Layers that no
+// file describes stay as they are in the document over, which may be nil. It
+// prints each fault as a line to w.
+func readDocument(w io.Writer, over *controlwire.Document, names []string) (*controlwire.Document, error) {
 	files := make([]compiler.Source, len(names))
 	for i, name := range names {
 		data, err := os.ReadFile(name)
@@ -74,7 +95,7 @@
 		}
 		files[i] = compiler.Source{Name: name, Data: data}
 	}
-	doc, err := compiler.Parse(files)
+	doc, err := compiler.ParseOver(over, files)
 	var faults parser.Errors
 	if errors.As(err, &faults) {
 		fmt.Fprintln(w, faults)
--- a/internal/cmd/config_check.go
+++ b/internal/cmd/config_check.go
@@ -56,7 +56,7 @@
 }
 
 func (c *checkedFiles) checkConfiguration() error {
-	doc, err := readDocument(c.env.stderr, c.configuration)
+	doc, err := readDocument(c.env.stderr, nil, c.configuration)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/config_diff.go
+++ b/internal/cmd/config_diff.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
-	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
 // errDiffUsage reports that the command was not told what to compare with.
@@ -20,28 +19,29 @@
 	flags := &controlFlags{}
 	flags.add(command, false)
 	against := command.Flag("against", "Compare with these files instead of the version in force. May be repeated.").Strings()
-	files := command.Arg("files", "The base file and the overlays of all sites.").Required().Strings()
+	edit := &editFlags{}
+	edit.add(command)
 	return command.FullCommand(), func() error {
 		if (flags.addresses == "") == (len(*against) == 0) {
 			return errDiffUsage
 		}
-		next, err := readDocument(env.stderr, *files)
-		if err != nil {
-			return err
-		}
 		if len(*against) > 0 {
-			return diffFiles(env, *against, next)
+			return diffFiles(env, *against, edit)
 		}
 		client, err := flags.client()
 		if err != nil {
 			return err
 		}
-		return diffCurrent(env, client, next)
+		return diffCurrent(env, client, edit)
 	}
 }
 
-func diffFiles(env *environment, against []string, next *controlwire.Document) error {
-	old, err := readDocument(env.stderr, against)
+func diffFiles(env *environment, against []string, edit *editFlags) error {
+	old, err := readDocument(env.stderr, nil, against)
+	if err != nil {
+		return err
+	}
+	next, err := edit.apply(env.stderr, old)
 	if err != nil {
 		return err
 	}
@@ -49,11 +49,15 @@
 	return nil
 }
 
-func diffCurrent(env *environment, client controlClient, next *controlwire.Document) error {
+func diffCurrent(env *environment, client controlClient, edit *editFlags) error {
 	current, err := client.Current(env.ctx)
 	if err != nil {
 		return fmt.Errorf("read the version in force: %w", err)
 	}
+	next, err := edit.apply(env.stderr, current.GetDocument())
+	if err != nil {
+		return err
+	}
 	printEffects(env.stdout, current.GetDigest().GetNumber(), compiler.Effects(current.GetDocument(), next))
 	return nil
 }
--- a/internal/version/compiler/source.go
+++ b/internal/version/compiler/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -31,7 +32,11 @@
 // Parse reads the base file and the overlays of all sites, in any order, and
 // checks them for every site. It returns the document in canonical order, or
 // parser.Errors with the file, line and key of every fault.
-func Parse(files []Source) (*controlwire.Document, error) {
+func Parse(files []Source) (*controlwire.Document, error) { return ParseOver(nil, files) }
+
+// ParseOver is like Parse, but layers that no file describes stay as they are
+// in the given document. So an overlay can be read alone.
+func ParseOver(doc *controlwire.Document, files []Source) (*controlwire.Document, error) {
 	if len(files) == 0 {
 		return nil, ErrNoFiles
 	}
@@ -43,7 +48,8 @@
 	for _, file := range parsed {
 		a.add(file)
 	}
-	if _, found := a.positions[entryID{layer: baseLayer}]; !found && len(a.errs) == 0 {
+	a.keep(doc)
+	if !a.hasBase() && len(a.errs) == 0 {
 		a.fail(parsed[0].Name(), 0, "", "a base file, which has no section [site], must be given too")
 	}
 	if len(a.errs) > 0 {
@@ -56,6 +62,38 @@
 	return a.doc, nil
 }
 
+// keep adds the entries of the layers that no file describes.
+func (a *assembler) keep(doc *controlwire.Document) {
+	for _, e := range doc.GetEntries() {
+		if _, described := a.positions[entryID{layer: e.GetLayer()}]; !described {
+			a.doc.Entries = append(a.doc.Entries, e)
+		}
+	}
+}
+
+func (a *assembler) hasBase() bool {
+	_, described := a.positions[entryID{layer: baseLayer}]
+	return described || slices.ContainsFunc(a.doc.GetEntries(), func(e *controlwire.Entry) bool { return e.GetLayer() == baseLayer })
+}
+
+// WithoutSites returns the document without the overlays of the given sites.
+// It returns ErrBase if there is none of a site.
+func WithoutSites(doc *controlwire.Document, sites []string) (*controlwire.Document, error) {
+	present := Sites(doc)
+	for _, site := range sites {
+		if !slices.Contains(present, site) {
+			return nil, errors.Wrapf(ErrBase, "no overlay of %s: %s", site, parser.Unknown("site", site, present))
+		}
+	}
+	rest := &controlwire.Document{}
+	for _, e := range doc.GetEntries() {
+		if !slices.Contains(sites, e.GetLayer()) {
+			rest.Entries = append(rest.Entries, e)
+		}
+	}
+	return rest, nil
+}
+
 func parseAll(files []Source) ([]*parser.File, error) {
 	var errs parser.Errors
 	var parsed []*parser.File
