--- a/internal/cmd/config_diff.go
+++ b/internal/cmd/config_diff.go
@@ -15,7 +15,7 @@
 
 // configDiffCmd adds the command that tells what files would change at each site.
 func configDiffCmd(app *kingpin.Application, env *environment) (string, action) {
-	command := configCommand(app).Command("diff", "Tell what a base file and its overlays would change at each site.")
+	command := configCommand(app).Command("diff", "Tell what an edited base file or edited overlays would change at each site.")
 	flags := &controlFlags{}
 	flags.add(command, false)
 	against := command.Flag("against", "Compare with these files instead of the version in force. May be repeated.").Strings()
--- a/internal/cmd/config_submit.go
+++ b/internal/cmd/config_submit.go
@@ -24,7 +24,7 @@
 
 // configSubmitCmd adds the command that proposes a change to the control instances.
 func configSubmitCmd(app *kingpin.Application, env *environment) (string, action) {
-	command := configCommand(app).Command("submit", "Submit a base file and its overlays to replace a version.")
+	command := configCommand(app).Command("submit", "Submit an edited base file, edited overlays, or both to replace a version.")
 	flags := &controlFlags{}
 	flags.add(command, true)
 	s := &submission{env: env, req: &controlwire.SubmitRequest{}}
