fix: many keys are handed over in several messages

A leaving home with 200,000 keys would have sent one message above the limit of 64 MiB, and lost all of them. Only the last message counts as the receipt.

--- a/internal/request/keyer/keyer.go
+++ b/internal/request/keyer/keyer.go
@@ -36,6 +36,9 @@
 // time that a change of membership takes to be known everywhere.
 const convergence = 10 * time.Second
 
+// maxTransferRecords bounds the records in one message.
+const maxTransferRecords = 5000
+
 // errUnable reports a former home that cannot tell.
 var errUnable = errors.New("former home cannot tell")
 
@@ -55,9 +58,10 @@
 
 // TransferRequest hands records over to another instance.
 type TransferRequest struct {
-	// From is the leaving instance, Incarnation its last.
-	From        string   `json:"from"`
-	Incarnation uint64   `json:"incarnation"`
+	// From is the leaving instance.
+	From string `json:"from"`
+	// Incarnation is its last, in the message that ends the transfer; else 0.
+	Incarnation uint64   `json:"incarnation,omitempty"`
 	Records     []Record `json:"records"`
 }
 
@@ -169,14 +173,30 @@
 		if in.ID() == k.cfg.Instance || !in.State().Routable() {
 			continue
 		}
-		req := TransferRequest{From: k.cfg.Instance, Incarnation: k.incarnation(), Records: byHome[in.ID()]}
-		if err := k.cfg.Client.Transfer(ctx, in.Peer(), req); err != nil && first == nil {
+		if err := k.transfer(ctx, in, byHome[in.ID()]); err != nil && first == nil {
 			first = fmt.Errorf("hand keys over to %s: %w", in.ID(), err)
 		}
 	}
 	return first
 }
 
+// transfer sends records to one instance, in several messages if they are
+// many. Only the last one tells that all are handed over.
+func (k *Keyer) transfer(ctx context.Context, in *registrar.Instance, records []Record) error {
+	for len(records) > maxTransferRecords {
+		req := TransferRequest{From: k.cfg.Instance, Records: records[:maxTransferRecords]}
+		if err := k.cfg.Client.Transfer(ctx, in.Peer(), req); err != nil {
+			return fmt.Errorf("transfer a part: %w", err)
+		}
+		records = records[maxTransferRecords:]
+	}
+	req := TransferRequest{From: k.cfg.Instance, Incarnation: k.incarnation(), Records: records}
+	if err := k.cfg.Client.Transfer(ctx, in.Peer(), req); err != nil {
+		return fmt.Errorf("transfer the last part: %w", err)
+	}
+	return nil
+}
+
 // Observe tells the service's instances as they are known now. It must be
 // called at every change of membership.
 func (k *Keyer) Observe(instances []*registrar.Instance, retention time.Duration) {
@@ -202,7 +222,7 @@
 			return errors.Wrapf(errUnable, "no room for keys of %s", req.From)
 		}
 	}
-	k.receipts[req.From] = req.Incarnation
+	k.receipts[req.From] = max(k.receipts[req.From], req.Incarnation)
 	return nil
 }
 
