--- a/internal/process/journaler/journaler_test.go
+++ b/internal/process/journaler/journaler_test.go
@@ -165,6 +165,7 @@
 	assert.ErrorIs(t, j.Append(record(2)), journaler.ErrFull)
 	assert.ErrorIs(t, j.Rewrite([][]byte{record(0)}), journaler.ErrFull)
 	assert.ErrorIs(t, store.WriteBlob("ledger", record(1)), journaler.ErrFull)
+	assert.Equal(t, len(fs.names), 2, "part of a new file is left")
 	// A process that starts on a full disk still reads.
 	again := openJournal(t, fs)
 	assertPrefix(t, again.Records(), 2)
--- a/internal/process/journaler/store.go
+++ b/internal/process/journaler/store.go
@@ -153,6 +153,9 @@
 	}
 	temp := path + tempSuffix
 	if err := s.writeTemp(temp, data); err != nil {
+		// What was written of it may hold the last of the disk's space. Nothing
+		// reads it, so that it does no harm where it can't be removed.
+		_ = s.fs.Remove(temp)
 		return err
 	}
 	if err := s.fs.Rename(temp, path); err != nil {
