--- a/internal/process/voter/acceptor_test.go
+++ b/internal/process/voter/acceptor_test.go
@@ -1,8 +1,11 @@
 package voter
 
 import (
+	"context"
 	"testing"
 
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
@@ -97,6 +100,27 @@
 	assert.Assert(t, promises(t, fresh, "h", "me", 1))
 }
 
+func TestFinishesOnlyChosenReplacement(t *testing.T) {
+	wire := genesisOf("g")
+	wire.Membership = replaceMembers(wire.GetMembership(), wire.GetMembership().GetVoters())
+	accepted := &voterwire.Accepted{Ballot: ballot(1), Origin: wire.GetOrigin(), Transfer: &voterwire.Transfer{Snapshot: wire}}
+	identity := encodeRecord(&voterwire.Record{Kind: &voterwire.Record_Identity{Identity: "me"}})
+	v, err := New(Config{Journal: nullJournal{identity, acceptedRecord(accepted)}, Log: zerolog.Nop(), Scope: tally.NoopScope})
+	assert.NilError(t, err)
+	held, _ := v.acceptor.held()
+	for _, c := range []struct {
+		chosen   *State
+		previous int
+	}{
+		{newState(genesisOf("h")), 1},
+		{held, 0},
+	} {
+		assert.NilError(t, v.finishReplacing(context.Background(), c.chosen))
+		state, _ := v.acceptor.held()
+		assert.Equal(t, len(state.membership().GetPrevious()), c.previous)
+	}
+}
+
 // FuzzReplay gives an acceptor records of any content, and what it makes of
 // them to a submission.
 func FuzzReplay(f *testing.F) {
