--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -364,6 +365,24 @@
 	})
 }
 
+func TestJournalIsBounded(t *testing.T) {
+	simulate(t, 17, 3, func(t *testing.T, c *cluster) {
+		const size, changes = 100 << 10, 100
+		for i := range uint64(changes) {
+			req := change(fmt.Sprint(i), i)
+			req.Document.Entries[0].Value = strings.Repeat(fmt.Sprint(i%10), size)
+			assertAccepted(t, c.voter("v0"), req, i+1)
+		}
+		time.Sleep(2 * time.Second)
+		for _, address := range c.initial {
+			assert.Assert(t, c.instances[address].handle.Appended() < 5<<20)
+		}
+		c.restartAll()
+		time.Sleep(2 * time.Second)
+		assertCurrent(t, c.voter("v1"), changes)
+	})
+}
+
 func TestDiskFull(t *testing.T) {
 	simulate(t, 10, 3, func(t *testing.T, c *cluster) {
 		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
