--- a/internal/process/voter/acceptor.go
+++ b/internal/process/voter/acceptor.go
@@ -160,6 +160,7 @@
 			return nil, fmt.Errorf("make promise durable: %w", err)
 		}
 		a.promised = req.GetBallot()
+		a.compactIfLarge()
 	}
 	resp.Promised = true
 	resp.Newest = a.promised
