--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"goji.io"
+	"goji.io/pat"
 )
 
 const (
@@ -81,3 +83,20 @@
 	}
 	return nil
 }
+
+// handle adds a service whose method returns its path and handler.
+func handle(mux *goji.Mux, service func() (string, http.Handler)) {
+	path, h := service()
+	mux.Handle(pat.New(path+"*"), h)
+}
+
+// firstError calls all functions and returns the first error.
+func firstError(functions ...func() error) error {
+	var first error
+	for _, f := range functions {
+		if err := f(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/process/launcher/node_assembly.go
@@ -0,0 +1,204 @@
+package launcher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/accountant"
+	"github.com/banyanscale/banyanscale/internal/process/announcer"
+	"github.com/banyanscale/banyanscale/internal/process/distributor"
+	"github.com/banyanscale/banyanscale/internal/process/gossiper"
+	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/prober"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/process/watcher"
+	"github.com/banyanscale/banyanscale/internal/request/admitter"
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/keyer"
+	"github.com/banyanscale/banyanscale/internal/request/picker"
+	"github.com/banyanscale/banyanscale/internal/request/server"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+const (
+	// rememberedRequests is how many requests the explain command can look up.
+	rememberedRequests = 8192
+	// maxConnectionsPerNode bounds the connections to one other node.
+	maxConnectionsPerNode = 1024
+	// maxKeys bounds the remembered idempotency keys.
+	maxKeys = 200_000
+	// maxKeyBytes bounds the bytes of the answers that are kept for them.
+	maxKeyBytes = 48 << 20
+	// connectionShare is the inverse of the share of an upstream's connections
+	// that stays free for others than this node.
+	connectionShare = 10
+)
+
+// assembleControl makes the parts that learn about the fleet and its
+// configuration.
+func (n *Node) assembleControl(base zerolog.Logger) error {
+	c, err := courier.New(courier.Config{
+		Address: n.settings.PeerAddress(),
+		Logger:  logger.Part(base, "courier"),
+		Scope:   n.metrics.Scope().SubScope("courier"),
+	})
+	if err != nil {
+		return fmt.Errorf("bind the peer address: %w", err)
+	}
+	n.courier = c
+	client := newPeerClient()
+	n.distributor = distributor.New(distributor.Config{
+		Control:  n.controlAddresses,
+		Client:   distributor.NewClient(client),
+		Compile:  n.compile,
+		Digest:   compiler.Digest,
+		Diff:     compiler.Diff,
+		Apply:    compiler.Apply,
+		Publish:  n.publish,
+		Announce: func(v *controlwire.VersionDigest) { n.gossiper.SetVersion(v) },
+		Logger:   logger.Part(base, "distributor"),
+		Scope:    n.metrics.Scope().SubScope("distributor"),
+		Random:   newRandom(),
+	})
+	n.gossiper = gossiper.New(gossiper.Config{
+		Instance:  n.instance(),
+		Seeds:     n.settings.Seeds(),
+		Transport: c,
+		Client:    gossiper.NewClient(client),
+		OnView:    n.setView,
+		OnVersion: n.distributor.Learn,
+		Logger:    logger.Part(base, "gossiper"),
+		Scope:     n.metrics.Scope().SubScope("gossiper"),
+		Random:    newRandom(),
+	})
+	n.announcer = announcer.New(announcer.Config{Announce: n.gossiper.Announce, ColdStart: n.coldStart})
+	return nil
+}
+
+// assemblePath makes the parts on the path of a request.
+func (n *Node) assemblePath(base zerolog.Logger) error {
+	s := n.settings
+	spec := compiler.DefaultServiceSpec(s.Service())
+	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
+	n.admitter = admitter.New(admitter.Config{
+		Slots:       orDefault(s.Slots(), spec.Slots),
+		Connections: orDefault(s.Connections(), spec.Connections),
+		QueueLength: spec.QueueLength,
+		ColdStart:   spec.ColdStart,
+		Observer:    n.meter,
+	})
+	n.assembleReports(base)
+	n.watcher = watcher.New(watcher.Config{
+		Upstream: s.UpstreamAddress(),
+		Dialer:   &net.Dialer{},
+		OnChange: n.announcer.Available,
+	})
+	n.server = server.New(server.Config{
+		Instance:  s.Instance(),
+		Service:   s.Service(),
+		Upstream:  s.UpstreamAddress(),
+		Requester: watchedRequester{newRequester(orDefault(s.Connections(), spec.Connections)), n.watcher},
+		Admitter:  upstreamAdmitter{n.admitter},
+		Snapshots: n.snapshots,
+		Scope:     n.metrics.Scope().SubScope("server"),
+	})
+	n.keyer = keyer.New(keyer.Config{
+		Instance: s.Instance(),
+		Started:  n.gossiper.Self().Incarnation(),
+		Client:   keyer.NewClient(newPeerClient()),
+		MaxKeys:  maxKeys,
+		MaxBytes: maxKeyBytes,
+	})
+	choice, err := picker.New(picker.Config{
+		Pool:          n.pool,
+		Self:          s.Instance(),
+		Region:        s.Region(),
+		FailureDomain: s.FailureDomain(),
+		Policy:        string(s.Policy()),
+	})
+	if err != nil {
+		return fmt.Errorf("make the picker: %w", err)
+	}
+	n.forwarder = forwarder.New(forwarder.Config{
+		Instance:  s.Instance(),
+		Snapshots: n.snapshots,
+		Picker:    choicePicker{choice, n.observeOwn},
+		Observer:  loadObserver{n.pool, n.gossiper.ReportUnreachable},
+		Requester: newRequester(maxConnectionsPerNode),
+		Local:     n.server,
+		Keys:      n.keyer,
+		Explainer: n.explainer,
+		Scope:     n.metrics.Scope().SubScope("forwarder"),
+		Log:       logger.Part(base, "forwarder"),
+	})
+	return nil
+}
+
+// assembleReports makes the parts that measure and report load.
+func (n *Node) assembleReports(base zerolog.Logger) {
+	n.reporter = accountant.NewReporter(accountant.ReporterConfig{
+		Meter:   n.meter,
+		Self:    n.gossiper.Self,
+		InForce: n.distributor.InForce,
+		Control: n.controlAddresses,
+		Sender:  accountant.NewSender(newPeerClient()),
+		Logger:  logger.Part(base, "accountant"),
+		Scope:   n.metrics.Scope().SubScope("accountant"),
+		Random:  newRandom(),
+	})
+	n.prober = prober.New(prober.Config{
+		Pool:      n.pool,
+		Source:    n.snapshots,
+		Transport: probeTransport{n.courier},
+		Self:      n.settings.Instance(),
+		Own:       n.admitter,
+		Scope:     n.metrics.Scope().SubScope("prober"),
+		Log:       logger.Part(base, "prober"),
+	})
+	n.courier.Handle(courier.KindProbe, n.answerProbe)
+	n.courier.Handle(courier.KindProbeAnswer, func(from netip.AddrPort, payload []byte) {
+		n.prober.HandleAnswer(from, payload, time.Now())
+	})
+}
+
+func (n *Node) instance() registrar.Spec {
+	s := n.settings
+	spec := compiler.DefaultServiceSpec(s.Service())
+	return registrar.Spec{
+		ID:            s.Instance(),
+		State:         registrar.StateStarting,
+		Service:       s.Service(),
+		Owner:         s.Owner(),
+		Site:          s.Site(),
+		Region:        s.Region(),
+		FailureDomain: s.FailureDomain(),
+		HTTP:          s.HTTPAddress(),
+		Peer:          s.PeerAddress(),
+		Slots:         orDefault(s.Slots(), spec.Slots),
+		Connections:   orDefault(s.Connections(), spec.Connections),
+	}
+}
+
+func newRequester(connections int) *requester.Pool {
+	return requester.New(requester.Config{
+		Dialer:     &net.Dialer{},
+		MaxPerHost: max(connections-connections/connectionShare, 1),
+	})
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func orDefault(n, fallback int) int {
+	if n > 0 {
+		return n
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/process/launcher/node_view.go
@@ -0,0 +1,101 @@
+package launcher
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// answerProbe tells another node the load of this one's upstream. An answer
+// that cannot be sent is like one that is lost.
+func (n *Node) answerProbe(from netip.AddrPort, payload []byte) {
+	if answer := n.prober.HandleProbe(from, payload); answer != nil {
+		_ = n.courier.Send(courier.KindProbeAnswer, from, answer)
+	}
+}
+
+func (n *Node) coldStart() time.Duration {
+	if s := n.service(); s != nil {
+		return s.Spec().ColdStart
+	}
+	return 0
+}
+
+// compile makes the configuration for the node's site. A site without an
+// overlay follows the base file alone, which may be a slip in the settings.
+func (n *Node) compile(doc *controlwire.Document, number uint64) (*compiler.Configuration, error) {
+	if !slices.Contains(compiler.Sites(doc), n.settings.Site()) {
+		n.log.Warn().Str("site", n.settings.Site()).Uint64("version", number).Msg("No overlay names this site; the base file holds.")
+	}
+	return compiler.Compile(doc, n.settings.Site(), number)
+}
+
+// controlAddresses returns where control instances are, as set and as announced.
+func (n *Node) controlAddresses() []netip.AddrPort {
+	return append(controlsIn(n.snapshots.Snapshot().View()), n.settings.ControlAddresses()...)
+}
+
+// keyRetention returns how long idempotency keys are remembered.
+func (n *Node) keyRetention() time.Duration {
+	if s := n.service(); s != nil {
+		return s.Spec().KeyRetention
+	}
+	return compiler.DefaultServiceSpec(n.settings.Service()).KeyRetention
+}
+
+// longestTimeout returns the longest deadline that a request may have.
+func (n *Node) longestTimeout() time.Duration {
+	longest := time.Duration(0)
+	if cfg := n.snapshots.Snapshot().Configuration(); cfg != nil {
+		for _, s := range cfg.Services() {
+			longest = max(longest, s.Spec().MaxTimeout)
+		}
+	}
+	return longest
+}
+
+// observeOwn takes a sample of the own upstream for a choice among its service.
+func (n *Node) observeOwn(service string, now time.Time) {
+	if service != n.settings.Service() {
+		return
+	}
+	if self := n.snapshots.Snapshot().View().Instance(n.settings.Instance()); self != nil {
+		n.pool.Observe(self.ID(), self.Incarnation(), n.admitter.Load(), now)
+	}
+}
+
+// publish puts a configuration in force.
+func (n *Node) publish(cfg *compiler.Configuration) bool {
+	if !n.snapshots.SetConfiguration(cfg) {
+		return false
+	}
+	if s := cfg.Service(n.settings.Service()); s != nil {
+		n.announcer.Configured()
+		spec := s.Spec()
+		slots, connections := orDefault(n.settings.Slots(), spec.Slots), orDefault(n.settings.Connections(), spec.Connections)
+		n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
+		n.gossiper.Resize(slots, connections)
+	}
+	return true
+}
+
+// service returns the configuration of the node's own service, or nil.
+func (n *Node) service() *compiler.Service {
+	cfg := n.snapshots.Snapshot().Configuration()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.Service(n.settings.Service())
+}
+
+// setView puts a new picture of the fleet in force.
+func (n *Node) setView(view *registrar.View) {
+	n.keyer.Observe(view.Service(n.settings.Service()), n.keyRetention())
+	n.snapshots.SetView(view)
+	n.pool.Retain(func(id string) bool { return view.Instance(id) != nil })
+}
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -79,9 +79,8 @@
 	Source Source
 	// Transport sends the probes.
 	Transport Transport
-	// Self and Incarnation name this node's own instance.
-	Self        string
-	Incarnation uint64
+	// Self is the id of this node's own instance.
+	Self string
 	// Own counts the load of the own upstream; nil if there is none, in which
 	// case probes are not answered.
 	Own LoadCounter
@@ -185,7 +184,7 @@
 	}
 	p.metrics.answers.Inc(1)
 	p.metrics.bytes.Inc(answerCost)
-	return answer{nonce: q.nonce, incarnation: p.cfg.Incarnation, load: p.cfg.Own.Load()}.encode()
+	return answer{nonce: q.nonce, incarnation: p.incarnation(), load: p.cfg.Own.Load()}.encode()
 }
 
 // Run sends probes until dying is closed.
@@ -202,10 +201,19 @@
 	}
 }
 
+// incarnation returns that of the own instance, which may have grown since the
+// start, or 0 if it is not announced yet.
+func (p *Prober) incarnation() uint64 {
+	if in := p.cfg.Source.Snapshot().View().Instance(p.cfg.Self); in != nil {
+		return in.Incarnation()
+	}
+	return 0
+}
+
 // tick sends the probes that are due.
 func (p *Prober) tick(now time.Time) {
 	if p.cfg.Own != nil {
-		p.cfg.Pool.Observe(p.cfg.Self, p.cfg.Incarnation, p.cfg.Own.Load(), now)
+		p.cfg.Pool.Observe(p.cfg.Self, p.incarnation(), p.cfg.Own.Load(), now)
 	}
 	snapshot := p.cfg.Source.Snapshot()
 	if snapshot.Configuration() == nil {
