fix: meter refusals while another instance is idle; keep the sum of budgets

Cause: the owners' bill gives credit for requests that were refused while another instance had a free slot, but nothing on the path counted them, so that credit was always 0. Also: the hard budgets of a node added up to 11.5 KB/s (gossip 6.0, probes and answers 5.5); probes and answers have 24 messages a second each now, 4.4 KB/s.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
@@ -107,17 +109,37 @@
 }
 
 // upstreamAdmitter lets the serving side admit by an admitter.Admitter.
-type upstreamAdmitter struct{ *admitter.Admitter }
+type upstreamAdmitter struct {
+	*admitter.Admitter
+	// refusedForLoad is told of each refusal for want of a slot.
+	refusedForLoad func()
+}
 
 // Admit implements server.Admitter.
 func (a upstreamAdmitter) Admit(ctx context.Context, work server.Work) (server.Permit, error) {
 	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline})
 	if err != nil {
+		if wantsSlot(err) {
+			a.refusedForLoad()
+		}
 		return nil, err // A *admitter.Refusal, which the server reads.
 	}
 	return upstreamPermit{permit}, nil
 }
 
+// wantsSlot reports whether a refusal would not have been with a free slot.
+func wantsSlot(err error) bool {
+	var refusal *admitter.Refusal
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	switch refusal.Reason() {
+	case classifier.ReasonQueueFull, classifier.ReasonPreempted, classifier.ReasonDeadline:
+		return true
+	}
+	return false
+}
+
 // Load implements server.Admitter.
 func (a upstreamAdmitter) Load() string { return a.Admitter.Load().String() }
 
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -106,7 +106,7 @@
 		Service:   s.Service(),
 		Upstream:  s.UpstreamAddress(),
 		Requester: watchedRequester{newRequester(orDefault(s.Connections(), spec.Connections)), n.watcher},
-		Admitter:  upstreamAdmitter{n.admitter},
+		Admitter:  upstreamAdmitter{n.admitter, n.noteRefusal},
 		Snapshots: n.snapshots,
 		Scope:     n.metrics.Scope().SubScope("server"),
 	})
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -59,6 +59,26 @@
 	return longest
 }
 
+// noteRefusal meters a refusal for want of a slot, if another instance of the
+// service had a free one.
+func (n *Node) noteRefusal() {
+	service := n.service()
+	if service == nil {
+		return
+	}
+	now := time.Now()
+	for _, in := range n.snapshots.Snapshot().View().Service(n.settings.Service()) {
+		if in.ID() == n.settings.Instance() || !in.State().Routable() {
+			continue
+		}
+		reading := n.pool.Read(in.ID(), service.Spec().SampleMaxAge, now)
+		if reading.Sampled() && reading.Age() <= service.Spec().SampleMaxAge && reading.Occupancy() < reading.Load().Limit() {
+			n.meter.RefusedWhileIdle()
+			return
+		}
+	}
+}
+
 // observeOwn takes a sample of the own upstream for a choice among its service.
 func (n *Node) observeOwn(service string, now time.Time) {
 	if service != n.settings.Service() {
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -45,7 +45,7 @@
 	answerTimeout = time.Second
 	// defaultMessages and defaultBytes bound, per second, the probes of a node
 	// with their answers, and apart from that the answers that it gives.
-	defaultMessages = 30
+	defaultMessages = 24
 	defaultBytes    = defaultMessages * exchangeCost
 )
 
