--- /dev/null
+++ b/internal/process/voter/repair.go
@@ -0,0 +1,86 @@
+package voter
+
+import (
+	"context"
+
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+// repair finishes what others left behind: a proposal that only a minority
+// accepted, a replacement of voters, and voters that lost their identity.
+func (m *monitor) repair(ctx context.Context, s *survey, chosen *State) {
+	if !hasQuorum(s.known.membership(), s.responded) {
+		return
+	}
+	replacement := m.replacement(s)
+	var next step
+	switch {
+	case m.undecided >= confirmBeats:
+		next = confirm
+	case chosen != nil && len(chosen.membership().GetPrevious()) > 0:
+		next = nil
+	case chosen != nil && replacement != nil:
+		next = replacement
+	default:
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	if !m.voter.proposer.pause(ctx, repairPause) {
+		return
+	}
+	var err error
+	if next == nil {
+		err = m.voter.finishReplacing(ctx, chosen)
+	} else {
+		err = m.apply(ctx, next)
+	}
+	if err != nil {
+		m.voter.cfg.Log.Debug().Err(err).Msg("Group not repaired yet.")
+	}
+}
+
+func (m *monitor) apply(ctx context.Context, next step) error {
+	state, err := m.voter.proposer.propose(ctx, &proposal{next: next, accept: true})
+	if err != nil {
+		return err
+	}
+	m.voter.learn(state)
+	m.voter.tryFinishReplacing(ctx, state)
+	return nil
+}
+
+// replacement returns the step that puts the new identity of an instance that
+// lost its disk in the place of the old one, or nil. The instance must hold
+// the group's state already.
+func (m *monitor) replacement(s *survey) step {
+	for _, member := range s.known.membership().GetVoters() {
+		p := s.positions[member.GetIdentity()]
+		if p == nil || p.GetIdentity() == member.GetIdentity() || p.GetFailed() || p.GetOrigin() == nil || p.GetGroup() != s.known.wire.GetGroup() {
+			delete(m.lost, member.GetAddress())
+			continue
+		}
+		m.lost[member.GetAddress()]++
+		if m.lost[member.GetAddress()] < confirmBeats {
+			continue
+		}
+		return replaceIdentity(member, p.GetIdentity())
+	}
+	return nil
+}
+
+func replaceIdentity(old *voterwire.Member, identity string) step {
+	return func(base *State) *voterwire.Transition {
+		if len(base.membership().GetPrevious()) > 0 || !isVoter(base.membership(), old.GetIdentity()) {
+			return nil
+		}
+		var voters []*voterwire.Member
+		for _, member := range base.membership().GetVoters() {
+			if member.GetIdentity() == old.GetIdentity() {
+				member = &voterwire.Member{Identity: identity, Address: old.GetAddress()}
+			}
+			voters = append(voters, member)
+		}
+		return &voterwire.Transition{Membership: replaceMembers(base.membership(), voters)}
+	}
+}
