--- a/internal/cmd/control.go
+++ b/internal/cmd/control.go
@@ -19,7 +19,7 @@
 func runControl(env *environment, path string) error {
 	settings, err := configurer.LoadControl(path)
 	if err != nil {
-		return err
+		return fmt.Errorf("read the settings of the control instance: %w", err)
 	}
 	instance, err := launcher.NewControl(settings, env.stderr)
 	if err != nil {
--- a/internal/cmd/load.go
+++ b/internal/cmd/load.go
@@ -61,7 +61,7 @@
 	if o.experiment != "" {
 		r, err := runExperiment(env, o)
 		if err != nil {
-			return err
+			return fmt.Errorf("experiment: %w", err)
 		}
 		if !r.Sound() {
 			unsound = errUnsound
@@ -83,7 +83,7 @@
 	}
 	exp, err := generator.ReadExperiment(o.experiment, data)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("understand it: %w", err)
 	}
 	if o.name != "" {
 		exp.Name = o.name
@@ -109,17 +109,21 @@
 		return fmt.Errorf("encode: %w", err)
 	}
 	data = append(data, '\n')
-	if path == "" {
+	if path != "" {
+		err = os.WriteFile(path, data, 0o644)
+	} else {
 		_, err = stdout.Write(data)
-		return err
 	}
-	return os.WriteFile(path, data, 0o644)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
 }
 
 func readResult(path string) (*generator.Result, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("load: %w", err)
 	}
 	r := &generator.Result{}
 	if err := json.Unmarshal(data, r); err != nil {
@@ -131,7 +135,7 @@
 func drawResults(path string, results []*generator.Result) error {
 	f, err := os.Create(path)
 	if err != nil {
-		return err
+		return fmt.Errorf("create the file: %w", err)
 	}
 	defer func() { _ = f.Close() }() // The second close after success does nothing.
 	var series []plotter.Series
@@ -141,9 +145,12 @@
 		}
 	}
 	if err := plotter.Draw(f, "Latency of good answers", series); err != nil {
-		return err
+		return fmt.Errorf("plot: %w", err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("finish the file: %w", err)
 	}
-	return f.Close()
+	return nil
 }
 
 func plotPoints(curve []generator.Point) []plotter.Point {
--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -19,7 +19,7 @@
 func runNode(env *environment, path string) error {
 	settings, err := configurer.LoadNode(path)
 	if err != nil {
-		return err
+		return fmt.Errorf("read the settings of the node: %w", err)
 	}
 	n, err := launcher.NewNode(settings, env.stderr)
 	if err != nil {
--- a/internal/process/emulator/listener.go
+++ b/internal/process/emulator/listener.go
@@ -24,7 +24,7 @@
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.places
-		return nil, err
+		return nil, err // As it is: http.Server looks at its type.
 	}
 	return &conn{Conn: c, release: func() { <-l.places }, connectTime: l.connectTime}, nil
 }
--- a/internal/process/generator/auditor.go
+++ b/internal/process/generator/auditor.go
@@ -59,7 +59,10 @@
 	r.FalseNotRun = len(notRunRuns)
 	r.NotRun = len(a.notRun)
 	r.Executions, err = a.total(ctx)
-	return err
+	if err != nil {
+		return fmt.Errorf("executions in all: %w", err)
+	}
+	return nil
 }
 
 // executionsOf sums the executions of ids over all stand-ins.
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -58,10 +58,10 @@
 	base := logger.New(logs).Level(settings.LogLevel())
 	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control")}
 	if err := c.assembleVoter(base); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("assemble the voter: %w", err)
 	}
 	if err := c.assembleGossip(base); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("assemble membership: %w", err)
 	}
 	return c, nil
 }
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -80,10 +80,10 @@
 		explainer: explainer.New(rememberedRequests),
 	}
 	if err := n.assembleControl(base); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("assemble control: %w", err)
 	}
 	if err := n.assemblePath(base); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("assemble the path of requests: %w", err)
 	}
 	return n, nil
 }
