--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -42,6 +42,7 @@
 	settings    *configurer.Control
 	log         zerolog.Logger
 	metrics     *exporter.Exporter
+	client      *http.Client // For calls between processes.
 	courier     *courier.Courier
 	gossiper    *gossiper.Gossiper
 	distributor *distributor.Distributor
@@ -56,7 +57,7 @@
 // folder and binds the peer address.
 func NewControl(settings *configurer.Control, logs io.Writer) (*Control, error) {
 	base := logger.New(logs).Level(settings.LogLevel())
-	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control")}
+	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control"), client: newPeerClient()}
 	if err := c.assembleVoter(base); err != nil {
 		return nil, fmt.Errorf("assemble the voter: %w", err)
 	}
@@ -79,7 +80,7 @@
 		Address:   c.settings.PeerAddress().String(),
 		Initial:   addressTexts(c.settings.Voters()),
 		Journal:   journal,
-		Transport: voter.NewConnectTransport(newPeerClient()),
+		Transport: voter.NewConnectTransport(c.client),
 		Digest:    compiler.Digest,
 		OnVersion: c.offer,
 		Log:       logger.Part(base, "voter"),
@@ -92,7 +93,7 @@
 	if err != nil {
 		return fmt.Errorf("read the ledger: %w", err)
 	}
-	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(newPeerClient()), c.otherControls, base)
+	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(c.client), c.otherControls, base)
 	c.controller = controller.New(c.voter, documentChecker{}, c.ledger)
 	return nil
 }
@@ -107,9 +108,8 @@
 		return fmt.Errorf("bind the peer address: %w", err)
 	}
 	c.courier = socket
-	client := newPeerClient()
 	c.distributor = distributor.New(distributor.Config{
-		Client:   distributor.NewClient(client),
+		Client:   distributor.NewClient(c.client),
 		Digest:   compiler.Digest,
 		Diff:     compiler.Diff,
 		Apply:    compiler.Apply,
@@ -122,7 +122,7 @@
 		Instance:  c.instance(),
 		Seeds:     append(c.settings.Seeds(), c.settings.Voters()...),
 		Transport: socket,
-		Client:    gossiper.NewClient(client),
+		Client:    gossiper.NewClient(c.client),
 		OnView:    func(*registrar.View) {},
 		OnVersion: c.distributor.Learn,
 		Logger:    logger.Part(base, "gossiper"),
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -50,6 +50,7 @@
 	log         zerolog.Logger
 	metrics     *exporter.Exporter
 	snapshots   *publisher.Publisher
+	client      *http.Client // For calls between processes.
 	courier     *courier.Courier
 	gossiper    *gossiper.Gossiper
 	distributor *distributor.Distributor
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -54,10 +54,10 @@
 		return fmt.Errorf("bind the peer address: %w", err)
 	}
 	n.courier = c
-	client := newPeerClient()
+	n.client = newPeerClient()
 	n.distributor = distributor.New(distributor.Config{
 		Control:  n.controlAddresses,
-		Client:   distributor.NewClient(client),
+		Client:   distributor.NewClient(n.client),
 		Compile:  n.compile,
 		Digest:   compiler.Digest,
 		Diff:     compiler.Diff,
@@ -72,7 +72,7 @@
 		Instance:  n.instance(),
 		Seeds:     n.settings.Seeds(),
 		Transport: c,
-		Client:    gossiper.NewClient(client),
+		Client:    gossiper.NewClient(n.client),
 		OnView:    n.setView,
 		OnVersion: n.distributor.Learn,
 		Logger:    logger.Part(base, "gossiper"),
@@ -113,7 +113,7 @@
 	n.keyer = keyer.New(keyer.Config{
 		Instance: s.Instance(),
 		Started:  n.gossiper.Self().Incarnation(),
-		Client:   keyer.NewClient(newPeerClient()),
+		Client:   keyer.NewClient(n.client),
 		MaxKeys:  maxKeys,
 		MaxBytes: maxKeyBytes,
 	})
@@ -149,7 +149,7 @@
 		Self:    n.gossiper.Self,
 		InForce: n.distributor.InForce,
 		Control: n.controlAddresses,
-		Sender:  accountant.NewSender(newPeerClient()),
+		Sender:  accountant.NewSender(n.client),
 		Logger:  logger.Part(base, "accountant"),
 		Scope:   n.metrics.Scope().SubScope("accountant"),
 		Random:  newRandom(),
