--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -90,10 +90,15 @@
 	curl -sSf --max-time 2 -o /dev/null -H "Host: $1" "http://127.0.0.1:$((base + 101))/"
 }
 
-# fleet_cpu prints the processor time in ticks that the nodes have used.
+# fleet_cpu prints the processor time in ticks that the nodes have used, or only
+# those of the given instances.
 fleet_cpu() {
-	local sum=0 file pid
-	for file in "$dir"/node-*.pid; do
+	local sum=0 file pid files=("$dir"/node-*.pid)
+	if (($#)); then
+		files=("${@/#/$dir/node-}")
+		files=("${files[@]/%/.pid}")
+	fi
+	for file in "${files[@]}"; do
 		pid=$(cat "$file")
 		sum=$((sum + $(awk '{print $14 + $15}' "/proc/$pid/stat" 2>/dev/null || echo 0)))
 	done
