perf: take over the connections of other nodes from net/http

Cause: a node had 11 voluntary context switches a request. The server starts a goroutine beside each handler, which reads in order to see the end of the connection, and ends it after each answer.

Change: the serving node hijacks the connection of another node at its first request, if that has no body or a small one, and answers it and those that follow with the package connection/responder. The wire is the same; callers stay with net/http. Drain waits until the answers on such connections are written, and a leaving node still says "Connection: close", since each request passes the handler of the http.Server.

--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -26,6 +26,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/connection/responder"
 	"github.com/banyanscale/banyanscale/internal/process/counter"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
@@ -102,7 +103,10 @@
 	instance []string
 	refusals *counter.Counter
 	inFlight atomic.Int64
-	leaving  atomic.Bool
+	// answering counts the answers that are on their way on connections that
+	// were taken over.
+	answering atomic.Int64
+	leaving   atomic.Bool
 	// idle has a token if the requests in flight came down to none while leaving.
 	idle chan struct{}
 }
@@ -120,7 +124,7 @@
 // Drain waits until nothing is in flight, or until ctx ends. It is of use
 // after Leave.
 func (s *Server) Drain(ctx context.Context) error {
-	for s.inFlight.Load() > 0 {
+	for s.busy() {
 		select {
 		case <-s.idle:
 		case <-ctx.Done():
@@ -152,8 +156,38 @@
 	s.signalIdle()
 }
 
-// ServeHTTP serves a request that another node sent here.
+// ServeHTTP serves a request that another node sent here. It takes over the
+// connection, and then returns when that has ended.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.takeOver(w, r) {
+		s.serve(w, r)
+	}
+}
+
+// takeOver serves r and the requests that follow it on its connection, and
+// reports whether it did.
+func (s *Server) takeOver(w http.ResponseWriter, r *http.Request) bool {
+	if !responder.Suits(w, r) {
+		return false
+	}
+	if r.ContentLength != 0 {
+		body, err := relayer.HoldBody(r)
+		if body == nil || err != nil {
+			return false
+		}
+		r = r.WithContext(r.Context())
+		r.Body = requester.NewBytesBody(body)
+	}
+	p := responder.Take(w, r)
+	if p == nil {
+		s.serve(w, r)
+		return true
+	}
+	p.Serve(r, s)
+	return true
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(classifier.HeaderRequestID, r.Header.Get(classifier.HeaderRequestID))
 	if r.Header.Get(classifier.HeaderService) != s.cfg.Service {
 		s.refusals.Inc(classifier.ReasonWrongInstance)
@@ -221,8 +255,19 @@
 	s.signalIdle()
 }
 
+// Begin counts an answer on a connection that was taken over.
+func (s *Server) Begin() { s.answering.Add(1) }
+
+// End tells that the answer was written or given up.
+func (s *Server) End() {
+	s.answering.Add(-1)
+	s.signalIdle()
+}
+
+func (s *Server) busy() bool { return s.inFlight.Load() > 0 || s.answering.Load() > 0 }
+
 func (s *Server) signalIdle() {
-	if !s.leaving.Load() || s.inFlight.Load() > 0 {
+	if !s.leaving.Load() || s.busy() {
 		return
 	}
 	select {
