fix: ping a member once at a time

Each ping that failed raised the suspicion, and an own suspicion sent the next ping at once beside the ones in flight, so that a node had up to 23 pings in flight to four members. They failed together, each raised the node's lateness score, and at a score of 8 all of its timeouts were nine times as long. Nodes with a high score also sent their nacks late for others, whose score rose by that.

Change: a member has one ping in flight from a node; the timeout of a ping on behalf of another node does not grow with the score. The new test counts the pings in flight and failed before.

--- a/internal/process/gossiper/detector.go
+++ b/internal/process/gossiper/detector.go
@@ -166,8 +166,12 @@
 	return d/2 + time.Duration(g.cfg.Random.Int64N(int64(d)))
 }
 
-// probe pings a member and expects an ack. A suspect is told of the suspicion.
+// probe pings a member and expects an ack, unless a ping to it is in flight. A
+// suspect is told of the suspicion.
 func (g *Gossiper) probe(m *member, now time.Time) {
+	if g.detector.probing(m.spec.ID) {
+		return
+	}
 	nonce := g.cfg.Random.Uint64()
 	msg := &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PING, Nonce: nonce, Receiver: m.spec.ID}
 	if m.status != statusAlive {
@@ -266,7 +270,7 @@
 
 func (g *Gossiper) accuse(id string, d dispute, now time.Time) {
 	nonce := g.cfg.Random.Uint64()
-	if d.suspects {
+	if d.suspects && !g.detector.probing(id) {
 		g.detector.probes[nonce] = &probe{id: id, to: d.to, sent: now, deadline: now.Add(g.health.ackTimeout())}
 	}
 	g.send(d.to, &gossipwire.Datagram{
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -110,6 +110,27 @@
 	})
 }
 
+func TestMemberIsProbedOnceAtATime(t *testing.T) {
+	runFleet(t, 10, 16, func(fl *fleet) {
+		off := func(x *fakeNode) bool { return x.index >= 6 }
+		fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return off(from) != off(to) } })
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, x := range fl.nodes {
+				probed := make(map[string]int)
+				x.mu.Lock()
+				for _, p := range x.detector.probes {
+					probed[p.id]++
+				}
+				x.mu.Unlock()
+				for id, n := range probed {
+					assert.Equal(t, n, 1, "pings in flight from node-%d to %s", x.index, id)
+				}
+			}
+		}
+	})
+}
+
 func TestDeafNodeIsNotBelievedOnceItFailed(t *testing.T) {
 	runFleet(t, 10, 15, func(fl *fleet) {
 		x := fl.nodes[7]
@@ -226,8 +247,10 @@
 		h.observe(900 * time.Millisecond)
 	}
 	assert.Assert(t, h.ackTimeout() > 900*time.Millisecond && h.ackTimeout() <= maxAckTimeout)
+	before := h.ackTimeout()
 	h.worsen()
 	assert.Assert(t, h.ackTimeout() > 1800*time.Millisecond)
+	assert.Equal(t, h.relayTimeout(), before, "a ping for another node")
 }
 
 func TestBudgetHoldsInAStorm(t *testing.T) {
--- a/internal/process/gossiper/health.go
+++ b/internal/process/gossiper/health.go
@@ -42,8 +42,13 @@
 }
 
 // ackTimeout returns how long a ping waits for its ack.
-func (h *health) ackTimeout() time.Duration {
-	return h.scale(min(max(minAckTimeout, h.rtt+deviations*h.deviation), maxAckTimeout))
+func (h *health) ackTimeout() time.Duration { return h.scale(h.relayTimeout()) }
+
+// relayTimeout returns how long a ping on behalf of another node waits for its
+// ack. It does not grow with the score: the other node takes a nack that comes
+// late for a fault of its own.
+func (h *health) relayTimeout() time.Duration {
+	return min(max(minAckTimeout, h.rtt+deviations*h.deviation), maxAckTimeout)
 }
 
 // indirectTimeout returns how long others may take to ping a member.
--- a/internal/process/gossiper/messenger.go
+++ b/internal/process/gossiper/messenger.go
@@ -188,7 +188,7 @@
 		return
 	}
 	nonce := g.cfg.Random.Uint64()
-	g.detector.relays[nonce] = &relay{nonce: msg.GetNonce(), to: from, deadline: now.Add(g.health.ackTimeout())}
+	g.detector.relays[nonce] = &relay{nonce: msg.GetNonce(), to: from, deadline: now.Add(g.health.relayTimeout())}
 	g.send(subject, &gossipwire.Datagram{
 		Kind:     gossipwire.Datagram_KIND_PING,
 		Nonce:    nonce,
