--- a/docs/faults_test.go
+++ b/docs/faults_test.go
@@ -1,15 +1,18 @@
 package docs_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
 
+	"gopkg.in/ini.v1"
 	"gotest.tools/v3/assert"
 )
 
 const (
 	faultsPage = "FAULTS.md"
+	guardsFile = "../scripts/guards.ini"
 	// updateVariable makes the test write the page instead of comparing it.
 	updateVariable = "UPDATE_GOLDEN"
 )
@@ -67,10 +70,27 @@
 		b.WriteString("\n## " + s.title + "\n\nPromises: " + s.promises + ".\n\nTest: `" + s.command + "`\n\n" + s.note + "\n\n")
 		b.WriteString(s.columns + rows + "\n")
 	}
+	b.WriteString(guardsText(t))
 	b.WriteString("\n" + readText(t, "testdata/faults-tail.md"))
 	return b.String()
 }
 
+// guardsText returns the table of guarding lines. It fails the test if one of
+// them is not in its file any more.
+func guardsText(t *testing.T) string {
+	t.Helper()
+	list, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, PreserveSurroundedQuote: true}, guardsFile)
+	assert.NilError(t, err)
+	var b strings.Builder
+	b.WriteString(readText(t, "testdata/guards-head.md"))
+	for _, guard := range list.Sections()[1:] {
+		file, line := guard.Key("file").String(), guard.Key("line").String()
+		assert.Check(t, strings.Contains(readText(t, "../"+file), "\t"+line+"\n"), "%s: %q is not in %s", guard.Name(), line, file)
+		fmt.Fprintf(&b, "| %s | %s | `%s` | `%s` |\n", guard.Name(), guard.Key("promise"), file, strings.ReplaceAll(line, "|", `\|`))
+	}
+	return b.String()
+}
+
 func readText(t *testing.T, path string) string {
 	t.Helper()
 	data, err := os.ReadFile(path)
--- a/internal/connection/requester/pool_test.go
+++ b/internal/connection/requester/pool_test.go
@@ -235,6 +235,34 @@
 	})
 }
 
+func TestConnectionIsNotKept(t *testing.T) {
+	d := &dialer{scripts: []script{answering("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")}}
+	withPool(t, requester.Config{Dialer: d}, func(t *testing.T, pool *requester.Pool) {
+		for range 2 {
+			_, err := exchange(t.Context(), pool, newRequest(http.MethodGet, ""))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, d.dials.Load(), int64(2), "the other side asked to close")
+	})
+}
+
+// brokenConn is a connection on which nothing can be sent.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+func (c brokenConn) DialContext(context.Context, string, string) (net.Conn, error) { return c, nil }
+
+func TestAnswerToNothingIsNotTaken(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go fmt.Fprint(far, "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n")
+	withPool(t, requester.Config{Dialer: brokenConn{near}}, func(t *testing.T, pool *requester.Pool) {
+		_, err := exchange(t.Context(), pool, newRequest(http.MethodPost, "x"))
+		assertFailure(t, err, classifier.NotRun, classifier.ReasonSend)
+	})
+}
+
 func TestConnectionLimit(t *testing.T) {
 	d := &dialer{scripts: []script{answering(whole)}}
 	withPool(t, requester.Config{Dialer: d, MaxPerHost: 1}, func(t *testing.T, pool *requester.Pool) {
--- /dev/null
+++ b/internal/process/publisher/publisher_test.go
@@ -0,0 +1,24 @@
+package publisher_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+func TestSetConfiguration(t *testing.T) {
+	p := publisher.New()
+	for _, tt := range []struct {
+		number  uint64
+		inForce bool
+	}{{2, true}, {1, false}, {2, false}, {3, true}} {
+		taken := p.SetConfiguration(compiler.NewConfiguration(tt.number, "oaxaca", nil))
+		assert.Equal(t, taken, tt.inForce, "version %d", tt.number)
+		p.SetView(registrar.NewView(nil))
+	}
+	assert.Equal(t, p.Snapshot().Configuration().Number(), uint64(3))
+}
--- a/internal/process/voter/acceptor_test.go
+++ b/internal/process/voter/acceptor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
@@ -21,6 +22,14 @@
 func (nullJournal) Rewrite([][]byte) error         { return nil }
 func (nullJournal) Appended() int64                { return 0 }
 
+// brokenJournal fails each append while err is set.
+type brokenJournal struct {
+	nullJournal
+	err error
+}
+
+func (j *brokenJournal) Append(...[]byte) error { return j.err }
+
 func ballot(round uint64) *voterwire.Ballot { return &voterwire.Ballot{Round: round, Proposer: "p"} }
 
 func genesisOf(group string) *voterwire.State {
@@ -79,6 +88,17 @@
 	}
 }
 
+func TestFailedDiskEndsVoting(t *testing.T) {
+	a := member(t)
+	disk := &brokenJournal{err: errors.New("sync failed")}
+	a.journal = disk
+	_, err := a.prepare(&voterwire.PrepareRequest{Group: "g", To: "me", Ballot: ballot(6)})
+	assert.ErrorIs(t, err, disk.err)
+	disk.err = nil // What a failed sync left on the disk is not known.
+	assert.Assert(t, !promises(t, a, "g", "me", 6))
+	assert.Assert(t, !accepts(t, a, "g", "me", 6))
+}
+
 func TestCatchUpKeepsPromise(t *testing.T) {
 	a := member(t)
 	ok, err := a.catchUp(ballot(4), newState(genesisOf("g")))
--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -41,6 +41,10 @@
 			guide(`"v1"`, `"v2"`)(w, r, run)
 		}, false},
 		{"weak entity tag", guide(`W/"v1"`), false},
+		{"part of a weak entity tag", func(w http.ResponseWriter, r *http.Request, run int64) {
+			r.Header.Del("If-Range")
+			guide(`W/"v1"`)(w, r, run)
+		}, false},
 		{"other range", func(w http.ResponseWriter, r *http.Request, run int64) {
 			if run > 1 {
 				r.Header.Set("Range", "bytes=0-0")
