feat: two faults in one request, every pair of link faults

Cause: the fault matrix struck the first attempt only; that the promises hold when the second attempt fails too was shown for one pair.

Change: TestFaultPairs strikes the first attempt with each of 30 link faults (15 at the serving node, 15 at its upstream) and the second with each of 30, for GET and POST: 1,800 cases, each checked for runs, not-run, whole answers and the deadline. docs/FAULTS.md has the table.

--- a/docs/faults_test.go
+++ b/docs/faults_test.go
@@ -33,6 +33,15 @@
 		note: "Each fault hits the first attempt; a second instance is sound. `runs` counts what the upstreams ran. " +
 			"The test fails if a POST runs more than once, or if `not-run` was told and anything ran.",
 	},
+	{
+		title:    "Two faults in one request",
+		promises: "as above",
+		command:  "go test -run TestFaultPairs ./internal/request/forwarder",
+		golden:   "../internal/request/forwarder/testdata/fault-pairs.golden",
+		columns:  "| step | fault | where | method | the caller is told, with 30 faults of the second attempt |\n|---|---|---|---|---|\n",
+		note: "The first attempt meets the fault of the row, the second one each fault of each step at its serving node and at its upstream. " +
+			"Each of the 1,800 cases is checked as above. A request that may have run at the first attempt is tried again only if it may be repeated.",
+	},
 	{
 		title:    "Steps of a change of configuration",
 		promises: "an accepted configuration never reverts; racing operators; resent changes; lost disks",
--- a/internal/request/forwarder/fault_test.go
+++ b/internal/request/forwarder/fault_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,6 +30,17 @@
 	cancel time.Duration
 }
 
+// linkFaults are the faults of a link at each step.
+var linkFaults = []fault{
+	{step: connect, kind: refuse}, {step: connect, kind: stall},
+	{step: sendHead, kind: reset}, {step: sendHead, kind: stall},
+	{step: sendBody, kind: reset}, {step: sendBody, kind: stall},
+	{step: wait, kind: reset}, {step: wait, kind: stall},
+	{step: receiveHead, kind: reset}, {step: receiveHead, kind: stall}, {step: receiveHead, kind: garbage},
+	{step: receiveBody, kind: reset}, {step: receiveBody, kind: stall},
+	{step: finish, kind: reset}, {step: finish, kind: stall},
+}
+
 func linkRows() []row {
 	var rows []row
 	for _, link := range []struct {
@@ -38,15 +51,7 @@
 		{"upstream", targetAddress, false},
 		{"own upstream", targetAddress, true},
 	} {
-		for _, f := range []fault{
-			{step: connect, kind: refuse}, {step: connect, kind: stall},
-			{step: sendHead, kind: reset}, {step: sendHead, kind: stall},
-			{step: sendBody, kind: reset}, {step: sendBody, kind: stall},
-			{step: wait, kind: reset}, {step: wait, kind: stall},
-			{step: receiveHead, kind: reset}, {step: receiveHead, kind: stall}, {step: receiveHead, kind: garbage},
-			{step: receiveBody, kind: reset}, {step: receiveBody, kind: stall},
-			{step: finish, kind: reset}, {step: finish, kind: stall},
-		} {
+		for _, f := range linkFaults {
 			f.address = link.address
 			rows = append(rows, row{step: f.step, fault: f.kind, where: link.where, prepare: func(fl *fleet, _ *http.Request) {
 				fl.network.fault = f
@@ -145,36 +150,83 @@
 	}
 	r.prepare(f, req)
 	f.run(t, func(t *testing.T) {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-		defer cancel()
-		if r.cancel > 0 {
-			time.AfterFunc(r.cancel, cancel)
-		}
-		start := time.Now()
-		resp, body, err := f.call(ctx, req)
-		took := time.Since(start)
-		time.Sleep(time.Minute) // Late attempts would run now.
-		result := "aborted"
-		outcome := classifier.Unknown
-		if err == nil {
-			verdict := classifier.FromResponse(resp, nil)
-			outcome = verdict.Outcome()
-			result = fmt.Sprintf("%d %s %s", resp.StatusCode, outcome, verdict.Reason())
-			assert.Assert(t, resp.StatusCode != http.StatusOK || len(body) == answerSize, "answer of %d bytes", len(body))
-		}
-		runs := f.runs.Load()
-		if outcome == classifier.NotRun {
-			assert.Equal(t, runs, int64(0), "a request that was not run ran")
-		}
-		if outcome == classifier.Done {
-			assert.Assert(t, runs > 0, "a request that was done did not run")
+		result, took := f.callUnderFault(t, req, kind, r.cancel)
+		fmt.Fprintf(matrix, "| %s | %s | %s | %s | %s | %d | %v |\n", r.step, r.fault, r.where, kind, result, f.runs.Load(), took)
+	})
+}
+
+// callUnderFault sends a request, checks what must hold under any fault, and
+// returns what the caller was told and when.
+func (f *fleet) callUnderFault(t *testing.T, req *http.Request, kind string, cancelAfter time.Duration) (result string, took time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if cancelAfter > 0 {
+		time.AfterFunc(cancelAfter, cancel)
+	}
+	start := time.Now()
+	resp, body, err := f.call(ctx, req)
+	took = time.Since(start)
+	time.Sleep(time.Minute) // Late attempts would run now.
+	result = "aborted"
+	outcome := classifier.Unknown
+	if err == nil {
+		verdict := classifier.FromResponse(resp, nil)
+		outcome = verdict.Outcome()
+		result = fmt.Sprintf("%d %s %s", resp.StatusCode, outcome, verdict.Reason())
+		assert.Assert(t, resp.StatusCode != http.StatusOK || len(body) == answerSize, "answer of %d bytes", len(body))
+	}
+	runs := f.runs.Load()
+	if outcome == classifier.NotRun {
+		assert.Equal(t, runs, int64(0), "a request that was not run ran")
+	}
+	if outcome == classifier.Done {
+		assert.Assert(t, runs > 0, "a request that was done did not run")
+	}
+	if kind != http.MethodGet {
+		assert.Assert(t, runs <= 1, "ran %d times", runs)
+	}
+	assert.Assert(t, took <= deadline || errors.Is(err, context.DeadlineExceeded), "answered after %v", took)
+	return result, took
+}
+
+// TestFaultPairs strikes the first attempt with each fault and the second with
+// each other, and counts what the caller is told.
+func TestFaultPairs(t *testing.T) {
+	var matrix strings.Builder
+	for _, first := range pairedFaults(nodeAddress, targetAddress) {
+		for _, kind := range []string{http.MethodGet, http.MethodPost} {
+			told := make(map[string]int)
+			for _, second := range pairedFaults(otherAddress, anotherAddress) {
+				f := newFleet()
+				f.network.fault, f.network.second = first, second
+				f.run(t, func(t *testing.T) {
+					result, _ := f.callUnderFault(t, request(kind), kind, 0)
+					told[result]++
+				})
+			}
+			fmt.Fprintf(&matrix, "| %s | %s | %s | %s |", first.step, first.kind, places[first.address], kind)
+			for _, result := range slices.Sorted(maps.Keys(told)) {
+				fmt.Fprintf(&matrix, " %d times %s;", told[result], strings.TrimSpace(result))
+			}
+			matrix.WriteString(" |\n")
 		}
-		if kind != http.MethodGet {
-			assert.Assert(t, runs <= 1, "ran %d times", runs)
+	}
+	golden.Assert(t, strings.ReplaceAll(matrix.String(), "; |", " |"), "fault-pairs.golden")
+}
+
+var places = map[string]string{nodeAddress: "serving node", targetAddress: "upstream"}
+
+// pairedFaults returns the faults of the links to a node and to its upstream.
+func pairedFaults(addresses ...string) []fault {
+	var faults []fault
+	for _, address := range addresses {
+		for _, f := range linkFaults {
+			f.address = address
+			faults = append(faults, f)
 		}
-		assert.Assert(t, took <= deadline || errors.Is(err, context.DeadlineExceeded), "answered after %v", took)
-		fmt.Fprintf(matrix, "| %s | %s | %s | %s | %s | %d | %v |\n", r.step, r.fault, r.where, kind, result, runs, took)
-	})
+	}
+	return faults
 }
 
 func TestRetriedBelow(t *testing.T) {
--- a/internal/request/forwarder/network_test.go
+++ b/internal/request/forwarder/network_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,13 +38,22 @@
 type network struct {
 	listeners map[string]*listener
 	fault     fault
-	struck    atomic.Bool
+	second    fault // Strikes at another address.
+	struck    sync.Map
 }
 
 func (n *network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	strikes := n.fault.address == address && !n.struck.Swap(true)
-	if strikes && n.fault.step == connect {
-		if n.fault.kind == stall {
+	f := n.fault
+	if address == n.second.address {
+		f = n.second
+	}
+	strikes := false
+	if f.address == address {
+		_, before := n.struck.LoadOrStore(address, true)
+		strikes = !before
+	}
+	if strikes && f.step == connect {
+		if f.kind == stall {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -58,7 +66,7 @@
 		return nil, errors.New("connection refused")
 	}
 	if strikes {
-		return &faultyConn{Conn: near, fault: n.fault, closed: make(chan struct{})}, nil
+		return &faultyConn{Conn: near, fault: f, closed: make(chan struct{})}, nil
 	}
 	return near, nil
 }
