--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 PROTOC_GEN_CONNECT_VERSION := v1.21.1
 
-.PHONY: build test lint format generate quickstart bench fuzz
+.PHONY: build test lint format generate quickstart bench
 
 build:
 	go build -o bin/banyanscale .
--- /dev/null
+++ b/internal/process/prober/fuzz_test.go
@@ -0,0 +1,27 @@
+package prober
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzMessages gives a prober datagrams of any content: none is answered that
+// is no probe, and none that was not asked for is taken for an answer.
+func FuzzMessages(f *testing.F) {
+	f.Add(probe{nonce: 1, instance: hashID("0")}.encode())
+	f.Add(answer{nonce: 1, incarnation: 2, load: ownLoad{}.Load()}.encode())
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		b := newBench(1, 2, Config{})
+		b.prober.HandleAnswer(peer(2), payload, time.Now())
+		assert.Equal(t, len(b.prober.pending), 0)
+		got := b.prober.HandleProbe(peer(2), payload)
+		_, err := decodeProbe(payload)
+		assert.Assert(t, err == nil || got == nil)
+		if a, err := decodeAnswer(payload); err == nil {
+			_, err = decodeAnswer(a.encode())
+			assert.NilError(t, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/voter/fuzz_test.go
@@ -0,0 +1,46 @@
+package voter
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
+)
+
+// FuzzRequests gives a voter requests of any content. Its promise and the
+// ballot at which it accepted never go back.
+func FuzzRequests(f *testing.F) {
+	for _, m := range []proto.Message{
+		&voterwire.PrepareRequest{Group: "g", To: "me", Ballot: ballot(6)},
+		&voterwire.AcceptRequest{Group: "g", To: "me", Ballot: ballot(6), Origin: ballot(6), Transfer: newState(genesisOf("g")).transferFrom(nil)},
+		&voterwire.FetchStateRequest{Learned: true},
+		genesisOf("h"),
+	} {
+		data, err := proto.Marshal(m)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a := member(t)
+		promised, accepted := a.promised, a.accepted
+		prepare, accept := &voterwire.PrepareRequest{}, &voterwire.AcceptRequest{}
+		fetch, reserve := &voterwire.FetchStateRequest{}, &voterwire.State{}
+		if proto.Unmarshal(data, prepare) == nil {
+			_, _ = a.prepare(prepare)
+		}
+		if proto.Unmarshal(data, accept) == nil {
+			_, _ = a.accept(accept)
+		}
+		if proto.Unmarshal(data, fetch) == nil {
+			a.fetch(fetch)
+		}
+		if proto.Unmarshal(data, reserve) == nil {
+			_, _ = a.reserve(reserve)
+		}
+		assert.Assert(t, compareBallots(a.promised, promised) >= 0)
+		assert.Assert(t, compareBallots(a.accepted, accepted) >= 0)
+		assert.Assert(t, compareBallots(a.promised, a.accepted) >= 0)
+	})
+}
--- a/internal/request/keyer/keyer.go
+++ b/internal/request/keyer/keyer.go
@@ -289,21 +289,19 @@
 	return byHome
 }
 
-// repeat answers a request whose key is known.
+// repeat answers a request whose key is known. A state that this version does
+// not know tells nothing of the first run.
 func repeat(r *Record, fingerprint Fingerprint) (*Answer, error) {
-	if r.State == StateMoved {
+	switch {
+	case r.State == StateMoved:
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonWrongInstance)
-	}
-	if r.State == StateUnknown {
+	case r.State != StateRunning && r.State != StateDone:
 		return nil, unknown()
-	}
-	if r.Fingerprint != fingerprint {
+	case r.Fingerprint != fingerprint:
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonKeyMismatch)
-	}
-	if r.State == StateRunning {
+	case r.State == StateRunning:
 		return nil, refuser.New(classifier.Unknown, classifier.ReasonKeyRunning).After(time.Second)
-	}
-	if r.Answer == nil {
+	case r.Answer == nil:
 		return nil, refuser.New(classifier.Done, classifier.ReasonKeyAnswer)
 	}
 	return r.Answer, nil
