--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -24,7 +24,8 @@
 
 // runCalls sends the requests that a file lists, one a line, and prints what
 // the caller learns of each. A line has the method, the address, the host, the
-// path and headers as NAME=VALUE.
+// path and headers as NAME=VALUE. For a request with an id it prints for which
+// request the upstream made the answer, and for a guide its size.
 func runCalls(ts *testscript.TestScript, _ bool, args []string) {
 	for _, line := range strings.Split(strings.TrimSpace(ts.ReadFile(args[0])), "\n") {
 		text, err := call(strings.Fields(line))
@@ -75,9 +76,13 @@
 		return "", err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return "", err
 	}
+	if strings.HasPrefix(args[3], "/-/standin/") {
+		return fmt.Sprintf("%d %s", resp.StatusCode, strings.TrimSpace(string(body))), nil
+	}
 	text := fmt.Sprintf("%d %s", resp.StatusCode, resp.Header.Get(classifier.HeaderOutcome))
 	if reason := resp.Header.Get(classifier.HeaderReason); reason != "" {
 		text += " " + reason
@@ -85,5 +90,11 @@
 	if resp.Header.Get(classifier.HeaderRetryAfter) != "" {
 		text += " retry-after"
 	}
+	if id := req.Header.Get(classifier.HeaderRequestID); id != "" && resp.Header.Get("Standin-Request") != "" {
+		text += " for " + resp.Header.Get("Standin-Request")
+	}
+	if resp.Header.Get("Etag") != "" {
+		text += fmt.Sprintf(" %d bytes", len(body))
+	}
 	return text, nil
 }
