refactor: one assembly of the parts that node and control share

Cause: node and control each built courier, distributor and gossiper, with the same fifty lines.

Change: launcher.fleet holds the three and the client for calls between processes; what differs is in fleetConfig. A control instance binds its address before it opens its data folder.

Ruled out: a common type for the whole process; the rest of node and control has nothing in common.

--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -13,13 +13,10 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/controller"
-	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
-	"github.com/banyanscale/banyanscale/internal/process/gossiper"
 	"github.com/banyanscale/banyanscale/internal/process/journaler"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -39,31 +36,35 @@
 
 // Control is a process that keeps configurations and the owners' ledger.
 type Control struct {
-	settings    *configurer.Control
-	log         zerolog.Logger
-	metrics     *exporter.Exporter
-	client      *http.Client // For calls between processes.
-	courier     *courier.Courier
-	gossiper    *gossiper.Gossiper
-	distributor *distributor.Distributor
-	voter       *voter.Voter
-	controller  *controller.Controller
-	ledger      *accountant.Ledger
-	replicator  *accountant.Replicator
-	tomb        tomb.Tomb
+	fleet
+
+	settings   *configurer.Control
+	log        zerolog.Logger
+	metrics    *exporter.Exporter
+	voter      *voter.Voter
+	controller *controller.Controller
+	ledger     *accountant.Ledger
+	replicator *accountant.Replicator
+	tomb       tomb.Tomb
 }
 
 // NewControl assembles a control instance from its settings. It opens the data
 // folder and binds the peer address.
 func NewControl(settings *configurer.Control, logs io.Writer) (*Control, error) {
 	base := logger.New(logs).Level(settings.LogLevel())
-	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control"), client: newPeerClient()}
+	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control")}
+	f, err := newFleet(fleetConfig{
+		instance: c.instance(),
+		seeds:    append(settings.Seeds(), settings.Voters()...),
+		onView:   func(*registrar.View) {},
+	}, base, c.metrics.Scope())
+	if err != nil {
+		return nil, fmt.Errorf("join the fleet: %w", err)
+	}
+	c.fleet = f
 	if err := c.assembleVoter(base); err != nil {
 		return nil, fmt.Errorf("assemble the voter: %w", err)
 	}
-	if err := c.assembleGossip(base); err != nil {
-		return nil, fmt.Errorf("assemble membership: %w", err)
-	}
 	return c, nil
 }
 
@@ -98,49 +99,13 @@
 	return nil
 }
 
-func (c *Control) assembleGossip(base zerolog.Logger) error {
-	socket, err := courier.New(courier.Config{
-		Address: c.settings.PeerAddress(),
-		Logger:  logger.Part(base, "courier"),
-		Scope:   c.metrics.Scope().SubScope("courier"),
-	})
-	if err != nil {
-		return fmt.Errorf("bind the peer address: %w", err)
-	}
-	c.courier = socket
-	c.distributor = distributor.New(distributor.Config{
-		Client:   distributor.NewClient(c.client),
-		Digest:   compiler.Digest,
-		Diff:     compiler.Diff,
-		Apply:    compiler.Apply,
-		Announce: func(v *controlwire.VersionDigest) { c.gossiper.SetVersion(v) },
-		Logger:   logger.Part(base, "distributor"),
-		Scope:    c.metrics.Scope().SubScope("distributor"),
-		Random:   newRandom(),
-	})
-	c.gossiper = gossiper.New(gossiper.Config{
-		Instance:  c.instance(),
-		Seeds:     append(c.settings.Seeds(), c.settings.Voters()...),
-		Transport: socket,
-		Client:    gossiper.NewClient(c.client),
-		OnView:    func(*registrar.View) {},
-		OnVersion: c.distributor.Learn,
-		Logger:    logger.Part(base, "gossiper"),
-		Scope:     c.metrics.Scope().SubScope("gossiper"),
-		Random:    newRandom(),
-	})
-	return nil
-}
-
 // Run serves until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
 	peer, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler())
 	if err != nil {
 		return fmt.Errorf("peer address: %w", err)
 	}
-	c.courier.Start()
-	c.gossiper.Start()
-	c.distributor.Start()
+	c.start()
 	c.tomb.Go(peer.serve)
 	c.voter.Start()
 	c.ledger.Start()
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -13,13 +13,10 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
-	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
-	"github.com/banyanscale/banyanscale/internal/process/gossiper"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
@@ -46,27 +43,25 @@
 
 // Node is the process beside one upstream.
 type Node struct {
-	settings    *configurer.Node
-	log         zerolog.Logger
-	metrics     *exporter.Exporter
-	snapshots   *publisher.Publisher
-	client      *http.Client // For calls between processes.
-	courier     *courier.Courier
-	gossiper    *gossiper.Gossiper
-	distributor *distributor.Distributor
-	pool        *sampler.Pool
-	admitter    *admitter.Admitter
-	server      *server.Server
-	forwarder   *forwarder.Forwarder
-	explainer   *explainer.Explainer
-	keyer       *keyer.Keyer
-	watcher     *watcher.Watcher
-	meter       *accountant.Meter
-	reporter    *accountant.Reporter
-	prober      *prober.Prober
-	announcer   *announcer.Announcer
-	leaving     atomic.Bool
-	tomb        tomb.Tomb
+	fleet
+
+	settings  *configurer.Node
+	log       zerolog.Logger
+	metrics   *exporter.Exporter
+	snapshots *publisher.Publisher
+	pool      *sampler.Pool
+	admitter  *admitter.Admitter
+	server    *server.Server
+	forwarder *forwarder.Forwarder
+	explainer *explainer.Explainer
+	keyer     *keyer.Keyer
+	watcher   *watcher.Watcher
+	meter     *accountant.Meter
+	reporter  *accountant.Reporter
+	prober    *prober.Prober
+	announcer *announcer.Announcer
+	leaving   atomic.Bool
+	tomb      tomb.Tomb
 }
 
 // NewNode assembles a node from its settings. It binds the peer address.
@@ -99,9 +94,7 @@
 	if err != nil {
 		return fmt.Errorf("http address: %w", err)
 	}
-	n.courier.Start()
-	n.gossiper.Start()
-	n.distributor.Start()
+	n.start()
 	n.tomb.Go(peer.serve)
 	n.tomb.Go(requests.serve)
 	n.watcher.Start()
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -13,8 +13,6 @@
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
-	"github.com/banyanscale/banyanscale/internal/process/distributor"
-	"github.com/banyanscale/banyanscale/internal/process/gossiper"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -25,7 +23,6 @@
 	"github.com/banyanscale/banyanscale/internal/request/picker"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
-	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
 const (
@@ -45,40 +42,18 @@
 // assembleControl makes the parts that learn about the fleet and its
 // configuration.
 func (n *Node) assembleControl(base zerolog.Logger) error {
-	c, err := courier.New(courier.Config{
-		Address: n.settings.PeerAddress(),
-		Logger:  logger.Part(base, "courier"),
-		Scope:   n.metrics.Scope().SubScope("courier"),
-	})
+	f, err := newFleet(fleetConfig{
+		instance: n.instance(),
+		seeds:    n.settings.Seeds(),
+		onView:   n.setView,
+		control:  n.controlAddresses,
+		compile:  n.compile,
+		publish:  n.publish,
+	}, base, n.metrics.Scope())
 	if err != nil {
-		return fmt.Errorf("bind the peer address: %w", err)
+		return fmt.Errorf("join the fleet: %w", err)
 	}
-	n.courier = c
-	n.client = newPeerClient()
-	n.distributor = distributor.New(distributor.Config{
-		Control:  n.controlAddresses,
-		Client:   distributor.NewClient(n.client),
-		Compile:  n.compile,
-		Digest:   compiler.Digest,
-		Diff:     compiler.Diff,
-		Apply:    compiler.Apply,
-		Publish:  n.publish,
-		Announce: func(v *controlwire.VersionDigest) { n.gossiper.SetVersion(v) },
-		Logger:   logger.Part(base, "distributor"),
-		Scope:    n.metrics.Scope().SubScope("distributor"),
-		Random:   newRandom(),
-	})
-	n.gossiper = gossiper.New(gossiper.Config{
-		Instance:  n.instance(),
-		Seeds:     n.settings.Seeds(),
-		Transport: c,
-		Client:    gossiper.NewClient(n.client),
-		OnView:    n.setView,
-		OnVersion: n.distributor.Learn,
-		Logger:    logger.Part(base, "gossiper"),
-		Scope:     n.metrics.Scope().SubScope("gossiper"),
-		Random:    newRandom(),
-	})
+	n.fleet = f
 	n.announcer = announcer.New(announcer.Config{Announce: n.gossiper.Announce, ColdStart: n.coldStart})
 	return nil
 }
