test: guards of taken-over connections

TestEarlyRequest did not see a lost first byte ("ET /2" was answered too): its handler now answers with the method as well.

--- a/internal/connection/responder/responder_test.go
+++ b/internal/connection/responder/responder_test.go
@@ -174,7 +174,7 @@
 func TestEarlyRequest(t *testing.T) {
 	answer := func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Second)
-		fmt.Fprint(w, r.URL.Path, r.Context().Err())
+		fmt.Fprint(w, r.Method, r.URL.Path, r.Context().Err())
 	}
 	withConnection(t, answer, func(t *testing.T, _ *node, c net.Conn, r *bufio.Reader) {
 		go func() {
@@ -185,7 +185,7 @@
 		}()
 		for _, path := range []string{"/1", "/2", "/3"} {
 			_, body := receive(t, r, "GET")
-			assert.Equal(t, body, path+"<nil>")
+			assert.Equal(t, body, "GET"+path+"<nil>")
 		}
 	})
 }
