feat: submit tells a change that was not proposed from an unknown one

Cause: both "not proposed" and "outcome unknown" went out with the connect code unavailable, and only the text told them apart; a broken connection has the same code. So the command printed "unknown" and exit code 4 also where the voters had proved that nothing was proposed.

Change: a submission that failed now has the header Banyanscale-Outcome in its connect error, with the words that requests have: not-run or unknown. The command reads it. For not-run it says that nothing was proposed and names the change id to send again (exit code 1); unknown keeps its text and exit code 4. Where several instances were asked, one unknown makes the result unknown. An error without the header, such as one of an older instance, proves nothing.

Ruled out: a code of its own for one of the two, since proxies and the client make codes too; a new message as an error detail, which would say what the header says already.

--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -13,6 +13,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
 // dialTimeout bounds how long a connection to a control instance takes to open.
@@ -103,6 +104,9 @@
 
 // hadNoEffect reports whether err proves that a call changed nothing.
 func hadNoEffect(err error) bool {
+	if outcomeOf(err) == classifier.NotRun {
+		return true
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument, connect.CodeFailedPrecondition, connect.CodeUnimplemented:
 		return true
@@ -110,6 +114,19 @@
 	return dialFailed(err)
 }
 
+// outcomeOf returns what a control instance told of a submission that failed.
+func outcomeOf(err error) classifier.Outcome {
+	var refusal *connect.Error
+	if !errors.As(err, &refusal) {
+		return classifier.Unknown
+	}
+	outcome, err := classifier.ParseOutcome(refusal.Meta().Get(classifier.HeaderOutcome))
+	if err != nil {
+		return classifier.Unknown
+	}
+	return outcome
+}
+
 // dialFailed reports whether err proves that no byte was sent.
 func dialFailed(err error) bool {
 	var op *net.OpError
--- a/internal/cmd/config_submit.go
+++ b/internal/cmd/config_submit.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"connectrpc.com/connect"
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
@@ -122,9 +123,14 @@
 	return &codedError{code: exitConflict, err: err}
 }
 
-// failed tells whether the change was refused or its result is not known.
+// failed tells whether the change was refused, can be sent again since nothing
+// was proposed, or has an unknown result.
 func (s *submission) failed(err error) error {
-	if errors.Is(err, errNoEffect) || s.dryRun {
+	switch noEffect := errors.Is(err, errNoEffect) || s.dryRun; {
+	case noEffect && connect.CodeOf(err) == connect.CodeUnavailable:
+		return fmt.Errorf("change %s: nothing was proposed; run the same command again, with --change-id %s: %w",
+			s.req.ChangeId, s.req.ChangeId, err)
+	case noEffect:
 		return fmt.Errorf("change %s: this call changed nothing: %w", s.req.ChangeId, err)
 	}
 	err = fmt.Errorf("the result of change %s is unknown; to learn it, run the same command again with --change-id %s: %w",
--- a/internal/cmd/fake_control_test.go
+++ b/internal/cmd/fake_control_test.go
@@ -12,9 +12,11 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/banyanscale/banyanscale/internal/process/voter"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
 // fakeControl is a control instance without voters, disk or clock.
@@ -27,6 +29,7 @@
 	loseNext bool
 	stale    bool
 	behind   bool
+	refusing bool
 }
 
 var fakes sync.Map // By script.
@@ -43,7 +46,8 @@
 
 // runFakeControl is the script command "control": "start" sets $CONTROL, "lose"
 // breaks the connection after the next change was accepted, "stale" refuses
-// calls, "behind" hides the newest change from the history, "fresh" ends both, "dead" sets $DEAD to an address with nobody.
+// calls, "behind" hides the newest change from the history, "refusing" proposes
+// no change, "fresh" ends these, "dead" sets $DEAD to an address with nobody.
 func runFakeControl(ts *testscript.TestScript, _ bool, args []string) {
 	switch args[0] {
 	case "start":
@@ -67,6 +71,7 @@
 	f.loseNext = f.loseNext || fault == "lose"
 	f.stale = fault == "stale"
 	f.behind = fault == "behind"
+	f.refusing = fault == "refusing"
 }
 
 // serialize handles one call at a time, and none while the instance is stale.
@@ -82,6 +87,11 @@
 }
 
 func (f *fakeControl) Submit(_ context.Context, r *connect.Request[controlwire.SubmitRequest]) (*connect.Response[controlwire.SubmitResponse], error) {
+	if f.refusing {
+		err := connect.NewError(connect.CodeUnavailable, voter.ErrNoMajority)
+		err.Meta().Set(classifier.HeaderOutcome, classifier.NotRun.String())
+		return nil, err
+	}
 	answer, known := f.answers[r.Msg.GetChangeId()]
 	if !known {
 		answer = f.decide(r.Msg)
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -12,12 +12,15 @@
 //	invalid-argument     the change can never be accepted as it is
 //	failed-precondition  the instance belongs to no group, or the replaced
 //	                     version is too old to tell its outcome
-//	unavailable          no majority; the message says whether the change was
-//	                     not proposed or its outcome is unknown
+//	unavailable          no majority, or the instance is stale
+//
+// A submission that failed has the header classifier.HeaderOutcome in its
+// error: "not-run" if the change was not proposed, else "unknown".
 package controller
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -28,6 +31,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
 // Voter is the instance's part in the agreement on the configuration.
@@ -72,11 +76,11 @@
 // Submit implements controlwireconnect.ControlHandler.
 func (c *Controller) Submit(ctx context.Context, req *connect.Request[controlwire.SubmitRequest]) (*connect.Response[controlwire.SubmitResponse], error) {
 	if err := c.checker.Check(req.Msg.GetDocument()); err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		return nil, submitError(fmt.Errorf("%w: %w", voter.ErrInvalid, err))
 	}
 	resp, err := c.voter.Submit(ctx, req.Msg)
 	if err != nil {
-		return nil, connect.NewError(codeOf(err), err)
+		return nil, submitError(err)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -142,6 +146,26 @@
 	return connect.NewResponse(c.ledger.Usage(req.Msg)), nil
 }
 
+// submitError returns the answer to a submission that failed.
+func submitError(err error) *connect.Error {
+	refusal := connect.NewError(codeOf(err), err)
+	refusal.Meta().Set(classifier.HeaderOutcome, outcomeOf(err).String())
+	return refusal
+}
+
+// outcomeOf tells whether a submission that failed with err is proved not to
+// have been proposed.
+func outcomeOf(err error) classifier.Outcome {
+	for _, proof := range []error{
+		voter.ErrInvalid, voter.ErrTooOld, voter.ErrNoGroup, voter.ErrNoMajority, voter.ErrVoterUnreachable,
+	} {
+		if errors.Is(err, proof) {
+			return classifier.NotRun
+		}
+	}
+	return classifier.Unknown
+}
+
 // codeOf returns the connect code of a voter's error.
 func codeOf(err error) connect.Code {
 	switch {
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -19,6 +19,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
 // refusal is a key that the fake checker refuses.
@@ -72,11 +73,7 @@
 	assert.NilError(t, err)
 	v.Start()
 	t.Cleanup(func() { assert.NilError(t, v.Stop()) })
-	mux := http.NewServeMux()
-	mux.Handle(controller.New(v, fakeChecker{}, ledger).Handler())
-	server := httptest.NewServer(mux)
-	t.Cleanup(server.Close)
-	client := controlwireconnect.NewControlClient(server.Client(), server.URL)
+	client := serve(t, v, ledger)
 	if len(group) > 1 {
 		return client
 	}
@@ -87,6 +84,16 @@
 	return client
 }
 
+// serve starts a controller over the given voter and returns a client.
+func serve(t *testing.T, v controller.Voter, ledger *fakeLedger) controlwireconnect.ControlClient {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(controller.New(v, fakeChecker{}, ledger).Handler())
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return controlwireconnect.NewControlClient(server.Client(), server.URL)
+}
+
 func submit(client controlwireconnect.ControlClient, id string, replaces uint64, entries ...string) error {
 	doc := &controlwire.Document{}
 	for i := 0; i < len(entries); i += 2 {
@@ -126,6 +133,36 @@
 	assertCode(t, err, connect.CodeUnavailable)
 }
 
+// failingVoter fails every submission.
+type failingVoter struct {
+	controller.Voter
+	err error
+}
+
+func (v failingVoter) Submit(context.Context, *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
+	return nil, fmt.Errorf("submit change: %w", v.err)
+}
+
+// TestSubmitOutcomes tells a change that was not proposed from one whose
+// outcome is unknown.
+func TestSubmitOutcomes(t *testing.T) {
+	for err, want := range map[error]classifier.Outcome{
+		voter.ErrNoMajority:       classifier.NotRun,
+		voter.ErrNoGroup:          classifier.NotRun,
+		voter.ErrInvalid:          classifier.NotRun,
+		voter.ErrTooOld:           classifier.NotRun,
+		voter.ErrVoterUnreachable: classifier.NotRun,
+		voter.ErrOutcomeUnknown:   classifier.Unknown,
+		errors.New("other"):       classifier.Unknown,
+	} {
+		t.Run(err.Error(), func(t *testing.T) {
+			var refusal *connect.Error
+			assert.Assert(t, errors.As(submit(serve(t, failingVoter{err: err}, &fakeLedger{}), "one", 0), &refusal))
+			assert.Equal(t, refusal.Meta().Get(classifier.HeaderOutcome), want.String())
+		})
+	}
+}
+
 func TestFetch(t *testing.T) {
 	client := start(t, &fakeLedger{}, "v0")
 	assert.NilError(t, submit(client, "two", 1, "a", "2", "b", "1", "c", "1"))
