--- a/internal/process/voter/connect_test.go
+++ b/internal/process/voter/connect_test.go
@@ -72,7 +72,9 @@
 		})
 		voters[i] = v
 	}
-	awaitGroup(t, voters[n-1])
+	for _, v := range voters {
+		awaitGroup(t, v)
+	}
 	return voters
 }
 
