fix: the simulated network of the voter's tests reads its settings under the lock

The race build reported a data race once in 2 runs: the fault "messages are doubled and late" sets the share of doubled messages under the lock, and send read it without. The share is now read where the lock is held. The order of random numbers is as before, so the golden matrix is unchanged.

--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -347,7 +347,7 @@
 		return none, err
 	}
 	go deliver()
-	if p.cluster.chance(p.cluster.double) {
+	if p.cluster.doubles() {
 		go deliver()
 	}
 	select {
@@ -370,10 +370,11 @@
 	return c.filter(to, req)
 }
 
-func (c *cluster) chance(share float64) bool {
+// doubles decides whether a request arrives twice.
+func (c *cluster) doubles() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.random.Float64() < share
+	return c.random.Float64() < c.double
 }
 
 // travel waits while a message is on its way, and reports whether it arrives.
