fix: heartbeats wait for their timer from its start on

A channel timer that nobody waits for is not in the heap; the goroutine that next receives from it runs it (runtime.maybeRunChan -> unlockAndRun). In a bubble, unlockAndRun takes the one race context of the bubble's timers, with nothing that keeps two threads from doing so at once. The heartbeats of several voters used tickers; a heartbeat that outlasted its second left the ticker expired, and in fake time all voters came to it at the same instant.

Ruled out: data races (none reported at the crash), goroutines that leave a bubble, memory (0.4 GB), number of goroutines, cgo and recursion.

Change: the heartbeat makes its timer when it starts to wait, by the function that the pauses between proposals use, so that every timer is run by its bubble. A heartbeat that lasted longer than its interval is followed by the next one at once, as before.

--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -56,14 +56,11 @@
 // run sends heartbeats until the voter stops.
 func (m *monitor) run() error {
 	ctx := m.voter.tomb.Context(context.Background())
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
 	for {
+		next := time.Now().Add(heartbeatInterval)
 		m.beat(ctx)
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, time.Until(next)) {
 			return nil
-		case <-ticker.C:
 		}
 	}
 }
--- a/internal/process/voter/proposer.go
+++ b/internal/process/voter/proposer.go
@@ -87,14 +87,24 @@
 	p.mu.Lock()
 	d := mean/2 + time.Duration(p.random.Int64N(int64(mean)))
 	p.mu.Unlock()
+	return sleep(ctx, d)
+}
+
+// sleep waits for d, if that is positive, and reports whether ctx is still
+// valid. Its timer is waited for from its start on: the race detector fails on
+// channel timers of one synctest bubble that expire with nobody waiting and
+// are then received from at the same time.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-timer.C:
-		return ctx.Err() == nil
 	}
+	return ctx.Err() == nil
 }
 
 func (p *proposer) attempt(ctx context.Context, proposal *proposal) (*State, error) {
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// TestAllCutOff has heartbeats that last longer than their interval at all
+// voters at once. Under the race detector it failed while these left tickers
+// to expire with nobody waiting.
+func TestAllCutOff(t *testing.T) {
+	simulate(t, 19, 7, func(t *testing.T, c *cluster) {
+		c.setSteady()
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		split(c, true, c.initial, c.initial)
+		time.Sleep(4 * time.Hour)
+		for _, address := range c.initial {
+			assert.Assert(t, c.voter(address).Status().GetStale())
+		}
+		split(c, false, c.initial, c.initial)
+		time.Sleep(10 * time.Second)
+		for _, address := range c.initial {
+			assert.Assert(t, !c.voter(address).Status().GetStale())
+		}
+		assertAccepted(t, c.voter("v1"), change("b", 1), 2)
+	})
+}
+
 func TestFrozenProposer(t *testing.T) {
 	simulate(t, 4, 3, func(t *testing.T, c *cluster) {
 		v0 := c.voter("v0")
