feat: a stale control instance says so within 3 s, also for the history

Cause: a read of the newest version behind a silent partition went on proposing until the bound of a submission, 10 s. The history was answered from what the instance holds, without a word on whether that is the newest.

Change: a read has a bound of its own, readTimeout, 3 s, and fails with ErrStale; before it failed with ErrNoMajority, whose text speaks of a change. The history of a stale instance is refused with the code unavailable, so that the command asks the next instance; the text says how long no majority was reached and up to which version the instance knows. Details of the error, both messages that exist already, hold the status and the history that is known; the command prints the newest one of all instances that it asked. A majority that answered a proposal now counts as contact, not only heartbeats.

Ruled out: giving up a read at once where the instance is known to be stale; it would then propose nothing, and a partition that heals meanwhile is found later. New fields in the answer of the history: a client that does not know them would take an old history for the newest.

After: at most 3 s, asserted by assertStale, which takes the place of assertNoMajority; it also checks that the status says stale.

--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -26,7 +26,8 @@
 	Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error)
 	// Current returns the version in force.
 	Current(ctx context.Context) (*controlwire.Version, error)
-	// History returns the latest changes, newest first.
+	// History returns the latest changes, newest first. With an error it
+	// returns those that a stale instance knows, if one told any.
 	History(ctx context.Context, limit uint32) ([]*controlwire.HistoryEntry, error)
 }
 
@@ -66,8 +67,42 @@
 
 // History implements controlClient.
 func (c *remoteControl) History(ctx context.Context, limit uint32) ([]*controlwire.HistoryEntry, error) {
-	resp, err := ask(ctx, c, &controlwire.HistoryRequest{Limit: limit}, controlwireconnect.ControlClient.History)
-	return resp.GetEntries(), err
+	var known []*controlwire.HistoryEntry
+	call := func(client controlwireconnect.ControlClient, ctx context.Context, req *connect.Request[controlwire.HistoryRequest]) (*connect.Response[controlwire.HistoryResponse], error) {
+		resp, err := client.History(ctx, req)
+		if entries := knownHistory(err); newestOf(entries) > newestOf(known) {
+			known = entries
+		}
+		return resp, err
+	}
+	resp, err := ask(ctx, c, &controlwire.HistoryRequest{Limit: limit}, call)
+	if err != nil {
+		return known, err
+	}
+	return resp.GetEntries(), nil
+}
+
+// knownHistory returns what the error of a stale instance tells of the changes.
+func knownHistory(err error) []*controlwire.HistoryEntry {
+	var refusal *connect.Error
+	if !errors.As(err, &refusal) {
+		return nil
+	}
+	for _, detail := range refusal.Details() {
+		message, err := detail.Value()
+		if history, ok := message.(*controlwire.HistoryResponse); err == nil && ok {
+			return history.GetEntries()
+		}
+	}
+	return nil
+}
+
+// newestOf returns the number of the newest change of a history, or 0.
+func newestOf(entries []*controlwire.HistoryEntry) uint64 {
+	if len(entries) == 0 {
+		return 0
+	}
+	return entries[0].GetNumber()
 }
 
 // Status returns what the first control instance that answers knows of the voters.
--- a/internal/cmd/config_history.go
+++ b/internal/cmd/config_history.go
@@ -29,19 +29,20 @@
 // changes than that instance knows may have been accepted.
 func printHistory(env *environment, client controlClient, limit uint32) error {
 	entries, err := client.History(env.ctx, limit)
-	if err != nil {
-		return fmt.Errorf("read the history: %w", err)
-	}
-	var newest uint64
 	for _, e := range entries {
-		newest = max(newest, e.GetNumber())
 		printHistoryEntry(env.stdout, e)
 	}
+	if err != nil && len(entries) > 0 {
+		return fmt.Errorf("%w: %w", errHistoryOld, err)
+	}
+	if err != nil {
+		return fmt.Errorf("read the history: %w", err)
+	}
 	current, err := client.Current(env.ctx)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errHistoryOld, err)
 	}
-	if number := current.GetDigest().GetNumber(); newest < number {
+	if number := current.GetDigest().GetNumber(); newestOf(entries) < number {
 		return fmt.Errorf("%w: version %d is in force", errHistoryOld, number)
 	}
 	return nil
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -7,7 +7,8 @@
 //	mux.Handle(path, handler)
 //
 // Submit and Current need a majority of voters; the other calls answer from
-// what the instance holds. Errors have connect codes:
+// what the instance holds, History only while it is not stale. Errors have
+// connect codes:
 //
 //	invalid-argument     the change can never be accepted as it is
 //	failed-precondition  the instance belongs to no group, or the replaced
@@ -15,7 +16,9 @@
 //	unavailable          no majority, or the instance is stale
 //
 // A submission that failed has the header classifier.HeaderOutcome in its
-// error: "not-run" if the change was not proposed, else "unknown".
+// error: "not-run" if the change was not proposed, else "unknown". The error of
+// a stale instance has its status as a detail, and that of History the history
+// that it knows as a second one.
 package controller
 
 import (
@@ -27,6 +30,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/process/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
@@ -88,6 +92,9 @@
 // Current implements controlwireconnect.ControlHandler.
 func (c *Controller) Current(ctx context.Context, _ *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
 	state, err := c.voter.Current(ctx)
+	if errors.Is(err, voter.ErrStale) {
+		return nil, staleError(c.voter.Status())
+	}
 	if err != nil {
 		return nil, connect.NewError(codeOf(err), err)
 	}
@@ -120,7 +127,11 @@
 	if limit := int(req.Msg.GetLimit()); limit > 0 {
 		entries = entries[:min(limit, len(entries))]
 	}
-	return connect.NewResponse(&controlwire.HistoryResponse{Entries: entries}), nil
+	resp := &controlwire.HistoryResponse{Entries: entries}
+	if status := c.voter.Status(); status.GetStale() {
+		return nil, staleError(status, resp)
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // Status implements controlwireconnect.ControlHandler.
@@ -146,6 +157,23 @@
 	return connect.NewResponse(c.ledger.Usage(req.Msg)), nil
 }
 
+// staleError returns the answer of a stale instance with what it knows.
+func staleError(status *controlwire.StatusResponse, known ...proto.Message) *connect.Error {
+	age := ""
+	if ms := status.GetStaleForMs(); ms > 0 {
+		age = fmt.Sprintf(" for %s", (time.Duration(ms) * time.Millisecond).Round(time.Second))
+	}
+	status.Stale = true
+	err := fmt.Errorf("%w%s; it knows changes up to version %d", voter.ErrStale, age, status.GetVersion())
+	refusal := connect.NewError(connect.CodeUnavailable, err)
+	for _, message := range append([]proto.Message{status}, known...) {
+		if detail, err := connect.NewErrorDetail(message); err == nil {
+			refusal.AddDetail(detail)
+		}
+	}
+	return refusal
+}
+
 // submitError returns the answer to a submission that failed.
 func submitError(err error) *connect.Error {
 	refusal := connect.NewError(codeOf(err), err)
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -59,8 +59,9 @@
 	return voter.NewConnectTransport(http.DefaultClient).Peer("127.0.0.1:1")
 }
 
-// start starts a controller over a voter of the given group and returns a client.
-func start(t *testing.T, ledger *fakeLedger, group ...string) controlwireconnect.ControlClient {
+// newVoter starts a voter of the given group. A group of one has formed when
+// it returns.
+func newVoter(t *testing.T, group ...string) *voter.Voter {
 	t.Helper()
 	store, err := journaler.Open(journaler.OS{}, t.TempDir())
 	assert.NilError(t, err)
@@ -73,14 +74,19 @@
 	assert.NilError(t, err)
 	v.Start()
 	t.Cleanup(func() { assert.NilError(t, v.Stop()) })
-	client := serve(t, v, ledger)
-	if len(group) > 1 {
-		return client
-	}
-	for v.Local() == nil {
+	for len(group) == 1 && v.Local() == nil {
 		_, _ = v.Current(context.Background())
 	}
-	assert.NilError(t, submit(client, "one", 0, "a", "1", "b", "1"))
+	return v
+}
+
+// start starts a controller over a voter of the given group and returns a client.
+func start(t *testing.T, ledger *fakeLedger, group ...string) controlwireconnect.ControlClient {
+	t.Helper()
+	client := serve(t, newVoter(t, group...), ledger)
+	if len(group) == 1 {
+		assert.NilError(t, submit(client, "one", 0, "a", "1", "b", "1"))
+	}
 	return client
 }
 
@@ -201,6 +207,42 @@
 	assert.Equal(t, current.Msg.GetVersion().GetDigest().GetNumber(), uint64(3))
 }
 
+// staleVoter knows version 1 and has reached no majority for 5 s.
+type staleVoter struct{ controller.Voter }
+
+func (staleVoter) Current(context.Context) (*voter.State, error) {
+	return nil, fmt.Errorf("read newest version: %w", voter.ErrStale)
+}
+
+func (staleVoter) Status() *controlwire.StatusResponse {
+	return &controlwire.StatusResponse{Stale: true, StaleForMs: 5000, Version: 1}
+}
+
+// TestStaleInstance checks that a stale instance answers as such, and tells
+// what it knows.
+func TestStaleInstance(t *testing.T) {
+	client := serve(t, staleVoter{newVoter(t, "v0")}, &fakeLedger{})
+	_, err := client.Current(context.Background(), connect.NewRequest(&controlwire.CurrentRequest{}))
+	assertStale(t, err, &controlwire.StatusResponse{Stale: true, StaleForMs: 5000, Version: 1})
+	_, err = client.History(context.Background(), connect.NewRequest(&controlwire.HistoryRequest{}))
+	assertStale(t, err, &controlwire.StatusResponse{Stale: true, StaleForMs: 5000, Version: 1}, &controlwire.HistoryResponse{})
+}
+
+// assertStale checks the text and the details of a stale instance's error.
+func assertStale(t *testing.T, err error, details ...proto.Message) {
+	t.Helper()
+	assertCode(t, err, connect.CodeUnavailable)
+	assert.ErrorContains(t, err, "for 5s; it knows changes up to version 1")
+	var refusal *connect.Error
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, len(refusal.Details()), len(details))
+	for i, detail := range refusal.Details() {
+		got, err := detail.Value()
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Equal(got, details[i]), "%v", got)
+	}
+}
+
 func TestReports(t *testing.T) {
 	ledger := &fakeLedger{}
 	client := start(t, ledger, "v0")
--- a/internal/process/voter/former.go
+++ b/internal/process/voter/former.go
@@ -41,11 +41,9 @@
 			return err
 		}
 	}
-	state, err := v.proposer.propose(ctx, &proposal{genesis: newState(genesis), next: confirm})
-	if err != nil {
+	if _, err := v.propose(ctx, &proposal{genesis: newState(genesis), next: confirm}); err != nil {
 		return fmt.Errorf("form group: %w", err)
 	}
-	v.learn(state)
 	v.cfg.Log.Info().Str("group", genesis.GetGroup()).Msg("Group of voters formed.")
 	return nil
 }
--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -36,7 +36,7 @@
 	chosen chan *State // A chosen state that the voters are to be told.
 
 	mu          sync.Mutex
-	lastContact time.Time // Start of the last heartbeat that a majority answered.
+	lastContact time.Time // Start of the last heartbeat or proposal that a majority answered.
 	last        *survey
 
 	// Only the goroutine of run uses these.
@@ -159,9 +159,18 @@
 
 func (m *monitor) record(s *survey, start time.Time) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.last = s
+	m.mu.Unlock()
 	if hasQuorum(s.known.membership(), s.responded) {
+		m.contacted(start)
+	}
+}
+
+// contacted notes that a majority answered what was asked after start.
+func (m *monitor) contacted(start time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if start.After(m.lastContact) {
 		m.lastContact = start
 	}
 }
--- a/internal/process/voter/repair.go
+++ b/internal/process/voter/repair.go
@@ -41,11 +41,10 @@
 }
 
 func (m *monitor) apply(ctx context.Context, next step) error {
-	state, err := m.voter.proposer.propose(ctx, &proposal{next: next, accept: true})
+	state, err := m.voter.propose(ctx, &proposal{next: next, accept: true})
 	if err != nil {
 		return err
 	}
-	m.voter.learn(state)
 	m.voter.tryFinishReplacing(ctx, state)
 	return nil
 }
--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -440,8 +440,12 @@
 	assert.Equal(t, state.Version().GetDigest().GetNumber(), version)
 }
 
-func assertNoMajority(t testing.TB, v *voter.Voter) {
+// assertStale checks that an instance without a majority says so in time.
+func assertStale(t testing.TB, v *voter.Voter) {
 	t.Helper()
+	start := time.Now()
 	_, err := v.Current(context.Background())
-	assert.ErrorIs(t, err, voter.ErrNoMajority)
+	assert.ErrorIs(t, err, voter.ErrStale)
+	assert.Assert(t, time.Since(start) <= 3*time.Second, "told after %s", time.Since(start))
+	assert.Assert(t, v.Status().GetStale())
 }
--- a/internal/process/voter/submission.go
+++ b/internal/process/voter/submission.go
@@ -186,6 +186,9 @@
 	ErrTooOld = errors.New("the replaced version is older than what is remembered")
 	// ErrNoGroup means that the instance belongs to no group of voters yet.
 	ErrNoGroup = errors.New("no group of voters has formed")
+	// ErrStale means that no majority of voters confirmed what the instance
+	// holds, so that others may have accepted newer versions.
+	ErrStale = errors.New("this instance is stale: it reached no majority of the voters")
 	// ErrNoMajority means that no majority was reached and that the change was not proposed.
 	ErrNoMajority = errors.New("no majority of voters reached; the change was not proposed")
 	// ErrOutcomeUnknown means that the change was proposed, but no majority
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -57,8 +57,11 @@
 )
 
 const (
-	// operationTimeout bounds a submission or a read.
+	// operationTimeout bounds a submission.
 	operationTimeout = 10 * time.Second
+	// readTimeout bounds a read: an instance behind a partition says within
+	// this time that it is stale.
+	readTimeout = 3 * time.Second
 	// answerShare is the part of the remaining time, as a divisor, that is left
 	// to tell the outcome.
 	answerShare = 10
@@ -186,21 +189,33 @@
 	return resp, nil
 }
 
-// Current returns the newest accepted state, confirmed by a majority.
+// Current returns the newest accepted state, confirmed by a majority, or
+// ErrStale within readTimeout.
 func (v *Voter) Current(ctx context.Context) (*State, error) {
-	ctx, cancel := withTimeout(ctx)
+	ctx, cancel := withTimeout(ctx, readTimeout)
 	defer cancel()
 	if state := v.monitor.read(ctx); state != nil {
 		v.learn(state)
 		return state, nil
 	}
-	state, err := v.proposer.propose(ctx, &proposal{next: confirm})
+	state, err := v.propose(ctx, &proposal{next: confirm})
 	if errors.Is(err, ErrNoGroup) {
 		return nil, fmt.Errorf("read newest version: %w", err)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("read newest version: %w: %w", ErrNoMajority, err)
+		return nil, fmt.Errorf("read newest version: %w: %w", ErrStale, err)
 	}
+	return state, nil
+}
+
+// propose has a proposal accepted, and learns the state that is then chosen.
+func (v *Voter) propose(ctx context.Context, p *proposal) (*State, error) {
+	start := time.Now()
+	state, err := v.proposer.propose(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	v.monitor.contacted(start)
 	v.learn(state)
 	return state, nil
 }
@@ -209,7 +224,7 @@
 func confirm(*State) *voterwire.Transition { return nil }
 
 func (v *Voter) submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
-	ctx, cancel := withTimeout(ctx)
+	ctx, cancel := withTimeout(ctx, operationTimeout)
 	defer cancel()
 	s, err := newSubmission(req, v.cfg.Digest)
 	if err != nil {
@@ -217,11 +232,10 @@
 	}
 	p := &proposal{next: s.next}
 	for {
-		state, err := v.proposer.propose(ctx, p)
+		state, err := v.propose(ctx, p)
 		if err != nil {
 			return nil, classify(err, p.sent)
 		}
-		v.learn(state)
 		switch {
 		case len(s.unresolved) > 0:
 			err = v.resolve(ctx, s)
@@ -268,7 +282,7 @@
 
 // finishReplacing ends the replacement of voters that the chosen state holds.
 func (v *Voter) finishReplacing(ctx context.Context, chosen *State) error {
-	state, err := v.proposer.propose(ctx, &proposal{next: func(base *State) *voterwire.Transition {
+	_, err := v.propose(ctx, &proposal{next: func(base *State) *voterwire.Transition {
 		// The previous voters may go only once the state that replaced them is
 		// known to be chosen.
 		if !sameBallot(base.origin(), chosen.origin()) {
@@ -279,7 +293,6 @@
 	if err != nil {
 		return fmt.Errorf("finish replacing voters: %w: %w", ErrNoMajority, err)
 	}
-	v.learn(state)
 	return nil
 }
 
@@ -344,8 +357,7 @@
 
 // withTimeout bounds an operation so that its outcome can still be told
 // before ctx ends.
-func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	timeout := operationTimeout
+func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline)
 		timeout = min(timeout, left-left/answerShare)
