refactor: one key of a document's entries

The voter had its own key of an entry and its own order beside the compiler's. What used them, the sum of changes that follow each other and the search for an entry that stands twice, is about documents and not about agreement: it is now Merge and Doubled in the compiler, beside Diff and Apply, with the compiler's key. Ruled out: exporting the compiler's key, which would put its parts into the interface for these two functions.

Behaviour is unchanged; TestFetch of the controller covers the sum, TestErrorCodes the doubled entry.

--- a/internal/process/voter/state.go
+++ b/internal/process/voter/state.go
@@ -170,17 +170,15 @@
 		return nil, false
 	}
 	delta := &controlwire.Delta{Base: have, Target: s.Version().GetDigest()}
-	sum := make(merger)
+	var changes []*controlwire.EntryChange
 	for number := have.GetNumber() + 1; number <= s.number(); number++ {
 		e := s.changeNumbered(number)
 		if e == nil || len(e.GetChanges()) == 0 {
 			return nil, false
 		}
-		for _, change := range e.GetChanges() {
-			sum.add(change)
-		}
+		changes = append(changes, e.GetChanges()...)
 	}
 	var ok bool
-	delta.Changes, ok = sum.changes()
+	delta.Changes, ok = compiler.Merge(changes)
 	return delta, ok
 }
