fix: control unlocks its data folder when it stops

Cause: nobody called Store.Close, neither at a planned stop nor where a control instance could not be assembled; the lock went only with the process.

Change: control keeps the store and closes it after the voter and the ledger have stopped, and on each error before. A write may still be under way then, such as a vote that is answered after the stop, and could meet the files of the next process: so Close waits for writes to the journals, closes them, refuses all later writes with ErrClosed, and unlocks the folder last.

--- a/internal/process/journaler/journal.go
+++ b/internal/process/journaler/journal.go
@@ -19,12 +19,16 @@
 	last     uint64   // Number of the last record.
 	size     int64    // Bytes of the file up to the last whole record.
 	appended int64    // Bytes since the file was replaced.
+	closed   bool
 }
 
 // OpenJournal reads the named journal; one that was never written is empty.
 // The first write replaces the file as a whole.
 func (s *Store) OpenJournal(name string) (*Journal, error) {
 	j := &Journal{store: s, path: s.path(name, journalSuffix)}
+	s.mu.Lock()
+	s.journals = append(s.journals, j)
+	s.mu.Unlock()
 	data, err := s.fs.ReadFile(j.path)
 	if errors.Is(err, os.ErrNotExist) {
 		return j, nil
@@ -98,10 +102,14 @@
 	return j.rewrite(records)
 }
 
-// Close closes the file.
+// Close closes the file. Later writes return ErrClosed.
 func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.closed {
+		return nil
+	}
+	j.closed = true
 	if j.file == nil {
 		return nil
 	}
@@ -111,7 +119,18 @@
 	return nil
 }
 
+// writable returns why nothing may be written, or nil.
+func (j *Journal) writable() error {
+	if j.closed {
+		return ErrClosed
+	}
+	return j.store.Err()
+}
+
 func (j *Journal) rewrite(records [][]byte) error {
+	if err := j.writable(); err != nil {
+		return fmt.Errorf("rewrite journal: %w", err)
+	}
 	data := encode(records...)
 	if err := j.store.replace(j.path, data); err != nil {
 		return fmt.Errorf("rewrite journal: %w", err)
@@ -134,7 +153,7 @@
 // write adds records without a sync. If the disk is full it removes what was
 // written of them.
 func (j *Journal) write(records [][]byte) error {
-	if err := j.store.Err(); err != nil {
+	if err := j.writable(); err != nil {
 		return fmt.Errorf("append to journal: %w", err)
 	}
 	var data []byte
--- a/internal/process/journaler/journaler_test.go
+++ b/internal/process/journaler/journaler_test.go
@@ -249,11 +249,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, write(j, 3), 3)
 	assert.NilError(t, j.Close())
+	assert.ErrorIs(t, j.Append(record(3)), journaler.ErrClosed)
 	again, err := store.OpenJournal("voter")
 	assert.NilError(t, err)
 	assertPrefix(t, again.Records(), 3)
 }
 
+// TestClosedStore checks that nothing is written to a folder that is unlocked.
+func TestClosedStore(t *testing.T) {
+	fs := newFakeFS()
+	store := open(t, fs)
+	j, err := store.OpenJournal("voter")
+	assert.NilError(t, err)
+	assert.Equal(t, write(j, 3), 3)
+	assert.NilError(t, store.Close())
+	for name, err := range map[string]error{
+		"append":  j.Append(record(3)),
+		"rewrite": j.Rewrite(nil),
+		"blob":    store.WriteBlob("ledger", nil),
+	} {
+		assert.ErrorIs(t, err, journaler.ErrClosed, name)
+	}
+	assertPrefix(t, openJournal(t, fs).Records(), 3)
+}
+
 func FuzzOpenJournal(f *testing.F) {
 	fs := newFakeFS()
 	write(openJournal(f, fs), 3)
--- a/internal/process/journaler/store.go
+++ b/internal/process/journaler/store.go
@@ -26,6 +26,7 @@
 //	err = j.Rewrite(compacted) // once after opening, and when j.Appended() is large
 //	err = j.Append(record)     // durable when it returns nil
 //	err = store.WriteBlob("ledger", data)
+//	err = store.Close()        // nothing is written after it
 package journaler
 
 import (
@@ -55,6 +56,8 @@
 	// ErrFailed means that an earlier write or sync failed, so that nothing
 	// more is written until the process starts again.
 	ErrFailed = errors.New("disk failed earlier; restart to read the files again")
+	// ErrClosed means that the store was closed, so that nothing more is written.
+	ErrClosed = errors.New("data folder is closed")
 )
 
 // CorruptError reports damage to a file.
@@ -81,8 +84,9 @@
 	folder string
 	lock   io.Closer
 
-	mu  sync.Mutex
-	err error // Set by the first failure that leaves the content of the disk unknown.
+	mu       sync.Mutex
+	err      error // Why nothing more is written: the store is closed, or the content of the disk is unknown.
+	journals []*Journal
 }
 
 // Open opens the data folder, makes it if it is missing, and locks it against
@@ -98,15 +102,28 @@
 	return &Store{fs: fs, folder: folder, lock: lock}, nil
 }
 
-// Close unlocks the data folder.
+// Close waits for writes to the journals, refuses later ones, and unlocks the
+// data folder.
 func (s *Store) Close() error {
+	s.mu.Lock()
+	if s.err == nil {
+		s.err = ErrClosed
+	}
+	journals := s.journals
+	s.mu.Unlock()
+	for _, j := range journals {
+		if err := j.Close(); err != nil {
+			return fmt.Errorf("close data folder: %w", err)
+		}
+	}
 	if err := s.lock.Close(); err != nil {
 		return fmt.Errorf("unlock data folder: %w", err)
 	}
 	return nil
 }
 
-// Err returns ErrFailed, wrapped with its cause, once a write or sync has failed.
+// Err returns ErrFailed, wrapped with its cause, once a write or sync has
+// failed, and ErrClosed once the store is closed.
 func (s *Store) Err() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -40,6 +40,7 @@
 // Control is a process that keeps configurations and the owners' ledger.
 type Control struct {
 	settings    *configurer.Control
+	store       *journaler.Store
 	log         zerolog.Logger
 	metrics     *exporter.Exporter
 	client      *http.Client // For calls between processes.
@@ -56,23 +57,37 @@
 // NewControl assembles a control instance from its settings. It opens the data
 // folder and binds the peer address.
 func NewControl(settings *configurer.Control, logs io.Writer) (*Control, error) {
+	store, err := journaler.Open(journaler.OS{}, settings.DataFolder())
+	if err != nil {
+		return nil, fmt.Errorf("open the data folder: %w", err)
+	}
 	base := logger.New(logs).Level(settings.LogLevel())
-	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control"), client: newPeerClient()}
+	c := &Control{
+		settings: settings,
+		store:    store,
+		log:      logger.Part(base, "control"),
+		metrics:  exporter.New("control"),
+		client:   newPeerClient(),
+	}
+	if err := c.assemble(base); err != nil {
+		_ = store.Close() // The first error is the one to tell.
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Control) assemble(base zerolog.Logger) error {
 	if err := c.assembleVoter(base); err != nil {
-		return nil, fmt.Errorf("assemble the voter: %w", err)
+		return fmt.Errorf("assemble the voter: %w", err)
 	}
 	if err := c.assembleGossip(base); err != nil {
-		return nil, fmt.Errorf("assemble membership: %w", err)
+		return fmt.Errorf("assemble membership: %w", err)
 	}
-	return c, nil
+	return nil
 }
 
 func (c *Control) assembleVoter(base zerolog.Logger) error {
-	store, err := journaler.Open(journaler.OS{}, c.settings.DataFolder())
-	if err != nil {
-		return fmt.Errorf("open the data folder: %w", err)
-	}
-	journal, err := store.OpenJournal(voterJournal)
+	journal, err := c.store.OpenJournal(voterJournal)
 	if err != nil {
 		return fmt.Errorf("open the journal: %w", err)
 	}
@@ -89,7 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("make the voter: %w", err)
 	}
-	c.ledger, err = accountant.NewLedger(store, base, c.metrics.Scope().SubScope("accountant"))
+	c.ledger, err = accountant.NewLedger(c.store, base, c.metrics.Scope().SubScope("accountant"))
 	if err != nil {
 		return fmt.Errorf("read the ledger: %w", err)
 	}
@@ -132,10 +147,11 @@
 	return nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, and unlocks the data folder.
 func (c *Control) Run(ctx context.Context) error {
 	peer, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler())
 	if err != nil {
+		_ = c.store.Close() // The first error is the one to tell.
 		return fmt.Errorf("peer address: %w", err)
 	}
 	c.courier.Start()
@@ -153,7 +169,7 @@
 	c.log.Info().Msg("Stopping.")
 	c.gossiper.Leave()
 	c.tomb.Kill(nil)
-	err = firstError(peer.close, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.metrics.Close)
+	err = firstError(peer.close, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
 	if err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
