fix: a voter that joined by seeds recovers from the loss of its disk

Cause: an instance without its disk fetches the state of the group from the voters that its settings name; only then do the others replace its identity.

Change: Config.Sources tells further addresses to fetch the state from; control gives the control instances that membership knows. The initial voters are still asked first, and only they can form a group.

Ruled out: giving the state to an empty instance together with the replacement. It was tried and works, but an instance of another fleet that got the address of a lost voter would be taken into the group. That needs no settings of its own, while membership is joined by the seeds that an operator wrote.

--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -94,6 +94,7 @@
 	c.voter, err = voter.New(voter.Config{
 		Address:   c.settings.PeerAddress().String(),
 		Initial:   addressTexts(c.settings.Voters()),
+		Sources:   func() []string { return addressTexts(c.otherControls()) },
 		Journal:   journal,
 		Transport: voter.NewConnectTransport(c.client),
 		Digest:    compiler.Digest,
--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -74,7 +74,7 @@
 	m.pull(ctx, s)
 	if !hasQuorum(s.known.membership(), s.responded) {
 		// The voters known here may have been replaced long ago.
-		m.pullFromInitial(ctx, s.known.wire.GetGroup())
+		m.pullFromSources(ctx, s.known.wire.GetGroup())
 	}
 	chosen := m.voter.acceptor.chosen(s)
 	if chosen == nil {
@@ -89,7 +89,7 @@
 // join looks for a group to belong to, or forms one. It reports whether the
 // instance now holds the group's state.
 func (m *monitor) join(ctx context.Context) bool {
-	if m.pullFromInitial(ctx, "") {
+	if m.pullFromSources(ctx, "") {
 		m.voter.cfg.Log.Info().Msg("State of the group received.")
 		return true
 	}
@@ -105,11 +105,11 @@
 	return true
 }
 
-// pullFromInitial brings this instance up to date with those that its settings
-// name, whether these vote or not. A group that is not empty must be theirs.
-// It reports whether the instance now holds a state.
-func (m *monitor) pullFromInitial(ctx context.Context, group string) bool {
-	for _, address := range m.voter.cfg.Initial {
+// pullFromSources brings this instance up to date with the initial voters and
+// the other sources, whether these vote or not. A group that is not empty must
+// be theirs. It reports whether the instance now holds a state.
+func (m *monitor) pullFromSources(ctx context.Context, group string) bool {
+	for _, address := range m.voter.sources() {
 		if address == m.voter.cfg.Address {
 			continue
 		}
--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -122,6 +122,7 @@
 type cluster struct {
 	t       testing.TB
 	initial []string
+	sources []string // Where instances may fetch the state from, besides initial.
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -168,7 +169,7 @@
 	c.mu.Unlock()
 	handle := in.disk.open()
 	v, err := voter.New(voter.Config{
-		Address: address, Initial: c.initial, Journal: handle,
+		Address: address, Initial: c.initial, Sources: func() []string { return c.sources }, Journal: handle,
 		Transport: &simTransport{cluster: c, from: address, handle: handle},
 		Digest:    digest, Random: rand.New(rand.NewPCG(seed, 2)),
 		OnVersion: func(version *controlwire.Version) {
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -88,6 +88,9 @@
 	// Initial lists the addresses of the instances that form the group. It is
 	// the same at all of them. Later the document names the voters.
 	Initial []string
+	// Sources returns the addresses of other instances to fetch the group's
+	// state from, besides the initial ones. It may be nil.
+	Sources func() []string
 	// Journal keeps the durable state.
 	Journal Journal
 	// Transport reaches the other instances.
@@ -348,6 +351,14 @@
 	return v.peerAt(m.GetAddress())
 }
 
+// sources returns where the group's state may be fetched from.
+func (v *Voter) sources() []string {
+	if v.cfg.Sources == nil {
+		return v.cfg.Initial
+	}
+	return slices.Concat(v.cfg.Initial, v.cfg.Sources())
+}
+
 func (v *Voter) peerAt(address string) Peer {
 	if address == v.cfg.Address {
 		return v.Peer()
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -175,6 +175,25 @@
 	})
 }
 
+// TestLostDiskOfAddedVoter loses the disk of a voter whose settings name no
+// initial voters to fetch the state from.
+func TestLostDiskOfAddedVoter(t *testing.T) {
+	simulate(t, 20, 3, func(t *testing.T, c *cluster) {
+		initial := c.initial
+		c.initial, c.sources = nil, []string{"v1"}
+		c.add("v3")
+		c.crash("v2")
+		req := change("a", 0)
+		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v0,v1,v3").Entries...)
+		assertAccepted(t, c.voter("v0"), req, 1)
+		c.lose("v3")
+		c.initial = initial
+		awaitRepaired(t, c, "v0")
+		c.crash("v0")
+		assertCurrent(t, c.voter("v3"), 1)
+	})
+}
+
 func TestNewIdentityIsNoVoter(t *testing.T) {
 	simulate(t, 12, 3, func(t *testing.T, c *cluster) {
 		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
