--- a/internal/process/journaler/store.go
+++ b/internal/process/journaler/store.go
@@ -30,6 +30,7 @@
 package journaler
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -106,9 +107,7 @@
 // data folder.
 func (s *Store) Close() error {
 	s.mu.Lock()
-	if s.err == nil {
-		s.err = ErrClosed
-	}
+	s.err = cmp.Or(s.err, ErrClosed)
 	journals := s.journals
 	s.mu.Unlock()
 	for _, j := range journals {
