fix: heartbeats go on while the group is being repaired

Cause: an attempt to repair the group ran between two heartbeats, for up to 5 s if it failed, as with a new voter whose disk is full. Meanwhile nothing was heard from a majority, so that the instance said it was stale though it reached one, and now also refused the history.

Change: an attempt runs beside the heartbeats, one at a time. Ruled out: a shorter bound for an attempt, since 3 s less two surveys leave under half a second; and counting promises as contact, since an attempt can fail before any.

TestFailingRepairIsNotStale failed before.

--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -32,8 +32,9 @@
 // monitor exchanges heartbeats with the voters. It learns what was chosen,
 // knows whether a majority is in reach, and repairs the group.
 type monitor struct {
-	voter  *Voter
-	chosen chan *State // A chosen state that the voters are to be told.
+	voter     *Voter
+	chosen    chan *State   // A chosen state that the voters are to be told.
+	repairing chan struct{} // Full while an attempt to repair the group runs.
 
 	mu          sync.Mutex
 	lastContact time.Time // Start of the last heartbeat or proposal that a majority answered.
@@ -48,6 +49,7 @@
 	return &monitor{
 		voter:       v,
 		chosen:      make(chan *State, 1),
+		repairing:   make(chan struct{}, 1),
 		lastContact: time.Now().Add(-staleAfter),
 		lost:        make(map[string]int),
 	}
--- a/internal/process/voter/repair.go
+++ b/internal/process/voter/repair.go
@@ -7,7 +7,8 @@
 )
 
 // repair finishes what others left behind: a proposal that only a minority
-// accepted, a replacement of voters, and voters that lost their identity.
+// accepted, a replacement of voters, and voters that lost their identity. It
+// goes on while the heartbeats do, one attempt at a time.
 func (m *monitor) repair(ctx context.Context, s *survey, chosen *State) {
 	if !hasQuorum(s.known.membership(), s.responded) {
 		return
@@ -24,6 +25,21 @@
 	default:
 		return
 	}
+	select {
+	case m.repairing <- struct{}{}:
+	default:
+		return
+	}
+	m.voter.tomb.Go(func() error {
+		defer func() { <-m.repairing }()
+		m.attemptRepair(ctx, next, chosen)
+		return nil
+	})
+}
+
+// attemptRepair applies the step or, without one, finishes the replacement of
+// voters that the chosen state holds.
+func (m *monitor) attemptRepair(ctx context.Context, next step, chosen *State) {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	if !m.voter.proposer.pause(ctx, repairPause) {
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -194,6 +194,22 @@
 	})
 }
 
+// TestFailingRepairIsNotStale checks that attempts to repair the group in vain
+// do not make an instance stale that reaches a majority.
+func TestFailingRepairIsNotStale(t *testing.T) {
+	simulate(t, 21, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		c.lose("v2")
+		time.Sleep(time.Second)
+		c.instances["v2"].disk.setFail(func() (bool, error) { return false, journaler.ErrFull })
+		for range 200 {
+			time.Sleep(300 * time.Millisecond)
+			assert.Assert(t, !c.voter("v0").Status().GetStale())
+		}
+		assertAccepted(t, c.voter("v0"), change("b", 1), 2)
+	})
+}
+
 func TestNewIdentityIsNoVoter(t *testing.T) {
 	simulate(t, 12, 3, func(t *testing.T, c *cluster) {
 		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
