fix: a voter that missed the group's first state fetches it

Seen: 1 of 18 race runs, two beside each other, hung in TestConnectedVoters: one voter belonged to no group while the others went on. Before the test waited for each voter, the same showed as "no group of voters has formed".

Cause: such a voter had promised a newer ballot than the one at which the others had accepted the first state, so that it could not accept that state any more. Whether it has learned less than another one was asked by comparing revisions, and the first state has revision 0, as has a voter without any. So it fetched nothing until the next change came.

Change: a voter that has learned nothing fetches what another one has learned. Ruled out: accepting the state below the promise, which breaks the promise.

TestLateJoiner, in fake time, failed before. The ballot that a dead proposer leaves behind is now made by the function promise, for it and for TestMinorityAcceptIsFinished, which also checks that it was promised.

--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -227,13 +227,22 @@
 	}
 	if a.learnOrigin(theirs.GetGroup(), theirs.GetLearnedOrigin()) {
 		m.voter.signalNews()
-	} else if theirs.GetLearnedRevision() > a.position().GetLearnedRevision() {
+	} else if hasLearnedLater(theirs, a.position()) {
 		m.pullLearned(ctx, peer)
 	}
 	held, _ := a.held()
 	return held != nil
 }
 
+// hasLearnedLater reports whether theirs knows a newer chosen state than own.
+// The first state of a group has revision 0.
+func hasLearnedLater(theirs, own *voterwire.Position) bool {
+	if theirs.GetLearnedOrigin() == nil {
+		return false
+	}
+	return own.GetLearnedOrigin() == nil || theirs.GetLearnedRevision() > own.GetLearnedRevision()
+}
+
 func (m *monitor) pullAccepted(ctx context.Context, peer Peer) {
 	a := m.voter.acceptor
 	resp, ok := fetchState(ctx, peer, &voterwire.FetchStateRequest{Have: a.position().GetOrigin()})
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -361,6 +362,34 @@
 	})
 }
 
+// promise has a voter promise a ballot that no proposer uses.
+func promise(t testing.TB, c *cluster, address string) {
+	t.Helper()
+	held, err := c.voter("v0").Peer().Query(context.Background(), &voterwire.QueryRequest{})
+	assert.NilError(t, err)
+	resp, err := c.voter(address).Peer().Prepare(context.Background(), &voterwire.PrepareRequest{
+		Group: held.GetPosition().GetGroup(), To: c.voter(address).Identity(),
+		Ballot: &voterwire.Ballot{Round: 1000, Proposer: "dead"},
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, resp.GetPromised())
+}
+
+// TestLateJoiner checks that a voter which promised a newer ballot before it
+// got the group's first state catches up without a change.
+func TestLateJoiner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 22, 3)
+		c.setFilter(withholding("v2"))
+		awaitGroup(t, c.voter("v0"))
+		promise(t, c, "v2")
+		c.setFilter(nil)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, c.voter("v2").Local() != nil)
+		assertCurrent(t, c.voter("v2"), 0)
+	})
+}
+
 func TestMinorityAcceptIsFinished(t *testing.T) {
 	simulate(t, 15, 3, func(t *testing.T, c *cluster) {
 		c.setFilter(withholding("v1", "v2"))
@@ -370,14 +399,7 @@
 		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		// A proposer that died after its promises keeps the others from catching up.
 		for _, address := range c.initial {
-			peer := c.voter(address).Peer()
-			query, err := peer.Query(context.Background(), &voterwire.QueryRequest{})
-			assert.NilError(t, err)
-			_, err = peer.Prepare(context.Background(), &voterwire.PrepareRequest{
-				Group: query.GetPosition().GetGroup(), To: query.GetPosition().GetIdentity(),
-				Ballot: &voterwire.Ballot{Round: 1000, Proposer: "dead"},
-			})
-			assert.NilError(t, err)
+			promise(t, c, address)
 		}
 		c.setFilter(nil)
 		time.Sleep(10 * time.Second)
