fix: an instance without a majority asks all sources of the state at once

Cause: it asked one source after the other, up to 1 s each, and was content with the first that answered, also if that one knew no more. Two voters of five that had missed the replacement of all would ask each other for ever. With control instances from membership as further sources, a heartbeat behind a partition could also take as many seconds as there are control instances.

Change: all sources are asked at once, within the 1 s of one call, each address once, and what is newer is taken from each that answers. The check that they belong to the same group is made for each anew, since the first one may have told which group it is.

TestOutdatedVotersReturn failed before ("no quorum answered").

--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -76,7 +76,7 @@
 	m.pull(ctx, s)
 	if !hasQuorum(s.known.membership(), s.responded) {
 		// The voters known here may have been replaced long ago.
-		m.pullFromSources(ctx, s.known.wire.GetGroup())
+		m.pullFromSources(ctx)
 	}
 	chosen := m.voter.acceptor.chosen(s)
 	if chosen == nil {
@@ -91,7 +91,7 @@
 // join looks for a group to belong to, or forms one. It reports whether the
 // instance now holds the group's state.
 func (m *monitor) join(ctx context.Context) bool {
-	if m.pullFromSources(ctx, "") {
+	if m.pullFromSources(ctx) {
 		m.voter.cfg.Log.Info().Msg("State of the group received.")
 		return true
 	}
@@ -108,26 +108,23 @@
 }
 
 // pullFromSources brings this instance up to date with the initial voters and
-// the other sources, whether these vote or not. A group that is not empty must
-// be theirs. It reports whether the instance now holds a state.
-func (m *monitor) pullFromSources(ctx context.Context, group string) bool {
-	for _, address := range m.voter.sources() {
-		if address == m.voter.cfg.Address {
-			continue
-		}
-		peer := m.voter.peerAt(address)
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		resp, err := peer.Query(callCtx, &voterwire.QueryRequest{})
-		cancel()
+// the other sources, whether these vote or not. An instance that belongs to a
+// group takes nothing from another one. It reports whether it now holds a state.
+func (m *monitor) pullFromSources(ctx context.Context) bool {
+	a := m.voter.acceptor
+	request := func(ctx context.Context, source *voterwire.Member) (*voterwire.QueryResponse, error) {
+		return m.voter.peer(source).Query(ctx, &voterwire.QueryRequest{})
+	}
+	gather(ctx, m.voter.sources(), request, func(source *voterwire.Member, resp *voterwire.QueryResponse) bool {
 		p := resp.GetPosition()
-		if err != nil || p.GetLearnedOrigin() == nil || group != "" && p.GetGroup() != group {
-			continue
-		}
-		if m.pullFrom(ctx, peer, p) {
-			return true
+		group := a.position().GetGroup()
+		if p.GetLearnedOrigin() != nil && (group == "" || p.GetGroup() == group) {
+			m.pullFrom(ctx, m.voter.peer(source), p)
 		}
-	}
-	return false
+		return false
+	})
+	held, _ := a.held()
+	return held != nil
 }
 
 // survey asks all voters what they hold.
@@ -218,11 +215,10 @@
 }
 
 // pullFrom fetches what a peer at the given position has accepted or learned
-// later than this instance. It reports whether the instance now holds a state.
-func (m *monitor) pullFrom(ctx context.Context, peer Peer, theirs *voterwire.Position) bool {
+// later than this instance.
+func (m *monitor) pullFrom(ctx context.Context, peer Peer, theirs *voterwire.Position) {
 	a := m.voter.acceptor
-	own := a.position()
-	if compareBallots(theirs.GetAccepted(), own.GetAccepted()) > 0 {
+	if compareBallots(theirs.GetAccepted(), a.position().GetAccepted()) > 0 {
 		m.pullAccepted(ctx, peer)
 	}
 	if a.learnOrigin(theirs.GetGroup(), theirs.GetLearnedOrigin()) {
@@ -230,8 +226,6 @@
 	} else if hasLearnedLater(theirs, a.position()) {
 		m.pullLearned(ctx, peer)
 	}
-	held, _ := a.held()
-	return held != nil
 }
 
 // hasLearnedLater reports whether theirs knows a newer chosen state than own.
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -351,12 +351,20 @@
 	return v.peerAt(m.GetAddress())
 }
 
-// sources returns where the group's state may be fetched from.
-func (v *Voter) sources() []string {
-	if v.cfg.Sources == nil {
-		return v.cfg.Initial
+// sources returns the other instances from which the group's state may be
+// fetched, by their addresses alone.
+func (v *Voter) sources() []*voterwire.Member {
+	addresses := v.cfg.Initial
+	if v.cfg.Sources != nil {
+		addresses = slices.Concat(addresses, v.cfg.Sources())
 	}
-	return slices.Concat(v.cfg.Initial, v.cfg.Sources())
+	var members []*voterwire.Member
+	for _, address := range slices.Compact(slices.Sorted(slices.Values(addresses))) {
+		if address != v.cfg.Address {
+			members = append(members, &voterwire.Member{Address: address})
+		}
+	}
+	return members
 }
 
 func (v *Voter) peerAt(address string) Peer {
--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -362,6 +362,34 @@
 	})
 }
 
+// TestOutdatedVotersReturn starts two voters of five that missed that all were
+// replaced. Each knows the other one, which answers and knows no more.
+func TestOutdatedVotersReturn(t *testing.T) {
+	simulate(t, 23, 5, func(t *testing.T, c *cluster) {
+		for i := range uint64(3) {
+			assertAccepted(t, c.voter("v0"), change(fmt.Sprint(i), i), i+1)
+			time.Sleep(time.Second)
+		}
+		c.crash("v0")
+		c.crash("v1")
+		c.sources = []string{"v5", "v6", "v7"}
+		for _, address := range c.sources {
+			c.add(address)
+		}
+		req := change("a", 3)
+		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v5,v6,v7").Entries...)
+		assertAccepted(t, c.voter("v2"), req, 4)
+		for _, address := range []string{"v2", "v3", "v4"} {
+			c.crash(address)
+		}
+		c.start("v0")
+		c.start("v1")
+		time.Sleep(5 * time.Second)
+		assertCurrent(t, c.voter("v0"), 4)
+		assertCurrent(t, c.voter("v1"), 4)
+	})
+}
+
 // promise has a voter promise a ballot that no proposer uses.
 func promise(t testing.TB, c *cluster, address string) {
 	t.Helper()
