--- a/docs/faults_test.go
+++ b/docs/faults_test.go
@@ -50,6 +50,20 @@
 		note: "Operator a submits while the fault strikes at the step, then operator b submits on the same version, " +
 			"then a sends the same change again.",
 	},
+	{
+		title:    "A fault that comes twice in one change",
+		promises: "as above",
+		command:  "go test -run TestFaultTwice ./internal/process/voter",
+		golden:   "../internal/process/voter/testdata/faults-twice.golden",
+		note:     "The fault begins at the step when operator a submits, and again at the same step when a sends the change again.",
+	},
+	{
+		title:    "A second loss right after a repair",
+		promises: "as above",
+		command:  "go test -run TestSecondLoss ./internal/process/voter",
+		golden:   "../internal/process/voter/testdata/second-loss.golden",
+		note:     "One voter loses its disk at the step, and another one at the moment when the group is repaired.",
+	},
 	{
 		title:    "Steps of membership and distribution",
 		promises: "an upstream that is leaving receives no new work after a few seconds; a configuration is in force within seconds and never reverts",
