--- a/internal/process/voter/voter_test.go
+++ b/internal/process/voter/voter_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -77,8 +78,7 @@
 				_, err := c.voter("v0").Submit(ctx, change("c", 1))
 				assert.ErrorIs(t, err, voter.ErrNoMajority)
 				assert.NilError(t, ctx.Err(), "the outcome came too late")
-				assertNoMajority(t, c.voter("v0"))
-				assert.Assert(t, c.voter("v0").Status().GetStale())
+				assertStale(t, c.voter("v0"))
 				assert.Assert(t, !c.voter("v1").Status().GetStale())
 				c.isolate("v0", false, false)
 				time.Sleep(3 * time.Second)
@@ -89,6 +89,27 @@
 	}
 }
 
+// TestAllCutOff has heartbeats that last longer than their interval at all
+// voters at once. Under the race detector it failed while these left tickers
+// to expire with nobody waiting.
+func TestAllCutOff(t *testing.T) {
+	simulate(t, 19, 7, func(t *testing.T, c *cluster) {
+		c.setSteady()
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		split(c, true, c.initial, c.initial)
+		time.Sleep(4 * time.Hour)
+		for _, address := range c.initial {
+			assert.Assert(t, c.voter(address).Status().GetStale())
+		}
+		split(c, false, c.initial, c.initial)
+		time.Sleep(10 * time.Second)
+		for _, address := range c.initial {
+			assert.Assert(t, !c.voter(address).Status().GetStale())
+		}
+		assertAccepted(t, c.voter("v1"), change("b", 1), 2)
+	})
+}
+
 func TestFrozenProposer(t *testing.T) {
 	simulate(t, 4, 3, func(t *testing.T, c *cluster) {
 		v0 := c.voter("v0")
@@ -155,14 +176,48 @@
 	})
 }
 
+// TestLostDiskOfAddedVoter loses the disk of a voter whose settings name no
+// initial voters to fetch the state from.
+func TestLostDiskOfAddedVoter(t *testing.T) {
+	simulate(t, 20, 3, func(t *testing.T, c *cluster) {
+		initial := c.initial
+		c.initial, c.sources = nil, []string{"v1"}
+		c.add("v3")
+		c.crash("v2")
+		req := change("a", 0)
+		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v0,v1,v3").Entries...)
+		assertAccepted(t, c.voter("v0"), req, 1)
+		c.lose("v3")
+		c.initial = initial
+		awaitRepaired(t, c, "v0")
+		c.crash("v0")
+		assertCurrent(t, c.voter("v3"), 1)
+	})
+}
+
+// TestFailingRepairIsNotStale checks that attempts to repair the group in vain
+// do not make an instance stale that reaches a majority.
+func TestFailingRepairIsNotStale(t *testing.T) {
+	simulate(t, 21, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		c.lose("v2")
+		time.Sleep(time.Second)
+		c.instances["v2"].disk.setFail(func() (bool, error) { return false, journaler.ErrFull })
+		for range 200 {
+			time.Sleep(300 * time.Millisecond)
+			assert.Assert(t, !c.voter("v0").Status().GetStale())
+		}
+		assertAccepted(t, c.voter("v0"), change("b", 1), 2)
+	})
+}
+
 func TestNewIdentityIsNoVoter(t *testing.T) {
 	simulate(t, 12, 3, func(t *testing.T, c *cluster) {
 		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
 		c.crash("v1")
 		c.lose("v2")
 		time.Sleep(10 * time.Second)
-		assertNoMajority(t, c.voter("v0"))
-		assert.Assert(t, c.voter("v0").Status().GetStale())
+		assertStale(t, c.voter("v0"))
 		c.start("v1")
 		awaitRepaired(t, c, "v0")
 		assertCurrent(t, c.voter("v2"), 1)
@@ -260,8 +315,8 @@
 		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		split(c, true, append(fresh, "v0"), []string{"v1", "v2"})
 		c.setFilter(nil)
-		assertNoMajority(t, c.voter("v0"))
-		assertNoMajority(t, c.voter("v3"))
+		assertStale(t, c.voter("v0"))
+		assertStale(t, c.voter("v3"))
 		assertAccepted(t, c.voter("v1"), change("b", 0), 1)
 		split(c, false, append(fresh, "v0"), []string{"v1", "v2"})
 		assertConflict(t, c.voter("v0"), replacing(), "b")
@@ -281,7 +336,7 @@
 		assertAccepted(t, c.voter("v3"), change("b", 1), 2)
 		// Attempts in vain give v0 the newest ballots.
 		for range 5 {
-			assertNoMajority(t, c.voter("v0"))
+			assertStale(t, c.voter("v0"))
 		}
 		c.isolate("v0", false, false)
 		assertConflict(t, c.voter("v0"), change("late", 1), "b")
@@ -307,6 +362,62 @@
 	})
 }
 
+// TestOutdatedVotersReturn starts two voters of five that missed that all were
+// replaced. Each knows the other one, which answers and knows no more.
+func TestOutdatedVotersReturn(t *testing.T) {
+	simulate(t, 23, 5, func(t *testing.T, c *cluster) {
+		for i := range uint64(3) {
+			assertAccepted(t, c.voter("v0"), change(fmt.Sprint(i), i), i+1)
+			time.Sleep(time.Second)
+		}
+		c.crash("v0")
+		c.crash("v1")
+		c.sources = []string{"v5", "v6", "v7"}
+		for _, address := range c.sources {
+			c.add(address)
+		}
+		req := change("a", 3)
+		req.Document.Entries = append(req.Document.Entries, document("control", "voters", "v5,v6,v7").Entries...)
+		assertAccepted(t, c.voter("v2"), req, 4)
+		for _, address := range []string{"v2", "v3", "v4"} {
+			c.crash(address)
+		}
+		c.start("v0")
+		c.start("v1")
+		time.Sleep(5 * time.Second)
+		assertCurrent(t, c.voter("v0"), 4)
+		assertCurrent(t, c.voter("v1"), 4)
+	})
+}
+
+// promise has a voter promise a ballot that no proposer uses.
+func promise(t testing.TB, c *cluster, address string) {
+	t.Helper()
+	held, err := c.voter("v0").Peer().Query(context.Background(), &voterwire.QueryRequest{})
+	assert.NilError(t, err)
+	resp, err := c.voter(address).Peer().Prepare(context.Background(), &voterwire.PrepareRequest{
+		Group: held.GetPosition().GetGroup(), To: c.voter(address).Identity(),
+		Ballot: &voterwire.Ballot{Round: 1000, Proposer: "dead"},
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, resp.GetPromised())
+}
+
+// TestLateJoiner checks that a voter which promised a newer ballot before it
+// got the group's first state catches up without a change.
+func TestLateJoiner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 22, 3)
+		c.setFilter(withholding("v2"))
+		awaitGroup(t, c.voter("v0"))
+		promise(t, c, "v2")
+		c.setFilter(nil)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, c.voter("v2").Local() != nil)
+		assertCurrent(t, c.voter("v2"), 0)
+	})
+}
+
 func TestMinorityAcceptIsFinished(t *testing.T) {
 	simulate(t, 15, 3, func(t *testing.T, c *cluster) {
 		c.setFilter(withholding("v1", "v2"))
@@ -316,14 +427,7 @@
 		assert.ErrorIs(t, err, voter.ErrOutcomeUnknown)
 		// A proposer that died after its promises keeps the others from catching up.
 		for _, address := range c.initial {
-			peer := c.voter(address).Peer()
-			query, err := peer.Query(context.Background(), &voterwire.QueryRequest{})
-			assert.NilError(t, err)
-			_, err = peer.Prepare(context.Background(), &voterwire.PrepareRequest{
-				Group: query.GetPosition().GetGroup(), To: query.GetPosition().GetIdentity(),
-				Ballot: &voterwire.Ballot{Round: 1000, Proposer: "dead"},
-			})
-			assert.NilError(t, err)
+			promise(t, c, address)
 		}
 		c.setFilter(nil)
 		time.Sleep(10 * time.Second)
