--- a/internal/process/voter/linearizability_test.go
+++ b/internal/process/voter/linearizability_test.go
@@ -1,11 +1,13 @@
 package voter_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -325,5 +327,16 @@
 		history = append(history, op)
 	}
 	t.Logf("%d operations, %d versions", len(history), last)
-	assert.Assert(t, porcupine.CheckOperations(register, history))
+	if !porcupine.CheckOperations(register, history) {
+		t.Fatalf("no order of the operations explains what the clients were told:\n%s", describe(history))
+	}
+}
+
+// describe lists operations by the time of their calls.
+func describe(history []porcupine.Operation) string {
+	var b strings.Builder
+	for _, op := range slices.SortedFunc(slices.Values(history), func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) }) {
+		fmt.Fprintf(&b, "%v to %v: client %d, %+v: %+v\n", time.Duration(op.Call), time.Duration(op.Return), op.ClientId, op.Input, op.Output)
+	}
+	return b.String()
 }
