--- /dev/null
+++ b/scripts/lib/choice.sh
@@ -0,0 +1,95 @@
+# Functions to run a service of one site's size with a noisy neighbor under
+# open-loop load. Sourced after fleet.sh by scripts that measure the choice.
+
+# choice_site sets the size of a site: its failure domains, its first service
+# and that service's targets.
+choice_site() { # oaxaca or rwanda
+	case $1 in
+	oaxaca) site=oaxaca region=sur domains=(oax-centro oax-istmo oax-costa) main=vitrina count=6 slots=6 connections=240 ;;
+	rwanda) site=rwanda region=rw-kigali domains=(kgl-a kgl-b kgl-c) main=umunyamuryango count=4 slots=9 connections=220 ;;
+	*) echo "unknown site $1" >&2; return 2 ;;
+	esac
+}
+
+# choice_base prints a base file. Further settings of the service are arguments
+# such as "hedge-after = 20ms".
+choice_base() {
+	cat <<-EOB
+		[owner o]
+		idle-rate = 0.1
+		currency = MXN
+
+		[service $main]
+		owner = o
+		hosts = $main.example
+		slots = $slots
+		connections = $connections
+		cold-start = 1s
+		timeout = 1s
+	EOB
+	[ $# -eq 0 ] || printf '%s\n' "$@"
+}
+
+choice_overlay() {
+	printf '[site]\nname = %s\nregion = %s\nfailure-domains = %s, %s, %s\n' "$site" "$region" "${domains[@]}"
+}
+
+# choice_fleet starts control and the targets, and submits base.ini and
+# overlay.ini in $dir. The cold_target, if set, starts cold.
+choice_fleet() {
+	local i cold
+	fleet_control
+	for ((i = 1; i <= count; i++)); do
+		cold=()
+		[ "$i" -ne "${cold_target:-0}" ] || cold=(--cold-start 15s --cold-factor 6)
+		fleet_node "$main-$i" "$main" o "${domains[$(((i - 1) % 3))]}" "$slots" "$connections" \
+			--service-time "${SERVICE_TIME:-5ms}" --noise-period 300ms --noise-length 15ms --noise-factor 8 "${cold[@]}"
+	done
+	fleet_submit 0 "$dir/base.ini" "$dir/overlay.ini" >/dev/null
+	fleet_wait 20 "the service" fleet_served "$main.example"
+	sleep 4
+}
+
+# choice_behavior prints a fault of one target's stand-in.
+choice_behavior() { # kind, target, from, length, then further lines
+	printf '[behavior %s]\nat = %s\nstand-in = 127.0.0.1:%d\nkind = %s\nfor = %s\n' \
+		"$1" "$3" $((base + 500 + $2)) "$1" "$4"
+	shift 4
+	printf '%s\n' "$@" ""
+}
+
+# choice_experiment prints an experiment of GET and POST requests.
+choice_experiment() { # seed, warmup, length, rate
+	local targets="" standins="" i
+	for ((i = 1; i <= count; i++)); do
+		targets+="127.0.0.1:$((base + 100 + i)), "
+		standins+="127.0.0.1:$((base + 500 + i)), "
+	done
+	cat <<-EOB
+		[experiment]
+		name = $site
+		targets = ${targets%, }
+		stand-ins = ${standins%, }
+		warmup = $2
+		seed = $1
+
+		[phase steady]
+		rate = $4
+		duration = $3
+
+		[mix get]
+		weight = 9
+		host = $main.example
+		path = /colores
+		timeout = 1s
+
+		[mix post]
+		weight = 1
+		method = POST
+		host = $main.example
+		path = /pedidos
+		body-bytes = 200
+		timeout = 1s
+
+	EOB
+}
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -4,7 +4,7 @@
 # Ports: control instance i has peer port base+i; the n-th node has HTTP port
 # base+100+n, peer port base+300+n and its stand-in port base+500+n.
 
-bin=bin/banyanscale
+bin=${bin:-bin/banyanscale}
 base=${base:-18000}
 fleet_pids=()
 node_count=0
@@ -99,3 +99,11 @@
 	done
 	echo "$sum"
 }
+
+# fleet_metric prints the sum of a metric over the nodes. The name may have labels.
+fleet_metric() { # name
+	local n
+	for ((n = 1; n <= node_count; n++)); do
+		curl -sS --max-time 2 "http://127.0.0.1:$((base + 300 + n))/metrics"
+	done | awk -v name="$1" 'index($1, name) == 1 { sum += $2 } END { printf "%d\n", sum }'
+}
