perf: the prober wakes only when a probe is due

Cause: a tick each 10 ms cost about 1 % of a core while a service was in use, and each sampled the own upstream, which each choice does anyway.

Ruled out: to compute when a sample grows stale, since a request makes it stale at once. While a probe may be sent and no sample is stale, it still looks each 10 ms.

Change: it sleeps until spacing and budgets allow a probe, at most 100 ms, and no longer samples the own upstream. The fleet of compare_test.go samples it at each choice instead, as a node does.

--- a/internal/process/prober/budget.go
+++ b/internal/process/prober/budget.go
@@ -26,6 +26,24 @@
 	return len(b.charges) < b.messages && b.used+bytes <= b.bytes
 }
 
+// free returns the earliest time at which a message of the given bytes may be
+// sent if none is sent before: now, or when enough of the charges have expired.
+// A message that is larger than the budget is looked at again after a window.
+func (b *budget) free(now time.Time, bytes int) time.Time {
+	if b.allows(now, bytes) {
+		return now
+	}
+	count, used := len(b.charges), b.used
+	for _, c := range b.charges {
+		count--
+		used -= c.bytes
+		if count < b.messages && used+bytes <= b.bytes {
+			return c.at.Add(budgetWindow)
+		}
+	}
+	return now.Add(budgetWindow)
+}
+
 // take charges a message of the given bytes and returns true, or returns false
 // if the budget does not allow it.
 func (b *budget) take(now time.Time, bytes int) bool {
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -35,7 +35,8 @@
 )
 
 const (
-	// interval is how often the prober looks for stale samples.
+	// interval is how often the prober looks for stale samples while a probe may
+	// be sent and no sample is stale.
 	interval = 10 * time.Millisecond
 	// activeInterval is how often it looks up which services are in use.
 	activeInterval = 100 * time.Millisecond
@@ -187,30 +188,21 @@
 	return answer{nonce: q.nonce, incarnation: p.incarnation(), load: p.cfg.Own.Load()}.encode()
 }
 
-// Run sends probes until dying is closed.
+// Run sends probes until dying is closed. It sleeps while none is due.
 func (p *Prober) Run(dying <-chan struct{}) error {
-	timer := time.NewTimer(interval)
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-dying:
 			return nil
 		case <-timer.C:
-			p.tick(time.Now())
-			timer.Reset(p.pause())
+			now := time.Now()
+			timer.Reset(p.tick(now).Sub(now))
 		}
 	}
 }
 
-// pause returns the time until the next tick. While no service is in use,
-// there is nothing to probe before the services in use are looked up again.
-func (p *Prober) pause() time.Duration {
-	if len(p.active) == 0 {
-		return activeInterval
-	}
-	return interval
-}
-
 // incarnation returns that of the own instance, which may have grown since the
 // start, or 0 if it is not announced yet.
 func (p *Prober) incarnation() uint64 {
@@ -220,26 +212,28 @@
 	return 0
 }
 
-// tick sends the probes that are due.
-func (p *Prober) tick(now time.Time) {
-	if p.cfg.Own != nil {
-		p.cfg.Pool.Observe(p.cfg.Self, p.incarnation(), p.cfg.Own.Load(), now)
-	}
+// tick sends the probes that are due. It returns when to look again.
+func (p *Prober) tick(now time.Time) time.Time {
 	snapshot := p.cfg.Source.Snapshot()
 	if snapshot.Configuration() == nil {
-		return
+		return now.Add(activeInterval)
 	}
 	p.refreshActive(snapshot.View(), now)
+	wake := p.activeAt.Add(activeInterval)
 	for _, name := range p.active {
 		service := snapshot.Configuration().Service(name)
 		if service == nil {
 			continue
 		}
 		spec := service.Spec()
-		for to, payload := p.next(&spec, snapshot.View(), now); payload != nil; to, payload = p.next(&spec, snapshot.View(), now) {
+		to, payload, due := p.next(&spec, snapshot.View(), now)
+		for payload != nil {
 			p.send(to, payload)
+			to, payload, due = p.next(&spec, snapshot.View(), now)
 		}
+		wake = earlier(wake, due)
 	}
+	return wake
 }
 
 // refreshActive looks up the services in use, and forgets probes and services
@@ -280,28 +274,25 @@
 }
 
 // next returns the next probe for a service, charged to its budget and to the
-// node's, or nil if none is due.
-func (p *Prober) next(spec *compiler.ServiceSpec, view *registrar.View, now time.Time) (netip.AddrPort, []byte) {
+// node's. If none is due, it returns nil and when to look again.
+func (p *Prober) next(spec *compiler.ServiceSpec, view *registrar.View, now time.Time) (netip.AddrPort, []byte, time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.targets[spec.Name]
-	if t == nil {
-		t = newTarget()
-		p.targets[spec.Name] = t
-	}
-	t.budget.messages = spec.ProbeMessages
-	t.budget.bytes = spec.ProbeBytes
+	t := p.target(spec)
 	perSecond := min(spec.ProbeMessages, spec.ProbeBytes/exchangeCost)
-	if perSecond <= 0 || now.Before(t.next) || now.Before(p.due) {
-		return netip.AddrPort{}, nil
+	if perSecond <= 0 {
+		return netip.AddrPort{}, nil, now.Add(activeInterval)
+	}
+	if due := later(t.next, p.due); due.After(now) {
+		return netip.AddrPort{}, nil, due
 	}
-	if !t.budget.allows(now, exchangeCost) || !p.node.allows(now, exchangeCost) {
+	if free := later(t.budget.free(now, exchangeCost), p.node.free(now, exchangeCost)); free.After(now) {
 		p.metrics.deferred.Inc(1)
-		return netip.AddrPort{}, nil
+		return netip.AddrPort{}, nil, free
 	}
 	in := t.stalest(p.cfg.Pool, p.cfg.Self, view.Service(spec.Name), spec.SampleMaxAge, now)
 	if in == nil {
-		return netip.AddrPort{}, nil
+		return netip.AddrPort{}, nil, now.Add(interval)
 	}
 	t.budget.take(now, exchangeCost)
 	p.node.take(now, exchangeCost)
@@ -311,7 +302,19 @@
 	q := probe{nonce: p.nonce(), instance: hashID(in.ID())}
 	to := unmapped(in.Peer())
 	p.pending[q.nonce] = pending{instanceID: in.ID(), to: to, sent: now}
-	return to, q.encode()
+	return to, q.encode(), now
+}
+
+// target returns what is held for a service, with the limits of its budget.
+func (p *Prober) target(spec *compiler.ServiceSpec) *target {
+	t := p.targets[spec.Name]
+	if t == nil {
+		t = newTarget()
+		p.targets[spec.Name] = t
+	}
+	t.budget.messages = spec.ProbeMessages
+	t.budget.bytes = spec.ProbeBytes
+	return t
 }
 
 // nonce returns a number that no pending probe bears.
@@ -342,6 +345,20 @@
 	return due.Add(time.Second / time.Duration(max(perSecond, 1)))
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func orDefault(v *int, value int) {
 	if *v == 0 {
 		*v = value
--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -214,6 +214,33 @@
 	assert.Assert(t, b.take(time.UnixMilli(11000), 1))
 }
 
+// countingSource counts how often the prober looks around.
+type countingSource struct {
+	*publisher.Publisher
+	looks int
+}
+
+func (s *countingSource) Snapshot() *publisher.Snapshot {
+	s.looks++
+	return s.Publisher.Snapshot()
+}
+
+func TestProberSleepsUntilAProbeIsDue(t *testing.T) {
+	for _, perSecond := range []int{0, 5, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(1, 4, Config{})
+			b.configure(1, 1, perSecond, 10000)
+			source := &countingSource{Publisher: b.source}
+			b.prober.cfg.Source = source
+			b.pool.Sent("1")
+			b.run(t, 3*time.Second)
+			assert.Assert(t, len(b.network.log) >= 3*perSecond, "%d probes", len(b.network.log))
+			assert.Assert(t, source.looks <= 3*(perSecond+10)+2, "%d", source.looks)
+			assert.Assert(t, !b.pool.Read("0", time.Hour, time.Now()).Sampled()) // The choice samples it.
+		})
+	}
+}
+
 // usedPool is a pool of which the given instances are always in use.
 type usedPool struct {
 	*sampler.Pool
--- a/internal/request/picker/compare_test.go
+++ b/internal/request/picker/compare_test.go
@@ -162,6 +162,9 @@
 	ran, failed := false, false
 	for range 3 {
 		q.Now = time.Now()
+		if n := nodes[entry]; n.own != nil {
+			n.pool.Observe(fmt.Sprint(entry), 0, n.own.Load(), q.Now)
+		}
 		choice, ok := nodes[entry].picker.Pick(q)
 		if !ok {
 			break
