feat: read the upstream's health endpoint as a hint

Cause: a node read no endpoint of its upstream at all. Such endpoints lag and mislead, but tell of an upstream that is seldom used.

Change: health-path, per service. The own node reads it each 5 s, charged to the budgets of measuring. While it says unhealthy and no request succeeded within 2 s, the node tells a failure rate of 100 %, so that outlier detection leaves the upstream out, down to its floor; after 30 s it is tried again. A healthy, silent or hanging endpoint changes nothing. The load endpoint stays unread: the node counts the same load itself.

Shown: TestLyingEndpoint (its rows are in docs/FAULTS.md), TestHealthReader, TestHintCountsOnlyWhereNoRequestContradictsIt, TestProbesMakeRoomForOtherMeasuring. The first and third fail with the hint that counts whatever requests saw.

TestBudgetHoldsUnderAnySchedule also reserves for other measuring now.

--- a/internal/process/emulator/behavior.go
+++ b/internal/process/emulator/behavior.go
@@ -21,12 +21,17 @@
 	behaviorFreeze        behaviorKind = "freeze"
 	behaviorLie           behaviorKind = "lie"
 	behaviorDrain         behaviorKind = "drain"
+	// behaviorLieUnhealthy works, but the health endpoint says otherwise.
+	behaviorLieUnhealthy behaviorKind = "lie-unhealthy"
+	// behaviorStallHealth works, but the health endpoint does not answer.
+	behaviorStallHealth behaviorKind = "stall-health"
 )
 
 var behaviorKinds = map[behaviorKind]bool{
 	behaviorNormal: true, behaviorSlow: true, behaviorFailFast: true, behaviorShed: true,
 	behaviorFailAfterWork: true, behaviorTruncate: true, behaviorStall: true,
 	behaviorFreeze: true, behaviorLie: true, behaviorDrain: true,
+	behaviorLieUnhealthy: true, behaviorStallHealth: true,
 }
 
 // errBehavior reports a behavior that the emulator does not have.
@@ -36,11 +41,12 @@
 type behavior struct {
 	kind   behaviorKind
 	factor float64
+	since  time.Time
 	until  time.Time // Zero for ever.
 }
 
 func parseBehavior(kind, factor, length string, now time.Time) (*behavior, error) {
-	b := &behavior{kind: behaviorKind(kind), factor: 1}
+	b := &behavior{kind: behaviorKind(kind), factor: 1, since: now}
 	if !behaviorKinds[b.kind] {
 		return nil, errors.Wrapf(errBehavior, "%q", kind)
 	}
@@ -61,9 +67,10 @@
 	return b, nil
 }
 
-// current returns the behavior at the given time: normal once it has ended.
+// current returns the behavior at the given time: normal before it began and
+// once it has ended.
 func (b *behavior) current(now time.Time) behavior {
-	if !b.until.IsZero() && now.After(b.until) {
+	if now.Before(b.since) || !b.until.IsZero() && now.After(b.until) {
 		return behavior{kind: behaviorNormal}
 	}
 	return *b
--- a/internal/process/emulator/emulator.go
+++ b/internal/process/emulator/emulator.go
@@ -14,7 +14,7 @@
 //	POST /-/standin/executions       how often the ids ran that the body lists, one a line
 //	POST /-/standin/behavior         kind=slow&factor=10&for=500ms
 //	GET  /-/standin/load             the load endpoint, which lags and may mislead
-//	GET  /-/standin/health           the health endpoint, which lags
+//	GET  /-/standin/health           the health endpoint, which lags and may mislead
 //	GET  /guide/BYTES                a body of that many bytes with a strong ETag
 //	any  other path                  works for the service time and echoes the request id
 package emulator
@@ -217,12 +217,17 @@
 	writeJSON(w, loadReport{InFlight: load, Slots: e.spec.Slots})
 }
 
-func (e *Emulator) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if e.mode.Load().current(time.Now().Add(-e.spec.EndpointLag)).kind == behaviorDrain {
-		http.Error(w, "draining", http.StatusServiceUnavailable)
+func (e *Emulator) serveHealth(w http.ResponseWriter, r *http.Request) {
+	if e.mode.Load().current(time.Now()).kind == behaviorStallHealth {
+		<-r.Context().Done()
 		return
 	}
-	fmt.Fprintln(w, "ok")
+	switch e.mode.Load().current(time.Now().Add(-e.spec.EndpointLag)).kind {
+	case behaviorDrain, behaviorLieUnhealthy:
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(w, "ok")
+	}
 }
 
 // serveGuide writes a body of a size given in bytes. Its content depends on
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -61,6 +61,7 @@
 	explainer   *explainer.Explainer
 	keyer       *keyer.Keyer
 	watcher     *watcher.Watcher
+	health      *watcher.HealthReader
 	meter       *accountant.Meter
 	reporter    *accountant.Reporter
 	prober      *prober.Prober
@@ -105,6 +106,7 @@
 	n.tomb.Go(peer.serve)
 	n.tomb.Go(requests.serve)
 	n.watcher.Start()
+	n.health.Start()
 	n.reporter.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
 	n.log.Info().Stringer("http", n.settings.HTTPAddress()).Stringer("peer", n.settings.PeerAddress()).Msg("Started.")
@@ -129,7 +131,7 @@
 	n.handOverKeys()
 	n.gossiper.Leave()
 	n.tomb.Kill(nil)
-	if err := firstError(n.reporter.Stop, n.watcher.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
+	if err := firstError(n.reporter.Stop, n.watcher.Stop, n.health.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
 	n.log.Info().Msg("Stopped.")
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -96,11 +96,7 @@
 		Observer:    n.meter,
 	})
 	n.assembleReports(base)
-	n.watcher = watcher.New(watcher.Config{
-		Upstream: s.UpstreamAddress(),
-		Dialer:   &net.Dialer{},
-		OnChange: n.announcer.Available,
-	})
+	n.assembleWatchers()
 	n.server = server.New(server.Config{
 		Instance:  s.Instance(),
 		Service:   s.Service(),
@@ -142,6 +138,23 @@
 	return nil
 }
 
+// assembleWatchers makes the parts that follow the state of the own upstream.
+func (n *Node) assembleWatchers() {
+	n.watcher = watcher.New(watcher.Config{
+		Upstream: n.settings.UpstreamAddress(),
+		Dialer:   &net.Dialer{},
+		OnChange: n.announcer.Available,
+	})
+	n.health = watcher.NewHealthReader(watcher.HealthConfig{
+		Upstream:  n.settings.UpstreamAddress(),
+		Path:      n.healthPath,
+		Transport: watcher.NewHealthTransport(),
+		Reserve:   func(bytes int) bool { return n.prober.Reserve(n.settings.Service(), bytes) },
+		OnHealth:  n.admitter.Hint,
+		Scope:     n.metrics.Scope().SubScope("watcher"),
+	})
+}
+
 // assembleReports makes the parts that measure and report load.
 func (n *Node) assembleReports(base zerolog.Logger) {
 	n.reporter = accountant.NewReporter(accountant.ReporterConfig{
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -113,6 +113,14 @@
 	return cfg.Service(n.settings.Service())
 }
 
+// healthPath returns the path of the upstream's health endpoint, if it is to be read.
+func (n *Node) healthPath() string {
+	if s := n.service(); s != nil {
+		return s.Spec().HealthPath
+	}
+	return ""
+}
+
 // setView puts a new picture of the fleet in force.
 func (n *Node) setView(view *registrar.View) {
 	n.keyer.Observe(view.Service(n.settings.Service()), n.keyRetention())
--- a/internal/process/prober/budget.go
+++ b/internal/process/prober/budget.go
@@ -26,6 +26,9 @@
 	return len(b.charges) < b.messages && b.used+bytes <= b.bytes
 }
 
+// fits reports whether a message of the given bytes is ever allowed.
+func (b *budget) fits(bytes int) bool { return b.messages > 0 && bytes <= b.bytes }
+
 // free returns the earliest time at which a message of the given bytes may be
 // sent if none is sent before: now, or when enough of the charges have expired.
 // A message that is larger than the budget is looked at again after a window.
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -114,6 +114,7 @@
 	mu       sync.Mutex // Guards all below.
 	node     budget
 	due      time.Time // Before that the node sends no probe.
+	reserved time.Time // Until then probes make room for what Reserve refused.
 	answers  budget
 	targets  map[string]*target
 	pending  map[uint32]pending
@@ -188,6 +189,33 @@
 	return answer{nonce: q.nonce, incarnation: p.incarnation(), load: p.cfg.Own.Load()}.encode()
 }
 
+// Reserve charges one exchange of another kind of measuring, such as a read of
+// a health endpoint, to the budgets of a service and of the node. It reports
+// whether they allow it now. If they do not yet, probes make room for it.
+func (p *Prober) Reserve(service string, bytes int) bool {
+	cfg := p.cfg.Source.Snapshot().Configuration()
+	if cfg == nil || cfg.Service(service) == nil {
+		return false
+	}
+	spec := cfg.Service(service).Spec()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.target(&spec)
+	if !t.budget.fits(bytes) || !p.node.fits(bytes) {
+		return false
+	}
+	if !t.budget.allows(now, bytes) || !p.node.allows(now, bytes) {
+		p.reserved = now.Add(budgetWindow)
+		return false
+	}
+	p.reserved = time.Time{}
+	t.budget.take(now, bytes)
+	p.node.take(now, bytes)
+	p.metrics.bytes.Inc(int64(bytes))
+	return true
+}
+
 // Run sends probes until dying is closed. It sleeps while none is due.
 func (p *Prober) Run(dying <-chan struct{}) error {
 	timer := time.NewTimer(0)
@@ -283,7 +311,7 @@
 	if perSecond <= 0 {
 		return netip.AddrPort{}, nil, now.Add(activeInterval)
 	}
-	if due := later(t.next, p.due); due.After(now) {
+	if due := later(later(t.next, p.due), p.reserved); due.After(now) {
 		return netip.AddrPort{}, nil, due
 	}
 	if free := later(t.budget.free(now, exchangeCost), p.node.free(now, exchangeCost)); free.After(now) {
--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -117,6 +117,9 @@
 				if len(b.prober.HandleProbe(peer(9), probe{instance: hashID("0")}.encode())) > 0 {
 					answers.log = append(answers.log, charge{at: time.Now(), bytes: answerCost})
 				}
+				if other := r.IntN(1500); other > 500 && b.prober.Reserve("0", other) {
+					b.network.log = append(b.network.log, charge{at: time.Now(), bytes: other})
+				}
 			}
 			close(dying)
 			synctest.Wait()
@@ -148,6 +151,25 @@
 	})
 }
 
+func TestProbesMakeRoomForOtherMeasuring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1, 6, Config{})
+		b.configure(1, 1, 20, 2000)
+		for _, id := range b.ids {
+			b.pool.Sent(id)
+		}
+		b.run(t, 2*time.Second)
+		assert.Assert(t, !b.prober.Reserve("0", 2001)) // Never allowed: nothing waits for it.
+		assert.Assert(t, !b.prober.Reserve("0", 1000))
+		sent := len(b.network.log)
+		b.run(t, budgetWindow-time.Millisecond)
+		assert.Equal(t, len(b.network.log), sent)
+		assert.Assert(t, b.prober.Reserve("0", 1000))
+		b.run(t, time.Second)
+		assert.Assert(t, len(b.network.log) > sent)
+	})
+}
+
 func TestProbesAreSpacedEvenly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(4, 4, Config{Messages: 10})
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -14,8 +14,13 @@
 // An upstream says that it drains by the header Banyanscale-Draining on any
 // answer. It takes no new work from then on, until a connection was refused
 // and accepted again, or until it has kept silent about draining for
-// drainTimeout. A status of a health endpoint alone moves nothing, since such
-// endpoints lag and mislead.
+// drainTimeout.
+//
+// A health endpoint lags and misleads. HealthReader reads it as a hint, which
+// moves nothing that requests have seen:
+//
+//	h := watcher.NewHealthReader(watcher.HealthConfig{Path: path, Reserve: budget, OnHealth: admitter.Hint, ...})
+//	h.Start()
 package watcher
 
 import (
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -71,6 +71,7 @@
 	mu       sync.Mutex // Guards all below.
 	limiter  *limiter
 	queue    queue
+	hint     hint
 	inFlight int
 	leaving  bool
 	changed  time.Time // When a request last began or ended.
@@ -107,6 +108,15 @@
 	return a.wait(ctx, w)
 }
 
+// Hint takes in what the upstream's own health endpoint says. An upstream that
+// says it is unhealthy is told to fail everything, unless a request to it has
+// succeeded lately; one that says it is healthy gains nothing by that.
+func (a *Admitter) Hint(healthy bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hint.read(healthy, time.Now())
+}
+
 // InFlight returns how many requests the upstream works on.
 func (a *Admitter) InFlight() int {
 	a.mu.Lock()
@@ -136,10 +146,19 @@
 		Limit:          a.limiter.limit(now),
 		Latency:        a.latency(now),
 		WarmPercent:    a.limiter.warmPercent(now),
-		FailurePercent: int(a.limiter.failureRate(now) * fullPercent),
+		FailurePercent: a.failurePercent(now),
 	})
 }
 
+// failurePercent returns the share of requests that the upstream is expected
+// to fail.
+func (a *Admitter) failurePercent(now time.Time) int {
+	if a.hint.counts(now) {
+		return fullPercent
+	}
+	return int(a.limiter.failureRate(now) * fullPercent)
+}
+
 // Update replaces the settings by those of a new configuration.
 func (a *Admitter) Update(slots, connections, queueLength int, coldStart time.Duration) {
 	a.mu.Lock()
@@ -218,6 +237,7 @@
 	}
 	if !result.Abandoned && !result.Failed {
 		a.limiter.observe(result.Latency, saturated, now)
+		a.hint.goodAt = now
 	}
 	a.dispatch(now)
 	a.prune(now)
--- a/internal/request/picker/compare_test.go
+++ b/internal/request/picker/compare_test.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
@@ -46,6 +48,8 @@
 	fault                           string
 	load                            float64 // Share of the capacity.
 	maxAge                          time.Duration
+	// health is what the endpoint of a target says; nil for no endpoints.
+	health func(target int, at time.Duration) bool
 	*results
 }
 
@@ -54,6 +58,7 @@
 	mu                               sync.Mutex // Guards all below.
 	latencies                        []time.Duration
 	failed, refused, requests, asked int
+	ran                              [16]int // By target.
 }
 
 type node struct {
@@ -133,6 +138,7 @@
 	for _, n := range nodes {
 		go func() { _ = n.prober.Run(dying) }()
 	}
+	go tr.read(nodes, begin)
 	r := rand.New(rand.NewPCG(1, 1))
 	rate := tr.load * float64(tr.targets*tr.slots) / float64(meanService)
 	for time.Since(begin) < length {
@@ -145,6 +151,21 @@
 	slices.Sort(tr.latencies)
 }
 
+// read reads the health endpoints of the targets.
+func (tr trial) read(nodes []*node, begin time.Time) {
+	for tr.health != nil && time.Since(begin) < length {
+		for i := range tr.targets {
+			nodes[i].own.Hint(tr.health(i, time.Since(begin)))
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// fails reports whether target 0 fails all requests at a time of the run.
+func (tr trial) fails(at time.Duration) bool {
+	return at > faultAt && (tr.fault == "fast-failer" || tr.fault == "outage" && at < 2*faultAt)
+}
+
 // count counts a probe.
 func (tr trial) count(begin time.Time) {
 	tr.mu.Lock()
@@ -204,11 +225,14 @@
 	permit, err := own.Admit(context.Background(), admitter.Work{Priority: compiler.PriorityNormal, Deadline: deadline})
 	if err == nil {
 		took := time.Duration(math.Exp(0.6*r.NormFloat64()-0.18) * float64(meanService) * tr.slowness(i, time.Since(begin)))
-		if failed = tr.fault == "fast-failer" && i == 0 && time.Since(begin) > faultAt; failed {
+		if failed = i == 0 && tr.fails(time.Since(begin)); failed {
 			took = 200 * time.Microsecond
 		}
 		time.Sleep(took)
 		permit.Done(admitter.Result{Latency: took, Failed: failed})
+		tr.mu.Lock()
+		tr.ran[i]++
+		tr.mu.Unlock()
 	}
 	load := own.Load()
 	time.Sleep(way)
@@ -262,9 +286,78 @@
 	}
 }
 
-func TestCompare(t *testing.T) {
-	usual := trial{policy: picker.PolicyLeastExpectedLatency, candidates: picker.DefaultCandidates, entries: 12, targets: 6, slots: 6,
+// usual is the trial that others differ from.
+func usual() trial {
+	return trial{policy: picker.PolicyLeastExpectedLatency, candidates: picker.DefaultCandidates, entries: 12, targets: 6, slots: 6,
 		probes: 20, fault: "straggler", load: 0.6, maxAge: 100 * time.Millisecond}
+}
+
+// share tells how much of its even share of the work target 0 ran.
+func (tr trial) share() string {
+	total := 0
+	for _, n := range tr.ran {
+		total += n
+	}
+	switch share := float64(tr.ran[0]*tr.targets) / float64(total); {
+	case share > 0.9:
+		return "its even share"
+	case share > 0.5:
+		return "most of its share"
+	case share < 0.3:
+		return "little"
+	default:
+		return "half of its share"
+	}
+}
+
+// TestLyingEndpoint runs the faults of a health endpoint at target 0.
+func TestLyingEndpoint(t *testing.T) {
+	healthy := func(int, time.Duration) bool { return true }
+	unhealthy := func(target int, _ time.Duration) bool { return target != 0 }
+	allUnhealthy := func(int, time.Duration) bool { return false }
+	late := func(target int, at time.Duration) bool {
+		return target != 0 || at < faultAt+3*time.Second || at > 2*faultAt+3*time.Second
+	}
+	var rows strings.Builder
+	for _, row := range []struct {
+		endpoint, upstream, fault string
+		health                    func(int, time.Duration) bool
+		load                      float64
+	}{
+		{"none", "sound, busy", "none", nil, 0.6},
+		{"says unhealthy, falsely", "sound, busy", "none", unhealthy, 0.6},
+		{"none", "sound, hardly used", "none", nil, 0.002},
+		{"says unhealthy", "sound, hardly used", "none", unhealthy, 0.002},
+		{"all say unhealthy", "sound, hardly used", "none", allUnhealthy, 0.002},
+		{"none", "fails all from 2 s on", "fast-failer", nil, 0.6},
+		{"says healthy, falsely", "fails all from 2 s on", "fast-failer", healthy, 0.6},
+		{"none", "fails all from 2 s to 4 s", "outage", nil, 0.6},
+		{"tells of it 3 s late", "fails all from 2 s to 4 s", "outage", late, 0.6},
+	} {
+		tr := usual()
+		tr.fault, tr.health, tr.load = row.fault, row.health, row.load
+		tr = tr.measure(t)
+		assert.Equal(t, tr.refused, 0)
+		fmt.Fprintf(&rows, "| %s | %s | %s | %s |\n", row.endpoint, row.upstream, tr.share(), atMost(tr.failed, tr.requests))
+		t.Logf("%s, %s: %v, failed %d of %d", row.endpoint, row.upstream, tr.ran[:tr.targets], tr.failed, tr.requests)
+	}
+	golden.Assert(t, rows.String(), "endpoints.golden")
+}
+
+// atMost returns a bound for a share.
+func atMost(n, of int) string {
+	switch {
+	case n == 0:
+		return "none"
+	case 200*n < of:
+		return "less than 0.5 %"
+	default:
+		return "0.5 % or more"
+	}
+}
+
+func TestCompare(t *testing.T) {
+	usual := usual()
 	if *compare == "" {
 		random := usual
 		random.policy = picker.PolicyRandom
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -55,6 +55,9 @@
 	ProbeBytes int
 	// SampleMaxAge is how old a load sample may be to count in a choice.
 	SampleMaxAge time.Duration
+	// HealthPath is where the upstream tells its health, which is a hint only;
+	// empty if it is not read.
+	HealthPath string
 	// ColdStart is how long a warming instance takes to get its full share of work.
 	ColdStart time.Duration
 	// MinHealthyPercent is the share of a service's instances that outlier
--- a/internal/version/compiler/setting.go
+++ b/internal/version/compiler/setting.go
@@ -16,8 +16,13 @@
 	anyHost     = "*"
 	neverHedge  = "never"
 	noneMethods = "none"
+	noHealth    = "none"
 )
 
+// maxHealthPath bounds the length of a health path, so that a read of it stays
+// within what it is charged.
+const maxHealthPath = 128
+
 var (
 	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
 	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*$`)
@@ -52,6 +57,7 @@
 	intSetting("probe-messages", 0, 1_000, func(s *ServiceSpec) *int { return &s.ProbeMessages }),
 	intSetting("probe-bytes", 0, 100_000, func(s *ServiceSpec) *int { return &s.ProbeBytes }),
 	durationSetting("sample-max-age", time.Millisecond, time.Minute, func(s *ServiceSpec) *time.Duration { return &s.SampleMaxAge }),
+	{key: "health-path", set: setHealthPath, get: getHealthPath},
 	durationSetting("cold-start", 0, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.ColdStart }),
 	percentSetting("min-healthy-percent", func(s *ServiceSpec) *int { return &s.MinHealthyPercent }),
 }
@@ -187,3 +193,22 @@
 	}
 	return parser.FormatDuration(s.HedgeAfter)
 }
+
+func setHealthPath(s *ServiceSpec, value string) error {
+	s.HealthPath = ""
+	if value == noHealth {
+		return nil
+	}
+	if !pathPattern.MatchString(value) || len(value) > maxHealthPath {
+		return errors.Errorf("%q is not a path of at most %d characters that starts with a slash", value, maxHealthPath)
+	}
+	s.HealthPath = value
+	return nil
+}
+
+func getHealthPath(s *ServiceSpec) string {
+	if s.HealthPath == "" {
+		return noHealth
+	}
+	return s.HealthPath
+}
