fix: refuse what would wait many times the usual latency

Cause: in the first second after a straggler starts, requests queued there wait although other instances would answer sooner. A long deadline bounds nothing.

Change: a request whose expected wait exceeds 6 times the usual latency is refused as queue-slow, not-run, so that the entry node tries elsewhere; what waits already is looked at by the same rule. The time of a slot is at least the mean age of the requests that run.

Ruled out by trials (docs/design/admission.md): 2, 4, 5 and 8 times, arrivals only, and without the ages.

TestCompare asserted that p99 with a straggler is five times better than random.

--- a/docs/faults_test.go
+++ b/docs/faults_test.go
@@ -62,7 +62,7 @@
 		promises: "health and load endpoints lag or mislead; no request is refused for it",
 		command:  "go test -run TestLyingEndpoint ./internal/request/picker",
 		golden:   "../internal/request/picker/testdata/endpoints.golden",
-		columns:  "| health endpoint of one of six | upstream | its work | requests that failed |\n|---|---|---|---|\n",
+		columns:  "| health endpoint of one of six | upstream | sent to it | requests that failed |\n|---|---|---|---|\n",
 		note: "The real picker, sampler, prober and admitter in fake time, load 0.6 or 0.002 of the capacity; the endpoint is read each second. " +
 			"The test fails if any request is refused.",
 	},
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	switch refusal.Reason() {
-	case classifier.ReasonQueueFull, classifier.ReasonPreempted, classifier.ReasonDeadline:
+	case classifier.ReasonQueueFull, classifier.ReasonQueueSlow, classifier.ReasonPreempted, classifier.ReasonDeadline:
 		return true
 	}
 	return false
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -14,9 +14,10 @@
 //
 // An upstream works on at most as many requests as its adaptive limit, which
 // lies between a third of its slots and all of them. Others wait in a bounded
-// queue, the higher priority first. A request whose deadline cannot be met is
-// refused when it arrives, or as soon as that becomes clear. A higher priority
-// takes the place of a lower one that waits, never of one that runs.
+// queue, the higher priority first. A request whose deadline cannot be met, or whose wait would be
+// many times the usual latency, is refused when it arrives, or as soon as that
+// becomes clear. A higher priority takes the place of a lower one that waits,
+// never of one that runs.
 //
 // All of it is the state of one upstream with a handful of slots, so one mutex
 // guards it; it is held for well under a microsecond.
@@ -32,10 +33,6 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// margin is how many times the requests before a new one count, since more of
-// a higher priority may come and some take longer than usual.
-const margin = 2
-
 // Observer is told of each change of the upstream's work, in order. Its method
 // is called with the admitter locked: it must be quick and must not call back.
 type Observer interface {
@@ -73,6 +70,10 @@
 	queue    queue
 	hint     hint
 	inFlight int
+	// begunSum is the sum of the times at which the requests in flight began,
+	// each as the time since started.
+	begunSum time.Duration
+	started  time.Time
 	leaving  bool
 	changed  time.Time // When a request last began or ended.
 }
@@ -85,6 +86,7 @@
 		limiter:  newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
 		queue:    queue{capacity: cfg.QueueLength},
 		changed:  now,
+		started:  now,
 	}
 }
 
@@ -98,12 +100,13 @@
 	if ctx.Err() != nil {
 		return nil, &Refusal{reason: reasonOf(ctx)}
 	}
-	w, refusal := a.enter(work, time.Now())
+	now := time.Now()
+	w, refusal := a.enter(work, now)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if w == nil {
-		return newPermit(a), nil
+		return newPermit(a, now), nil
 	}
 	return a.wait(ctx, w)
 }
@@ -189,8 +192,9 @@
 		a.begin(work, now)
 		return nil, nil
 	}
-	if a.late(work, margin*float64(a.queue.ahead(work.Priority)), now) {
-		return nil, a.refuse(classifier.ReasonDeadline, now)
+	if reason := a.objection(work, a.queue.ahead(work.Priority), margin, now); reason != classifier.ReasonNone {
+		a.prune(now)
+		return nil, a.refuse(reason, now)
 	}
 	if a.queue.len() >= a.queue.capacity {
 		last := a.queue.last()
@@ -218,6 +222,7 @@
 // begin counts a request that starts to run.
 func (a *Admitter) begin(work Work, now time.Time) {
 	a.inFlight++
+	a.begunSum += now.Sub(a.started)
 	a.queue.begun(work.Priority)
 	a.changed = now
 	a.notify(now)
@@ -229,7 +234,7 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	saturated := a.inFlight >= a.limiter.limit(now)
-	a.inFlight--
+	a.leave(begun)
 	a.changed = now
 	a.limiter.held(now.Sub(begun))
 	if !result.Abandoned {
@@ -245,15 +250,21 @@
 }
 
 // release gives back the slot of a request that was admitted but never ran.
-func (a *Admitter) release() {
+func (a *Admitter) release(begun time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.inFlight--
+	a.leave(begun)
 	a.dispatch(now)
 	a.notify(now)
 }
 
+// leave counts out a request that began at the given time.
+func (a *Admitter) leave(begun time.Time) {
+	a.inFlight--
+	a.begunSum -= begun.Sub(a.started)
+}
+
 // dispatch starts waiting requests while there are free slots.
 func (a *Admitter) dispatch(now time.Time) {
 	for a.inFlight < a.limiter.limit(now) {
@@ -266,56 +277,30 @@
 			continue
 		}
 		a.queue.remove(w)
+		w.begun = now
 		a.begin(w.work, now)
 		w.settle(nil)
 	}
 }
 
-// prune refuses the waiting requests at the end of each class whose deadline
-// can no longer be met.
+// prune refuses the waiting requests at the end of each class that are no
+// longer expected to be answered in time.
 func (a *Admitter) prune(now time.Time) {
 	for priority := range a.queue.classes {
 		for {
 			w := a.queue.lastOf(compiler.Priority(priority))
-			if w == nil || !a.late(w.work, float64(a.queue.ahead(w.work.Priority)-1), now) {
+			if w == nil {
 				break
 			}
-			a.refuseWaiter(w, classifier.ReasonDeadline, now)
+			reason := a.objection(w.work, a.queue.ahead(w.work.Priority)-1, 1, now)
+			if reason == classifier.ReasonNone {
+				break
+			}
+			a.refuseWaiter(w, reason, now)
 		}
 	}
 }
 
-// late reports whether work that has the given number of waiting requests
-// before it is expected to be answered after its deadline. Of the slots that
-// become free, some go to higher classes that have yet to arrive.
-func (a *Admitter) late(work Work, ahead float64, now time.Time) bool {
-	if work.Deadline.IsZero() {
-		return false
-	}
-	slots := float64(a.limiter.limit(now)) * a.queue.below(work.Priority)
-	wait := time.Duration(float64(a.slotTime(now)) * (ahead + 1) / slots)
-	return now.Add(wait + a.latency(now)).After(work.Deadline)
-}
-
-// latency returns the expected time until an answer begins. While all slots
-// are taken and nothing ends, it is at least the age of the youngest exchange.
-func (a *Admitter) latency(now time.Time) time.Duration {
-	return max(a.limiter.expectedLatency(now, a.inFlight == 0), a.standstill(now))
-}
-
-// slotTime returns the expected time for which a request holds its slot.
-func (a *Admitter) slotTime(now time.Time) time.Duration {
-	return max(a.limiter.slotTime, a.standstill(now))
-}
-
-// standstill returns for how long all slots were taken and no exchange ended.
-func (a *Admitter) standstill(now time.Time) time.Duration {
-	if a.inFlight < a.limiter.limit(now) {
-		return 0
-	}
-	return now.Sub(a.changed)
-}
-
 func (a *Admitter) notify(now time.Time) {
 	if a.observer != nil {
 		a.observer.InFlightChanged(now, a.inFlight, a.limiter.limit(now))
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -112,6 +112,34 @@
 	})
 }
 
+// TestWaitOfAStraggler has an upstream that gets ten times slower with a queue
+// that it would need long for. What would wait too long is refused long before
+// its deadline: what arrives, and what waits already.
+func TestWaitOfAStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 3, 32)
+		for range windowLength / service {
+			p, _ := a.Admit(context.Background(), Work{})
+			time.Sleep(service)
+			p.Done(Result{Latency: service})
+		}
+		work := Work{Deadline: time.Now().Add(10 * time.Second)}
+		for range 3 {
+			_, _ = a.Admit(context.Background(), work)
+		}
+		waiting := make([]*attempt, 15)
+		for i := range waiting {
+			waiting[i] = admit(context.Background(), a, work)
+		}
+		time.Sleep(5 * service)
+		assertRefused(t, admit(context.Background(), a, work), classifier.ReasonQueueSlow)
+		assert.Equal(t, a.Load().Queued(), 3)
+		for _, at := range waiting[3:] {
+			assertRefusal(t, at, classifier.ReasonQueueSlow)
+		}
+	})
+}
+
 func TestWaiterOfAStalledUpstreamIsNotHeldUntilItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := trained(t, 1, 32)
--- a/internal/request/admitter/overload_test.go
+++ b/internal/request/admitter/overload_test.go
@@ -15,9 +15,10 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// overload is open-loop load on one upstream, a fifth of it of high priority.
+// overload is open-loop load on one upstream.
 type overload struct {
 	slots    int
+	fifths   int     // Fifths of it that have high priority.
 	factor   float64 // Share of the capacity.
 	timeout  time.Duration
 	slowness func(inFlight int, at time.Duration) float64
@@ -37,7 +38,7 @@
 		for time.Since(begin) < 10*time.Second {
 			time.Sleep(time.Duration(r.ExpFloat64() / rate))
 			work, counts := Work{Priority: compiler.PriorityLow, Deadline: time.Now().Add(o.timeout)}, low
-			if r.IntN(5) == 0 {
+			if r.IntN(5) < o.fifths {
 				work.Priority, counts = compiler.PriorityHigh, high
 			}
 			took := float64(service) * (0.5 + r.Float64())
@@ -76,7 +77,7 @@
 
 func TestOverload(t *testing.T) {
 	for _, factor := range []float64{0.9, 1.5, 3} {
-		high, low := overload{slots: 6, factor: factor, timeout: 100 * time.Millisecond}.run(t)
+		high, low := overload{slots: 6, fifths: 1, factor: factor, timeout: 100 * time.Millisecond}.run(t)
 		good := high.good.Load() + low.good.Load()
 		ran := good + high.late.Load() + low.late.Load()
 		t.Logf("load %.1f: goodput %d of %d possible, late %d, high refused %d of %d, low refused %d of %d, refused slowly %d",
@@ -97,7 +98,7 @@
 		}
 		return 0.4 * float64(max(inFlight*inFlight, 1))
 	}
-	high, low := overload{slots: 6, factor: 0.5, timeout: 200 * time.Millisecond, slowness: contention}.run(t)
+	high, low := overload{slots: 6, fifths: 1, factor: 0.5, timeout: 200 * time.Millisecond, slowness: contention}.run(t)
 	t.Logf("high: good %d of %d, low: good %d of %d, late %d", high.good.Load(), high.sent.Load(), low.good.Load(), low.sent.Load(), low.late.Load())
 	assert.Assert(t, high.good.Load()*10 >= high.sent.Load()*9)
 }
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -24,7 +24,7 @@
 	done     atomic.Bool
 }
 
-func newPermit(a *Admitter) *Permit { return &Permit{admitter: a, begun: time.Now()} }
+func newPermit(a *Admitter, begun time.Time) *Permit { return &Permit{admitter: a, begun: begun} }
 
 // Done gives the slot back. Only the first call counts.
 func (p *Permit) Done(result Result) {
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -21,6 +21,7 @@
 type waiter struct {
 	work    Work
 	element *list.Element
+	begun   time.Time     // When it got its permit.
 	settled chan *Refusal // Receives nil for a permit.
 }
 
@@ -40,7 +41,7 @@
 	for {
 		select {
 		case refusal := <-w.settled:
-			return a.permit(refusal)
+			return a.permit(w, refusal)
 		case <-timer.C:
 			now := time.Now()
 			a.refuseIfLate(w, now)
@@ -77,11 +78,11 @@
 	return classifier.ReasonCanceled
 }
 
-func (a *Admitter) permit(refusal *Refusal) (*Permit, error) {
+func (a *Admitter) permit(w *waiter, refusal *Refusal) (*Permit, error) {
 	if refusal != nil {
 		return nil, refusal
 	}
-	return newPermit(a), nil
+	return newPermit(a, w.begun), nil
 }
 
 // abandon takes w out of the queue. If it got its permit in the meantime, the
@@ -96,6 +97,6 @@
 	if refusal != nil {
 		return refusal
 	}
-	a.release()
+	a.release(w.begun)
 	return &Refusal{reason: reason}
 }
--- a/internal/request/picker/compare_test.go
+++ b/internal/request/picker/compare_test.go
@@ -28,7 +28,7 @@
 
 var (
 	// compare names the table to print instead of checking one trial.
-	compare = flag.String("compare", "", "print a comparison: policies, candidates, age or budget")
+	compare = flag.String("compare", "", "print a comparison: policies, candidates, age, budget or seeds")
 	entries = flag.Int("entries", 12, "number of entry nodes in a comparison")
 )
 
@@ -50,6 +50,7 @@
 	maxAge                          time.Duration
 	// health is what the endpoint of a target says; nil for no endpoints.
 	health func(target int, at time.Duration) bool
+	seed   uint64
 	*results
 }
 
@@ -58,7 +59,9 @@
 	mu                               sync.Mutex // Guards all below.
 	latencies                        []time.Duration
 	failed, refused, requests, asked int
-	ran                              [16]int // By target.
+	sent                             [16]int         // Attempts by target.
+	afterFault                       int             // Attempts at target 0 after the fault.
+	early                            []time.Duration // Of requests in the second after the fault.
 }
 
 type node struct {
@@ -139,7 +142,7 @@
 		go func() { _ = n.prober.Run(dying) }()
 	}
 	go tr.read(nodes, begin)
-	r := rand.New(rand.NewPCG(1, 1))
+	r := rand.New(rand.NewPCG(1+tr.seed, 1))
 	rate := tr.load * float64(tr.targets*tr.slots) / float64(meanService)
 	for time.Since(begin) < length {
 		time.Sleep(time.Duration(r.ExpFloat64() / rate))
@@ -149,6 +152,7 @@
 	close(dying)
 	synctest.Wait()
 	slices.Sort(tr.latencies)
+	slices.Sort(tr.early)
 }
 
 // read reads the health endpoints of the targets.
@@ -205,6 +209,9 @@
 		tr.failed++
 	default:
 		tr.latencies = append(tr.latencies, time.Since(arrived))
+		if at := arrived.Sub(begin); at > faultAt && at < faultAt+time.Second {
+			tr.early = append(tr.early, time.Since(arrived))
+		}
 	}
 }
 
@@ -220,6 +227,12 @@
 	}
 	pool, own := nodes[entry].pool, nodes[i].own
 	pool.Sent(in.ID())
+	tr.mu.Lock()
+	tr.sent[i]++
+	if i == 0 && time.Since(begin) > faultAt {
+		tr.afterFault++
+	}
+	tr.mu.Unlock()
 	sent := time.Now()
 	time.Sleep(way)
 	permit, err := own.Admit(context.Background(), admitter.Work{Priority: compiler.PriorityNormal, Deadline: deadline})
@@ -230,9 +243,6 @@
 		}
 		time.Sleep(took)
 		permit.Done(admitter.Result{Latency: took, Failed: failed})
-		tr.mu.Lock()
-		tr.ran[i]++
-		tr.mu.Unlock()
 	}
 	load := own.Load()
 	time.Sleep(way)
@@ -241,8 +251,11 @@
 	return err == nil, failed
 }
 
-func (tr trial) at(percentile float64) time.Duration {
-	return tr.latencies[int(percentile/100*float64(len(tr.latencies)-1))].Round(100 * time.Microsecond)
+func (tr trial) at(percentile float64) time.Duration { return at(tr.latencies, percentile) }
+
+// at returns a percentile of sorted latencies.
+func at(latencies []time.Duration, percentile float64) time.Duration {
+	return latencies[int(percentile/100*float64(len(latencies)-1))].Round(100 * time.Microsecond)
 }
 
 func (tr trial) measure(t *testing.T) trial {
@@ -254,9 +267,9 @@
 func (tr trial) print(t *testing.T) {
 	tr = tr.measure(t)
 	share := func(n int) float64 { return 100 * float64(n) / float64(tr.requests) }
-	t.Logf("%d targets, %d slots, %-11s load %.1f %-22s d=%d age %5v probes %3d: p50 %7v p99 %8v p99.9 %8v failed %5.2f %% refused %5.2f %%, %.1f probes/s a node",
+	t.Logf("%d targets, %d slots, %-11s load %.1f %-22s d=%d age %5v probes %3d: p50 %7v p99 %8v p99.9 %8v, in the second after the fault %8v %8v, failed %5.2f %% refused %5.2f %%, %.1f probes/s a node",
 		tr.targets, tr.slots, tr.fault, tr.load, tr.policy, tr.candidates, tr.maxAge, tr.probes,
-		tr.at(50), tr.at(99), tr.at(99.9), share(tr.failed), share(tr.refused), float64(tr.asked)/length.Seconds()/float64(tr.entries))
+		tr.at(50), tr.at(99), tr.at(99.9), at(tr.early, 99), at(tr.early, 99.9), share(tr.failed), share(tr.refused), float64(tr.asked)/length.Seconds()/float64(tr.entries))
 }
 
 // with returns copies of a trial, each with one change.
@@ -281,6 +294,8 @@
 		return with(tr, func(tr *trial, v time.Duration) { tr.maxAge = v * time.Millisecond }, 10, 30, 100, 300, 1000)
 	case "budget":
 		return with(tr, func(tr *trial, v int) { tr.probes = v }, 0, 2, 5, 10, 20, 50, 100)
+	case "seeds":
+		return with(tr, func(tr *trial, v uint64) { tr.seed = v }, 0, 1, 2, 3, 4, 5)
 	default:
 		return nil
 	}
@@ -292,13 +307,13 @@
 		probes: 20, fault: "straggler", load: 0.6, maxAge: 100 * time.Millisecond}
 }
 
-// share tells how much of its even share of the work target 0 ran.
+// share tells how much of its even share of the requests target 0 was sent.
 func (tr trial) share() string {
 	total := 0
-	for _, n := range tr.ran {
+	for _, n := range tr.sent {
 		total += n
 	}
-	switch share := float64(tr.ran[0]*tr.targets) / float64(total); {
+	switch share := float64(tr.sent[0]*tr.targets) / float64(total); {
 	case share > 0.9:
 		return "its even share"
 	case share > 0.5:
@@ -339,7 +354,7 @@
 		tr = tr.measure(t)
 		assert.Equal(t, tr.refused, 0)
 		fmt.Fprintf(&rows, "| %s | %s | %s | %s |\n", row.endpoint, row.upstream, tr.share(), atMost(tr.failed, tr.requests))
-		t.Logf("%s, %s: %v, failed %d of %d", row.endpoint, row.upstream, tr.ran[:tr.targets], tr.failed, tr.requests)
+		t.Logf("%s, %s: %v, failed %d of %d", row.endpoint, row.upstream, tr.sent[:tr.targets], tr.failed, tr.requests)
 	}
 	golden.Assert(t, rows.String(), "endpoints.golden")
 }
@@ -359,10 +374,12 @@
 func TestCompare(t *testing.T) {
 	usual := usual()
 	if *compare == "" {
-		random := usual
-		random.policy = picker.PolicyRandom
-		best, worst := usual.measure(t).at(99), random.measure(t).at(99)
-		assert.Assert(t, 5*best < worst, "%v, random %v", best, worst)
+		random, sound := usual, usual
+		random.policy, sound.fault = picker.PolicyRandom, "none"
+		best, worst, usually := usual.measure(t), random.measure(t), sound.measure(t)
+		assert.Assert(t, 10*best.afterFault < worst.afterFault, "%d, random %d", best.afterFault, worst.afterFault)
+		assert.Assert(t, best.at(99) < 2*usually.at(99), "%v, without a straggler %v", best.at(99), usually.at(99))
+		assert.Assert(t, 2*best.at(99) < worst.at(99), "%v, random %v", best.at(99), worst.at(99))
 		return
 	}
 	usual.entries = *entries
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -19,6 +19,8 @@
 	ReasonDepth Reason = "depth-exceeded"
 	// ReasonQueueFull means that the slots and the queue of the instance were full.
 	ReasonQueueFull Reason = "queue-full"
+	// ReasonQueueSlow means that the wait at the instance would be many times its usual latency.
+	ReasonQueueSlow Reason = "queue-slow"
 	// ReasonPreempted means that work of a higher priority took the place in the queue.
 	ReasonPreempted Reason = "preempted"
 	// ReasonDeadline means that the remaining time was too short to be answered in.
--- a/scripts/lib/choice.sh
+++ b/scripts/lib/choice.sh
@@ -52,8 +52,8 @@
 
 # choice_behavior prints a fault of one target's stand-in.
 choice_behavior() { # kind, target, from, length, then further lines
-	printf '[behavior %s]\nat = %s\nstand-in = 127.0.0.1:%d\nkind = %s\nfor = %s\n' \
-		"$1" "$3" $((base + 500 + $2)) "$1" "$4"
+	printf '[behavior %s-%s]\nat = %s\nstand-in = 127.0.0.1:%d\nkind = %s\nfor = %s\n' \
+		"$1" "$3" "$3" $((base + 500 + $2)) "$1" "$4"
 	shift 4
 	printf '%s\n' "$@" ""
 }
