feat: one turn in 20 for lower classes

Cause: strict order starves the low class while higher ones fill the slots: at three times the load no check was answered.

Change: one turn in 20 goes to the request of a lower class that waits longest, and of a full queue one place in 20 is kept for each lower class. The estimate of the wait knows both.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -14,7 +14,8 @@
 //
 // An upstream works on at most as many requests as its adaptive limit, which
 // lies between a third of its slots and all of them. Others wait in a bounded
-// queue, the higher priority first. A request whose deadline cannot be met, or whose wait would be
+// queue, the higher priority first, but for a few turns that go to a lower
+// one. A request whose deadline cannot be met, or whose wait would be
 // many times the usual latency, is refused when it arrives, or as soon as that
 // becomes clear. A higher priority takes the place of a lower one that waits,
 // never of one that runs.
@@ -192,16 +193,17 @@
 		a.begin(work, now)
 		return nil, nil
 	}
-	if reason := a.objection(work, a.queue.ahead(work.Priority), margin, now); reason != classifier.ReasonNone {
+	place := a.queue.place(work.Priority)
+	if reason := a.objection(work, place, place.behind(margin), now); reason != classifier.ReasonNone {
 		a.prune(now)
 		return nil, a.refuse(reason, now)
 	}
 	if a.queue.len() >= a.queue.capacity {
-		last := a.queue.last()
-		if last == nil || last.work.Priority >= work.Priority {
+		victim := a.queue.victim(work.Priority)
+		if victim == nil {
 			return nil, a.refuse(a.fullReason(), now)
 		}
-		a.refuseWaiter(last, classifier.ReasonPreempted, now)
+		a.refuseWaiter(victim, classifier.ReasonPreempted, now)
 	}
 	w := newWaiter(work)
 	a.queue.push(w)
@@ -268,7 +270,7 @@
 // dispatch starts waiting requests while there are free slots.
 func (a *Admitter) dispatch(now time.Time) {
 	for a.inFlight < a.limiter.limit(now) {
-		w := a.queue.first()
+		w := a.queue.next()
 		if w == nil {
 			return
 		}
@@ -277,6 +279,7 @@
 			continue
 		}
 		a.queue.remove(w)
+		a.queue.turns++
 		w.begun = now
 		a.begin(w.work, now)
 		w.settle(nil)
@@ -292,7 +295,10 @@
 			if w == nil {
 				break
 			}
-			reason := a.objection(w.work, a.queue.ahead(w.work.Priority)-1, 1, now)
+			place := a.queue.place(w.work.Priority)
+			place.ahead--
+			place.own--
+			reason := a.objection(w.work, place, place, now)
 			if reason == classifier.ReasonNone {
 				break
 			}
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -15,34 +15,41 @@
 	maxWaitRatio = 6
 )
 
-// objection returns why work is not to wait behind the given number of
-// requests: its answer is expected after its deadline, for which they count
-// the given number of times, or its wait is too long.
-func (a *Admitter) objection(work Work, ahead, times int, now time.Time) classifier.Reason {
-	if a.late(work, times*ahead, now) {
+// place tells how many waiting requests go before one: those of its own class
+// and higher ones, and those of its own class alone.
+type place struct{ ahead, own float64 }
+
+// behind returns the place with the requests ahead counted n times.
+func (p place) behind(n float64) place { return place{ahead: n * p.ahead, own: p.own} }
+
+// objection returns why work is not to wait at a place: its answer is expected
+// after its deadline, by the place given for that, or its wait is too long.
+func (a *Admitter) objection(work Work, p, deadline place, now time.Time) classifier.Reason {
+	if a.late(work, deadline, now) {
 		return classifier.ReasonDeadline
 	}
-	if usual := a.limiter.baseline; usual > 0 && a.expectedWait(work, ahead, now) > maxWaitRatio*usual {
+	if usual := a.limiter.baseline; usual > 0 && a.expectedWait(work, p, now) > maxWaitRatio*usual {
 		return classifier.ReasonQueueSlow
 	}
 	return classifier.ReasonNone
 }
 
-// late reports whether work that has the given number of waiting requests
-// before it is expected to be answered after its deadline.
-func (a *Admitter) late(work Work, ahead int, now time.Time) bool {
+// late reports whether work at the given place is expected to be answered
+// after its deadline.
+func (a *Admitter) late(work Work, p place, now time.Time) bool {
 	if work.Deadline.IsZero() {
 		return false
 	}
-	return now.Add(a.expectedWait(work, ahead, now) + a.latency(now)).After(work.Deadline)
+	return now.Add(a.expectedWait(work, p, now) + a.latency(now)).After(work.Deadline)
 }
 
-// expectedWait returns how long work that has the given number of waiting
-// requests before it waits for its turn. Of the slots that become free, some go
-// to higher classes that have yet to arrive.
-func (a *Admitter) expectedWait(work Work, ahead int, now time.Time) time.Duration {
-	slots := float64(a.limiter.limit(now)) * a.queue.below(work.Priority)
-	return time.Duration(float64(a.slotTime(now)) * float64(ahead+1) / slots)
+// expectedWait returns how long work at the given place waits for its turn. Of
+// the slots that become free, some go to higher classes that have yet to
+// arrive; a few go to lower classes.
+func (a *Admitter) expectedWait(work Work, p place, now time.Time) time.Duration {
+	limit := float64(a.limiter.limit(now))
+	turns := min((p.ahead+1)/a.queue.below(work.Priority), (p.own+1)*agedTurn)
+	return time.Duration(float64(a.slotTime(now)) * turns / limit)
 }
 
 // latency returns the expected time until an answer begins. While all slots
--- a/internal/request/admitter/overload_test.go
+++ b/internal/request/admitter/overload_test.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// TestLowClassIsNotStarved has more work of high priority than can be done.
+func TestLowClassIsNotStarved(t *testing.T) {
+	for _, timeout := range []time.Duration{100 * time.Millisecond, 2 * time.Second} {
+		high, low := overload{slots: 6, fifths: 4, factor: 3, timeout: timeout}.run(t)
+		good, late := high.good.Load()+low.good.Load(), high.late.Load()+low.late.Load()
+		t.Logf("timeout %v: high good %d of %d, low good %d of %d, late %d, low refused slowly %d",
+			timeout, high.good.Load(), high.sent.Load(), low.good.Load(), low.sent.Load(), late, low.slowRefusals.Load())
+		assert.Assert(t, good > 5700 && late <= good/50)
+		assert.Assert(t, low.good.Load() >= good/40 && low.good.Load() <= good/15)
+		assert.Assert(t, low.slowRefusals.Load() <= low.refused.Load()/20)
+	}
+}
+
 // TestSlowUpstream slows the upstream by the work that it has, as contention does.
 func TestSlowUpstream(t *testing.T) {
 	contention := func(inFlight int, at time.Duration) float64 {
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -11,6 +11,9 @@
 	shareWeight = 1.0 / 64
 	// minShareBelow bounds how far a class's wait is stretched by higher ones.
 	minShareBelow = 0.1
+	// agedTurn is how often a request of a lower class goes first: once in so many
+	// turns. Of a full queue, one place in as many is kept for each lower class.
+	agedTurn = 20
 )
 
 // queue holds the waiting requests, one list for each priority in order of
@@ -18,18 +21,19 @@
 type queue struct {
 	capacity int
 	n        int
+	pushed   uint64 // Requests that ever waited.
+	turns    uint64 // Requests that got their turn from the queue.
 	classes  [compiler.PriorityHigh + 1]list.List
 	shares   [compiler.PriorityHigh + 1]float64 // Of the work begun lately, by class.
 }
 
-// ahead returns how many waiting requests go before a new one of the given
-// priority.
-func (q *queue) ahead(priority compiler.Priority) int {
-	n := 0
-	for p := classOf(priority); p < len(q.classes); p++ {
-		n += q.classes[p].Len()
+// place returns the place of a new request of the given priority.
+func (q *queue) place(priority compiler.Priority) place {
+	p := place{own: float64(q.classes[classOf(priority)].Len())}
+	for class := classOf(priority); class < len(q.classes); class++ {
+		p.ahead += float64(q.classes[class].Len())
 	}
-	return n
+	return p
 }
 
 // begun takes in the priority of a request that begins to run.
@@ -50,7 +54,40 @@
 	return max(share, minShareBelow)
 }
 
-// first returns the request whose turn is next, or nil.
+// next returns the request whose turn is next, or nil: the first one, or now and
+// then the one of a lower class that waits longest.
+func (q *queue) next() *waiter {
+	next := q.first()
+	if next == nil || q.turns%agedTurn != agedTurn-1 {
+		return next
+	}
+	var oldest *waiter
+	for p := range classOf(next.work.Priority) {
+		if e := q.classes[p].Front(); e != nil {
+			if w := e.Value.(*waiter); oldest == nil || w.number < oldest.number {
+				oldest = w
+			}
+		}
+	}
+	if oldest != nil {
+		return oldest
+	}
+	return next
+}
+
+// victim returns the request that leaves a full queue for a new one of the
+// given priority: the newest of the lowest class that has more than the places
+// that are kept for it. It returns nil if no lower class has.
+func (q *queue) victim(priority compiler.Priority) *waiter {
+	for p := range classOf(priority) {
+		if q.classes[p].Len() > q.capacity/agedTurn {
+			return q.lastOf(compiler.Priority(p))
+		}
+	}
+	return nil
+}
+
+// first returns the first request of the highest priority, or nil.
 func (q *queue) first() *waiter {
 	for p := len(q.classes) - 1; p >= 0; p-- {
 		if e := q.classes[p].Front(); e != nil {
@@ -81,6 +118,8 @@
 func (q *queue) len() int { return q.n }
 
 func (q *queue) push(w *waiter) {
+	q.pushed++
+	w.number = q.pushed
 	w.element = q.classes[classOf(w.work.Priority)].PushBack(w)
 	q.n++
 }
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -21,6 +21,7 @@
 type waiter struct {
 	work    Work
 	element *list.Element
+	number  uint64        // In the order of arrival.
 	begun   time.Time     // When it got its permit.
 	settled chan *Refusal // Receives nil for a permit.
 }
@@ -65,7 +66,7 @@
 func (a *Admitter) refuseIfLate(w *waiter, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if w.element != nil && a.late(w.work, 0, now) {
+	if w.element != nil && a.late(w.work, place{}, now) {
 		a.refuseWaiter(w, classifier.ReasonDeadline, now)
 	}
 }
