fix: hedges leave half of the saved budget to retries

Cause: hedges and retries share one budget.

Change: a hedge is sent only if half of what can be saved remains. The share of fresh requests bounds both together, as before.

Shown: TestHedgesLeaveBudgetToRetries failed before (10 hedges, no retry left).

--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -74,7 +74,7 @@
 	if c.attempts >= c.route.spec.MaxAttempts {
 		return
 	}
-	if !c.budget.Spend() {
+	if !c.budget.SpendHedge() {
 		c.forwarder.denials.Inc(classifier.ReasonRetryBudget)
 		return
 	}
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -11,6 +11,8 @@
 	tokenCost = 100
 	// maxTokens bounds the saved budget: ten retries at once.
 	maxTokens = 10 * tokenCost
+	// hedgeReserve is what hedges leave of the saved budget to retries.
+	hedgeReserve = maxTokens / 2
 )
 
 // Budget bounds the retries and hedges of one service to a share of its fresh
@@ -37,11 +39,18 @@
 	}
 }
 
-// Spend takes the cost of one retry or hedge, and reports whether there was enough.
-func (b *Budget) Spend() bool {
+// Spend takes the cost of one retry, and reports whether there was enough.
+func (b *Budget) Spend() bool { return b.spend(0) }
+
+// SpendHedge takes the cost of one hedge, and reports whether there was enough.
+// It leaves half of what can be saved to retries, which are needed more.
+func (b *Budget) SpendHedge() bool { return b.spend(hedgeReserve) }
+
+// spend takes the cost of one retry or hedge if at least reserve is left.
+func (b *Budget) spend(reserve int64) bool {
 	for {
 		old := b.tokens.Load()
-		if old < tokenCost {
+		if old < tokenCost+reserve {
 			return false
 		}
 		if b.tokens.CompareAndSwap(old, old-tokenCost) {
--- a/internal/request/retrier/retrier_test.go
+++ b/internal/request/retrier/retrier_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+func TestHedgesLeaveBudgetToRetries(t *testing.T) {
+	b := retrier.NewBudget()
+	hedges, retries := 0, 0
+	for b.SpendHedge() {
+		hedges++
+	}
+	for b.Spend() {
+		retries++
+	}
+	assert.Equal(t, hedges, 5)
+	assert.Equal(t, retries, 5)
+	b.Earn(100)
+	assert.Assert(t, !b.SpendHedge())
+}
+
 func TestBudget(t *testing.T) {
 	const requests, percent, saved = 10_000, 10, 10
 	b := retrier.NewBudget()
