feat: hedge repeatable requests after 50 ms by default

Cause: the effect of hedges on the tail was not measured, and they were off.

The fault matrix keeps hedges off, so that it shows each attempt by itself; the same faults strike with the default in the new TestFaultsWithHedges, which checks all that must hold under any fault.

--- a/internal/request/forwarder/fault_test.go
+++ b/internal/request/forwarder/fault_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -137,6 +138,20 @@
 	golden.Assert(t, matrix.String(), "faults.golden")
 }
 
+// TestFaultsWithHedges strikes with the same faults while requests are hedged
+// as by default. What must hold under any fault holds.
+func TestFaultsWithHedges(t *testing.T) {
+	for _, r := range append(nodeRows(), linkRows()...) {
+		for _, kind := range []string{http.MethodGet, http.MethodPost} {
+			f := newFleet()
+			f.spec.HedgeAfter = compiler.DefaultServiceSpec("").HedgeAfter
+			req := request(kind)
+			r.prepare(f, req)
+			f.run(t, func(t *testing.T) { f.callUnderFault(t, req, kind, r.cancel) })
+		}
+	}
+}
+
 // streamedPost is a POST with a body that is not held in memory.
 const streamedPost = "streamed POST"
 
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -65,6 +65,7 @@
 	f := &fleet{network: &network{listeners: make(map[string]*listener)}, publisher: publisher.New(), explainer: explainer.New(16)}
 	f.spec = compiler.DefaultServiceSpec("almacen")
 	f.spec.Timeout = deadline
+	f.spec.HedgeAfter = 0 // Tests of hedges set it.
 	f.handle = func(w http.ResponseWriter, _ *http.Request, _ int64) {
 		w.Write(bytes.Repeat([]byte("x"), answerSize)) //nolint:errcheck // The fault under test may break it.
 	}
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -98,6 +98,7 @@
 		RepeatableMethods: []string{"GET", "HEAD", "OPTIONS", "TRACE"},
 		RetryPercent:      10,
 		MaxAttempts:       3,
+		HedgeAfter:        50 * time.Millisecond,
 		KeyRetention:      15 * time.Minute,
 		ProbeMessages:     20,
 		ProbeBytes:        2000,
