fix: bound the wait only at an upstream slower than usual

Change: the bound holds only while slots are held for more than 3 times the usual latency.

TestWaitOfAStraggler has a longer queue and also asserts that it waits; that failed before.

--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -112,9 +112,9 @@
 	})
 }
 
-// TestWaitOfAStraggler has an upstream that gets ten times slower with a queue
-// that it would need long for. What would wait too long is refused long before
-// its deadline: what arrives, and what waits already.
+// TestWaitOfAStraggler has an upstream with a long queue that gets slower. What
+// would wait too long is refused long before its deadline then: what arrives,
+// and what waits already.
 func TestWaitOfAStraggler(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := trained(t, 3, 32)
@@ -127,9 +127,10 @@
 		for range 3 {
 			_, _ = a.Admit(context.Background(), work)
 		}
-		waiting := make([]*attempt, 15)
+		waiting := make([]*attempt, 30)
 		for i := range waiting {
 			waiting[i] = admit(context.Background(), a, work)
+			assertWaiting(t, waiting[i]) // At the usual speed, for its load.
 		}
 		time.Sleep(5 * service)
 		assertRefused(t, admit(context.Background(), a, work), classifier.ReasonQueueSlow)
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -10,8 +10,11 @@
 	// margin is how many times the requests before a new one count towards its
 	// deadline, since more of a higher priority may come and some take longer.
 	margin = 2
-	// maxWaitRatio is how many times the usual latency a request may wait. A
-	// longer wait is that of a straggler, and other instances are faster.
+	// stragglerRatio is how many times the usual latency a slot is held by an
+	// upstream that counts as a straggler. Others have a long queue for their load.
+	stragglerRatio = 3
+	// maxWaitRatio is how many times the usual latency a request may wait at a
+	// straggler, since other instances are faster.
 	maxWaitRatio = 6
 )
 
@@ -28,7 +31,9 @@
 	if a.late(work, deadline, now) {
 		return classifier.ReasonDeadline
 	}
-	if usual := a.limiter.baseline; usual > 0 && a.expectedWait(work, p, now) > maxWaitRatio*usual {
+	usual := a.limiter.baseline
+	straggles := usual > 0 && a.slotTime(now) > stragglerRatio*usual
+	if straggles && a.expectedWait(work, p, now) > maxWaitRatio*usual {
 		return classifier.ReasonQueueSlow
 	}
 	return classifier.ReasonNone
