fix: a request that was refused elsewhere is bounded by its deadline alone

Cause: where all instances are slow, the bound on the wait refused requests that an instance would still have answered in time.

Change: Banyanscale-Hop tells the number of the attempt; the bound holds for the first one only. What was refused once waits where it is sent next, within its deadline.

TestDeadlineShrinks also asserts that the second attempt, and no first one, is told as retried; that failed before.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -117,7 +117,7 @@
 
 // Admit implements server.Admitter.
 func (a upstreamAdmitter) Admit(ctx context.Context, work server.Work) (server.Permit, error) {
-	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline})
+	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline, Retried: work.Retried})
 	if err != nil {
 		if wantsSlot(err) {
 			a.refusedForLoad()
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -60,6 +60,9 @@
 	Priority compiler.Priority
 	// Deadline is when the answer must be there; the zero time for none.
 	Deadline time.Time
+	// Retried tells that another attempt went before: what was refused elsewhere
+	// is refused for its deadline only.
+	Retried bool
 }
 
 // Admitter admits work to one upstream.
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -135,6 +135,7 @@
 		time.Sleep(5 * service)
 		assertRefused(t, admit(context.Background(), a, work), classifier.ReasonQueueSlow)
 		assert.Equal(t, a.Load().Queued(), 3)
+		assertWaiting(t, admit(context.Background(), a, Work{Deadline: work.Deadline, Retried: true}))
 		for _, at := range waiting[3:] {
 			assertRefusal(t, at, classifier.ReasonQueueSlow)
 		}
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -32,7 +32,7 @@
 		return classifier.ReasonDeadline
 	}
 	usual := a.limiter.baseline
-	straggles := usual > 0 && a.slotTime(now) > stragglerRatio*usual
+	straggles := !work.Retried && usual > 0 && a.slotTime(now) > stragglerRatio*usual
 	if straggles && a.expectedWait(work, p, now) > maxWaitRatio*usual {
 		return classifier.ReasonQueueSlow
 	}
--- a/internal/request/forwarder/answer_test.go
+++ b/internal/request/forwarder/answer_test.go
@@ -170,6 +170,10 @@
 		_, _, err := f.call(t.Context(), req)
 		assert.NilError(t, err)
 		assert.Equal(t, seen, "2500 3")
+		assert.Equal(t, f.retried.Load(), int64(1))
+		_, _, err = f.call(t.Context(), request(http.MethodPost))
+		assert.NilError(t, err)
+		assert.Equal(t, f.retried.Load(), int64(1)) // A first attempt is not.
 	})
 }
 
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -177,6 +177,9 @@
 	header := make(http.Header, len(c.header)+len(extra)+1)
 	maps.Copy(header, c.header)
 	maps.Copy(header, extra)
+	if c.attempts > 1 {
+		header.Set(classifier.HeaderHop, strconv.Itoa(c.attempts))
+	}
 	req := relayer.NewRequest(c.r, header)
 	switch {
 	case c.body != nil:
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -54,6 +54,7 @@
 	keys *keyer.Keyer
 
 	runs      atomic.Int64
+	retried   atomic.Int64
 	publisher *publisher.Publisher
 	explainer *explainer.Explainer
 	servers   []*server.Server
@@ -110,7 +111,7 @@
 func (f *fleet) serve(id, nodeAddress, targetAddress string, refusal error) {
 	s := server.New(server.Config{
 		Instance: id, Service: "almacen", Upstream: netip.MustParseAddrPort(targetAddress),
-		Requester: f.pool(), Admitter: admitter{refusal}, Snapshots: f.publisher, Scope: tally.NoopScope,
+		Requester: f.pool(), Admitter: admitter{refusal, &f.retried}, Snapshots: f.publisher, Scope: tally.NoopScope,
 	})
 	f.servers = append(f.servers, s)
 	f.listen(nodeAddress, s)
@@ -194,9 +195,16 @@
 func (observer) Sent(string)                               {}
 func (observer) Finished(string, forwarder.Result)         {}
 
-type admitter struct{ refusal error }
+// admitter refuses with an error if it has one, and counts retried requests.
+type admitter struct {
+	refusal error
+	retried *atomic.Int64
+}
 
-func (a admitter) Admit(context.Context, server.Work) (server.Permit, error) {
+func (a admitter) Admit(_ context.Context, work server.Work) (server.Permit, error) {
+	if work.Retried {
+		a.retried.Add(1)
+	}
 	return permit{}, a.refusal
 }
 func (admitter) Load() string { return "load" }
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -17,6 +17,9 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// firstAttempt is the value of HeaderHop of a request that was not tried before.
+const firstAttempt = "1"
+
 // ownPrefix starts the names of the headers of nodes.
 const ownPrefix = "Banyanscale-"
 
@@ -36,7 +39,8 @@
 	spec := s.spec()
 	deadline, _ := ctx.Deadline()
 	priority := ParsePriority(req.Header.Get(classifier.HeaderPriority), spec.Priority)
-	permit, err := s.cfg.Admitter.Admit(ctx, Work{Priority: priority, Deadline: deadline})
+	retried := req.Header.Get(classifier.HeaderHop) > firstAttempt
+	permit, err := s.cfg.Admitter.Admit(ctx, Work{Priority: priority, Deadline: deadline, Retried: retried})
 	if err != nil {
 		return nil, admissionRefusal(err)
 	}
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -54,6 +54,8 @@
 type Work struct {
 	Priority compiler.Priority
 	Deadline time.Time
+	// Retried tells that another attempt went before.
+	Retried bool
 }
 
 // Admitter bounds the work of the upstream.
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -21,7 +21,8 @@
 	// HeaderRetried is "1" on a refusal after which the level that made it, or
 	// one below, had retried already: levels above must not retry.
 	HeaderRetried = "Banyanscale-Retried"
-	// HeaderHop is "1" on requests from an entry node to a serving node.
+	// HeaderHop is on requests from an entry node to a serving node: "1", or the
+	// number of the attempt.
 	HeaderHop = "Banyanscale-Hop"
 	// HeaderService holds the service's name on requests between nodes.
 	HeaderService = "Banyanscale-Service"
