--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -57,8 +57,11 @@
 )
 
 const (
-	// operationTimeout bounds a submission or a read.
+	// operationTimeout bounds a submission.
 	operationTimeout = 10 * time.Second
+	// readTimeout bounds a read: an instance behind a partition says within
+	// this time that it is stale.
+	readTimeout = 3 * time.Second
 	// answerShare is the part of the remaining time, as a divisor, that is left
 	// to tell the outcome.
 	answerShare = 10
@@ -85,6 +88,9 @@
 	// Initial lists the addresses of the instances that form the group. It is
 	// the same at all of them. Later the document names the voters.
 	Initial []string
+	// Sources returns the addresses of other instances to fetch the group's
+	// state from, besides the initial ones. It may be nil.
+	Sources func() []string
 	// Journal keeps the durable state.
 	Journal Journal
 	// Transport reaches the other instances.
@@ -186,21 +192,33 @@
 	return resp, nil
 }
 
-// Current returns the newest accepted state, confirmed by a majority.
+// Current returns the newest accepted state, confirmed by a majority, or
+// ErrStale within readTimeout.
 func (v *Voter) Current(ctx context.Context) (*State, error) {
-	ctx, cancel := withTimeout(ctx)
+	ctx, cancel := withTimeout(ctx, readTimeout)
 	defer cancel()
 	if state := v.monitor.read(ctx); state != nil {
 		v.learn(state)
 		return state, nil
 	}
-	state, err := v.proposer.propose(ctx, &proposal{next: confirm})
+	state, err := v.propose(ctx, &proposal{next: confirm})
 	if errors.Is(err, ErrNoGroup) {
 		return nil, fmt.Errorf("read newest version: %w", err)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("read newest version: %w: %w", ErrNoMajority, err)
+		return nil, fmt.Errorf("read newest version: %w: %w", ErrStale, err)
 	}
+	return state, nil
+}
+
+// propose has a proposal accepted, and learns the state that is then chosen.
+func (v *Voter) propose(ctx context.Context, p *proposal) (*State, error) {
+	start := time.Now()
+	state, err := v.proposer.propose(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	v.monitor.contacted(start)
 	v.learn(state)
 	return state, nil
 }
@@ -209,7 +227,7 @@
 func confirm(*State) *voterwire.Transition { return nil }
 
 func (v *Voter) submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
-	ctx, cancel := withTimeout(ctx)
+	ctx, cancel := withTimeout(ctx, operationTimeout)
 	defer cancel()
 	s, err := newSubmission(req, v.cfg.Digest)
 	if err != nil {
@@ -217,11 +235,10 @@
 	}
 	p := &proposal{next: s.next}
 	for {
-		state, err := v.proposer.propose(ctx, p)
+		state, err := v.propose(ctx, p)
 		if err != nil {
 			return nil, classify(err, p.sent)
 		}
-		v.learn(state)
 		switch {
 		case len(s.unresolved) > 0:
 			err = v.resolve(ctx, s)
@@ -268,7 +285,7 @@
 
 // finishReplacing ends the replacement of voters that the chosen state holds.
 func (v *Voter) finishReplacing(ctx context.Context, chosen *State) error {
-	state, err := v.proposer.propose(ctx, &proposal{next: func(base *State) *voterwire.Transition {
+	_, err := v.propose(ctx, &proposal{next: func(base *State) *voterwire.Transition {
 		// The previous voters may go only once the state that replaced them is
 		// known to be chosen.
 		if !sameBallot(base.origin(), chosen.origin()) {
@@ -279,7 +296,6 @@
 	if err != nil {
 		return fmt.Errorf("finish replacing voters: %w: %w", ErrNoMajority, err)
 	}
-	v.learn(state)
 	return nil
 }
 
@@ -335,6 +351,22 @@
 	return v.peerAt(m.GetAddress())
 }
 
+// sources returns the other instances from which the group's state may be
+// fetched, by their addresses alone.
+func (v *Voter) sources() []*voterwire.Member {
+	addresses := v.cfg.Initial
+	if v.cfg.Sources != nil {
+		addresses = slices.Concat(addresses, v.cfg.Sources())
+	}
+	var members []*voterwire.Member
+	for _, address := range slices.Compact(slices.Sorted(slices.Values(addresses))) {
+		if address != v.cfg.Address {
+			members = append(members, &voterwire.Member{Address: address})
+		}
+	}
+	return members
+}
+
 func (v *Voter) peerAt(address string) Peer {
 	if address == v.cfg.Address {
 		return v.Peer()
@@ -344,8 +376,7 @@
 
 // withTimeout bounds an operation so that its outcome can still be told
 // before ctx ends.
-func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	timeout := operationTimeout
+func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline)
 		timeout = min(timeout, left-left/answerShare)
