fix: a race in the test of the prober's budgets

The test reserves for other measuring beside the prober and logged it without a lock. go test -race -count=3 ./internal/process/prober failed before and passes now; no assertion changed.

--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,15 +20,22 @@
 
 // network records what is charged and hands each probe to handle.
 type network struct {
+	mu     sync.Mutex // Guards log while others than the prober write it.
 	log    []charge
 	handle func(to netip.AddrPort, payload []byte) error
 }
 
 func (n *network) Send(to netip.AddrPort, payload []byte) error {
-	n.log = append(n.log, charge{at: time.Now(), bytes: exchangeCost})
+	n.add(exchangeCost)
 	return n.handle(to, payload)
 }
 
+func (n *network) add(bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.log = append(n.log, charge{at: time.Now(), bytes: bytes})
+}
+
 type ownLoad struct{}
 
 func (ownLoad) Load() sampler.Load {
@@ -115,10 +123,10 @@
 				b.pool.Sent(id)
 				b.pool.Finished(id, sampler.Result{Failed: r.IntN(2) == 0})
 				if len(b.prober.HandleProbe(peer(9), probe{instance: hashID("0")}.encode())) > 0 {
-					answers.log = append(answers.log, charge{at: time.Now(), bytes: answerCost})
+					answers.add(answerCost)
 				}
 				if other := r.IntN(1500); other > 500 && b.prober.Reserve("0", other) {
-					b.network.log = append(b.network.log, charge{at: time.Now(), bytes: other})
+					b.network.add(other)
 				}
 			}
 			close(dying)
