--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,15 +20,22 @@
 
 // network records what is charged and hands each probe to handle.
 type network struct {
+	mu     sync.Mutex // Guards log while others than the prober write it.
 	log    []charge
 	handle func(to netip.AddrPort, payload []byte) error
 }
 
 func (n *network) Send(to netip.AddrPort, payload []byte) error {
-	n.log = append(n.log, charge{at: time.Now(), bytes: exchangeCost})
+	n.add(exchangeCost)
 	return n.handle(to, payload)
 }
 
+func (n *network) add(bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.log = append(n.log, charge{at: time.Now(), bytes: bytes})
+}
+
 type ownLoad struct{}
 
 func (ownLoad) Load() sampler.Load {
@@ -115,7 +123,10 @@
 				b.pool.Sent(id)
 				b.pool.Finished(id, sampler.Result{Failed: r.IntN(2) == 0})
 				if len(b.prober.HandleProbe(peer(9), probe{instance: hashID("0")}.encode())) > 0 {
-					answers.log = append(answers.log, charge{at: time.Now(), bytes: answerCost})
+					answers.add(answerCost)
+				}
+				if other := r.IntN(1500); other > 500 && b.prober.Reserve("0", other) {
+					b.network.add(other)
 				}
 			}
 			close(dying)
@@ -148,6 +159,25 @@
 	})
 }
 
+func TestProbesMakeRoomForOtherMeasuring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1, 6, Config{})
+		b.configure(1, 1, 20, 2000)
+		for _, id := range b.ids {
+			b.pool.Sent(id)
+		}
+		b.run(t, 2*time.Second)
+		assert.Assert(t, !b.prober.Reserve("0", 2001)) // Never allowed: nothing waits for it.
+		assert.Assert(t, !b.prober.Reserve("0", 1000))
+		sent := len(b.network.log)
+		b.run(t, budgetWindow-time.Millisecond)
+		assert.Equal(t, len(b.network.log), sent)
+		assert.Assert(t, b.prober.Reserve("0", 1000))
+		b.run(t, time.Second)
+		assert.Assert(t, len(b.network.log) > sent)
+	})
+}
+
 func TestProbesAreSpacedEvenly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(4, 4, Config{Messages: 10})
@@ -214,6 +244,33 @@
 	assert.Assert(t, b.take(time.UnixMilli(11000), 1))
 }
 
+// countingSource counts how often the prober looks around.
+type countingSource struct {
+	*publisher.Publisher
+	looks int
+}
+
+func (s *countingSource) Snapshot() *publisher.Snapshot {
+	s.looks++
+	return s.Publisher.Snapshot()
+}
+
+func TestProberSleepsUntilAProbeIsDue(t *testing.T) {
+	for _, perSecond := range []int{0, 5, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(1, 4, Config{})
+			b.configure(1, 1, perSecond, 10000)
+			source := &countingSource{Publisher: b.source}
+			b.prober.cfg.Source = source
+			b.pool.Sent("1")
+			b.run(t, 3*time.Second)
+			assert.Assert(t, len(b.network.log) >= 3*perSecond, "%d probes", len(b.network.log))
+			assert.Assert(t, source.looks <= 3*(perSecond+10)+2, "%d", source.looks)
+			assert.Assert(t, !b.pool.Read("0", time.Hour, time.Now()).Sampled()) // The choice samples it.
+		})
+	}
+}
+
 // usedPool is a pool of which the given instances are always in use.
 type usedPool struct {
 	*sampler.Pool
--- a/internal/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -112,6 +112,36 @@
 	})
 }
 
+// TestWaitOfAStraggler has an upstream with a long queue that gets slower. What
+// would wait too long is refused long before its deadline then: what arrives,
+// and what waits already.
+func TestWaitOfAStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := trained(t, 3, 32)
+		for range windowLength / service {
+			p, _ := a.Admit(context.Background(), Work{})
+			time.Sleep(service)
+			p.Done(Result{Latency: service})
+		}
+		work := Work{Deadline: time.Now().Add(10 * time.Second)}
+		for range 3 {
+			_, _ = a.Admit(context.Background(), work)
+		}
+		waiting := make([]*attempt, 30)
+		for i := range waiting {
+			waiting[i] = admit(context.Background(), a, work)
+			assertWaiting(t, waiting[i]) // At the usual speed, for its load.
+		}
+		time.Sleep(5 * service)
+		assertRefused(t, admit(context.Background(), a, work), classifier.ReasonQueueSlow)
+		assert.Equal(t, a.Load().Queued(), 3)
+		assertWaiting(t, admit(context.Background(), a, Work{Deadline: work.Deadline, Retried: true}))
+		for _, at := range waiting[3:] {
+			assertRefusal(t, at, classifier.ReasonQueueSlow)
+		}
+	})
+}
+
 func TestWaiterOfAStalledUpstreamIsNotHeldUntilItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := trained(t, 1, 32)
--- /dev/null
+++ b/internal/request/admitter/estimate.go
@@ -0,0 +1,86 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+const (
+	// margin is how many times the requests before a new one count towards its
+	// deadline, since more of a higher priority may come and some take longer.
+	margin = 2
+	// stragglerRatio is how many times the usual latency a slot is held by an
+	// upstream that counts as a straggler. Others have a long queue for their load.
+	stragglerRatio = 3
+	// maxWaitRatio is how many times the usual latency a request may wait at a
+	// straggler, since other instances are faster.
+	maxWaitRatio = 6
+)
+
+// place tells how many waiting requests go before one: those of its own class
+// and higher ones, and those of its own class alone.
+type place struct{ ahead, own float64 }
+
+// behind returns the place with the requests ahead counted n times.
+func (p place) behind(n float64) place { return place{ahead: n * p.ahead, own: p.own} }
+
+// objection returns why work is not to wait at a place: its answer is expected
+// after its deadline, by the place given for that, or its wait is too long.
+func (a *Admitter) objection(work Work, p, deadline place, now time.Time) classifier.Reason {
+	if a.late(work, deadline, now) {
+		return classifier.ReasonDeadline
+	}
+	usual := a.limiter.baseline
+	straggles := !work.Retried && usual > 0 && a.slotTime(now) > stragglerRatio*usual
+	if straggles && a.expectedWait(work, p, now) > maxWaitRatio*usual {
+		return classifier.ReasonQueueSlow
+	}
+	return classifier.ReasonNone
+}
+
+// late reports whether work at the given place is expected to be answered
+// after its deadline.
+func (a *Admitter) late(work Work, p place, now time.Time) bool {
+	if work.Deadline.IsZero() {
+		return false
+	}
+	return now.Add(a.expectedWait(work, p, now) + a.latency(now)).After(work.Deadline)
+}
+
+// expectedWait returns how long work at the given place waits for its turn. Of
+// the slots that become free, some go to higher classes that have yet to
+// arrive; a few go to lower classes.
+func (a *Admitter) expectedWait(work Work, p place, now time.Time) time.Duration {
+	limit := float64(a.limiter.limit(now))
+	turns := min((p.ahead+1)/a.queue.below(work.Priority), (p.own+1)*agedTurn)
+	return time.Duration(float64(a.slotTime(now)) * turns / limit)
+}
+
+// latency returns the expected time until an answer begins. While all slots
+// are taken and nothing ends, it is at least the age of the youngest exchange.
+func (a *Admitter) latency(now time.Time) time.Duration {
+	return max(a.limiter.expectedLatency(now, a.inFlight == 0), a.standstill(now))
+}
+
+// slotTime returns the expected time for which a request holds its slot: at
+// least the mean age of those that hold one now.
+func (a *Admitter) slotTime(now time.Time) time.Duration {
+	return max(a.limiter.slotTime, a.standstill(now), a.meanAge(now))
+}
+
+// meanAge returns for how long the requests in flight have run on average.
+func (a *Admitter) meanAge(now time.Time) time.Duration {
+	if a.inFlight == 0 {
+		return 0
+	}
+	return now.Sub(a.started) - a.begunSum/time.Duration(a.inFlight)
+}
+
+// standstill returns for how long all slots were taken and no exchange ended.
+func (a *Admitter) standstill(now time.Time) time.Duration {
+	if a.inFlight < a.limiter.limit(now) {
+		return 0
+	}
+	return now.Sub(a.changed)
+}
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -21,6 +21,8 @@
 type waiter struct {
 	work    Work
 	element *list.Element
+	number  uint64        // In the order of arrival.
+	begun   time.Time     // When it got its permit.
 	settled chan *Refusal // Receives nil for a permit.
 }
 
@@ -40,7 +42,7 @@
 	for {
 		select {
 		case refusal := <-w.settled:
-			return a.permit(refusal)
+			return a.permit(w, refusal)
 		case <-timer.C:
 			now := time.Now()
 			a.refuseIfLate(w, now)
@@ -64,7 +66,7 @@
 func (a *Admitter) refuseIfLate(w *waiter, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if w.element != nil && a.late(w.work, 0, now) {
+	if w.element != nil && a.late(w.work, place{}, now) {
 		a.refuseWaiter(w, classifier.ReasonDeadline, now)
 	}
 }
@@ -77,11 +79,11 @@
 	return classifier.ReasonCanceled
 }
 
-func (a *Admitter) permit(refusal *Refusal) (*Permit, error) {
+func (a *Admitter) permit(w *waiter, refusal *Refusal) (*Permit, error) {
 	if refusal != nil {
 		return nil, refusal
 	}
-	return newPermit(a), nil
+	return newPermit(a, w.begun), nil
 }
 
 // abandon takes w out of the queue. If it got its permit in the meantime, the
@@ -96,6 +98,6 @@
 	if refusal != nil {
 		return refusal
 	}
-	a.release()
+	a.release(w.begun)
 	return &Refusal{reason: reason}
 }
--- a/internal/request/picker/compare_test.go
+++ b/internal/request/picker/compare_test.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
@@ -26,7 +28,7 @@
 
 var (
 	// compare names the table to print instead of checking one trial.
-	compare = flag.String("compare", "", "print a comparison: policies, candidates, age or budget")
+	compare = flag.String("compare", "", "print a comparison: policies, candidates, age, budget or seeds")
 	entries = flag.Int("entries", 12, "number of entry nodes in a comparison")
 )
 
@@ -46,6 +48,9 @@
 	fault                           string
 	load                            float64 // Share of the capacity.
 	maxAge                          time.Duration
+	// health is what the endpoint of a target says; nil for no endpoints.
+	health func(target int, at time.Duration) bool
+	seed   uint64
 	*results
 }
 
@@ -54,6 +59,9 @@
 	mu                               sync.Mutex // Guards all below.
 	latencies                        []time.Duration
 	failed, refused, requests, asked int
+	sent                             [16]int         // Attempts by target.
+	afterFault                       int             // Attempts at target 0 after the fault.
+	early                            []time.Duration // Of requests in the second after the fault.
 }
 
 type node struct {
@@ -133,7 +141,8 @@
 	for _, n := range nodes {
 		go func() { _ = n.prober.Run(dying) }()
 	}
-	r := rand.New(rand.NewPCG(1, 1))
+	go tr.read(nodes, begin)
+	r := rand.New(rand.NewPCG(1+tr.seed, 1))
 	rate := tr.load * float64(tr.targets*tr.slots) / float64(meanService)
 	for time.Since(begin) < length {
 		time.Sleep(time.Duration(r.ExpFloat64() / rate))
@@ -143,6 +152,22 @@
 	close(dying)
 	synctest.Wait()
 	slices.Sort(tr.latencies)
+	slices.Sort(tr.early)
+}
+
+// read reads the health endpoints of the targets.
+func (tr trial) read(nodes []*node, begin time.Time) {
+	for tr.health != nil && time.Since(begin) < length {
+		for i := range tr.targets {
+			nodes[i].own.Hint(tr.health(i, time.Since(begin)))
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// fails reports whether target 0 fails all requests at a time of the run.
+func (tr trial) fails(at time.Duration) bool {
+	return at > faultAt && (tr.fault == "fast-failer" || tr.fault == "outage" && at < 2*faultAt)
 }
 
 // count counts a probe.
@@ -162,6 +187,9 @@
 	ran, failed := false, false
 	for range 3 {
 		q.Now = time.Now()
+		if n := nodes[entry]; n.own != nil {
+			n.pool.Observe(fmt.Sprint(entry), 0, n.own.Load(), q.Now)
+		}
 		choice, ok := nodes[entry].picker.Pick(q)
 		if !ok {
 			break
@@ -181,6 +209,9 @@
 		tr.failed++
 	default:
 		tr.latencies = append(tr.latencies, time.Since(arrived))
+		if at := arrived.Sub(begin); at > faultAt && at < faultAt+time.Second {
+			tr.early = append(tr.early, time.Since(arrived))
+		}
 	}
 }
 
@@ -196,12 +227,18 @@
 	}
 	pool, own := nodes[entry].pool, nodes[i].own
 	pool.Sent(in.ID())
+	tr.mu.Lock()
+	tr.sent[i]++
+	if i == 0 && time.Since(begin) > faultAt {
+		tr.afterFault++
+	}
+	tr.mu.Unlock()
 	sent := time.Now()
 	time.Sleep(way)
 	permit, err := own.Admit(context.Background(), admitter.Work{Priority: compiler.PriorityNormal, Deadline: deadline})
 	if err == nil {
 		took := time.Duration(math.Exp(0.6*r.NormFloat64()-0.18) * float64(meanService) * tr.slowness(i, time.Since(begin)))
-		if failed = tr.fault == "fast-failer" && i == 0 && time.Since(begin) > faultAt; failed {
+		if failed = i == 0 && tr.fails(time.Since(begin)); failed {
 			took = 200 * time.Microsecond
 		}
 		time.Sleep(took)
@@ -214,8 +251,11 @@
 	return err == nil, failed
 }
 
-func (tr trial) at(percentile float64) time.Duration {
-	return tr.latencies[int(percentile/100*float64(len(tr.latencies)-1))].Round(100 * time.Microsecond)
+func (tr trial) at(percentile float64) time.Duration { return at(tr.latencies, percentile) }
+
+// at returns a percentile of sorted latencies.
+func at(latencies []time.Duration, percentile float64) time.Duration {
+	return latencies[int(percentile/100*float64(len(latencies)-1))].Round(100 * time.Microsecond)
 }
 
 func (tr trial) measure(t *testing.T) trial {
@@ -227,9 +267,9 @@
 func (tr trial) print(t *testing.T) {
 	tr = tr.measure(t)
 	share := func(n int) float64 { return 100 * float64(n) / float64(tr.requests) }
-	t.Logf("%d targets, %d slots, %-11s load %.1f %-22s d=%d age %5v probes %3d: p50 %7v p99 %8v p99.9 %8v failed %5.2f %% refused %5.2f %%, %.1f probes/s a node",
+	t.Logf("%d targets, %d slots, %-11s load %.1f %-22s d=%d age %5v probes %3d: p50 %7v p99 %8v p99.9 %8v, in the second after the fault %8v %8v, failed %5.2f %% refused %5.2f %%, %.1f probes/s a node",
 		tr.targets, tr.slots, tr.fault, tr.load, tr.policy, tr.candidates, tr.maxAge, tr.probes,
-		tr.at(50), tr.at(99), tr.at(99.9), share(tr.failed), share(tr.refused), float64(tr.asked)/length.Seconds()/float64(tr.entries))
+		tr.at(50), tr.at(99), tr.at(99.9), at(tr.early, 99), at(tr.early, 99.9), share(tr.failed), share(tr.refused), float64(tr.asked)/length.Seconds()/float64(tr.entries))
 }
 
 // with returns copies of a trial, each with one change.
@@ -254,19 +294,92 @@
 		return with(tr, func(tr *trial, v time.Duration) { tr.maxAge = v * time.Millisecond }, 10, 30, 100, 300, 1000)
 	case "budget":
 		return with(tr, func(tr *trial, v int) { tr.probes = v }, 0, 2, 5, 10, 20, 50, 100)
+	case "seeds":
+		return with(tr, func(tr *trial, v uint64) { tr.seed = v }, 0, 1, 2, 3, 4, 5)
 	default:
 		return nil
 	}
 }
 
-func TestCompare(t *testing.T) {
-	usual := trial{policy: picker.PolicyLeastExpectedLatency, candidates: picker.DefaultCandidates, entries: 12, targets: 6, slots: 6,
+// usual is the trial that others differ from.
+func usual() trial {
+	return trial{policy: picker.PolicyLeastExpectedLatency, candidates: picker.DefaultCandidates, entries: 12, targets: 6, slots: 6,
 		probes: 20, fault: "straggler", load: 0.6, maxAge: 100 * time.Millisecond}
+}
+
+// share tells how much of its even share of the requests target 0 was sent.
+func (tr trial) share() string {
+	total := 0
+	for _, n := range tr.sent {
+		total += n
+	}
+	switch share := float64(tr.sent[0]*tr.targets) / float64(total); {
+	case share > 0.9:
+		return "its even share"
+	case share > 0.5:
+		return "most of its share"
+	case share < 0.3:
+		return "little"
+	default:
+		return "half of its share"
+	}
+}
+
+// TestLyingEndpoint runs the faults of a health endpoint at target 0.
+func TestLyingEndpoint(t *testing.T) {
+	healthy := func(int, time.Duration) bool { return true }
+	unhealthy := func(target int, _ time.Duration) bool { return target != 0 }
+	allUnhealthy := func(int, time.Duration) bool { return false }
+	late := func(target int, at time.Duration) bool {
+		return target != 0 || at < faultAt+3*time.Second || at > 2*faultAt+3*time.Second
+	}
+	var rows strings.Builder
+	for _, row := range []struct {
+		endpoint, upstream, fault string
+		health                    func(int, time.Duration) bool
+		load                      float64
+	}{
+		{"none", "sound, busy", "none", nil, 0.6},
+		{"says unhealthy, falsely", "sound, busy", "none", unhealthy, 0.6},
+		{"none", "sound, hardly used", "none", nil, 0.002},
+		{"says unhealthy", "sound, hardly used", "none", unhealthy, 0.002},
+		{"all say unhealthy", "sound, hardly used", "none", allUnhealthy, 0.002},
+		{"none", "fails all from 2 s on", "fast-failer", nil, 0.6},
+		{"says healthy, falsely", "fails all from 2 s on", "fast-failer", healthy, 0.6},
+		{"none", "fails all from 2 s to 4 s", "outage", nil, 0.6},
+		{"tells of it 3 s late", "fails all from 2 s to 4 s", "outage", late, 0.6},
+	} {
+		tr := usual()
+		tr.fault, tr.health, tr.load = row.fault, row.health, row.load
+		tr = tr.measure(t)
+		assert.Equal(t, tr.refused, 0)
+		fmt.Fprintf(&rows, "| %s | %s | %s | %s |\n", row.endpoint, row.upstream, tr.share(), atMost(tr.failed, tr.requests))
+		t.Logf("%s, %s: %v, failed %d of %d", row.endpoint, row.upstream, tr.sent[:tr.targets], tr.failed, tr.requests)
+	}
+	golden.Assert(t, rows.String(), "endpoints.golden")
+}
+
+// atMost returns a bound for a share.
+func atMost(n, of int) string {
+	switch {
+	case n == 0:
+		return "none"
+	case 200*n < of:
+		return "less than 0.5 %"
+	default:
+		return "0.5 % or more"
+	}
+}
+
+func TestCompare(t *testing.T) {
+	usual := usual()
 	if *compare == "" {
-		random := usual
-		random.policy = picker.PolicyRandom
-		best, worst := usual.measure(t).at(99), random.measure(t).at(99)
-		assert.Assert(t, 5*best < worst, "%v, random %v", best, worst)
+		random, sound := usual, usual
+		random.policy, sound.fault = picker.PolicyRandom, "none"
+		best, worst, usually := usual.measure(t), random.measure(t), sound.measure(t)
+		assert.Assert(t, 10*best.afterFault < worst.afterFault, "%d, random %d", best.afterFault, worst.afterFault)
+		assert.Assert(t, best.at(99) < 2*usually.at(99), "%v, without a straggler %v", best.at(99), usually.at(99))
+		assert.Assert(t, 2*best.at(99) < worst.at(99), "%v, random %v", best.at(99), worst.at(99))
 		return
 	}
 	usual.entries = *entries
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -55,6 +55,9 @@
 	ProbeBytes int
 	// SampleMaxAge is how old a load sample may be to count in a choice.
 	SampleMaxAge time.Duration
+	// HealthPath is where the upstream tells its health, which is a hint only;
+	// empty if it is not read.
+	HealthPath string
 	// ColdStart is how long a warming instance takes to get its full share of work.
 	ColdStart time.Duration
 	// MinHealthyPercent is the share of a service's instances that outlier
@@ -95,6 +98,7 @@
 		RepeatableMethods: []string{"GET", "HEAD", "OPTIONS", "TRACE"},
 		RetryPercent:      10,
 		MaxAttempts:       3,
+		HedgeAfter:        50 * time.Millisecond,
 		KeyRetention:      15 * time.Minute,
 		ProbeMessages:     20,
 		ProbeBytes:        2000,
