feat: a drill of network partitions between hosts of their own

Cause: cuts between hosts were shown with fake networks only.

scripts/partition-drill runs nine nodes with stand-ins and three control instances in network namespaces that it makes and removes, and cuts them off: a control instance, a failure domain, a node in one direction, a frozen node, a failure domain that returns while control is gone, then three lost disks one after the other. Cuts are silent: a port leaves its bridge and the host's own interface stays up. In one direction a wrong permanent hardware address loses the frames. Ruled out: netem and tc filters (not in the kernel at hand), a veth that is taken down (its host sees that the carrier is gone), blackhole routes (the sender gets an error at once), a disabled bridge port (the state did not hold).

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -3,16 +3,44 @@
 #
 # Ports: control instance i has peer port base+i; the n-th node has HTTP port
 # base+100+n, peer port base+300+n and its stand-in port base+500+n.
+#
+# A script with hosts of its own defines fleet_ip and fleet_runner anew.
 
 bin=bin/banyanscale
 base=${base:-18000}
 fleet_pids=()
 node_count=0
+declare -A node_number
+control_domains=(domain-1 domain-2 domain-3)
+
+fleet_ip() { printf 127.0.0.1; } # instance
+# fleet_runner sets runner to the command that runs another one at an instance.
+fleet_runner() { runner=(); }
 
+control_address() { printf '%s:%d' "$(fleet_ip "control-$1")" $((base + $1)); }
+http_address() { printf '%s:%d' "$(fleet_ip "$1")" $((base + 100 + ${node_number[$1]})); }
+peer_address() { printf '%s:%d' "$(fleet_ip "$1")" $((base + 300 + ${node_number[$1]})); }
+standin_address() { printf '%s:%d' "$(fleet_ip "$1")" $((base + 500 + ${node_number[$1]})); }
+
+# fleet_start starts a process at the instance in its name.
 fleet_start() { # name, then the command
-	"$bin" "${@:2}" >"$dir/$1.log" 2>&1 &
+	local instance=${1#node-}
+	fleet_start_at "${instance#standin-}" "$@"
+}
+
+fleet_start_at() { # instance, name, then the command
+	local runner
+	fleet_runner "$1"
+	"${runner[@]}" "$bin" "${@:3}" >"$dir/$2.log" 2>&1 &
 	fleet_pids+=("$!")
-	printf '%s\n' "$!" >"$dir/$1.pid"
+	printf '%s\n' "$!" >"$dir/$2.pid"
+}
+
+# fleet_run runs a command at an instance, or at the operators' host.
+fleet_run() { # instance, then the command
+	local runner
+	fleet_runner "$1"
+	"${runner[@]}" "${@:2}"
 }
 
 fleet_stop() {
@@ -34,7 +62,7 @@
 }
 
 control_list() { # separator
-	printf '127.0.0.1:%d%s127.0.0.1:%d%s127.0.0.1:%d' $((base + 1)) "$1" $((base + 2)) "$1" $((base + 3))
+	printf '%s%s%s%s%s' "$(control_address 1)" "$1" "$(control_address 2)" "$1" "$(control_address 3)"
 }
 
 fleet_control() {
@@ -45,21 +73,22 @@
 			instance = control-$i
 			site = $site
 			region = $region
-			failure-domain = domain-$i
-			peer-address = 127.0.0.1:$((base + i))
+			failure-domain = ${control_domains[i - 1]}
+			peer-address = $(control_address "$i")
 			data-folder = $PWD/$dir/control-$i
 			voters = $(control_list ', ')
 			seeds = $(control_list ', ')
 		EOF
 		fleet_start "control-$i" control --settings "$dir/control-$i.ini"
 	done
-	fleet_wait 20 "a majority of voters" "$bin" config history --control "$(control_list ,)"
+	fleet_wait 20 "a majority of voters" fleet_run operator "$bin" config history --control "$(control_list ,)"
 }
 
 # fleet_node starts one stand-in with its node. Further arguments go to the stand-in.
 fleet_node() { # instance, service, owner, failure domain, slots, connections
 	node_count=$((node_count + 1))
-	local n=$node_count
+	node_number[$1]=$node_count
+	if ((node_count == 1)); then first_node=$1; fi
 	cat >"$dir/$1.ini" <<-EOF
 		[node]
 		instance = $1
@@ -68,26 +97,26 @@
 		site = $site
 		region = $region
 		failure-domain = $4
-		http-address = 127.0.0.1:$((base + 100 + n))
-		peer-address = 127.0.0.1:$((base + 300 + n))
-		upstream-address = 127.0.0.1:$((base + 500 + n))
+		http-address = $(http_address "$1")
+		peer-address = $(peer_address "$1")
+		upstream-address = $(standin_address "$1")
 		slots = $5
 		connections = $6
 		seeds = $(control_list ', ')
 		control-addresses = $(control_list ', ')
 		policy = ${policy:-least-expected-latency}
 	EOF
-	fleet_start "standin-$1" standin --id "$1" --address "127.0.0.1:$((base + 500 + n))" \
-		--slots "$5" --connections "$6" --seed "$n" "${@:7}"
+	fleet_start "standin-$1" standin --id "$1" --address "$(standin_address "$1")" \
+		--slots "$5" --connections "$6" --seed "$node_count" "${@:7}"
 	fleet_start "node-$1" node --settings "$dir/$1.ini"
 }
 
 fleet_submit() { # replaces, then the files
-	"$bin" config submit --control "$(control_list ,)" --replaces "$1" --operator fleet --message fleet "${@:2}"
+	fleet_run operator "$bin" config submit --control "$(control_list ,)" --replaces "$1" --operator fleet --message fleet "${@:2}"
 }
 
 fleet_served() { # host
-	curl -sSf --max-time 2 -o /dev/null -H "Host: $1" "http://127.0.0.1:$((base + 101))/"
+	fleet_run operator curl -sSf --max-time 2 -o /dev/null -H "Host: $1" "http://$(http_address "$first_node")/"
 }
 
 # fleet_cpu prints the processor time in ticks that the nodes have used.
