fix: a command starts each question at the control instance that answered

With a cut-off instance in front each waits 2 s for its connection: a change took 8 s in the partition drill.

The client starts at the instance that answered last and still asks all others. Ruled out: asking several at once, since a submission would then be proposed by two instances at a time.

--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -35,11 +35,13 @@
 
 // remoteControl asks control instances in turn until one answers. Each call
 // may reach several of them: reads change nothing, and a change that comes
-// again under its change id gets its first answer.
+// again under its change id gets its first answer. The next call starts at the
+// instance that answered, since each one that is cut off costs a timeout.
 type remoteControl struct {
 	addresses []netip.AddrPort
 	clients   []controlwireconnect.ControlClient
 	timeout   time.Duration
+	first     int // Index of the instance to ask first.
 }
 
 func newRemoteControl(addresses []netip.AddrPort, timeout time.Duration) *remoteControl {
@@ -82,11 +84,13 @@
 ) (*Resp, error) {
 	mayHaveEffect := false
 	var last error
-	for i, client := range c.clients {
+	for n := range c.clients {
+		i := (c.first + n) % len(c.clients)
 		attempt, cancel := context.WithTimeout(ctx, c.timeout)
-		resp, err := call(client, attempt, connect.NewRequest(req))
+		resp, err := call(c.clients[i], attempt, connect.NewRequest(req))
 		cancel()
 		if err == nil {
+			c.first = i
 			return resp.Msg, nil
 		}
 		last = fmt.Errorf("ask control instance %s: %w", c.addresses[i], err)
