--- a/scripts/lib/hosts.sh
+++ b/scripts/lib/hosts.sh
@@ -15,20 +15,22 @@
 declare -A host_number=()
 declare -A host_bridge=()
 host_count=0
+hosts_begun=no
 
 # hosts_remove removes what the functions made, by name.
 hosts_remove() {
 	local host
 	for host in "${!host_number[@]}"; do ip netns del "$hosts_prefix$host" 2>/dev/null || true; done
-	ip netns del "$hosts_switch" 2>/dev/null || true
+	if [ "$hosts_begun" = yes ]; then ip netns del "$hosts_switch" 2>/dev/null || true; fi
 }
 
 hosts_begin() { # failure domains
 	local domain
-	if ip netns list | grep -q "^$hosts_prefix"; then
+	if [ -n "$(ip netns list | sed -n "/^$hosts_prefix/p")" ]; then
 		echo "namespaces named $hosts_prefix* exist: another run, or one that was killed" >&2
 		return 1
 	fi
+	hosts_begun=yes
 	ip netns add "$hosts_switch"
 	hosts_bridge core
 	for domain in "$@"; do
