--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -39,6 +39,7 @@
 	fleet
 
 	settings   *configurer.Control
+	store      *journaler.Store
 	log        zerolog.Logger
 	metrics    *exporter.Exporter
 	voter      *voter.Voter
@@ -51,35 +52,44 @@
 // NewControl assembles a control instance from its settings. It opens the data
 // folder and binds the peer address.
 func NewControl(settings *configurer.Control, logs io.Writer) (*Control, error) {
+	store, err := journaler.Open(journaler.OS{}, settings.DataFolder())
+	if err != nil {
+		return nil, fmt.Errorf("open the data folder: %w", err)
+	}
 	base := logger.New(logs).Level(settings.LogLevel())
-	c := &Control{settings: settings, log: logger.Part(base, "control"), metrics: exporter.New("control")}
+	c := &Control{settings: settings, store: store, log: logger.Part(base, "control"), metrics: exporter.New("control")}
+	if err := c.assemble(base); err != nil {
+		_ = store.Close() // The first error is the one to tell.
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Control) assemble(base zerolog.Logger) error {
 	f, err := newFleet(fleetConfig{
 		instance: c.instance(),
-		seeds:    append(settings.Seeds(), settings.Voters()...),
+		seeds:    append(c.settings.Seeds(), c.settings.Voters()...),
 		onView:   func(*registrar.View) {},
 	}, base, c.metrics.Scope())
 	if err != nil {
-		return nil, fmt.Errorf("join the fleet: %w", err)
+		return fmt.Errorf("join the fleet: %w", err)
 	}
 	c.fleet = f
 	if err := c.assembleVoter(base); err != nil {
-		return nil, fmt.Errorf("assemble the voter: %w", err)
+		return fmt.Errorf("assemble the voter: %w", err)
 	}
-	return c, nil
+	return nil
 }
 
 func (c *Control) assembleVoter(base zerolog.Logger) error {
-	store, err := journaler.Open(journaler.OS{}, c.settings.DataFolder())
-	if err != nil {
-		return fmt.Errorf("open the data folder: %w", err)
-	}
-	journal, err := store.OpenJournal(voterJournal)
+	journal, err := c.store.OpenJournal(voterJournal)
 	if err != nil {
 		return fmt.Errorf("open the journal: %w", err)
 	}
 	c.voter, err = voter.New(voter.Config{
 		Address:   c.settings.PeerAddress().String(),
 		Initial:   addressTexts(c.settings.Voters()),
+		Sources:   func() []string { return addressTexts(c.otherControls()) },
 		Journal:   journal,
 		Transport: voter.NewConnectTransport(c.client),
 		Digest:    compiler.Digest,
@@ -90,7 +100,7 @@
 	if err != nil {
 		return fmt.Errorf("make the voter: %w", err)
 	}
-	c.ledger, err = accountant.NewLedger(store, base, c.metrics.Scope().SubScope("accountant"))
+	c.ledger, err = accountant.NewLedger(c.store, base, c.metrics.Scope().SubScope("accountant"))
 	if err != nil {
 		return fmt.Errorf("read the ledger: %w", err)
 	}
@@ -99,10 +109,11 @@
 	return nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, and unlocks the data folder.
 func (c *Control) Run(ctx context.Context) error {
 	peer, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler())
 	if err != nil {
+		_ = c.store.Close() // The first error is the one to tell.
 		return fmt.Errorf("peer address: %w", err)
 	}
 	c.start()
@@ -118,7 +129,7 @@
 	c.log.Info().Msg("Stopping.")
 	c.gossiper.Leave()
 	c.tomb.Kill(nil)
-	err = firstError(peer.close, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.metrics.Close)
+	err = firstError(peer.close, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
 	if err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -32,11 +32,12 @@
 // monitor exchanges heartbeats with the voters. It learns what was chosen,
 // knows whether a majority is in reach, and repairs the group.
 type monitor struct {
-	voter  *Voter
-	chosen chan *State // A chosen state that the voters are to be told.
+	voter     *Voter
+	chosen    chan *State   // A chosen state that the voters are to be told.
+	repairing chan struct{} // Full while an attempt to repair the group runs.
 
 	mu          sync.Mutex
-	lastContact time.Time // Start of the last heartbeat that a majority answered.
+	lastContact time.Time // Start of the last heartbeat or proposal that a majority answered.
 	last        *survey
 
 	// Only the goroutine of run uses these.
@@ -48,6 +49,7 @@
 	return &monitor{
 		voter:       v,
 		chosen:      make(chan *State, 1),
+		repairing:   make(chan struct{}, 1),
 		lastContact: time.Now().Add(-staleAfter),
 		lost:        make(map[string]int),
 	}
@@ -56,14 +58,11 @@
 // run sends heartbeats until the voter stops.
 func (m *monitor) run() error {
 	ctx := m.voter.tomb.Context(context.Background())
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
 	for {
+		next := time.Now().Add(heartbeatInterval)
 		m.beat(ctx)
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, time.Until(next)) {
 			return nil
-		case <-ticker.C:
 		}
 	}
 }
@@ -77,7 +76,7 @@
 	m.pull(ctx, s)
 	if !hasQuorum(s.known.membership(), s.responded) {
 		// The voters known here may have been replaced long ago.
-		m.pullFromInitial(ctx, s.known.wire.GetGroup())
+		m.pullFromSources(ctx)
 	}
 	chosen := m.voter.acceptor.chosen(s)
 	if chosen == nil {
@@ -92,7 +91,7 @@
 // join looks for a group to belong to, or forms one. It reports whether the
 // instance now holds the group's state.
 func (m *monitor) join(ctx context.Context) bool {
-	if m.pullFromInitial(ctx, "") {
+	if m.pullFromSources(ctx) {
 		m.voter.cfg.Log.Info().Msg("State of the group received.")
 		return true
 	}
@@ -108,27 +107,24 @@
 	return true
 }
 
-// pullFromInitial brings this instance up to date with those that its settings
-// name, whether these vote or not. A group that is not empty must be theirs.
-// It reports whether the instance now holds a state.
-func (m *monitor) pullFromInitial(ctx context.Context, group string) bool {
-	for _, address := range m.voter.cfg.Initial {
-		if address == m.voter.cfg.Address {
-			continue
-		}
-		peer := m.voter.peerAt(address)
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		resp, err := peer.Query(callCtx, &voterwire.QueryRequest{})
-		cancel()
+// pullFromSources brings this instance up to date with the initial voters and
+// the other sources, whether these vote or not. An instance that belongs to a
+// group takes nothing from another one. It reports whether it now holds a state.
+func (m *monitor) pullFromSources(ctx context.Context) bool {
+	a := m.voter.acceptor
+	request := func(ctx context.Context, source *voterwire.Member) (*voterwire.QueryResponse, error) {
+		return m.voter.peer(source).Query(ctx, &voterwire.QueryRequest{})
+	}
+	gather(ctx, m.voter.sources(), request, func(source *voterwire.Member, resp *voterwire.QueryResponse) bool {
 		p := resp.GetPosition()
-		if err != nil || p.GetLearnedOrigin() == nil || group != "" && p.GetGroup() != group {
-			continue
+		group := a.position().GetGroup()
+		if p.GetLearnedOrigin() != nil && (group == "" || p.GetGroup() == group) {
+			m.pullFrom(ctx, m.voter.peer(source), p)
 		}
-		if m.pullFrom(ctx, peer, p) {
-			return true
-		}
-	}
-	return false
+		return false
+	})
+	held, _ := a.held()
+	return held != nil
 }
 
 // survey asks all voters what they hold.
@@ -162,9 +158,18 @@
 
 func (m *monitor) record(s *survey, start time.Time) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.last = s
+	m.mu.Unlock()
 	if hasQuorum(s.known.membership(), s.responded) {
+		m.contacted(start)
+	}
+}
+
+// contacted notes that a majority answered what was asked after start.
+func (m *monitor) contacted(start time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if start.After(m.lastContact) {
 		m.lastContact = start
 	}
 }
@@ -210,20 +215,26 @@
 }
 
 // pullFrom fetches what a peer at the given position has accepted or learned
-// later than this instance. It reports whether the instance now holds a state.
-func (m *monitor) pullFrom(ctx context.Context, peer Peer, theirs *voterwire.Position) bool {
+// later than this instance.
+func (m *monitor) pullFrom(ctx context.Context, peer Peer, theirs *voterwire.Position) {
 	a := m.voter.acceptor
-	own := a.position()
-	if compareBallots(theirs.GetAccepted(), own.GetAccepted()) > 0 {
+	if compareBallots(theirs.GetAccepted(), a.position().GetAccepted()) > 0 {
 		m.pullAccepted(ctx, peer)
 	}
 	if a.learnOrigin(theirs.GetGroup(), theirs.GetLearnedOrigin()) {
 		m.voter.signalNews()
-	} else if theirs.GetLearnedRevision() > a.position().GetLearnedRevision() {
+	} else if hasLearnedLater(theirs, a.position()) {
 		m.pullLearned(ctx, peer)
 	}
-	held, _ := a.held()
-	return held != nil
+}
+
+// hasLearnedLater reports whether theirs knows a newer chosen state than own.
+// The first state of a group has revision 0.
+func hasLearnedLater(theirs, own *voterwire.Position) bool {
+	if theirs.GetLearnedOrigin() == nil {
+		return false
+	}
+	return own.GetLearnedOrigin() == nil || theirs.GetLearnedRevision() > own.GetLearnedRevision()
 }
 
 func (m *monitor) pullAccepted(ctx context.Context, peer Peer) {
