fix: an attempt keeps its number

Cause: the request of a racing attempt read the count of attempts while a hedge counted the next one: a data race (go test -race ./internal/request/ forwarder, TestFaultsWithHedges), by which the first of two hedged attempts could be sent as the second.

Change: the number is taken when the instance is picked. The race build of the package failed before and passes now.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -20,6 +20,7 @@
 
 // attempt is one try at one instance. Either resp or refusal is set.
 type attempt struct {
+	number  int // From 1 on.
 	choice  Choice
 	cause   classifier.Reason
 	start   time.Time
@@ -55,6 +56,7 @@
 		return nil
 	}
 	c.attempts++
+	a.number = c.attempts
 	c.exclude = append(c.exclude, a.choice.Instance.ID())
 	return a
 }
@@ -64,7 +66,7 @@
 	observer := c.forwarder.cfg.Observer
 	id := a.choice.Instance.ID()
 	observer.Sent(id)
-	resp, refusal := c.exchange(ctx, a.choice.Instance, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
+	resp, refusal := c.exchange(ctx, a, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
 	a.resp, a.refusal = resp, refusal
 	a.end = time.Now()
 	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
@@ -78,14 +80,17 @@
 
 // exchange sends the request and receives the head of the answer, and the body
 // if it is small.
-func (c *call) exchange(ctx context.Context, in *registrar.Instance, extra http.Header) (*http.Response, *refuser.Refusal) {
+func (c *call) exchange(ctx context.Context, a *attempt, extra http.Header) (*http.Response, *refuser.Refusal) {
 	req := c.request(extra)
+	if a.number > 1 {
+		req.Header.Set(classifier.HeaderHop, strconv.Itoa(a.number))
+	}
 	left := timeLeft(ctx)
 	if left <= 0 {
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
 	}
 	req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
-	resp, refusal := c.deliver(ctx, in, req)
+	resp, refusal := c.deliver(ctx, a.choice.Instance, req)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -179,9 +179,6 @@
 func (c *call) request(extra http.Header) *http.Request {
 	header := maps.Clone(c.header)
 	maps.Copy(header, extra)
-	if c.attempts > 1 {
-		header.Set(classifier.HeaderHop, strconv.Itoa(c.attempts))
-	}
 	req := relayer.NewRequest(c.r, header)
 	switch {
 	case c.body != nil:
