perf: count the bytes of calls between tables as they are sent

Answers to comparisons were compressed by the call library already, but charged to the budget before compression: 115 bytes for a member of which some 30 are sent. At 200 nodes half of the requests for a comparison were refused, and many answers held little more than headers.

Calls are compressed in both directions and charged with their compressed size. An answer is filled until its compressed size reaches what the budget leaves, and a comparison is refused if less than 1,000 bytes are left, so that the 400 bytes of headers do not use up the budget. A request with nothing to reconcile is neither charged nor sent.

The fake network of the tests charges the compressed size too, and the 400 bytes of headers on top, which it had left out; it no longer charges a refusal's empty message, as before it charged 0 for it.

--- a/internal/process/gossiper/client.go
+++ b/internal/process/gossiper/client.go
@@ -24,7 +24,7 @@
 func NewClient(client connect.HTTPClient) Client { return &httpClient{client: client} }
 
 func (c *httpClient) service(to netip.AddrPort) gossipwireconnect.MembershipClient {
-	return gossipwireconnect.NewMembershipClient(c.client, "http://"+to.String(), connect.WithReadMaxBytes(maxCallBytes))
+	return gossipwireconnect.NewMembershipClient(c.client, "http://"+to.String(), connect.WithReadMaxBytes(maxCallBytes), connect.WithSendGzip())
 }
 
 // Compare implements Client.
--- a/internal/process/gossiper/exchange_server.go
+++ b/internal/process/gossiper/exchange_server.go
@@ -38,26 +38,55 @@
 	now := time.Now()
 	g.noticeFreeze(now)
 	g.apply(req.GetSender(), now)
-	resp := &gossipwire.CompareResponse{Sender: encodeFull(g.self), Version: g.version, More: true}
-	room := g.budget.bulk() - callOverhead - proto.Size(resp)
-	if room < 0 {
+	room := g.budget.bulk() - callOverhead
+	if room < minAnswerBytes {
 		g.metrics.count(eventOverBudget)
 		return nil, errBudget
 	}
-	if !g.detector.resyncing(now) && int(req.GetFirst())+len(req.GetDigests()) <= bucketCount {
-		resp.More = g.addBuckets(resp, req, room)
+	resp, size := g.answerCompare(req, room, now)
+	if !g.spendCall(size + callOverhead) {
+		return nil, errBudget
 	}
-	g.spendCall(proto.Size(resp) + callOverhead)
 	return resp, nil
 }
 
-// addBuckets adds differing buckets within room bytes, beginning with a random
-// one, and reports whether some were left out.
-func (g *Gossiper) addBuckets(resp *gossipwire.CompareResponse, req *gossipwire.CompareRequest, room int) bool {
+// answerCompare returns an answer with as many differing buckets as fit into
+// room bytes, beginning with a random one, and its size.
+func (g *Gossiper) answerCompare(req *gossipwire.CompareRequest, room int, now time.Time) (*gossipwire.CompareResponse, int) {
+	resp := &gossipwire.CompareResponse{Sender: encodeFull(g.self), Version: g.version, More: true}
+	if g.detector.resyncing(now) || int(req.GetFirst())+len(req.GetDigests()) > bucketCount {
+		return resp, compressedSize(resp)
+	}
+	parts, all := g.differingBuckets(req, min(maxCompression*room, maxCallBytes/2))
+	n, size := fit(len(parts), room, func(n int) proto.Message {
+		resp.Buckets, resp.Records = nil, nil
+		for _, p := range parts[:n] {
+			resp.Records = append(resp.Records, p.records...)
+			if p.bucket != nil {
+				resp.Buckets = append(resp.Buckets, p.bucket)
+			}
+		}
+		return resp
+	})
+	resp.More = !all || n < len(parts)
+	return resp, size
+}
+
+// bucketAnswer is what is told about one bucket: its list, or the full records
+// of its live members if the asking instance has none of them.
+type bucketAnswer struct {
+	bucket  *gossipwire.Bucket
+	records []*gossipwire.Update
+}
+
+// differingBuckets returns the differing buckets of up to limit bytes in all,
+// beginning with a random one, and whether these are all.
+func (g *Gossiper) differingBuckets(req *gossipwire.CompareRequest, limit int) ([]bucketAnswer, bool) {
 	n := len(req.GetDigests())
 	if n == 0 {
-		return false
+		return nil, true
 	}
+	var parts []bucketAnswer
 	start := g.cfg.Random.IntN(n)
 	byBucket := g.table.byBucket()
 	for i := range n {
@@ -67,39 +96,35 @@
 		if theirs == g.table.digests[index] {
 			continue
 		}
-		used, ok := addBucket(resp, index, byBucket[index], theirs == 0, room)
-		if !ok {
-			return true
+		part, size := answerBucket(index, byBucket[index], theirs == 0)
+		if limit -= size; limit < 0 {
+			return parts, false
 		}
-		room -= used
+		parts = append(parts, part)
 	}
-	return false
+	return parts, true
 }
 
-// addBucket adds one bucket to an answer, as full records if the asking
-// instance has none, and returns its size. It adds nothing if room is short.
-func addBucket(resp *gossipwire.CompareResponse, index int, members []*member, full bool, room int) (int, bool) {
-	bucket := &gossipwire.Bucket{Index: uint32(index)}
-	var records []*gossipwire.Update
+// answerBucket returns what is told about one bucket and its size in bytes.
+func answerBucket(index int, members []*member, empty bool) (bucketAnswer, int) {
+	part := bucketAnswer{}
+	if !empty {
+		part.bucket = &gossipwire.Bucket{Index: uint32(index)}
+	}
 	size := 2 * fieldOverhead
 	for _, m := range members {
-		u := encodeShort(m)
-		if full && m.live() {
-			u = encodeFull(m)
-			records = append(records, u)
-		} else {
-			bucket.Members = append(bucket.Members, u)
+		switch {
+		case !empty:
+			u := encodeShort(m)
+			part.bucket.Members = append(part.bucket.Members, u)
+			size += proto.Size(u) + fieldOverhead
+		case m.live():
+			u := encodeFull(m)
+			part.records = append(part.records, u)
+			size += proto.Size(u) + fieldOverhead
 		}
-		size += proto.Size(u) + fieldOverhead
 	}
-	if size > room {
-		return 0, false
-	}
-	resp.Records = append(resp.Records, records...)
-	if !full {
-		resp.Buckets = append(resp.Buckets, bucket)
-	}
-	return size, true
+	return part, size
 }
 
 // ServeReconcile answers an exchange of records. It fails if the budget is spent.
@@ -111,23 +136,20 @@
 	for _, u := range req.GetRecords() {
 		g.apply(u, now)
 	}
-	resp := &gossipwire.ReconcileResponse{}
 	room := g.budget.bulk() - callOverhead
-	if room < 0 {
-		g.metrics.count(eventOverBudget)
-		return nil, errBudget
-	}
+	var records []*gossipwire.Update
 	for _, id := range req.GetWanted() {
-		m := g.table.members[id]
-		if m == nil || !m.live() {
-			continue
-		}
-		record := encodeFull(m)
-		if room -= proto.Size(record) + fieldOverhead; room < 0 {
-			break
+		if m := g.table.members[id]; m != nil && m.live() {
+			records = append(records, encodeFull(m))
 		}
-		resp.Records = append(resp.Records, record)
 	}
-	g.spendCall(proto.Size(resp) + callOverhead)
+	resp := &gossipwire.ReconcileResponse{}
+	_, size := fit(len(records), room, func(n int) proto.Message {
+		resp.Records = records[:n]
+		return resp
+	})
+	if !g.spendCall(size + callOverhead) {
+		return nil, errBudget
+	}
 	return resp, nil
 }
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -37,8 +37,11 @@
 	callOverhead = 400
 	// maxCallBytes bounds the body of one call or answer.
 	maxCallBytes = 64 << 10
-	// maxWanted bounds the records asked for in one call.
-	maxWanted = 64
+	// maxDifferences bounds the records sent and asked for in one call.
+	maxDifferences = 256
+	// minAnswerBytes is the least room for which a comparison is answered, so
+	// that headers do not use up the budget.
+	minAnswerBytes = 1000
 )
 
 // errBudget tells an asking process to turn to another one.
@@ -167,7 +170,7 @@
 		digests = digests[first : first+windowBuckets]
 	}
 	req.Digests = append(req.Digests, digests...)
-	return req, g.spendCall(proto.Size(req))
+	return req, g.spendCall(compressedSize(req))
 }
 
 func (g *Gossiper) spendCall(size int) bool {
@@ -190,26 +193,43 @@
 	for _, u := range resp.GetRecords() {
 		g.apply(u, now)
 	}
-	req := &gossipwire.ReconcileRequest{}
-	room := g.budget.bulk() - callOverhead
+	difference := &gossipwire.ReconcileRequest{}
 	for _, b := range resp.GetBuckets() {
-		room = g.reconcileBucket(b, req, room, now)
+		g.reconcileBucket(b, difference, now)
+	}
+	return g.trimDifference(difference)
+}
+
+// trimDifference returns as much of a request as the budget allows, and spends
+// its bytes. Records come before wanted ids.
+func (g *Gossiper) trimDifference(difference *gossipwire.ReconcileRequest) *gossipwire.ReconcileRequest {
+	records, wanted := difference.GetRecords(), difference.GetWanted()
+	if len(records)+len(wanted) == 0 {
+		return difference
 	}
-	if !g.spendCall(proto.Size(req) + callOverhead) {
+	room := g.budget.bulk() - callOverhead
+	req := &gossipwire.ReconcileRequest{}
+	n := min(len(records)+len(wanted), maxDifferences)
+	part, size := fit(n, room, func(n int) proto.Message {
+		req.Records = records[:min(n, len(records))]
+		req.Wanted = wanted[:n-len(req.Records)]
+		return req
+	})
+	if part == 0 || !g.spendCall(size+callOverhead) {
 		return &gossipwire.ReconcileRequest{}
 	}
 	return req
 }
 
-// reconcileBucket compares one bucket of a peer with the own one. It adds what
-// differs to req within room bytes and returns the room left.
-func (g *Gossiper) reconcileBucket(b *gossipwire.Bucket, req *gossipwire.ReconcileRequest, room int, now time.Time) int {
+// reconcileBucket compares one bucket of a peer with the own one, and adds to
+// difference what either side lacks.
+func (g *Gossiper) reconcileBucket(b *gossipwire.Bucket, difference *gossipwire.ReconcileRequest, now time.Time) {
 	theirs := make(map[string]bool, len(b.GetMembers()))
 	for _, u := range b.GetMembers() {
 		theirs[u.GetId()] = true
 		m := g.table.members[u.GetId()]
 		if m != nil && stampOf(u).before(m.stamp()) {
-			room = addRecord(req, m, room)
+			difference.Records = append(difference.Records, encodeFull(m))
 			continue
 		}
 		unknown := m == nil || u.GetIncarnation() > m.spec.Incarnation
@@ -217,27 +237,15 @@
 			g.apply(u, now)
 			continue
 		}
-		if size := len(u.GetId()) + fieldOverhead; announced(u) && len(req.GetWanted()) < maxWanted && size <= room {
-			req.Wanted = append(req.Wanted, u.GetId())
-			room -= size
+		if announced(u) {
+			difference.Wanted = append(difference.Wanted, u.GetId())
 		}
 	}
 	for id, m := range g.table.members {
 		if m.live() && !theirs[id] && bucketOf(id) == int(b.GetIndex()) {
-			room = addRecord(req, m, room)
+			difference.Records = append(difference.Records, encodeFull(m))
 		}
 	}
-	return room
-}
-
-func addRecord(req *gossipwire.ReconcileRequest, m *member, room int) int {
-	record := encodeFull(m)
-	size := proto.Size(record) + fieldOverhead
-	if size > room {
-		return room
-	}
-	req.Records = append(req.Records, record)
-	return room - size
 }
 
 func (g *Gossiper) takeRecords(records []*gossipwire.Update) {
--- a/internal/process/gossiper/network_test.go
+++ b/internal/process/gossiper/network_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
@@ -288,24 +287,28 @@
 
 // Compare implements Client.
 func (x *fakeNode) Compare(ctx context.Context, to netip.AddrPort, req *gossipwire.CompareRequest) (*gossipwire.CompareResponse, error) {
-	other, err := x.call(ctx, to, proto.Size(req))
+	other, err := x.call(ctx, to, compressedSize(req)+callOverhead)
 	if err != nil {
 		return nil, err
 	}
 	resp, err := other.gossiper().ServeCompare(req)
-	other.accountCall(proto.Size(resp))
+	if err == nil {
+		other.accountCall(compressedSize(resp) + callOverhead)
+	}
 	x.awaitGate()
 	return resp, err
 }
 
 // Reconcile implements Client.
 func (x *fakeNode) Reconcile(ctx context.Context, to netip.AddrPort, req *gossipwire.ReconcileRequest) (*gossipwire.ReconcileResponse, error) {
-	other, err := x.call(ctx, to, proto.Size(req))
+	other, err := x.call(ctx, to, compressedSize(req)+callOverhead)
 	if err != nil {
 		return nil, err
 	}
 	resp, err := other.gossiper().ServeReconcile(req)
-	other.accountCall(proto.Size(resp))
+	if err == nil {
+		other.accountCall(compressedSize(resp) + callOverhead)
+	}
 	x.awaitGate()
 	return resp, err
 }
