perf: starting nodes ask less and stay longer

Two causes were left of the slow start. Three of four comparisons were refused: the requests of a starting node used up the bytes from which it could have answered others. And a node took its table for complete as soon as one peer had nothing more to tell, though that peer may have started at the same time; from then on it compared tables each 3 s only and sent on all that was new to it.

A node asks for a comparison only while 2,400 bytes are left for comparisons, and its table counts as complete after three answers or digests in a row that brought nothing new.

--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -35,10 +35,16 @@
 	joinTimeout = time.Second
 	// callOverhead is the bytes of headers that a call or an answer adds, with those of TCP.
 	callOverhead = 400
+	// agreements is how many times in a row peers must know nothing more before
+	// the table counts as complete.
+	agreements = 3
 	// maxCallBytes bounds the body of one call or answer.
 	maxCallBytes = 64 << 10
 	// maxDifferences bounds the records sent and asked for in one call.
 	maxDifferences = 256
+	// exchangeRoom is the bytes that must be left for comparisons before this node
+	// asks for one, so that enough stays to answer those that others ask for.
+	exchangeRoom = 2400
 	// minAnswerBytes is the least room for which a comparison is answered, so
 	// that headers do not use up the budget.
 	minAnswerBytes = 1000
@@ -51,6 +57,7 @@
 type exchangeState struct {
 	joining   bool           // True until peers had nothing more to tell.
 	windows   []int          // First buckets of the windows that peers have more of, while joining.
+	agreed    int            // How many times in a row peers knew nothing more.
 	running   bool           // True while a call is under way.
 	differing netip.AddrPort // A peer whose table differed lately.
 	next      time.Time
@@ -79,7 +86,7 @@
 	peer, ok := g.exchangePeer(now)
 	x.next = now.Add(g.exchangeDelay())
 	x.differing = netip.AddrPort{}
-	if !ok || !g.budget.takeBulk(callOverhead) {
+	if !ok || g.budget.bulk() < exchangeRoom || !g.budget.takeBulk(callOverhead) {
 		return
 	}
 	timeout := exchangeTimeout
@@ -273,10 +280,20 @@
 	case whole && more:
 		x.windows = allWindows()
 	case whole:
-		x.joining = g.table.live < 2
+		g.agree()
 	case !more:
 		x.windows = slices.DeleteFunc(x.windows, func(first int) bool { return first == int(req.GetFirst()) })
-		x.joining = len(x.windows) > 0
+	}
+}
+
+// agree notes that a peer knew nothing more. One peer is no proof that the
+// table is complete, since it may have started at the same time.
+func (g *Gossiper) agree() {
+	x := &g.exchange
+	x.agreed++
+	if x.joining && g.table.live > 1 && x.agreed >= min(agreements, g.table.live-1) {
+		x.joining = false
+		x.windows = nil
 	}
 }
 
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -34,6 +35,24 @@
 	})
 }
 
+func TestStartOfAllAtOnce(t *testing.T) {
+	const n = 150
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 17)
+		for range n {
+			fl.add(registrar.StateReady)
+		}
+		fl.await("all know all", 15*time.Second, fl.nodes, func(x *fakeNode) bool { return x.live() == n })
+		time.Sleep(quietTimeout)
+		for _, x := range fl.nodes {
+			x.mu.Lock()
+			assert.Check(t, !x.exchange.joining, "node-%d", x.index)
+			x.mu.Unlock()
+		}
+		fl.assertHealthy()
+	})
+}
+
 func TestTwoCrashesAtOnceAndRestart(t *testing.T) {
 	runFleet(t, 10, 2, func(fl *fleet) {
 		a, b := fl.nodes[4], fl.nodes[5]
--- a/internal/process/gossiper/merger.go
+++ b/internal/process/gossiper/merger.go
@@ -109,6 +109,7 @@
 // known to all others, and is not sent on.
 func (g *Gossiper) insert(spec registrar.Spec, u *gossipwire.Update, now time.Time) {
 	g.table.put(&member{spec: spec, changed: now})
+	g.exchange.agreed = 0
 	if !g.exchange.joining {
 		g.queue.push(u)
 	}
--- a/internal/process/gossiper/messenger.go
+++ b/internal/process/gossiper/messenger.go
@@ -202,10 +202,7 @@
 		g.exchange.differing = from
 		return
 	}
-	if g.table.live > 1 {
-		g.exchange.joining = false
-		g.exchange.windows = nil
-	}
+	g.agree()
 	if g.detector.resyncing(now) {
 		g.detector.resyncUntil = time.Time{}
 	}
