perf: members are kept by bucket

A comparison sorted all members into buckets to answer, and to take the answer went through all members once for each differing bucket.

The table keeps its members by bucket.

--- a/internal/process/gossiper/exchange_server.go
+++ b/internal/process/gossiper/exchange_server.go
@@ -88,7 +88,6 @@
 	}
 	var parts []bucketAnswer
 	start := g.cfg.Random.IntN(n)
-	byBucket := g.table.byBucket()
 	for i := range n {
 		offset := (start + i) % n
 		theirs := req.GetDigests()[offset]
@@ -96,7 +95,7 @@
 		if theirs == g.table.digests[index] {
 			continue
 		}
-		part, size := answerBucket(index, byBucket[index], theirs == 0)
+		part, size := answerBucket(index, g.table.buckets[index], theirs == 0)
 		if limit -= size; limit < 0 {
 			return parts, false
 		}
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -248,8 +248,11 @@
 			difference.Wanted = append(difference.Wanted, u.GetId())
 		}
 	}
-	for id, m := range g.table.members {
-		if m.live() && !theirs[id] && bucketOf(id) == int(b.GetIndex()) {
+	if b.GetIndex() >= bucketCount {
+		return
+	}
+	for _, m := range g.table.buckets[b.GetIndex()] {
+		if m.live() && !theirs[m.spec.ID] {
 			difference.Records = append(difference.Records, encodeFull(m))
 		}
 	}
--- a/internal/process/gossiper/scale_test.go
+++ b/internal/process/gossiper/scale_test.go
@@ -167,35 +167,77 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// BenchmarkTable reports the memory of one known member, and the time to make
-// a view and a comparison of the table.
+// records returns the announcements of n members as they arrive.
+func records(tb testing.TB, self *member, n int) []*gossipwire.Update {
+	tb.Helper()
+	var list []*gossipwire.Update
+	for i := range n {
+		u := encodeFull(self)
+		u.Id = fmt.Sprintf("vitrina-%d", i)
+		u.Profile.Peer = encodeAddress(peerOf(i + 1))
+		data, err := proto.Marshal(u)
+		assert.NilError(tb, err)
+		received := &gossipwire.Update{}
+		assert.NilError(tb, proto.Unmarshal(data, received))
+		list = append(list, received)
+	}
+	return list
+}
+
+// BenchmarkTable reports the memory of one known member and the peak of the
+// process, and the time to take a whole table, to run the timers, to answer a
+// comparison in which one bucket in 16 differs, to find what a peer lacks in 64
+// buckets, and to make a view.
 func BenchmarkTable(b *testing.B) {
 	for _, n := range []int{350, 700, 1400, 2800} {
-		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			fl := newFleet(b, 1)
-			x := fl.add(registrar.StateReady)
-			x.kill()
-			x.exchange.joining = true
-			for i := range n - 1 {
-				u := encodeFull(x.self)
-				u.Id = fmt.Sprintf("vitrina-%d", i)
-				data, err := proto.Marshal(u)
-				assert.NilError(b, err)
-				received := &gossipwire.Update{}
-				assert.NilError(b, proto.Unmarshal(data, received))
-				x.apply(received, time.Now())
+		benchmarkTable(b, n)
+	}
+}
+
+func benchmarkTable(b *testing.B, n int) {
+	b.Helper()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	x := newFleet(b, 1).add(registrar.StateReady)
+	x.kill()
+	merge := func(list []*gossipwire.Update) {
+		x.table = newTable(x.cfg.Random)
+		x.table.put(x.self)
+		for _, u := range list {
+			x.apply(u, time.Now())
+		}
+	}
+	merge(records(b, x.self, n-1))
+	view := x.table.view()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	list := records(b, x.self, n-1)
+	req := &gossipwire.CompareRequest{Sender: encodeFull(x.self), Digests: x.table.digests[:]}
+	for i := 0; i < bucketCount; i += 16 {
+		req.Digests[i]++
+	}
+	x.dead, x.exchange.joining = true, false
+	for name, f := range map[string]func(){
+		"merge":   func() { merge(list) },
+		"tick":    func() { x.detect(time.Now()) },
+		"compare": func() { x.answerCompare(req, DefaultBytesPerSecond, time.Now()) },
+		"reconcile": func() {
+			for i := range bucketCount / 4 {
+				x.reconcileBucket(&gossipwire.Bucket{Index: uint32(i)}, &gossipwire.ReconcileRequest{}, time.Now())
 			}
-			view := x.table.view()
-			runtime.GC()
-			runtime.ReadMemStats(&after)
+		},
+		"view": func() { view = x.table.view() },
+	} {
+		b.Run(fmt.Sprintf("%s/members=%d", name, n), func(b *testing.B) {
 			for b.Loop() {
-				view = x.table.view()
+				f()
 			}
+			var usage syscall.Rusage
+			assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/member")
-			assert.Equal(b, view.Len(), n)
+			b.ReportMetric(float64(usage.Maxrss)/1024, "peak-MiB")
 		})
 	}
+	assert.Equal(b, view.Len(), n)
 }
--- a/internal/process/gossiper/table.go
+++ b/internal/process/gossiper/table.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -29,6 +30,7 @@
 // table holds all members and the digests of its buckets.
 type table struct {
 	members    map[string]*member
+	buckets    [bucketCount][]*member // The same members by the hash of their id.
 	tombstones map[string]tombstone
 	digests    [bucketCount]uint32
 	digest     uint64
@@ -57,10 +59,18 @@
 		t.insertOrder(m.spec.ID)
 	}
 	t.members[m.spec.ID] = m
+	t.removeFromBucket(m.spec.ID)
+	bucket := bucketOf(m.spec.ID)
+	t.buckets[bucket] = append(t.buckets[bucket], m)
 	delete(t.tombstones, m.spec.ID)
 	t.count(m, 1)
 }
 
+func (t *table) removeFromBucket(id string) {
+	bucket := &t.buckets[bucketOf(id)]
+	*bucket = slices.DeleteFunc(*bucket, func(m *member) bool { return m.spec.ID == id })
+}
+
 // change applies f to a member and keeps the digests right.
 func (t *table) change(m *member, f func()) {
 	t.count(m, -1)
@@ -178,6 +188,7 @@
 			continue
 		}
 		delete(t.members, id)
+		t.removeFromBucket(id)
 		t.tombstones[id] = tombstone{stamp: m.stamp(), forgotten: now}
 		dropped = true
 	}
@@ -197,13 +208,3 @@
 	}
 	return registrar.NewView(instances)
 }
-
-// byBucket returns all members by the index of their bucket.
-func (t *table) byBucket() [bucketCount][]*member {
-	var buckets [bucketCount][]*member
-	for id, m := range t.members {
-		i := bucketOf(id)
-		buckets[i] = append(buckets[i], m)
-	}
-	return buckets
-}
