--- a/internal/process/gossiper/suspicion.go
+++ b/internal/process/gossiper/suspicion.go
@@ -56,10 +56,7 @@
 
 // expireSuspicions concludes the failure of members that did not refute in time.
 func (g *Gossiper) expireSuspicions(now time.Time) {
-	for _, m := range g.table.members {
-		if m.status != statusSuspect {
-			continue
-		}
+	for _, m := range g.table.suspects {
 		timeout := g.suspicionTimeout(m.suspicion)
 		elapsed := now.Sub(m.suspicion.started)
 		if elapsed >= timeout/2 {
--- a/internal/process/gossiper/table.go
+++ b/internal/process/gossiper/table.go
@@ -31,6 +31,7 @@
 type table struct {
 	members    map[string]*member
 	buckets    [bucketCount][]*member // The same members by the hash of their id.
+	suspects   map[string]*member
 	tombstones map[string]tombstone
 	digests    [bucketCount]uint32
 	digest     uint64
@@ -41,7 +42,12 @@
 }
 
 func newTable(random *rand.Rand) *table {
-	return &table{members: make(map[string]*member), tombstones: make(map[string]tombstone), random: random}
+	return &table{
+		members:    make(map[string]*member),
+		suspects:   make(map[string]*member),
+		tombstones: make(map[string]tombstone),
+		random:     random,
+	}
 }
 
 // bucketOf returns the index of the bucket of an instance.
@@ -55,6 +61,7 @@
 func (t *table) put(m *member) {
 	if old := t.members[m.spec.ID]; old != nil {
 		t.count(old, -1)
+		delete(t.suspects, m.spec.ID)
 	} else {
 		t.insertOrder(m.spec.ID)
 	}
@@ -71,11 +78,16 @@
 	*bucket = slices.DeleteFunc(*bucket, func(m *member) bool { return m.spec.ID == id })
 }
 
-// change applies f to a member and keeps the digests right.
+// change applies f to a member and keeps the digests and the suspects right.
 func (t *table) change(m *member, f func()) {
 	t.count(m, -1)
 	f()
 	t.count(m, 1)
+	if m.status == statusSuspect {
+		t.suspects[m.spec.ID] = m
+	} else {
+		delete(t.suspects, m.spec.ID)
+	}
 }
 
 func (t *table) count(m *member, sign int) {
@@ -188,6 +200,7 @@
 			continue
 		}
 		delete(t.members, id)
+		delete(t.suspects, id)
 		t.removeFromBucket(id)
 		t.tombstones[id] = tombstone{stamp: m.stamp(), forgotten: now}
 		dropped = true
