feat: a measurement of a fleet's events at any size

TestEvents, with the flag -events and sizes: the start of all, two crashes at once while 20 % of the datagrams are lost, a cut of five minutes between halves with restarts at its end. Nothing runs without the flag.

--- a/internal/process/gossiper/scale_test.go
+++ b/internal/process/gossiper/scale_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -241,3 +244,83 @@
 	}
 	assert.Equal(b, view.Len(), n)
 }
+
+// eventSizes makes TestEvents measure fleets of these sizes.
+var eventSizes = flag.String("events", "", "sizes of the fleets for TestEvents, with commas between")
+
+// TestEvents prints how fleets go through the events of the design size, with
+// the flag -events only: the start of all, two crashes at once while 20 % of
+// the datagrams are lost, and a cut of five minutes between halves, at whose
+// end one node in 50 restarts.
+func TestEvents(t *testing.T) {
+	for size := range strings.FieldsFuncSeq(*eventSizes, func(r rune) bool { return r == ',' }) {
+		n, err := strconv.Atoi(size)
+		assert.NilError(t, err)
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet(t, uint64(n))
+			for range n {
+				fl.add(registrar.StateReady)
+			}
+			var start, heal time.Duration
+			startBytes, _ := fl.traffic(func() { start = fl.awaitAll(n) })
+			t.Logf("n=%d start %v, %.0f B/s", n, start, startBytes)
+			time.Sleep(time.Minute)
+			t.Logf("n=%d crash %s", n, fl.crashTwo())
+			half := n / 2
+			fl.change(func() { fl.cut = func(from, to *fakeNode) bool { return (from.index < half) != (to.index < half) } })
+			time.Sleep(5 * time.Minute)
+			healBytes, _ := fl.traffic(func() {
+				for i := 0; i < n; i += 50 {
+					fl.nodes[i].kill()
+					fl.nodes[i].start(registrar.StateReady)
+				}
+				fl.change(func() { fl.cut = func(_, _ *fakeNode) bool { return false } })
+				heal = fl.awaitAll(n)
+			})
+			t.Logf("n=%d heal %v, %.0f B/s, at most %.0f bytes of a node at once", n, heal, healBytes, fl.overrun())
+			fl.assertBudget()
+		})
+	}
+}
+
+// crashTwo kills two nodes while datagrams are lost, starts them again, and
+// returns when the first and the last of the others removed the first of them,
+// and how many nodes were removed wrongly.
+func (fl *fleet) crashTwo() string {
+	x, n := fl.nodes[3], len(fl.nodes)
+	rest := fl.without(x, fl.nodes[5])
+	removed := func(o *fakeNode) bool { return o.state(x) == registrar.StateFailed }
+	fl.change(func() { fl.loss = 0.2 })
+	x.kill()
+	fl.nodes[5].kill()
+	start := time.Now()
+	for !slices.ContainsFunc(rest, removed) {
+		time.Sleep(100 * time.Millisecond)
+	}
+	first := time.Since(start)
+	fl.await("removed", time.Minute, rest, removed)
+	last := time.Since(start)
+	time.Sleep(2 * time.Minute)
+	wrong := 0
+	fl.change(func() {
+		for _, o := range fl.nodes {
+			wrong += len(o.failures)
+		}
+		fl.loss = 0
+	})
+	x.start(registrar.StateReady)
+	fl.nodes[5].start(registrar.StateReady)
+	fl.awaitAll(n)
+	return fmt.Sprintf("removed at the first after %v, at the last after %v, %d wrong removals", first, last, wrong)
+}
+
+// overrun returns the highest level of any node's leaky bucket, in bytes.
+func (fl *fleet) overrun() float64 {
+	highest := 0.0
+	fl.change(func() {
+		for _, x := range fl.nodes {
+			highest = max(highest, x.overrun)
+		}
+	})
+	return highest
+}
