fix: a ping is repeated once before others are asked

A lost ping or ack cost four pings, a call and often a suspicion. The ping is now sent again, with the same nonce, after half of the time for its ack. A round trip is still counted from the first, which makes timeouts longer under loss, never shorter. Ruled out: to count no round trip of a repeated ping, since a node whose answers are always late would never learn it.

--- a/internal/process/gossiper/detector.go
+++ b/internal/process/gossiper/detector.go
@@ -49,6 +49,7 @@
 	to       netip.AddrPort
 	sent     time.Time
 	deadline time.Time // When others are asked, then when the member is suspect.
+	repeated bool      // True once the ping was sent again.
 	indirect bool
 	asked    int // How many others were asked.
 	nacks    int // How many of them answered that the member does not.
@@ -186,6 +187,7 @@
 	d := &g.detector
 	for nonce, p := range d.probes {
 		if now.Before(p.deadline) {
+			g.repeatPing(nonce, p, now)
 			continue
 		}
 		if !p.indirect {
@@ -209,6 +211,15 @@
 	}
 }
 
+// repeatPing sends a ping again once half of the time for its ack has passed.
+func (g *Gossiper) repeatPing(nonce uint64, p *probe, now time.Time) {
+	if p.repeated || p.indirect || now.Sub(p.sent) < p.deadline.Sub(p.sent)/2 {
+		return
+	}
+	p.repeated = true
+	g.send(p.to, &gossipwire.Datagram{Kind: gossipwire.Datagram_KIND_PING, Nonce: nonce, Receiver: p.id})
+}
+
 // concludeProbe suspects a member that neither this node nor those that it
 // asked could reach. If not even they answered, this node may be at fault.
 func (g *Gossiper) concludeProbe(p *probe, now time.Time) {
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/process/gossiper/gossiper_test.go
@@ -266,6 +266,25 @@
 	})
 }
 
+func TestPingIsRepeatedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 20)
+		x, o := fl.add(registrar.StateReady), fl.add(registrar.StateReady)
+		fl.awaitAll(2)
+		o.kill()
+		x.kill()
+		_, messages := fl.traffic(func() {
+			start := time.Now()
+			x.probe(x.table.members["node-1"], start)
+			for time.Since(start) < x.health.ackTimeout()-tickInterval {
+				time.Sleep(tickInterval)
+				x.expireProbes(time.Now())
+			}
+		})
+		assert.Equal(t, messages*2*(x.health.ackTimeout()-tickInterval).Seconds(), 2.0)
+	})
+}
+
 func TestLateNodeTakesOverAConcludedFailure(t *testing.T) {
 	x := newFleet(t, 18).add(registrar.StateReady)
 	x.kill()
