--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -122,6 +122,7 @@
 type cluster struct {
 	t       testing.TB
 	initial []string
+	sources []string // Where instances may fetch the state from, besides initial.
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -168,7 +169,7 @@
 	c.mu.Unlock()
 	handle := in.disk.open()
 	v, err := voter.New(voter.Config{
-		Address: address, Initial: c.initial, Journal: handle,
+		Address: address, Initial: c.initial, Sources: func() []string { return c.sources }, Journal: handle,
 		Transport: &simTransport{cluster: c, from: address, handle: handle},
 		Digest:    digest, Random: rand.New(rand.NewPCG(seed, 2)),
 		OnVersion: func(version *controlwire.Version) {
@@ -347,7 +348,7 @@
 		return none, err
 	}
 	go deliver()
-	if p.cluster.chance(p.cluster.double) {
+	if p.cluster.doubles() {
 		go deliver()
 	}
 	select {
@@ -370,10 +371,11 @@
 	return c.filter(to, req)
 }
 
-func (c *cluster) chance(share float64) bool {
+// doubles decides whether a request arrives twice.
+func (c *cluster) doubles() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.random.Float64() < share
+	return c.random.Float64() < c.double
 }
 
 // travel waits while a message is on its way, and reports whether it arrives.
@@ -439,8 +441,12 @@
 	assert.Equal(t, state.Version().GetDigest().GetNumber(), version)
 }
 
-func assertNoMajority(t testing.TB, v *voter.Voter) {
+// assertStale checks that an instance without a majority says so in time.
+func assertStale(t testing.TB, v *voter.Voter) {
 	t.Helper()
+	start := time.Now()
 	_, err := v.Current(context.Background())
-	assert.ErrorIs(t, err, voter.ErrNoMajority)
+	assert.ErrorIs(t, err, voter.ErrStale)
+	assert.Assert(t, time.Since(start) <= 3*time.Second, "told after %s", time.Since(start))
+	assert.Assert(t, v.Status().GetStale())
 }
