--- a/internal/process/watcher/health_reader.go
+++ b/internal/process/watcher/health_reader.go
@@ -64,10 +64,10 @@
 func NewHealthReader(cfg HealthConfig) *HealthReader {
 	return &HealthReader{
 		cfg:       cfg,
-		healthy:   cfg.Scope.Counter("health-healthy"),
-		unhealthy: cfg.Scope.Counter("health-unhealthy"),
-		failed:    cfg.Scope.Counter("health-failed"),
-		deferred:  cfg.Scope.Counter("health-deferred"),
+		healthy:   cfg.Scope.Counter("health_reads_healthy"),
+		unhealthy: cfg.Scope.Counter("health_reads_unhealthy"),
+		failed:    cfg.Scope.Counter("health_reads_failed"),
+		deferred:  cfg.Scope.Counter("health_reads_deferred"),
 	}
 }
 
