--- a/internal/process/accountant/reporter.go
+++ b/internal/process/accountant/reporter.go
@@ -119,7 +119,9 @@
 		r.cfg.Meter.SetInstance(now, r.cfg.Self())
 		if number := r.cfg.InForce().GetNumber(); number != reported {
 			reported = number
-			next = earlier(next, now.Add(r.random(inForceReport)))
+			if soon := now.Add(r.random(inForceReport)); soon.Before(next) {
+				next = soon
+			}
 		}
 		if now.Before(next) {
 			continue
@@ -133,13 +135,6 @@
 	return time.Duration(r.cfg.Random.Int64N(int64(bound)))
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // report sends the counters to the given number of control instances, and
 // asks the others if some do not answer.
 func (r *Reporter) report(copies int) {
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -259,7 +259,9 @@
 			p.send(to, payload)
 			to, payload, due = p.next(&spec, snapshot.View(), now)
 		}
-		wake = earlier(wake, due)
+		if due.Before(wake) {
+			wake = due
+		}
 	}
 	return wake
 }
@@ -373,13 +375,6 @@
 	return due.Add(time.Second / time.Duration(max(perSecond, 1)))
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -283,34 +283,6 @@
 	return nil
 }
 
-// finishReplacing ends the replacement of voters that the chosen state holds.
-func (v *Voter) finishReplacing(ctx context.Context, chosen *State) error {
-	_, err := v.propose(ctx, &proposal{next: func(base *State) *voterwire.Transition {
-		// The previous voters may go only once the state that replaced them is
-		// known to be chosen.
-		if !sameBallot(base.origin(), chosen.origin()) {
-			return nil
-		}
-		return &voterwire.Transition{Membership: finishReplacing(base.membership())}
-	}})
-	if err != nil {
-		return fmt.Errorf("finish replacing voters: %w: %w", ErrNoMajority, err)
-	}
-	return nil
-}
-
-// tryFinishReplacing ends the replacement of voters, if there is one, at once:
-// until then the group needs a majority of the previous voters too. What fails
-// here is repeated with the heartbeats.
-func (v *Voter) tryFinishReplacing(ctx context.Context, chosen *State) {
-	if len(chosen.membership().GetPrevious()) == 0 {
-		return
-	}
-	if err := v.finishReplacing(ctx, chosen); err != nil {
-		v.cfg.Log.Debug().Err(err).Msg("Replacement of voters not finished yet.")
-	}
-}
-
 // learn takes over a state that is known to be chosen.
 func (v *Voter) learn(state *State) {
 	if !v.acceptor.learn(state) {
