--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -27,7 +27,10 @@
 	ctx  context.Context
 	conn *connection
 	req  *http.Request
+	cfg  *Config
 	r    *bufio.Reader
+	// spoiled tells that the connection carried what belongs to no request.
+	spoiled bool
 	// stop ends the watch over ctx and reports whether it did so in time.
 	stop func() bool
 	// body is what is left to send beside the reading, or nil.
@@ -36,10 +39,10 @@
 	sender *tomb.Tomb
 }
 
-func newExchange(ctx context.Context, c *connection, req *http.Request) *exchange {
+func newExchange(ctx context.Context, c *connection, req *http.Request, cfg *Config) *exchange {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(c)
-	return &exchange{ctx: ctx, conn: c, req: req, r: r, stop: context.AfterFunc(ctx, c.close)}
+	return &exchange{ctx: ctx, conn: c, req: req, cfg: cfg, r: r, stop: context.AfterFunc(ctx, c.close)}
 }
 
 // run sends the request and receives the head of the answer.
@@ -109,6 +112,10 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errSwitched
 		}
+		if resp.StatusCode >= http.StatusOK && e.foreign(resp) {
+			e.skip(resp)
+			continue
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -119,10 +126,27 @@
 	return nil, errHeadTooLarge
 }
 
+// foreign reports whether an answer says that it belongs to another request.
+func (e *exchange) foreign(resp *http.Response) bool {
+	if e.cfg.EchoHeader == "" {
+		return false
+	}
+	value := resp.Header.Get(e.cfg.EchoHeader)
+	return value != "" && value != e.req.Header.Get(e.cfg.EchoHeader)
+}
+
+// skip reads over an answer that belongs to another request. An error shows
+// when the next answer is read.
+func (e *exchange) skip(resp *http.Response) {
+	e.spoiled = true
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
+
 // accept hands out the answer with a body that knows its end.
 func (e *exchange) accept(resp *http.Response) (*http.Response, error) {
 	e.conn.limit = 0
-	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	unframed := resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if unframed && !e.cfg.Unframed {
 		return nil, e.fail(classifier.ReasonMalformed, errNoLength)
 	}
 	if resp.Body == http.NoBody {
@@ -136,7 +160,7 @@
 // finish ends a whole exchange and keeps the connection if both sides can go on.
 func (e *exchange) finish(resp *http.Response) {
 	inTime := e.stop()
-	reusable := inTime && !resp.Close && !e.req.Close && e.r.Buffered() == 0 && e.sentWhole()
+	reusable := inTime && !e.spoiled && !resp.Close && !e.req.Close && e.r.Buffered() == 0 && e.sentWhole()
 	e.releaseReader()
 	if reusable && e.conn.rest() {
 		e.conn.host.put(e.conn)
--- a/internal/connection/requester/pool.go
+++ b/internal/connection/requester/pool.go
@@ -58,6 +58,14 @@
 	// StallTimeout is how long sending, and receiving after the first byte of
 	// the answer, may make no progress; 0 for ever.
 	StallTimeout time.Duration
+	// EchoHeader is the header whose value the other side copies from the
+	// request to the answer; empty for none. An answer with another value
+	// belongs to an earlier request: it is skipped, and its connection is used
+	// no more.
+	EchoHeader string
+	// Unframed accepts answers with neither a length nor chunks: such a one is
+	// whole if its connection ends in order, and broken off if it is reset.
+	Unframed bool
 }
 
 // Limits bounds one exchange. The zero value takes the bounds of the pool.
@@ -121,7 +129,7 @@
 		stall = p.cfg.StallTimeout
 	}
 	c.begin(stall)
-	return newExchange(ctx, c, req).run()
+	return newExchange(ctx, c, req, &p.cfg).run()
 }
 
 // connect takes an idle connection or opens one.
--- a/internal/process/configurer/control.go
+++ b/internal/process/configurer/control.go
@@ -16,6 +16,7 @@
 	peer                                  netip.AddrPort
 	dataFolder                            string
 	voters, seeds                         []netip.AddrPort
+	tolerated                             int
 	logLevel                              zerolog.Level
 }
 
@@ -43,6 +44,7 @@
 		dataFolder:    parser.Required(r, "data-folder", parseFolder),
 		voters:        parser.Optional(r, "voters", nil, parser.Addresses),
 		seeds:         parser.Optional(r, keySeeds, nil, parser.Addresses),
+		tolerated:     parser.Optional(r, "tolerated-losses", 0, func(value string) (int, error) { return parser.Int(value, 0, compiler.MaxVoters/2) }),
 		logLevel:      parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	if len(c.voters) == 0 && len(c.seeds) == 0 {
@@ -78,5 +80,9 @@
 // Seeds returns peer addresses of members to join by.
 func (c *Control) Seeds() []netip.AddrPort { return c.seeds }
 
+// ToleratedLosses returns how many control instances may be lost at the same
+// time, or 0 to leave the voters as the settings and the configuration name them.
+func (c *Control) ToleratedLosses() int { return c.tolerated }
+
 // LogLevel returns the least level of lines that are logged.
 func (c *Control) LogLevel() zerolog.Level { return c.logLevel }
--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -23,6 +24,10 @@
 	PolicyLeastOwn Policy = "least-own"
 )
 
+// minStopGrace is the shortest grace in which a node can tell the others that
+// it leaves.
+const minStopGrace = time.Second
+
 var policyNames = []string{
 	string(PolicyLeastExpectedLatency), string(PolicyRandom), string(PolicyRoundRobin), string(PolicyLeastOwn),
 }
@@ -35,6 +40,8 @@
 	slots, connections          int
 	seeds, controls             []netip.AddrPort
 	policy                      Policy
+	upstreamHeartbeats          bool
+	stopGrace                   time.Duration
 	logLevel                    zerolog.Level
 }
 
@@ -54,21 +61,23 @@
 
 func readNode(r *parser.Reader) *Node {
 	n := &Node{
-		instance:      parser.Required(r, keyInstance, parser.Name),
-		service:       parser.Required(r, "service", parser.Name),
-		owner:         parser.Required(r, "owner", parser.Name),
-		site:          parser.Required(r, keySite, parser.Name),
-		region:        parser.Required(r, keyRegion, parser.Name),
-		failureDomain: parser.Required(r, keyFailureDomain, parser.Name),
-		http:          parser.Required(r, "http-address", parser.Address),
-		peer:          parser.Required(r, keyPeerAddress, parser.Address),
-		upstream:      parser.Required(r, "upstream-address", parser.Address),
-		slots:         parser.Optional(r, "slots", 0, bounded(compiler.MaxSlots)),
-		connections:   parser.Optional(r, "connections", 0, bounded(compiler.MaxConnections)),
-		seeds:         parser.Optional(r, keySeeds, nil, parser.Addresses),
-		controls:      parser.Optional(r, "control-addresses", nil, parser.Addresses),
-		policy:        parser.Optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
-		logLevel:      parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
+		instance:           parser.Required(r, keyInstance, parser.Name),
+		service:            parser.Required(r, "service", parser.Name),
+		owner:              parser.Required(r, "owner", parser.Name),
+		site:               parser.Required(r, keySite, parser.Name),
+		region:             parser.Required(r, keyRegion, parser.Name),
+		failureDomain:      parser.Required(r, keyFailureDomain, parser.Name),
+		http:               parser.Required(r, "http-address", parser.Address),
+		peer:               parser.Required(r, keyPeerAddress, parser.Address),
+		upstream:           parser.Required(r, "upstream-address", parser.Address),
+		slots:              parser.Optional(r, "slots", 0, bounded(compiler.MaxSlots)),
+		connections:        parser.Optional(r, "connections", 0, bounded(compiler.MaxConnections)),
+		seeds:              parser.Optional(r, keySeeds, nil, parser.Addresses),
+		controls:           parser.Optional(r, "control-addresses", nil, parser.Addresses),
+		policy:             parser.Optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
+		stopGrace:          parser.Optional(r, "stop-grace", 0, parseGrace),
+		upstreamHeartbeats: parser.Optional(r, "upstream-heartbeats", false, parser.YesNo),
+		logLevel:           parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	n.check(r)
 	return n
@@ -90,6 +99,10 @@
 	return func(value string) (int, error) { return parser.Int(value, 1, high) }
 }
 
+func parseGrace(value string) (time.Duration, error) {
+	return parser.Duration(value, minStopGrace, time.Hour)
+}
+
 func parsePolicy(value string) (Policy, error) {
 	name, err := parser.OneOf(value, policyNames)
 	return Policy(name), err
@@ -139,5 +152,12 @@
 // Policy returns how the node chooses an instance.
 func (n *Node) Policy() Policy { return n.policy }
 
+// UpstreamHeartbeats tells that the upstream announces itself by heartbeats.
+// Otherwise it is watched.
+func (n *Node) UpstreamHeartbeats() bool { return n.upstreamHeartbeats }
+
+// StopGrace returns how long a planned stop may take, or 0 for no bound.
+func (n *Node) StopGrace() time.Duration { return n.stopGrace }
+
 // LogLevel returns the least level of lines that are logged.
 func (n *Node) LogLevel() zerolog.Level { return n.logLevel }
--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -79,16 +79,32 @@
 
 // Submit implements controlwireconnect.ControlHandler.
 func (c *Controller) Submit(ctx context.Context, req *connect.Request[controlwire.SubmitRequest]) (*connect.Response[controlwire.SubmitResponse], error) {
-	if err := c.checker.Check(req.Msg.GetDocument()); err != nil {
-		return nil, submitError(fmt.Errorf("%w: %w", voter.ErrInvalid, err))
-	}
-	resp, err := c.voter.Submit(ctx, req.Msg)
+	resp, err := c.SubmitChange(ctx, req.Msg)
 	if err != nil {
 		return nil, submitError(err)
 	}
 	return connect.NewResponse(resp), nil
 }
 
+// SubmitChange proposes a change, as Submit does. Its errors are those of
+// package voter.
+func (c *Controller) SubmitChange(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
+	if err := c.checker.Check(req.GetDocument()); err != nil {
+		return nil, fmt.Errorf("%w: %w", voter.ErrInvalid, err)
+	}
+	return c.voter.Submit(ctx, req)
+}
+
+// ReadCurrent returns the newest accepted version, confirmed by a majority of
+// the voters. Its errors are those of package voter.
+func (c *Controller) ReadCurrent(ctx context.Context) (*controlwire.Version, error) {
+	state, err := c.voter.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return state.Version(), nil
+}
+
 // Current implements controlwireconnect.ControlHandler.
 func (c *Controller) Current(ctx context.Context, _ *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
 	state, err := c.voter.Current(ctx)
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -173,6 +173,13 @@
 	}
 }
 
+// SetSeeds replaces the peer addresses at which members are looked for.
+func (g *Gossiper) SetSeeds(seeds []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.Seeds = seeds
+}
+
 // Resize tells the fleet how many slots and connections the upstream has.
 func (g *Gossiper) Resize(slots, connections int) {
 	g.mu.Lock()
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -39,6 +39,7 @@
 	fleet
 
 	settings   *configurer.Control
+	extra      func(*Control, *goji.Mux)
 	store      *journaler.Store
 	log        zerolog.Logger
 	metrics    *exporter.Exporter
@@ -52,12 +53,18 @@
 // NewControl assembles a control instance from its settings. It opens the data
 // folder and binds the peer address.
 func NewControl(settings *configurer.Control, logs io.Writer) (*Control, error) {
+	return NewControlWith(settings, logs, nil)
+}
+
+// NewControlWith does what NewControl does, for a platform with calls of its
+// own: extra adds their handlers, unless it is nil.
+func NewControlWith(settings *configurer.Control, logs io.Writer, extra func(*Control, *goji.Mux)) (*Control, error) {
 	store, err := journaler.Open(journaler.OS{}, settings.DataFolder())
 	if err != nil {
 		return nil, fmt.Errorf("open the data folder: %w", err)
 	}
 	base := logger.New(logs).Level(settings.LogLevel())
-	c := &Control{settings: settings, store: store, log: logger.Part(base, "control"), metrics: exporter.New("control")}
+	c := &Control{settings: settings, store: store, extra: extra, log: logger.Part(base, "control"), metrics: exporter.New("control")}
 	if err := c.assemble(base); err != nil {
 		_ = store.Close() // The first error is the one to tell.
 		return nil, err
@@ -143,9 +150,22 @@
 	handle(mux, c.voter.Handler)
 	handle(mux, c.gossiper.Handler)
 	mux.Handle(pat.Get("/metrics"), c.metrics.Handler())
+	if c.extra != nil {
+		c.extra(c, mux)
+	}
 	return mux
 }
 
+// Controller returns what answers operators.
+func (c *Control) Controller() *controller.Controller { return c.controller }
+
+// Reload takes over settings that were changed while the instance runs: the
+// seeds. The others hold from the next start on.
+func (c *Control) Reload(settings *configurer.Control) {
+	c.gossiper.SetSeeds(append(settings.Seeds(), settings.Voters()...))
+	c.log.Info().Int("seeds", len(settings.Seeds())).Msg("Settings read again.")
+}
+
 // otherControls returns where the other control instances are.
 func (c *Control) otherControls() []netip.AddrPort {
 	all := controlsIn(c.gossiper.View())
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -16,6 +16,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
+	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
@@ -36,6 +37,9 @@
 	lameDuck = 3 * time.Second
 	// handOverTimeout bounds how long the keys are handed over on a planned stop.
 	handOverTimeout = 10 * time.Second
+	// goodbyeTime is the end of the grace of a planned stop in which a node
+	// tells the others that it left, and closes.
+	goodbyeTime = 700 * time.Millisecond
 	// shutdownMargin is how long after the longest possible deadline a caller
 	// that does not read its answer is waited for.
 	shutdownMargin = 5 * time.Second
@@ -56,6 +60,9 @@
 	explainer *explainer.Explainer
 	keyer     *keyer.Keyer
 	watcher   *watcher.Watcher
+	enroller  *enroller.Enroller // Nil if the upstream sends no heartbeats.
+	dialect   Dialect
+	coldFor   atomic.Int64 // Nanoseconds for which the upstream is slow, as it said at its start.
 	health    *watcher.HealthReader
 	meter     *accountant.Meter
 	reporter  *accountant.Reporter
@@ -67,9 +74,15 @@
 
 // NewNode assembles a node from its settings. It binds the peer address.
 func NewNode(settings *configurer.Node, logs io.Writer) (*Node, error) {
+	return NewNodeWith(settings, logs, Dialect{})
+}
+
+// NewNodeWith does what NewNode does, for a platform with a dialect of its own.
+func NewNodeWith(settings *configurer.Node, logs io.Writer, dialect Dialect) (*Node, error) {
 	base := logger.New(logs).Level(settings.LogLevel())
 	n := &Node{
 		settings:  settings,
+		dialect:   dialect,
 		log:       logger.Part(base, "node"),
 		metrics:   exporter.New("node"),
 		snapshots: publisher.New(),
@@ -95,11 +108,20 @@
 	if err != nil {
 		return fmt.Errorf("http address: %w", err)
 	}
+	fronts, err := n.openFronts(ctx)
+	if err != nil {
+		return err
+	}
 	n.start()
 	n.tomb.Go(peer.serve)
 	n.tomb.Go(requests.serve)
-	n.watcher.Start()
-	n.health.Start()
+	for _, f := range fronts {
+		n.tomb.Go(f.listener.serve)
+	}
+	if n.enroller == nil {
+		n.watcher.Start()
+		n.health.Start()
+	}
 	n.reporter.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
 	n.log.Info().Stringer("http", n.settings.HTTPAddress()).Stringer("peer", n.settings.PeerAddress()).Msg("Started.")
@@ -107,44 +129,73 @@
 	case <-ctx.Done():
 	case <-n.tomb.Dying():
 	}
-	return n.stop(requests, peer)
+	return n.stop(requests, peer, fronts)
 }
 
-// stop ends the node. It cuts off no request in flight.
-func (n *Node) stop(requests, peer *listener) error {
+// stop ends the node. It cuts off no request in flight, unless the platform's
+// grace for a planned stop ends first.
+func (n *Node) stop(requests, peer *listener, fronts []openFront) error {
 	n.log.Info().Msg("Leaving.")
+	ctx, cancel := n.stopContext()
+	defer cancel()
 	n.leaving.Store(true)
 	n.announcer.Leave()
 	time.Sleep(lameDuck)
 	n.server.Leave()
-	if err := n.server.Drain(context.Background()); err != nil {
+	if err := n.server.Drain(ctx); err != nil && n.settings.StopGrace() == 0 {
 		return fmt.Errorf("drain: %w", err)
+	} else if err != nil {
+		n.log.Warn().Err(err).Msg("Requests still run at the end of the grace.")
 	}
-	n.finishRequests(requests)
-	n.handOverKeys()
+	n.finishRequests(ctx, requests, fronts)
+	n.handOverKeys(ctx)
 	n.gossiper.Leave()
 	n.tomb.Kill(nil)
-	if err := firstError(n.reporter.Stop, n.watcher.Stop, n.health.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop, n.tomb.Wait, n.metrics.Close); err != nil {
+	stops := []func() error{n.reporter.Stop, n.distributor.Stop, n.gossiper.Stop, peer.close, n.courier.Stop}
+	for _, f := range fronts {
+		stops = append(stops, f.listener.close)
+	}
+	if n.enroller == nil {
+		stops = append(stops, n.watcher.Stop, n.health.Stop)
+	}
+	if err := firstError(append(stops, n.tomb.Wait, n.metrics.Close)...); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
 	n.log.Info().Msg("Stopped.")
 	return nil
 }
 
+// stopContext returns a context that ends while there still is time to say
+// goodbye within the platform's grace. Without a grace it never ends.
+func (n *Node) stopContext() (context.Context, context.CancelFunc) {
+	if n.settings.StopGrace() == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), n.settings.StopGrace()-goodbyeTime)
+}
+
 // finishRequests waits for the callers' requests. All end by their deadlines,
 // but a caller may never read its answer.
-func (n *Node) finishRequests(requests *listener) {
-	ctx, cancel := context.WithTimeout(context.Background(), n.longestTimeout()+shutdownMargin)
+func (n *Node) finishRequests(ctx context.Context, requests *listener, fronts []openFront) {
+	ctx, cancel := context.WithTimeout(ctx, n.longestTimeout()+shutdownMargin)
 	defer cancel()
-	if err := requests.server.Shutdown(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("A caller did not read its answer to the end.")
+	listeners := []*listener{requests}
+	for _, f := range fronts {
+		if f.callers {
+			listeners = append(listeners, f.listener)
+		}
+	}
+	for _, l := range listeners {
+		if err := l.server.Shutdown(ctx); err != nil {
+			n.log.Warn().Err(err).Msg("A caller did not read its answer to the end.")
+		}
 	}
 }
 
 // handOverKeys gives the idempotency keys to their next homes. Keys that could
 // not be handed over are answered with "unknown" there.
-func (n *Node) handOverKeys() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+func (n *Node) handOverKeys(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	instances := n.snapshots.Snapshot().View().Service(n.settings.Service())
 	if err := n.keyer.HandOver(ctx, instances, n.keyRetention()); err != nil {
@@ -154,16 +205,43 @@
 
 // serveRequest tells requests of other nodes from those of callers.
 func (n *Node) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if n.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	if r.Header.Get(classifier.HeaderHop) != "" {
-		n.server.ServeHTTP(w, r)
+	if r.Header.Get(classifier.HeaderHop) == "" {
+		n.ServeCaller(w, r)
 		return
 	}
+	n.closeIfLeaving(w)
+	n.server.ServeHTTP(w, r)
+}
+
+// ServeCaller answers a request of a caller.
+func (n *Node) ServeCaller(w http.ResponseWriter, r *http.Request) {
+	n.closeIfLeaving(w)
 	n.forwarder.ServeHTTP(w, r)
 }
 
+// closeIfLeaving ends the connection with the answer if the node leaves.
+func (n *Node) closeIfLeaving(w http.ResponseWriter) {
+	if n.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// Ready reports whether callers are to send new work here.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.snapshots.Snapshot().Configuration() != nil
+}
+
+// Enroller returns what takes the heartbeats of the upstream, or nil if it is
+// watched instead.
+func (n *Node) Enroller() *enroller.Enroller { return n.enroller }
+
+// Reload takes over settings that were changed while the node runs: the seeds.
+// The others hold from the next start on.
+func (n *Node) Reload(settings *configurer.Node) {
+	n.gossiper.SetSeeds(settings.Seeds())
+	n.log.Info().Int("seeds", len(settings.Seeds())).Msg("Settings read again.")
+}
+
 // peerHandler serves what other processes and operators ask.
 func (n *Node) peerHandler() http.Handler {
 	mux := goji.NewMux()
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -13,6 +13,7 @@
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
+	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -71,12 +72,14 @@
 		Observer:    n.meter,
 	})
 	n.assembleReports(base)
+	n.assembleEnroller(base)
 	n.assembleWatchers()
 	n.server = server.New(server.Config{
 		Instance:  s.Instance(),
 		Service:   s.Service(),
 		Upstream:  s.UpstreamAddress(),
-		Requester: watchedRequester{newRequester(orDefault(s.Connections(), spec.Connections)), n.watcher},
+		Requester: watchedRequester{n.upstreamRequester(orDefault(s.Connections(), spec.Connections)), n.watcher},
+		Upstreams: n.upstreams(),
 		Admitter:  upstreamAdmitter{n.admitter, n.noteRefusal},
 		Snapshots: n.snapshots,
 		Scope:     n.metrics.Scope().SubScope("server"),
@@ -113,6 +116,46 @@
 	return nil
 }
 
+// upstreamRequester returns what speaks to the own upstream.
+func (n *Node) upstreamRequester(connections int) server.Requester {
+	var r server.Requester = requester.New(requester.Config{
+		Dialer:     &net.Dialer{},
+		MaxPerHost: connectionsFor(connections),
+		EchoHeader: n.dialect.EchoHeader,
+		Unframed:   n.dialect.UnframedAnswers,
+	})
+	if n.dialect.Upstream != nil {
+		r = n.dialect.Upstream(r)
+	}
+	return r
+}
+
+// upstreams returns what knows the own upstream by its heartbeats, or nil.
+func (n *Node) upstreams() server.Upstreams {
+	if n.enroller == nil {
+		return nil
+	}
+	return n.enroller
+}
+
+// assembleEnroller makes the part that takes the heartbeats of the upstream, if
+// it sends any.
+func (n *Node) assembleEnroller(base zerolog.Logger) {
+	if !n.settings.UpstreamHeartbeats() {
+		return
+	}
+	n.announcer.Available(false)
+	n.enroller = enroller.New(enroller.Config{
+		Service: n.settings.Service(),
+		Address: n.settings.UpstreamAddress(),
+		OnChange: func(available bool, coldFor time.Duration) {
+			n.coldFor.Store(int64(coldFor))
+			n.announcer.Available(available)
+		},
+		Log: logger.Part(base, "enroller"),
+	})
+}
+
 // assembleWatchers makes the parts that follow the state of the own upstream.
 func (n *Node) assembleWatchers() {
 	n.watcher = watcher.New(watcher.Config{
@@ -176,12 +219,12 @@
 }
 
 func newRequester(connections int) *requester.Pool {
-	return requester.New(requester.Config{
-		Dialer:     &net.Dialer{},
-		MaxPerHost: max(connections-connections/connectionShare, 1),
-	})
+	return requester.New(requester.Config{Dialer: &net.Dialer{}, MaxPerHost: connectionsFor(connections)})
 }
 
+// connectionsFor returns how many of an upstream's connections this node takes.
+func connectionsFor(connections int) int { return max(connections-connections/connectionShare, 1) }
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func orDefault(n, fallback int) int {
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -19,7 +19,12 @@
 	}
 }
 
+// coldStart returns how long the instance warms: what the upstream said of
+// itself, or else what the configuration says.
 func (n *Node) coldStart() time.Duration {
+	if n.enroller != nil {
+		return time.Duration(n.coldFor.Load())
+	}
 	if s := n.service(); s != nil {
 		return s.Spec().ColdStart
 	}
--- a/internal/process/voter/state.go
+++ b/internal/process/voter/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -98,22 +99,33 @@
 		Operator:       e.GetOperator(),
 		AcceptedUnixMs: e.GetAcceptedUnixMs(),
 		Message:        e.GetMessage(),
+		Replaced:       e.Replaced,
 	}
 }
 
-// changeNumbered returns the change that made the given version, or nil.
-func (s *State) changeNumbered(number uint64) *controlwire.HistoryEntry {
+// changeAfter returns the change that replaced the given version, or nil if
+// that is not remembered.
+func (s *State) changeAfter(number uint64) *controlwire.HistoryEntry {
 	history := s.wire.GetHistory()
-	if len(history) == 0 || number < history[0].GetNumber() {
-		return nil
-	}
-	i := number - history[0].GetNumber()
-	if i >= uint64(len(history)) {
+	i, _ := slices.BinarySearchFunc(history, number+1, compareNumber)
+	if i == len(history) || replacedBy(history[i]) != number {
 		return nil
 	}
 	return history[i]
 }
 
+// replacedBy returns the number of the version that the change replaced.
+func replacedBy(e *controlwire.HistoryEntry) uint64 {
+	if e.Replaced == nil {
+		return e.GetNumber() - 1
+	}
+	return e.GetReplaced()
+}
+
+func compareNumber(e *controlwire.HistoryEntry, number uint64) int {
+	return cmp.Compare(e.GetNumber(), number)
+}
+
 // changeNamed returns the accepted change with the given id, or nil.
 func (s *State) changeNamed(id string) *controlwire.HistoryEntry {
 	for _, e := range slices.Backward(s.wire.GetHistory()) {
@@ -171,12 +183,13 @@
 	}
 	delta := &controlwire.Delta{Base: have, Target: s.Version().GetDigest()}
 	var changes []*controlwire.EntryChange
-	for number := have.GetNumber() + 1; number <= s.number(); number++ {
-		e := s.changeNumbered(number)
+	for number := have.GetNumber(); number < s.number(); {
+		e := s.changeAfter(number)
 		if e == nil || len(e.GetChanges()) == 0 {
 			return nil, false
 		}
 		changes = append(changes, e.GetChanges()...)
+		number = e.GetNumber()
 	}
 	var ok bool
 	delta.Changes, ok = compiler.Merge(changes)
--- a/internal/process/voter/submission.go
+++ b/internal/process/voter/submission.go
@@ -73,6 +73,9 @@
 	case s.req.GetReplaces() < base.number():
 		s.conflict(base)
 		return nil
+	case s.req.GetVersion() != 0 && s.req.GetVersion() <= base.number():
+		s.err = fmt.Errorf("%w: its number %d is not above that of version %d", ErrInvalid, s.req.GetVersion(), base.number())
+		return nil
 	default:
 		return s.transition(base)
 	}
@@ -80,7 +83,7 @@
 
 // repeat gives an accepted change its first answer again.
 func (s *submission) repeat(earlier *controlwire.HistoryEntry) {
-	if earlier.GetNumber() != s.req.GetReplaces()+1 {
+	if replacedBy(earlier) != s.req.GetReplaces() || s.req.GetVersion() != 0 && s.req.GetVersion() != earlier.GetNumber() {
 		s.err = fmt.Errorf("%w: change id belongs to version %d", ErrInvalid, earlier.GetNumber())
 		return
 	}
@@ -92,7 +95,7 @@
 
 // conflict answers with the change that replaced the same version.
 func (s *submission) conflict(base *State) {
-	winner := base.changeNumbered(s.req.GetReplaces() + 1)
+	winner := base.changeAfter(s.req.GetReplaces())
 	if winner == nil {
 		s.err = ErrTooOld
 		return
@@ -111,6 +114,9 @@
 		return nil
 	}
 	number := base.number() + 1
+	if s.req.GetVersion() != 0 {
+		number = s.req.GetVersion()
+	}
 	s.answer = &controlwire.SubmitResponse{
 		Result:  controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED,
 		Version: number,
@@ -123,6 +129,7 @@
 			AcceptedUnixMs: time.Now().UnixMilli(),
 			Message:        s.req.GetMessage(),
 			Changes:        compiler.Diff(base.Version().GetDocument(), s.req.GetDocument()),
+			Replaced:       proto.Uint64(base.number()),
 		},
 		Digest:     s.digest,
 		Membership: membership,
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -48,7 +48,7 @@
 		route:      route,
 		trace:      trace,
 		budget:     f.budgets.Service(route.spec.Name),
-		repeatable: route.service.Repeatable(r.Method),
+		repeatable: route.idempotent,
 		header:     relayer.CopyRequestHeader(r.Header),
 	}
 	c.budget.Earn(route.spec.RetryPercent)
@@ -57,6 +57,9 @@
 	c.header[classifier.HeaderHop] = hopValue
 	delete(c.header, classifier.HeaderKeyHome)
 	c.header[classifier.HeaderService] = []string{route.spec.Name}
+	if route.ranked {
+		c.header[classifier.HeaderPriority] = []string{route.spec.Priority.String()}
+	}
 	return c
 }
 
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -21,8 +21,14 @@
 
 // route is where a request goes and within which bounds.
 type route struct {
-	service   *compiler.Service
-	spec      compiler.ServiceSpec
+	service *compiler.Service
+	spec    *compiler.ServiceSpec // With the route's own settings over the service's.
+	name    string
+	version uint64
+	// idempotent tells that the request may run more than once.
+	idempotent bool
+	// ranked tells that the route, not the caller, sets the priority.
+	ranked    bool
 	instances []*registrar.Instance
 	timeout   time.Duration
 	depth     int
@@ -38,10 +44,13 @@
 	if r.Method == http.MethodConnect {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
 	}
-	service := cfg.Route(hostname(r.Host), r.URL.Path)
-	if service == nil {
+	found := cfg.Route(hostname(r.Host), r.URL.Path)
+	if found == nil {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonNoService)
 	}
+	if limit := cfg.Limits().MaxBodyBytes; limit > 0 && r.ContentLength > int64(limit) {
+		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBodyTooLarge)
+	}
 	depth, err := parseCount(r.Header.Get(classifier.HeaderDepth))
 	if err != nil {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
@@ -49,23 +58,27 @@
 	if depth >= maxDepth {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonDepth)
 	}
-	spec := service.Spec()
+	service, spec := found.Next()
 	timeout, err := requestTimeout(r.Header.Get(classifier.HeaderTimeout), spec)
 	if err != nil {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
 	}
 	return route{
-		service:   service,
-		spec:      spec,
-		instances: snapshot.View().Service(spec.Name),
-		timeout:   timeout,
-		depth:     depth + 1,
+		service:    service,
+		spec:       spec,
+		instances:  snapshot.View().Service(spec.Name),
+		timeout:    timeout,
+		depth:      depth + 1,
+		name:       found.Name(),
+		version:    cfg.Number(),
+		idempotent: found.Idempotent(r.Method),
+		ranked:     found.Ranked(),
 	}, nil
 }
 
 // requestTimeout returns the time that the request names, bounded by the
 // service, or the service's own.
-func requestTimeout(header string, spec compiler.ServiceSpec) (time.Duration, error) {
+func requestTimeout(header string, spec *compiler.ServiceSpec) (time.Duration, error) {
 	if header == "" {
 		return spec.Timeout, nil
 	}
--- a/internal/request/refuser/refusal.go
+++ b/internal/request/refuser/refusal.go
@@ -138,6 +138,9 @@
 	}
 	if f.retryAfter > 0 || status == http.StatusServiceUnavailable {
 		h.Set(classifier.HeaderRetryAfter, retryAfterSeconds(f.retryAfter))
+		if f.retryAfter > 0 {
+			h.Set(classifier.HeaderRetryAfterMS, strconv.FormatInt(f.retryAfter.Milliseconds(), 10))
+		}
 	}
 	w.WriteHeader(status)
 	fmt.Fprint(w, body)
@@ -158,6 +161,8 @@
 		return http.StatusNotFound
 	case classifier.ReasonBadRequest:
 		return http.StatusBadRequest
+	case classifier.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case classifier.ReasonDepth:
 		return http.StatusLoopDetected
 	case classifier.ReasonWrongInstance:
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -40,6 +40,9 @@
 
 // admit waits for a slot and sends req to the upstream.
 func (s *Server) admit(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
+	if refusal := s.address(req); refusal != nil {
+		return nil, refusal
+	}
 	spec := s.spec()
 	deadline, _ := ctx.Deadline()
 	priority := ParsePriority(req.Header.Get(classifier.HeaderPriority), spec.Priority)
@@ -49,6 +52,10 @@
 		return nil, admissionRefusal(err)
 	}
 	prepare(ctx, req)
+	if refusal := s.address(req); refusal != nil {
+		permit.Done(Result{Abandoned: true})
+		return nil, refusal
+	}
 	start := time.Now()
 	resp, err := s.cfg.Requester.DoLimited(ctx, s.cfg.Upstream, req, requester.Limits{StallTimeout: spec.StallTimeout})
 	latency := time.Since(start)
@@ -76,6 +83,20 @@
 	return resp, nil
 }
 
+// address names the upstream that req is for, or refuses it while no new work
+// may be sent there.
+func (s *Server) address(req *http.Request) *refuser.Refusal {
+	if s.cfg.Upstreams == nil {
+		return nil
+	}
+	id, available := s.cfg.Upstreams.Current()
+	if !available {
+		return refuser.New(classifier.NotRun, classifier.ReasonUpstream)
+	}
+	req.Header[classifier.HeaderUpstream] = []string{id}
+	return nil
+}
+
 // spec returns the settings of the service, or the defaults while there are none.
 func (s *Server) spec() compiler.ServiceSpec {
 	if cfg := s.cfg.Snapshots.Snapshot().Configuration(); cfg != nil {
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -86,7 +86,13 @@
 	Snapshot() *publisher.Snapshot
 }
 
-// Config lists the dependencies of a Server. All are needed.
+// Upstreams knows which upstream runs at the upstream's address.
+type Upstreams interface {
+	// Current returns its id, and whether new work may be sent to it.
+	Current() (id string, available bool)
+}
+
+// Config lists the dependencies of a Server. All but Upstreams are needed.
 type Config struct {
 	// Instance is the id of the node's own instance, Service its service.
 	Instance, Service string
@@ -95,6 +101,8 @@
 	Requester Requester
 	Admitter  Admitter
 	Snapshots Snapshots
+	// Upstreams is nil if the upstream does not announce itself.
+	Upstreams Upstreams
 	Scope     tally.Scope
 }
 
--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -15,13 +15,16 @@
 
 // checker finds the faults of a document while it builds the services.
 type checker struct {
-	layers   map[string]*layer
-	base     *layer
-	owners   []string
-	services []string
-	drafts   []*draft // The services as the base describes them.
-	faults   []fault
-	faulty   map[entryID]bool
+	layers     map[string]*layer
+	base       *layer
+	owners     []string
+	services   []string
+	routeNames []string
+	drafts     []*draft // The services as the base describes them.
+	routes     []*routeDraft
+	limits     Limits
+	faults     []fault
+	faulty     map[entryID]bool
 }
 
 // newChecker returns a checker that has checked the base.
@@ -33,6 +36,10 @@
 	for _, name := range c.services {
 		c.drafts = append(c.drafts, newDraft(name))
 	}
+	c.routeNames = c.base.names(kindRoute)
+	for _, name := range c.routeNames {
+		c.routes = append(c.routes, newRouteDraft(name))
+	}
 	c.checkSections(c.base, c.drafts)
 	c.checkBase()
 	c.checkDrafts(c.drafts)
@@ -94,9 +101,15 @@
 			continue
 		}
 		set := func(e *controlwire.Entry) error { return checkValue(l.name, e) }
-		if kind == kindService {
+		switch kind {
+		case kindService:
 			i, _ := slices.BinarySearch(c.services, name)
 			set = drafts[i].set
+		case kindRoute:
+			i, _ := slices.BinarySearch(c.routeNames, name)
+			set = c.routes[i].put
+		case kindLimits:
+			set = func(e *controlwire.Entry) error { return limitsByKey[e.GetKey()].set(&c.limits, e.GetValue()) }
 		}
 		c.checkEntries(s, keysOf(kind), set)
 	}
@@ -123,7 +136,7 @@
 
 func (c *checker) validSections(layer string) []string {
 	if layer == baseLayer {
-		return []string{kindControl, kindOwner + " NAME", kindService + " NAME"}
+		return []string{kindControl, kindLimits, kindOwner + " NAME", kindRoute + " NAME", kindService + " NAME"}
 	}
 	sections := []string{kindSite}
 	for _, name := range c.services {
@@ -184,6 +197,7 @@
 		c.checkTimeouts(d)
 		c.checkRoutes(d, routes)
 	}
+	c.checkRouteDrafts(routes)
 }
 
 func (c *checker) checkOwner(d *draft) {
@@ -204,6 +218,9 @@
 
 // checkRoutes checks that no other service has the same host and path prefix.
 func (c *checker) checkRoutes(d *draft, routes map[string]string) {
+	if d.spec.Unrouted {
+		return
+	}
 	hosts := d.spec.Hosts
 	if len(hosts) == 0 {
 		hosts = []string{anyHost}
@@ -211,10 +228,10 @@
 	for _, host := range hosts {
 		route := host + d.spec.PathPrefix
 		if other, taken := routes[route]; taken {
-			c.fail(d.at("path-prefix", "hosts", keyOwner), fmt.Sprintf("service %s has the same route %s", other, route))
+			c.fail(d.at("path-prefix", "hosts", keyOwner), fmt.Sprintf("%s has the same route %s", other, route))
 			continue
 		}
-		routes[route] = d.spec.Name
+		routes[route] = d.header
 	}
 }
 
--- a/internal/version/compiler/compile.go
+++ b/internal/version/compiler/compile.go
@@ -36,6 +36,11 @@
 		services[i] = NewService(d.spec)
 	}
 	cfg := NewConfiguration(number, site, services)
+	for _, r := range c.compileRoutes(cfg.services) {
+		cfg.addRoute(r)
+	}
+	cfg.orderRoutes()
+	cfg.limits = c.limits
 	if err := c.complete(cfg); err != nil {
 		return nil, fmt.Errorf("compile for site %s: %w", site, err)
 	}
--- a/internal/version/compiler/configuration.go
+++ b/internal/version/compiler/configuration.go
@@ -18,7 +18,9 @@
 package compiler
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -32,21 +34,54 @@
 	voters         []netip.AddrPort
 	owners         []*Owner
 	services       map[string]*Service
-	routes         []*Service
+	ordered        []*Service // By the order of their routes.
+	// byHost holds the routes that name a host, anyHost those that name none,
+	// each in the order in which they are matched.
+	byHost  map[string][]*Route
+	anyHost []*Route
+	limits  Limits
 }
 
 // NewConfiguration returns the configuration with the given version number,
 // site and services.
 func NewConfiguration(number uint64, site string, services []*Service) *Configuration {
-	c := &Configuration{number: number, site: site, services: make(map[string]*Service, len(services))}
+	c := &Configuration{number: number, site: site, services: make(map[string]*Service, len(services)), byHost: make(map[string][]*Route)}
 	for _, s := range services {
 		c.services[s.Name()] = s
-		c.routes = append(c.routes, s)
+		c.ordered = append(c.ordered, s)
 	}
-	sort.Slice(c.routes, func(i, j int) bool { return routeBefore(c.routes[i], c.routes[j]) })
+	sort.Slice(c.ordered, func(i, j int) bool {
+		return routeBefore(newServiceRoute(c.ordered[i]), newServiceRoute(c.ordered[j]))
+	})
+	for _, s := range c.ordered {
+		if !s.spec.Unrouted {
+			c.addRoute(newServiceRoute(s))
+		}
+	}
+	c.orderRoutes()
 	return c
 }
 
+// addRoute adds a route. orderRoutes must follow.
+func (c *Configuration) addRoute(r *Route) {
+	hosts := r.hosts()
+	if len(hosts) == 0 {
+		c.anyHost = append(c.anyHost, r)
+	}
+	for _, host := range hosts {
+		host = strings.ToLower(host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+}
+
+// orderRoutes brings the routes into the order in which they are matched.
+func (c *Configuration) orderRoutes() {
+	slices.SortFunc(c.anyHost, compareRoutes)
+	for _, routes := range c.byHost {
+		slices.SortFunc(routes, compareRoutes)
+	}
+}
+
 // Number returns the version's number. A larger number is newer.
 func (c *Configuration) Number() uint64 { return c.number }
 
@@ -83,33 +118,29 @@
 
 // Services returns all services in the order in which routes are matched. The
 // caller must not change the slice.
-func (c *Configuration) Services() []*Service { return c.routes }
-
-// Route returns the service for a request's host, without port, and path, or
-// nil. A service that names the host goes before one for any host; among
-// these the longest path prefix wins.
-func (c *Configuration) Route(host, path string) *Service {
-	for _, s := range c.routes {
-		if s.matches(host, path) {
-			return s
-		}
+func (c *Configuration) Services() []*Service { return c.ordered }
+
+// Limits returns what bounds the requests of callers.
+func (c *Configuration) Limits() Limits { return c.limits }
+
+// Route returns the route for a request's host, without port, and path, or
+// nil. A route that names the host goes before one for any host; among these
+// the longest path prefix wins.
+func (c *Configuration) Route(host, path string) *Route {
+	if r := firstUnder(c.byHost[strings.ToLower(host)], path); r != nil {
+		return r
 	}
-	return nil
+	return firstUnder(c.anyHost, path)
 }
 
-func (s *Service) matches(host, path string) bool {
-	if !underPrefix(path, s.spec.PathPrefix) {
-		return false
-	}
-	if len(s.spec.Hosts) == 0 {
-		return true
-	}
-	for _, h := range s.spec.Hosts {
-		if strings.EqualFold(h, host) {
-			return true
+// firstUnder returns the first route whose path prefix holds the path, or nil.
+func firstUnder(routes []*Route, path string) *Route {
+	for _, r := range routes {
+		if underPrefix(path, r.spec.PathPrefix) {
+			return r
 		}
 	}
-	return false
+	return nil
 }
 
 // underPrefix reports whether path is prefix or lies below it, counting whole
@@ -121,12 +152,15 @@
 	return strings.HasSuffix(prefix, "/") || len(path) == len(prefix) || path[len(prefix)] == '/'
 }
 
-func routeBefore(a, b *Service) bool {
-	if named := len(a.spec.Hosts) > 0; named != (len(b.spec.Hosts) > 0) {
+// compareRoutes puts the longer path prefix first.
+func compareRoutes(a, b *Route) int {
+	return cmp.Or(cmp.Compare(len(b.spec.PathPrefix), len(a.spec.PathPrefix)), cmp.Compare(a.spec.Name, b.spec.Name))
+}
+
+// routeBefore puts routes that name a host before the others.
+func routeBefore(a, b *Route) bool {
+	if named := len(a.hosts()) > 0; named != (len(b.hosts()) > 0) {
 		return named
 	}
-	if len(a.spec.PathPrefix) != len(b.spec.PathPrefix) {
-		return len(a.spec.PathPrefix) > len(b.spec.PathPrefix)
-	}
-	return a.spec.Name < b.spec.Name
+	return compareRoutes(a, b) < 0
 }
--- /dev/null
+++ b/internal/version/compiler/route_setting.go
@@ -0,0 +1,133 @@
+package compiler
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/version/parser"
+)
+
+// maxWeight bounds the weight of one service of a route.
+const maxWeight = 1_000_000
+
+// Keys of a route that other checks name.
+const (
+	keyHost        = "host"
+	keyPathPrefix  = "path-prefix"
+	keyServices    = "services"
+	keyTimeout     = "timeout"
+	keyKind        = "kind"
+	keyMaxAttempts = "max-attempts"
+)
+
+// routeSettings lists the keys of a route's section in the order of RouteSpec.
+var routeSettings = []setting[RouteSpec]{
+	{key: keyHost, set: setRouteHost, get: getRouteHost},
+	{key: keyPathPrefix, set: setRoutePrefix, get: func(s *RouteSpec) string { return s.PathPrefix }},
+	{key: keyServices, set: setRouteServices, get: func(s *RouteSpec) string { return FormatWeights(s.Services) }},
+	{key: keyKind, set: setRouteKind, get: func(s *RouteSpec) string { return string(s.Kind) }},
+	durationSetting(keyTimeout, time.Millisecond, time.Hour, func(s *RouteSpec) *time.Duration { return &s.Timeout }),
+	durationSetting("latency-goal", time.Millisecond, time.Hour, func(s *RouteSpec) *time.Duration { return &s.LatencyGoal }),
+	intSetting("rank", 0, MaxRank, func(s *RouteSpec) *int { return &s.Rank }),
+	intSetting(keyMaxAttempts, 1, 10, func(s *RouteSpec) *int { return &s.MaxAttempts }),
+}
+
+var routeSettingsByKey = byKey(routeSettings)
+
+// defaultRouteSpec returns the settings that hold where a route is silent.
+func defaultRouteSpec(name string) RouteSpec {
+	service := DefaultServiceSpec("")
+	return RouteSpec{
+		Name:        name,
+		PathPrefix:  "/",
+		Kind:        RouteNonIdempotent,
+		Timeout:     service.MaxTimeout,
+		Rank:        2,
+		MaxAttempts: service.MaxAttempts,
+	}
+}
+
+func setRouteHost(s *RouteSpec, value string) error {
+	s.Host = ""
+	if value == anyHost {
+		return nil
+	}
+	if !hostPattern.MatchString(value) {
+		return errors.Errorf("%q is not a host name in lower case without a port", value)
+	}
+	s.Host = value
+	return nil
+}
+
+func getRouteHost(s *RouteSpec) string {
+	if s.Host == "" {
+		return anyHost
+	}
+	return s.Host
+}
+
+func setRoutePrefix(s *RouteSpec, value string) error {
+	if !pathPattern.MatchString(value) {
+		return errors.Errorf("%q is not a path that starts with a slash", value)
+	}
+	s.PathPrefix = value
+	return nil
+}
+
+func setRouteKind(s *RouteSpec, value string) error {
+	name, err := parser.OneOf(value, []string{string(RouteIdempotent), string(RouteNonIdempotent), string(RouteDownload)})
+	s.Kind = RouteKind(name)
+	return err
+}
+
+// setRouteServices reads services with weights, such as "almacen:90, vitrina:10".
+func setRouteServices(s *RouteSpec, value string) error {
+	items, err := parser.List(value)
+	if err != nil {
+		return err
+	}
+	services := make([]WeightedService, len(items))
+	total := 0
+	seen := make(map[string]bool)
+	for i, item := range items {
+		services[i], err = parseWeight(item)
+		if err != nil {
+			return err
+		}
+		if seen[services[i].Name] {
+			return errors.Errorf("%q has %q twice", value, services[i].Name)
+		}
+		seen[services[i].Name] = true
+		total += services[i].Weight
+	}
+	if total == 0 {
+		return errors.Errorf("the weights of %q add up to 0", value)
+	}
+	s.Services = services
+	return nil
+}
+
+func parseWeight(item string) (WeightedService, error) {
+	name, weight, weighted := strings.Cut(item, ":")
+	if _, err := parser.Name(name); err != nil {
+		return WeightedService{}, err
+	}
+	if !weighted {
+		return WeightedService{Name: name, Weight: 1}, nil
+	}
+	n, err := parser.Int(weight, 0, maxWeight)
+	return WeightedService{Name: name, Weight: n}, err
+}
+
+// FormatWeights writes services with weights as they stand behind the key
+// services of a route.
+func FormatWeights(services []WeightedService) string {
+	items := make([]string, len(services))
+	for i, s := range services {
+		items[i] = s.Name + ":" + strconv.Itoa(s.Weight)
+	}
+	return strings.Join(items, ", ")
+}
--- a/internal/version/compiler/section.go
+++ b/internal/version/compiler/section.go
@@ -3,7 +3,9 @@
 // Kinds of sections.
 const (
 	kindControl = "control"
+	kindLimits  = "limits"
 	kindOwner   = "owner"
+	kindRoute   = "route"
 	kindService = "service"
 	kindSite    = "site"
 )
@@ -33,18 +35,14 @@
 	controlKeys = []string{keyVoters}
 	ownerKeys   = []string{keyIdleRate, keyCurrency}
 	siteKeys    = []string{keyName, keyRegion, keyFailureDomains}
-	serviceKeys = func() []string {
-		keys := make([]string, len(settings))
-		for i, s := range settings {
-			keys[i] = s.key
-		}
-		return keys
-	}()
+	serviceKeys = keysOfSettings(settings)
+	routeKeys   = keysOfSettings(routeSettings)
+	limitsKeys  = keysOfSettings(limitsSettings)
 )
 
 // Kinds of sections in the base and in an overlay, and whether each needs a name.
 var (
-	baseForms    = map[string]bool{kindControl: false, kindOwner: true, kindService: true}
+	baseForms    = map[string]bool{kindControl: false, kindLimits: false, kindOwner: true, kindRoute: true, kindService: true}
 	overlayForms = map[string]bool{kindSite: false, kindService: true}
 )
 
@@ -63,6 +61,10 @@
 		return ownerKeys
 	case kindSite:
 		return siteKeys
+	case kindRoute:
+		return routeKeys
+	case kindLimits:
+		return limitsKeys
 	}
 	return serviceKeys
 }
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -23,6 +23,9 @@
 	Owner string
 	// Hosts are the host names that select the service; empty for any.
 	Hosts []string
+	// Unrouted tells that only routes of their own lead to the service, none
+	// that its hosts and path prefix describe.
+	Unrouted bool
 	// PathPrefix is the start of the paths that select the service.
 	PathPrefix string
 	// Timeout is the deadline of a request that names none.
--- a/internal/version/compiler/setting.go
+++ b/internal/version/compiler/setting.go
@@ -14,6 +14,7 @@
 // Words that stand for an empty setting.
 const (
 	anyHost     = "*"
+	noHosts     = "none"
 	neverHedge  = "never"
 	noneMethods = "none"
 	noHealth    = "none"
@@ -29,16 +30,16 @@
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,20}$`)
 )
 
-// setting is one key of a service's section: how its value is read into a
-// spec, and written.
-type setting struct {
+// setting is one key of the section that describes an S: how its value is
+// read into a spec, and written.
+type setting[S any] struct {
 	key string
-	set func(spec *ServiceSpec, value string) error
-	get func(spec *ServiceSpec) string
+	set func(spec *S, value string) error
+	get func(spec *S) string
 }
 
 // settings lists the keys of a service's section in the order of ServiceSpec.
-var settings = []setting{
+var settings = []setting[ServiceSpec]{
 	nameSetting("owner", func(s *ServiceSpec) *string { return &s.Owner }),
 	{key: "hosts", set: setHosts, get: getHosts},
 	{key: "path-prefix", set: setPathPrefix, get: func(s *ServiceSpec) string { return s.PathPrefix }},
@@ -63,61 +64,72 @@
 }
 
 // settingsByKey finds a setting by its key.
-var settingsByKey = func() map[string]setting {
-	m := make(map[string]setting, len(settings))
-	for _, s := range settings {
+var settingsByKey = byKey(settings)
+
+func byKey[S any](list []setting[S]) map[string]setting[S] {
+	m := make(map[string]setting[S], len(list))
+	for _, s := range list {
 		m[s.key] = s
 	}
 	return m
-}()
+}
+
+func keysOfSettings[S any](list []setting[S]) []string {
+	keys := make([]string, len(list))
+	for i, s := range list {
+		keys[i] = s.key
+	}
+	return keys
+}
 
-func nameSetting(key string, field func(*ServiceSpec) *string) setting {
-	return setting{
+func nameSetting[S any](key string, field func(*S) *string) setting[S] {
+	return setting[S]{
 		key: key,
-		set: func(s *ServiceSpec, value string) (err error) {
+		set: func(s *S, value string) (err error) {
 			*field(s), err = parser.Name(value)
 			return err
 		},
-		get: func(s *ServiceSpec) string { return *field(s) },
+		get: func(s *S) string { return *field(s) },
 	}
 }
 
-func durationSetting(key string, low, high time.Duration, field func(*ServiceSpec) *time.Duration) setting {
-	return setting{
+func durationSetting[S any](key string, low, high time.Duration, field func(*S) *time.Duration) setting[S] {
+	return setting[S]{
 		key: key,
-		set: func(s *ServiceSpec, value string) (err error) {
+		set: func(s *S, value string) (err error) {
 			*field(s), err = parser.Duration(value, low, high)
 			return err
 		},
-		get: func(s *ServiceSpec) string { return parser.FormatDuration(*field(s)) },
+		get: func(s *S) string { return parser.FormatDuration(*field(s)) },
 	}
 }
 
-func intSetting(key string, low, high int, field func(*ServiceSpec) *int) setting {
-	return setting{
+func intSetting[S any](key string, low, high int, field func(*S) *int) setting[S] {
+	return setting[S]{
 		key: key,
-		set: func(s *ServiceSpec, value string) (err error) {
+		set: func(s *S, value string) (err error) {
 			*field(s), err = parser.Int(value, low, high)
 			return err
 		},
-		get: func(s *ServiceSpec) string { return strconv.Itoa(*field(s)) },
+		get: func(s *S) string { return strconv.Itoa(*field(s)) },
 	}
 }
 
-func percentSetting(key string, field func(*ServiceSpec) *int) setting {
-	return setting{
+func percentSetting[S any](key string, field func(*S) *int) setting[S] {
+	return setting[S]{
 		key: key,
-		set: func(s *ServiceSpec, value string) (err error) {
+		set: func(s *S, value string) (err error) {
 			*field(s), err = parser.Percent(value, 0, 100)
 			return err
 		},
-		get: func(s *ServiceSpec) string { return strconv.Itoa(*field(s)) + "%" },
+		get: func(s *S) string { return strconv.Itoa(*field(s)) + "%" },
 	}
 }
 
 func setHosts(s *ServiceSpec, value string) error {
 	s.Hosts = nil
-	if value == anyHost {
+	s.Unrouted = value == noHosts
+	if value == anyHost || s.Unrouted {
 		return nil
 	}
 	hosts, err := parser.List(value)
@@ -134,6 +146,9 @@
 }
 
 func getHosts(s *ServiceSpec) string {
+	if s.Unrouted {
+		return noHosts
+	}
 	if len(s.Hosts) == 0 {
 		return anyHost
 	}
--- a/internal/version/parser/value.go
+++ b/internal/version/parser/value.go
@@ -121,6 +121,12 @@
 	return value, nil
 }
 
+// YesNo reads "yes" or "no".
+func YesNo(value string) (bool, error) {
+	name, err := OneOf(value, []string{"yes", "no"})
+	return name == "yes", err
+}
+
 // OneOf reads a name that must be among the valid ones.
 func OneOf(value string, valid []string) (string, error) {
 	for _, name := range valid {
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -33,6 +33,11 @@
 	HeaderLoad = "Banyanscale-Load"
 	// HeaderDraining is "1" on an answer of an upstream that takes no new work.
 	HeaderDraining = "Banyanscale-Draining"
+	// HeaderUpstream holds the id of the upstream that a request is for, on
+	// requests to one that announces its id.
+	HeaderUpstream = "Banyanscale-Upstream"
+	// HeaderRetryAfterMS holds when to come back, in whole milliseconds.
+	HeaderRetryAfterMS = "Banyanscale-Retry-After-Ms"
 	// HeaderRetryAfter is the standard header that tells, in whole seconds, when to come back.
 	HeaderRetryAfter = "Retry-After"
 	// HeaderIdempotencyKey names a request that may be sent again but must run at most once.
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -15,6 +15,8 @@
 	ReasonNoConfiguration Reason = "no-configuration"
 	// ReasonBadRequest means that a header of the request could not be understood.
 	ReasonBadRequest Reason = "bad-request"
+	// ReasonBodyTooLarge means that the body of the request is larger than the configuration allows.
+	ReasonBodyTooLarge Reason = "body-too-large"
 	// ReasonDepth means that the request passed through too many services.
 	ReasonDepth Reason = "depth-exceeded"
 	// ReasonQueueFull means that the slots and the queue of the instance were full.
@@ -31,6 +33,8 @@
 	ReasonConnections Reason = "connection-limit"
 	// ReasonLeaving means that the instance is leaving and takes no new work.
 	ReasonLeaving Reason = "leaving"
+	// ReasonUpstream means that the instance's upstream has not announced itself, or drains.
+	ReasonUpstream Reason = "upstream-unavailable"
 	// ReasonShed means that the upstream itself refused the request before any work.
 	ReasonShed Reason = "upstream-shed"
 	// ReasonConnect means that no connection to the instance could be opened.
--- a/pkg/classifier/verdict.go
+++ b/pkg/classifier/verdict.go
@@ -27,10 +27,18 @@
 	return Verdict{
 		outcome:    outcome,
 		reason:     Reason(resp.Header.Get(HeaderReason)),
-		retryAfter: parseRetryAfter(resp.Header.Get(HeaderRetryAfter), time.Now()),
+		retryAfter: retryAfter(resp.Header, time.Now()),
 	}
 }
 
+// retryAfter prefers the header in milliseconds, which is more precise.
+func retryAfter(h http.Header, now time.Time) time.Duration {
+	if ms, err := strconv.ParseUint(h.Get(HeaderRetryAfterMS), 10, 31); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return parseRetryAfter(h.Get(HeaderRetryAfter), now)
+}
+
 // Outcome tells whether the request ran.
 func (v Verdict) Outcome() Outcome { return v.outcome }
 
