feat: instances are asked for their load at the moment of the choice

Cause: samples were half a second old at a few requests a second, while noise shifts every 150 ms; the adaptive limit took noise for overload and fell to a third; retries for want of room spent the retry budget. Ruled out: the picker's weights (the same with random draws of three).

--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -1,8 +1,6 @@
 package cmd
 
 import (
-	"fmt"
-
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
@@ -13,17 +11,9 @@
 func nodeCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("node", "Run the process beside one upstream.")
 	path := c.Flag("settings", "INI file with the node's settings.").Required().String()
-	return c.FullCommand(), func() error { return runNode(env, *path) }
-}
-
-func runNode(env *environment, path string) error {
-	settings, err := configurer.LoadNode(path)
-	if err != nil {
-		return fmt.Errorf("read the settings of the node: %w", err)
-	}
-	n, err := launcher.NewNode(settings, env.stderr)
-	if err != nil {
-		return fmt.Errorf("start the node: %w", err)
+	return c.FullCommand(), func() error {
+		return launcher.RunNode(env.ctx, *path, env.stderr, func(*configurer.Node) (launcher.Dialect, error) {
+			return launcher.Dialect{}, nil
+		})
 	}
-	return n.Run(env.ctx)
 }
--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -16,6 +16,8 @@
 const (
 	// PolicyLeastExpectedLatency chooses by sampled load, latency and distance.
 	PolicyLeastExpectedLatency Policy = "least-expected-latency"
+	// PolicyLeastExpectedFinish asks a few instances at the moment of the choice.
+	PolicyLeastExpectedFinish Policy = "least-expected-finish"
 	// PolicyRandom chooses at random, weighted by slots.
 	PolicyRandom Policy = "random"
 	// PolicyRoundRobin chooses in turn.
@@ -29,7 +31,7 @@
 const minStopGrace = time.Second
 
 var policyNames = []string{
-	string(PolicyLeastExpectedLatency), string(PolicyRandom), string(PolicyRoundRobin), string(PolicyLeastOwn),
+	string(PolicyLeastExpectedLatency), string(PolicyLeastExpectedFinish), string(PolicyRandom), string(PolicyRoundRobin), string(PolicyLeastOwn),
 }
 
 // Node is the settings of a node daemon. It is immutable.
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
 	"github.com/banyanscale/banyanscale/internal/process/watcher"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
@@ -34,6 +35,9 @@
 		Service:   q.Service,
 		Instances: q.Instances,
 		Exclude:   q.Exclude,
+		Work:      q.Work,
+		Goal:      q.Goal,
+		Large:     q.Large,
 		Now:       q.Now,
 	})
 	if !ok {
@@ -117,7 +121,7 @@
 
 // Admit implements server.Admitter.
 func (a upstreamAdmitter) Admit(ctx context.Context, work server.Work) (server.Permit, error) {
-	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline, Retried: work.Retried})
+	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline, Due: work.Due, Retried: work.Retried})
 	if err != nil {
 		if wantsSlot(err) {
 			a.refusedForLoad()
@@ -159,6 +163,7 @@
 type watchedRequester struct {
 	server.Requester
 	watcher *watcher.Watcher
+	gauger  *gauger.Gauger // Nil if the upstream reports nothing.
 }
 
 // DoLimited implements server.Requester.
@@ -168,10 +173,22 @@
 	resp, err := r.Requester.DoLimited(ctx, addr, req, limits)
 	if err == nil {
 		r.watcher.Answered(resp.Header.Get(classifier.HeaderDraining) != "")
+		r.observe(resp.Header.Get(classifier.HeaderUpstreamLoad))
 	}
 	return resp, err
 }
 
+// observe takes in the report on an answer. One that cannot be read is as good
+// as none.
+func (r watchedRequester) observe(text string) {
+	if r.gauger == nil || text == "" {
+		return
+	}
+	if report, err := gauger.ParseReport(text); err == nil {
+		r.gauger.Observe(report)
+	}
+}
+
 // probeTransport sends load probes over the process's datagram socket.
 type probeTransport struct{ courier *courier.Courier }
 
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -163,7 +163,6 @@
 // seeds. The others hold from the next start on.
 func (c *Control) Reload(settings *configurer.Control) {
 	c.gossiper.SetSeeds(append(settings.Seeds(), settings.Voters()...))
-	c.log.Info().Int("seeds", len(settings.Seeds())).Msg("Settings read again.")
 }
 
 // otherControls returns where the other control instances are.
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -18,6 +18,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
+	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
@@ -61,6 +62,7 @@
 	keyer     *keyer.Keyer
 	watcher   *watcher.Watcher
 	enroller  *enroller.Enroller // Nil if the upstream sends no heartbeats.
+	gauger    *gauger.Gauger     // Nil like enroller.
 	dialect   Dialect
 	coldFor   atomic.Int64 // Nanoseconds for which the upstream is slow, as it said at its start.
 	health    *watcher.HealthReader
@@ -68,6 +70,7 @@
 	reporter  *accountant.Reporter
 	prober    *prober.Prober
 	announcer *announcer.Announcer
+	askedAt   atomic.Int64 // When somebody last asked for the own load, in nanoseconds since the epoch.
 	leaving   atomic.Bool
 	tomb      tomb.Tomb
 }
@@ -121,6 +124,8 @@
 	if n.enroller == nil {
 		n.watcher.Start()
 		n.health.Start()
+	} else {
+		n.gauger.Start()
 	}
 	n.reporter.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
@@ -157,6 +162,8 @@
 	}
 	if n.enroller == nil {
 		stops = append(stops, n.watcher.Stop, n.health.Stop)
+	} else {
+		stops = append(stops, n.gauger.Stop)
 	}
 	if err := firstError(append(stops, n.tomb.Wait, n.metrics.Close)...); err != nil {
 		return fmt.Errorf("stop: %w", err)
@@ -239,7 +246,6 @@
 // The others hold from the next start on.
 func (n *Node) Reload(settings *configurer.Node) {
 	n.gossiper.SetSeeds(settings.Seeds())
-	n.log.Info().Int("seeds", len(settings.Seeds())).Msg("Settings read again.")
 }
 
 // peerHandler serves what other processes and operators ask.
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,7 +14,9 @@
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
+	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
+	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
@@ -38,6 +41,14 @@
 	// connectionShare is the inverse of the share of an upstream's connections
 	// that stays free for others than this node.
 	connectionShare = 10
+	// healthConnections bounds the connections for reads of the health endpoint.
+	healthConnections = 2
+	// maxPlacements bounds the attempts of one request that find no room.
+	maxPlacements = 3
+	// probesPerSecond and probeBytesPerSecond bound the probes of a node that
+	// asks at the moment of each choice, and those that it answers.
+	probesPerSecond     = 1000
+	probeBytesPerSecond = 100 * probesPerSecond
 )
 
 // assembleControl makes the parts that learn about the fleet and its
@@ -64,11 +75,14 @@
 	s := n.settings
 	spec := compiler.DefaultServiceSpec(s.Service())
 	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
+	n.assembleGauger(base)
 	n.admitter = admitter.New(admitter.Config{
 		Slots:       orDefault(s.Slots(), spec.Slots),
 		Connections: orDefault(s.Connections(), spec.Connections),
 		QueueLength: spec.QueueLength,
 		ColdStart:   spec.ColdStart,
+		FixedLimit:  s.UpstreamHeartbeats(),
+		Slowness:    n.slowness,
 		Observer:    n.meter,
 	})
 	n.assembleReports(base)
@@ -78,7 +92,7 @@
 		Instance:  s.Instance(),
 		Service:   s.Service(),
 		Upstream:  s.UpstreamAddress(),
-		Requester: watchedRequester{n.upstreamRequester(orDefault(s.Connections(), spec.Connections)), n.watcher},
+		Requester: watchedRequester{n.upstreamRequester(orDefault(s.Connections(), spec.Connections)), n.watcher, n.gauger},
 		Upstreams: n.upstreams(),
 		Admitter:  upstreamAdmitter{n.admitter, n.noteRefusal},
 		Snapshots: n.snapshots,
@@ -97,37 +111,80 @@
 		Region:        s.Region(),
 		FailureDomain: s.FailureDomain(),
 		Policy:        string(s.Policy()),
+		Refresher:     n.prober,
 	})
 	if err != nil {
 		return fmt.Errorf("make the picker: %w", err)
 	}
 	n.forwarder = forwarder.New(forwarder.Config{
-		Instance:  s.Instance(),
-		Snapshots: n.snapshots,
-		Picker:    choicePicker{choice, n.observeOwn},
-		Observer:  loadObserver{n.pool, n.gossiper.ReportUnreachable},
-		Requester: newRequester(maxConnectionsPerNode),
-		Local:     n.server,
-		Keys:      n.keyer,
-		Explainer: n.explainer,
-		Scope:     n.metrics.Scope().SubScope("forwarder"),
-		Log:       logger.Part(base, "forwarder"),
+		Instance:   s.Instance(),
+		Snapshots:  n.snapshots,
+		Picker:     choicePicker{choice, n.observeOwn},
+		Observer:   loadObserver{n.pool, n.gossiper.ReportUnreachable},
+		Requester:  newRequester(maxConnectionsPerNode),
+		Local:      n.server,
+		Keys:       n.keyer,
+		Placements: n.placements(),
+		Explainer:  n.explainer,
+		Scope:      n.metrics.Scope().SubScope("forwarder"),
+		Log:        logger.Part(base, "forwarder"),
 	})
 	return nil
 }
 
+// placements returns how many attempts of one request may find that an
+// instance has no room, beside those that reach an upstream.
+func (n *Node) placements() int {
+	if n.settings.Policy() == configurer.PolicyLeastExpectedFinish {
+		return maxPlacements
+	}
+	return 0
+}
+
+// slowness returns how long work takes at the upstream now, 100 as usual.
+func (n *Node) slowness(now time.Time) int {
+	if n.gauger == nil {
+		return 0
+	}
+	return n.gauger.Slowness(now)
+}
+
+// assembleGauger makes the part that follows the speed of the upstream, if
+// that reports it.
+func (n *Node) assembleGauger(base zerolog.Logger) {
+	if !n.settings.UpstreamHeartbeats() {
+		return
+	}
+	reader := n.dialectRequester(requester.New(requester.Config{
+		Dialer:     &net.Dialer{},
+		MaxPerHost: healthConnections,
+		EchoHeader: n.dialect.EchoHeader,
+	}))
+	n.gauger = gauger.New(gauger.Config{
+		Read:     func(ctx context.Context) (bool, gauger.Report, error) { return n.readHealth(ctx, reader) },
+		Busy:     n.busy,
+		OnHealth: func(healthy bool) { n.admitter.Hint(healthy) },
+		Log:      logger.Part(base, "gauger"),
+		Scope:    n.metrics.Scope().SubScope("gauger"),
+	})
+}
+
 // upstreamRequester returns what speaks to the own upstream.
 func (n *Node) upstreamRequester(connections int) server.Requester {
-	var r server.Requester = requester.New(requester.Config{
+	return n.dialectRequester(requester.New(requester.Config{
 		Dialer:     &net.Dialer{},
 		MaxPerHost: connectionsFor(connections),
 		EchoHeader: n.dialect.EchoHeader,
 		Unframed:   n.dialect.UnframedAnswers,
-	})
-	if n.dialect.Upstream != nil {
-		r = n.dialect.Upstream(r)
+	}))
+}
+
+// dialectRequester returns what speaks to the own upstream by r.
+func (n *Node) dialectRequester(r server.Requester) server.Requester {
+	if n.dialect.Upstream == nil {
+		return r
 	}
-	return r
+	return n.dialect.Upstream(r)
 }
 
 // upstreams returns what knows the own upstream by its heartbeats, or nil.
@@ -185,7 +242,15 @@
 		Scope:   n.metrics.Scope().SubScope("accountant"),
 		Random:  newRandom(),
 	})
-	n.prober = prober.New(prober.Config{
+	n.prober = prober.New(n.proberConfig(base))
+	n.courier.Handle(courier.KindProbe, n.answerProbe)
+	n.courier.Handle(courier.KindProbeAnswer, func(from netip.AddrPort, payload []byte) {
+		n.prober.HandleAnswer(from, payload, time.Now())
+	})
+}
+
+func (n *Node) proberConfig(base zerolog.Logger) prober.Config {
+	cfg := prober.Config{
 		Pool:      n.pool,
 		Source:    n.snapshots,
 		Transport: probeTransport{n.courier},
@@ -193,11 +258,13 @@
 		Own:       n.admitter,
 		Scope:     n.metrics.Scope().SubScope("prober"),
 		Log:       logger.Part(base, "prober"),
-	})
-	n.courier.Handle(courier.KindProbe, n.answerProbe)
-	n.courier.Handle(courier.KindProbeAnswer, func(from netip.AddrPort, payload []byte) {
-		n.prober.HandleAnswer(from, payload, time.Now())
-	})
+	}
+	if n.settings.Policy() == configurer.PolicyLeastExpectedFinish {
+		cfg.OnDemand = true
+		cfg.Messages, cfg.Bytes = probesPerSecond, probeBytesPerSecond
+		cfg.AnswerMessages, cfg.AnswerBytes = probesPerSecond, probeBytesPerSecond
+	}
+	return cfg
 }
 
 func (n *Node) instance() registrar.Spec {
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -1,19 +1,32 @@
 package launcher
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// busyPeriod is for how long after a request for it the load of the upstream is
+// followed.
+const busyPeriod = time.Second
+
 // answerProbe tells another node the load of this one's upstream. An answer
 // that cannot be sent is like one that is lost.
 func (n *Node) answerProbe(from netip.AddrPort, payload []byte) {
+	n.askedAt.Store(time.Now().UnixNano())
 	if answer := n.prober.HandleProbe(from, payload); answer != nil {
 		_ = n.courier.Send(courier.KindProbeAnswer, from, answer)
 	}
@@ -89,6 +102,7 @@
 	if service != n.settings.Service() {
 		return
 	}
+	n.askedAt.Store(now.UnixNano())
 	if self := n.snapshots.Snapshot().View().Instance(n.settings.Instance()); self != nil {
 		n.pool.Observe(self.ID(), self.Incarnation(), n.admitter.Load(), now)
 	}
@@ -132,3 +146,30 @@
 	n.snapshots.SetView(view)
 	n.pool.Retain(func(id string) bool { return view.Instance(id) != nil })
 }
+
+// busy reports whether the speed of the upstream matters now.
+func (n *Node) busy() bool {
+	if _, available := n.enroller.Current(); !available {
+		return false
+	}
+	return n.healthPath() != "" && time.Since(time.Unix(0, n.askedAt.Load())) < busyPeriod
+}
+
+// readHealth reads the upstream's health endpoint.
+func (n *Node) readHealth(ctx context.Context, r server.Requester) (bool, gauger.Report, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.settings.UpstreamAddress().String()+n.healthPath(), http.NoBody)
+	if err != nil {
+		return false, gauger.Report{}, fmt.Errorf("make the request: %w", err)
+	}
+	resp, err := r.DoLimited(ctx, n.settings.UpstreamAddress(), req, requester.Limits{})
+	if err != nil {
+		return false, gauger.Report{}, fmt.Errorf("ask the health endpoint: %w", err)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return false, gauger.Report{}, fmt.Errorf("read the answer: %w", err)
+	}
+	// A report that cannot be read is as good as none.
+	report, _ := gauger.ParseReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
+	return resp.StatusCode < http.StatusInternalServerError, report, nil
+}
--- a/internal/process/prober/message.go
+++ b/internal/process/prober/message.go
@@ -13,10 +13,10 @@
 
 const (
 	// formatVersion is the first byte of each message.
-	formatVersion = 1
+	formatVersion = 2
 	// probeBytes and answerBytes are the lengths of the messages.
 	probeBytes  = 1 + 4 + 4
-	answerBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1
+	answerBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1 + 2
 	// datagramBytes are the headers of a datagram: IP, UDP and the byte that
 	// tells its kind.
 	datagramBytes = 20 + 8 + 1
@@ -51,12 +51,13 @@
 		nonce:       order.Uint32(b[1:]),
 		incarnation: order.Uint64(b[5:]),
 		load: sampler.NewLoad(sampler.LoadSpec{
-			InFlight:       int(order.Uint16(b[13:])),
-			Queued:         int(order.Uint16(b[15:])),
-			Limit:          int(order.Uint16(b[17:])),
-			Latency:        time.Duration(order.Uint32(b[19:])) * time.Microsecond,
-			WarmPercent:    int(b[23]),
-			FailurePercent: int(b[24]),
+			InFlight:        int(order.Uint16(b[13:])),
+			Queued:          int(order.Uint16(b[15:])),
+			Limit:           int(order.Uint16(b[17:])),
+			Latency:         time.Duration(order.Uint32(b[19:])) * time.Microsecond,
+			WarmPercent:     int(b[23]),
+			FailurePercent:  int(b[24]),
+			SlownessPercent: int(order.Uint16(b[25:])),
 		}),
 	}, nil
 }
@@ -78,7 +79,8 @@
 	b = order.AppendUint16(b, clampUint16(a.load.Queued()))
 	b = order.AppendUint16(b, clampUint16(a.load.Limit()))
 	b = order.AppendUint32(b, uint32(a.load.Latency().Microseconds()))
-	return append(b, byte(a.load.WarmPercent()), byte(a.load.FailurePercent()))
+	b = append(b, byte(a.load.WarmPercent()), byte(a.load.FailurePercent()))
+	return order.AppendUint16(b, clampUint16(a.load.SlownessPercent()))
 }
 
 func (p probe) encode() []byte {
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -91,11 +91,13 @@
 	// AnswerMessages and AnswerBytes bound, per second, the answers that this
 	// node gives; 0 for the defaults.
 	AnswerMessages, AnswerBytes int
+	// OnDemand sends probes only when Refresh asks for them.
+	OnDemand bool
 	// Scope takes the metrics.
 	Scope tally.Scope
 	// Log takes the log lines.
 	Log zerolog.Logger
-	// Random is used by Run alone; nil for a generator with a random seed.
+	// Random is used under the prober's lock; nil for a generator with a random seed.
 	Random *rand.Rand
 }
 
@@ -104,6 +106,8 @@
 	instanceID string
 	to         netip.AddrPort
 	sent       time.Time
+	// answered gets a token with the answer; nil if nobody waits for it.
+	answered chan struct{}
 }
 
 // Prober sends and answers load probes.
@@ -162,6 +166,9 @@
 	}
 	p.metrics.answered.Inc(1)
 	p.cfg.Pool.Observe(asked.instanceID, a.incarnation, a.load, now)
+	if asked.answered != nil {
+		asked.answered <- struct{}{} // It has room for all answers.
+	}
 }
 
 // HandleProbe returns the answer to a probe, or nil if there is none: the
@@ -248,6 +255,9 @@
 	}
 	p.refreshActive(snapshot.View(), now)
 	wake := p.activeAt.Add(activeInterval)
+	if p.cfg.OnDemand {
+		return wake
+	}
 	for _, name := range p.active {
 		service := snapshot.Configuration().Service(name)
 		if service == nil {
@@ -283,7 +293,9 @@
 	for name := range inUse {
 		p.active = append(p.active, name)
 	}
+	p.mu.Lock()
 	p.cfg.Random.Shuffle(len(p.active), func(i, j int) { p.active[i], p.active[j] = p.active[j], p.active[i] })
+	p.mu.Unlock()
 	p.forget(inUse, now)
 }
 
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -16,8 +16,13 @@
 	maxLatency   = time.Hour
 	fullPercent  = 100
 	maxLoadBytes = 128
+	maxSlowness  = 60_000
 )
 
+// slownessKey is the key of a last field that is there only if work is slower
+// or faster than usual.
+const slownessKey = ";slowness-percent="
+
 // ErrLoad reports text that is not a load header value.
 var ErrLoad = errors.New("malformed load")
 
@@ -39,6 +44,9 @@
 	WarmPercent int
 	// FailurePercent is the smoothed share of exchanges that the upstream failed.
 	FailurePercent int
+	// SlownessPercent is how long work takes at this moment, 100 as usual; 0
+	// stands for 100.
+	SlownessPercent int
 }
 
 // Load is the load of one instance, as its serving node counted it. It is
@@ -53,6 +61,10 @@
 	spec.Limit = clamp(spec.Limit, maxCount)
 	spec.WarmPercent = clamp(spec.WarmPercent, fullPercent)
 	spec.FailurePercent = clamp(spec.FailurePercent, fullPercent)
+	if spec.SlownessPercent <= 0 {
+		spec.SlownessPercent = fullPercent
+	}
+	spec.SlownessPercent = clamp(spec.SlownessPercent, maxSlowness)
 	spec.Latency = min(max(spec.Latency, 0), maxLatency).Truncate(time.Microsecond)
 	return Load{spec: spec}
 }
@@ -64,7 +76,7 @@
 		return Load{}, errors.Wrapf(ErrLoad, "%d bytes", len(s))
 	}
 	var values [len(loadKeys)]int
-	rest := s
+	rest, slowness, _ := strings.Cut(s, slownessKey)
 	for i, key := range loadKeys {
 		field, tail, found := strings.Cut(rest, ";")
 		if found != (i < len(loadKeys)-1) {
@@ -81,14 +93,22 @@
 		}
 		values[i] = int(n)
 	}
-	l := NewLoad(LoadSpec{
+	spec := LoadSpec{
 		InFlight:       values[0],
 		Queued:         values[1],
 		Limit:          values[2],
 		Latency:        time.Duration(values[3]) * time.Microsecond,
 		WarmPercent:    values[4],
 		FailurePercent: values[5],
-	})
+	}
+	if slowness != "" {
+		n, err := strconv.ParseUint(slowness, 10, 32)
+		if err != nil {
+			return Load{}, errors.Wrapf(ErrLoad, "%q: slowness", s)
+		}
+		spec.SlownessPercent = int(n)
+	}
+	l := NewLoad(spec)
 	if l.String() != s {
 		return Load{}, errors.Wrapf(ErrLoad, "%q is out of bounds", s)
 	}
@@ -115,9 +135,21 @@
 // String returns the load as a header value of ASCII characters, such as
 // "in-flight=3;queued=0;limit=6;latency-us=1200;warm-percent=100;failure-percent=0".
 func (l Load) String() string {
-	return fmt.Sprintf("in-flight=%d;queued=%d;limit=%d;latency-us=%d;warm-percent=%d;failure-percent=%d",
+	text := fmt.Sprintf("in-flight=%d;queued=%d;limit=%d;latency-us=%d;warm-percent=%d;failure-percent=%d",
 		l.spec.InFlight, l.spec.Queued, l.spec.Limit, l.spec.Latency.Microseconds(),
 		l.spec.WarmPercent, l.spec.FailurePercent)
+	if slowness := l.SlownessPercent(); slowness != fullPercent {
+		text += slownessKey + strconv.Itoa(slowness)
+	}
+	return text
+}
+
+// SlownessPercent returns how long work takes at this moment, 100 as usual.
+func (l Load) SlownessPercent() int {
+	if l.spec.SlownessPercent == 0 {
+		return fullPercent // The zero Load.
+	}
+	return l.spec.SlownessPercent
 }
 
 // WarmPercent returns how far the upstream has come in its cold start, from 0
--- a/internal/process/sampler/reading.go
+++ b/internal/process/sampler/reading.go
@@ -46,5 +46,8 @@
 // Outstanding returns the number of own requests in flight.
 func (r Reading) Outstanding() int { return r.outstanding }
 
+// SentSince returns the number of own requests sent since the sample.
+func (r Reading) SentSince() int { return r.sentSince }
+
 // Sampled reports whether there is any sample, however old.
 func (r Reading) Sampled() bool { return r.sampled }
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -50,6 +50,12 @@
 	QueueLength int
 	// ColdStart is how long after New the limit takes to reach its full value.
 	ColdStart time.Duration
+	// FixedLimit keeps the limit at the slots, for an upstream that is slowed by
+	// others rather than by its own work.
+	FixedLimit bool
+	// Slowness returns how long work takes at this moment, 100 as usual; nil if
+	// that is not known.
+	Slowness func(now time.Time) int
 	// Observer is told of each change of the work in flight; nil for none.
 	Observer Observer
 }
@@ -60,6 +66,8 @@
 	Priority compiler.Priority
 	// Deadline is when the answer must be there; the zero time for none.
 	Deadline time.Time
+	// Due is when the answer is worth most; the zero time for the deadline.
+	Due time.Time
 	// Retried tells that another attempt went before: what was refused elsewhere
 	// is refused for its deadline only.
 	Retried bool
@@ -68,6 +76,7 @@
 // Admitter admits work to one upstream.
 type Admitter struct {
 	observer Observer
+	slowness func(now time.Time) int
 
 	mu       sync.Mutex // Guards all below.
 	limiter  *limiter
@@ -85,13 +94,16 @@
 // New returns an admitter whose cold start begins now.
 func New(cfg Config) *Admitter {
 	now := time.Now()
-	return &Admitter{
+	a := &Admitter{
 		observer: cfg.Observer,
+		slowness: cfg.Slowness,
 		limiter:  newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
 		queue:    queue{capacity: cfg.QueueLength},
 		changed:  now,
 		started:  now,
 	}
+	a.limiter.fixed = cfg.FixedLimit
+	return a
 }
 
 // Admit returns a permit as soon as the upstream may work on the request. It
@@ -147,13 +159,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	slowness := 0
+	if a.slowness != nil {
+		slowness = a.slowness(now)
+	}
 	return sampler.NewLoad(sampler.LoadSpec{
-		InFlight:       a.inFlight,
-		Queued:         a.queue.len(),
-		Limit:          a.limiter.limit(now),
-		Latency:        a.latency(now),
-		WarmPercent:    a.limiter.warmPercent(now),
-		FailurePercent: a.failurePercent(now),
+		SlownessPercent: slowness,
+		InFlight:        a.inFlight,
+		Queued:          a.queue.len(),
+		Limit:           a.limiter.limit(now),
+		Latency:         a.latency(now),
+		WarmPercent:     a.limiter.warmPercent(now),
+		FailurePercent:  a.failurePercent(now),
 	})
 }
 
@@ -196,7 +213,7 @@
 		a.begin(work, now)
 		return nil, nil
 	}
-	place := a.queue.place(work.Priority)
+	place := a.queue.place(work)
 	if reason := a.objection(work, place, place.behind(margin), now); reason != classifier.ReasonNone {
 		a.prune(now)
 		return nil, a.refuse(reason, now)
@@ -298,7 +315,7 @@
 			if w == nil {
 				break
 			}
-			place := a.queue.place(w.work.Priority)
+			place := a.queue.place(w.work)
 			place.ahead--
 			place.own--
 			reason := a.objection(w.work, place, place, now)
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -13,6 +13,9 @@
 	// stragglerRatio is how many times the usual latency a slot is held by an
 	// upstream that counts as a straggler. Others have a long queue for their load.
 	stragglerRatio = 3
+	// firstWaitShare is the inverse of the share of the time until it is due for
+	// which the first attempt of a request may wait.
+	firstWaitShare = 4
 	// maxWaitRatio is how many times the usual latency a request may wait at a
 	// straggler, since other instances are faster.
 	maxWaitRatio = 6
@@ -31,6 +34,9 @@
 	if a.late(work, deadline, now) {
 		return classifier.ReasonDeadline
 	}
+	if a.overdue(work, p, now) {
+		return classifier.ReasonQueueSlow
+	}
 	usual := a.limiter.baseline
 	straggles := !work.Retried && usual > 0 && a.slotTime(now) > stragglerRatio*usual
 	if straggles && a.expectedWait(work, p, now) > maxWaitRatio*usual {
@@ -39,6 +45,21 @@
 	return classifier.ReasonNone
 }
 
+// overdue reports whether work with a due time would wait for too much of what
+// is left of it. A first attempt may wait for less, since other instances may
+// have room.
+func (a *Admitter) overdue(work Work, p place, now time.Time) bool {
+	if work.Due.IsZero() {
+		return false
+	}
+	left := work.Due.Sub(now)
+	wait := a.expectedWait(work, p, now)
+	if !work.Retried {
+		return wait > left/firstWaitShare
+	}
+	return wait+a.latency(now) > left
+}
+
 // late reports whether work at the given place is expected to be answered
 // after its deadline.
 func (a *Admitter) late(work Work, p place, now time.Time) bool {
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -44,6 +44,7 @@
 	coldStart          time.Duration
 	started            time.Time
 	current            float64
+	fixed              bool // The limit stays at the ceiling.
 
 	average, baseline, fastest         time.Duration
 	slotTime                           time.Duration // Moving average.
@@ -146,6 +147,7 @@
 		l.baseline = mean
 	}
 	switch {
+	case l.fixed:
 	case mean > tolerance*l.baseline:
 		gradient := float64(tolerance*l.baseline) / float64(mean)
 		l.current = max(l.current*max(gradient, maxDecrease), minShare*float64(l.ceiling()))
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -27,15 +27,26 @@
 	shares   [compiler.PriorityHigh + 1]float64 // Of the work begun lately, by class.
 }
 
-// place returns the place of a new request of the given priority.
-func (q *queue) place(priority compiler.Priority) place {
-	p := place{own: float64(q.classes[classOf(priority)].Len())}
-	for class := classOf(priority); class < len(q.classes); class++ {
+// place returns the place of a new request.
+func (q *queue) place(work Work) place {
+	own := &q.classes[classOf(work.Priority)]
+	n := own.Len()
+	for e := own.Back(); e != nil && work.before(e.Value.(*waiter).work); e = e.Prev() {
+		n--
+	}
+	p := place{own: float64(n), ahead: float64(n)}
+	for class := classOf(work.Priority) + 1; class < len(q.classes); class++ {
 		p.ahead += float64(q.classes[class].Len())
 	}
 	return p
 }
 
+// before reports whether work goes before other work of its class that came
+// earlier: it is due earlier.
+func (w Work) before(other Work) bool {
+	return !w.Due.IsZero() && !other.Due.IsZero() && w.Due.Before(other.Due)
+}
+
 // begun takes in the priority of a request that begins to run.
 func (q *queue) begun(priority compiler.Priority) {
 	for p := range q.shares {
@@ -120,10 +131,23 @@
 func (q *queue) push(w *waiter) {
 	q.pushed++
 	w.number = q.pushed
-	w.element = q.classes[classOf(w.work.Priority)].PushBack(w)
+	w.element = q.insert(w)
 	q.n++
 }
 
+// insert puts w into the list of its class.
+func (q *queue) insert(w *waiter) *list.Element {
+	class := &q.classes[classOf(w.work.Priority)]
+	last := class.Back()
+	for last != nil && w.work.before(last.Value.(*waiter).work) {
+		last = last.Prev()
+	}
+	if last == nil {
+		return class.PushFront(w)
+	}
+	return class.InsertAfter(w, last)
+}
+
 func (q *queue) remove(w *waiter) {
 	q.classes[classOf(w.work.Priority)].Remove(w.element)
 	w.element = nil
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -27,6 +27,9 @@
 	end     time.Time
 	resp    *http.Response
 	refusal *refuser.Refusal
+	// ranked tells that the route describes itself, so that it also knows that
+	// its requests may be repeated after any failure of the upstream.
+	ranked bool
 }
 
 // try picks an instance that was not tried yet and sends the request there.
@@ -44,12 +47,15 @@
 // pick starts an attempt at an instance that was not tried yet, or returns nil
 // if there is none.
 func (c *call) pick(cause classifier.Reason) *attempt {
-	a := &attempt{cause: cause, start: time.Now()}
+	a := &attempt{cause: cause, start: time.Now(), ranked: c.route.ranked}
 	var ok bool
 	a.choice, ok = c.forwarder.cfg.Picker.Pick(Query{
 		Service:   c.route.service,
 		Instances: c.route.instances,
 		Exclude:   c.exclude,
+		Work:      c.forwarder.works.expected(c.route.name),
+		Goal:      c.goalLeft(a.start),
+		Large:     c.route.large,
 		Now:       a.start,
 	})
 	if !ok {
@@ -69,6 +75,9 @@
 	resp, refusal := c.exchange(ctx, a, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
 	a.resp, a.refusal = resp, refusal
 	a.end = time.Now()
+	if resp != nil && resp.StatusCode < http.StatusBadRequest {
+		c.forwarder.works.observe(c.route.name, a.end.Sub(a.start))
+	}
 	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
 	observer.Finished(id, Result{
 		Latency:     a.end.Sub(a.start),
@@ -90,6 +99,9 @@
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
 	}
 	req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	if c.route.goal > 0 {
+		req.Header[classifier.HeaderDue] = []string{strconv.FormatInt(c.goalLeft(time.Now()).Milliseconds(), 10)}
+	}
 	resp, refusal := c.deliver(ctx, a.choice.Instance, req)
 	if refusal != nil {
 		return nil, refusal
@@ -131,12 +143,27 @@
 	return time.Until(deadline).Milliseconds()
 }
 
+// goalLeft returns the time until the route's goal is passed, or 0.
+func (c *call) goalLeft(now time.Time) time.Duration {
+	return max(c.route.goal-now.Sub(c.started), 0)
+}
+
+// unsent reports whether the attempt reached no upstream.
+func (a *attempt) unsent() bool {
+	return a.refusal != nil && a.refusal.Outcome() == classifier.NotRun && a.refusal.Reason() != classifier.ReasonShed
+}
+
 // failure returns what is wrong with the attempt; its reason is ReasonNone if nothing is.
 func (a *attempt) failure() retrier.Failure {
 	if a.refusal != nil {
-		return retrier.Failure{Outcome: a.refusal.Outcome(), Reason: a.refusal.Reason(), Retried: a.refusal.Retried()}
+		return retrier.Failure{Outcome: a.refusal.Outcome(), Reason: a.refusal.Reason(), Retried: a.refusal.Retried(), Unsent: a.unsent()}
 	}
 	switch a.resp.StatusCode {
+	case http.StatusInternalServerError:
+		if !a.ranked {
+			break
+		}
+		fallthrough
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return retrier.Failure{
 			Outcome: classifier.Done,
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -34,8 +34,9 @@
 	// header holds the end-to-end headers that all attempts have.
 	header  http.Header
 	exclude []string
-	// attempts counts the attempts so far.
-	attempts int
+	started time.Time
+	// attempts counts the attempts so far, unsent those that reached no upstream.
+	attempts, unsent int
 	// mayHaveRun tells that the outcome of an earlier attempt was not a proved not-run.
 	mayHaveRun bool
 }
@@ -47,6 +48,7 @@
 		r:          r,
 		route:      route,
 		trace:      trace,
+		started:    time.Now(),
 		budget:     f.budgets.Service(route.spec.Name),
 		repeatable: route.idempotent,
 		header:     relayer.CopyRequestHeader(r.Header),
@@ -115,6 +117,9 @@
 		}
 		decision := retrier.Decide(failure, c.state())
 		c.note(decision)
+		if failure.Unsent && c.forwarder.cfg.Placements > 0 {
+			c.unsent++
+		}
 		if !decision.Retry() {
 			if a.resp != nil {
 				c.markRetried(a.resp, decision)
@@ -164,16 +169,19 @@
 }
 
 func (c *call) state() retrier.State {
+	attempts := c.attempts - c.unsent
 	maxAttempts := c.route.spec.MaxAttempts
+	placements := c.forwarder.cfg.Placements - c.unsent
 	if c.ctx.Err() != nil {
-		maxAttempts = c.attempts // No time is left, or nobody waits.
+		maxAttempts, placements = attempts, 0 // No time is left, or nobody waits.
 	}
 	return retrier.State{
 		Repeatable:  c.repeatable,
 		BodySpent:   c.stream != nil && c.stream.revoke(),
-		Attempts:    c.attempts,
+		Attempts:    attempts,
 		MaxAttempts: maxAttempts,
 		Budget:      c.budget,
+		Placements:  max(placements, 0),
 	}
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -40,7 +40,14 @@
 	Instances []*registrar.Instance
 	// Exclude lists the ids of instances that were tried already.
 	Exclude []string
-	Now     time.Time
+	// Work is how long the route's requests take on an instance that nothing
+	// slows; 0 if that is not known.
+	Work time.Duration
+	// Goal is the time within which an answer is worth most; 0 for none.
+	Goal time.Duration
+	// Large tells that the answer is large.
+	Large bool
+	Now   time.Time
 }
 
 // Choice is the instance that was picked.
@@ -110,15 +117,19 @@
 	// Local is nil if the node has no upstream.
 	Local LocalServer
 	// Keys is nil if the node keeps no keys.
-	Keys      Keys
-	Explainer *explainer.Explainer
-	Scope     tally.Scope
-	Log       zerolog.Logger
+	Keys Keys
+	// Placements is how many attempts of a request may reach no upstream beside
+	// those that the service allows.
+	Placements int
+	Explainer  *explainer.Explainer
+	Scope      tally.Scope
+	Log        zerolog.Logger
 }
 
 // Forwarder handles callers' requests.
 type Forwarder struct {
 	cfg      Config
+	works    works
 	budgets  retrier.Budgets
 	refusals *counter.Counter
 	retries  *counter.Counter
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -71,7 +71,7 @@
 // hedge starts a second attempt, if the attempts and the retry budget allow it.
 func (r *race) hedge() {
 	c := r.call
-	if c.attempts >= c.route.spec.MaxAttempts {
+	if c.attempts-c.unsent >= c.route.spec.MaxAttempts {
 		return
 	}
 	if !c.budget.SpendHedge() {
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -27,6 +27,10 @@
 	version uint64
 	// idempotent tells that the request may run more than once.
 	idempotent bool
+	// goal is the time within which an answer is worth most; 0 for none.
+	goal time.Duration
+	// large tells that answers are large.
+	large bool
 	// ranked tells that the route, not the caller, sets the priority.
 	ranked    bool
 	instances []*registrar.Instance
@@ -73,6 +77,8 @@
 		version:    cfg.Number(),
 		idempotent: found.Idempotent(r.Method),
 		ranked:     found.Ranked(),
+		goal:       found.Goal(),
+		large:      found.Large(),
 	}, nil
 }
 
--- a/internal/request/picker/eligible.go
+++ b/internal/request/picker/eligible.go
@@ -60,9 +60,15 @@
 // draw removes a random instance, by weight, from those inside or outside this
 // node's region, and returns it; nil if there is none.
 func (e *eligible) draw(local bool, random func() uint64) *registrar.Instance {
+	return e.drawOf(func(m *member) bool { return m.local == local }, random)
+}
+
+// drawOf removes a random instance, by weight, from those that are wanted, and
+// returns it; nil if there is none.
+func (e *eligible) drawOf(wanted func(*member) bool, random func() uint64) *registrar.Instance {
 	var total uint64
 	for i := range e.members {
-		if m := &e.members[i]; m.local == local {
+		if m := &e.members[i]; wanted(m) {
 			total += m.weight
 		}
 	}
@@ -72,7 +78,7 @@
 	rest := random() % total
 	for i := range e.members {
 		m := &e.members[i]
-		if m.local != local || m.weight == 0 {
+		if !wanted(m) || m.weight == 0 {
 			continue
 		}
 		if rest < m.weight {
@@ -83,3 +89,21 @@
 	}
 	return nil
 }
+
+// take removes the instance with the given id and returns it, or nil.
+func (e *eligible) take(id string) *registrar.Instance {
+	for i := range e.members {
+		m := &e.members[i]
+		if m.weight > 0 && m.instance.ID() == id {
+			m.weight = 0
+			return m.instance
+		}
+	}
+	return nil
+}
+
+// drawDomain removes a random instance, by weight, from those inside or outside
+// a failure domain, and returns it; nil if there is none.
+func (e *eligible) drawDomain(domain string, inside bool, random func() uint64) *registrar.Instance {
+	return e.drawOf(func(m *member) bool { return (m.instance.FailureDomain() == domain) == inside }, random)
+}
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -69,6 +69,8 @@
 	Candidates int
 	// Distances are the costs of distance; nil for DefaultDistances.
 	Distances *Distances
+	// Refresher asks for load at the moment of a choice; nil for none.
+	Refresher Refresher
 	// Random returns evenly distributed numbers and may be called from
 	// several goroutines; nil for the generator of math/rand/v2.
 	Random func() uint64
@@ -82,6 +84,11 @@
 	Instances []*registrar.Instance
 	// Exclude lists ids that must not be chosen, such as those already tried.
 	Exclude []string
+	// Work is how long the request takes on an instance that nothing slows, Goal
+	// the time within which its answer is worth most; 0 if not known.
+	Work, Goal time.Duration
+	// Large tells that the answer is large.
+	Large bool
 	// Now is the time of the choice.
 	Now time.Time
 }
@@ -90,6 +97,7 @@
 // the room that the choice needs.
 type request struct {
 	Query
+	spec              compiler.ServiceSpec
 	sampleMaxAge      time.Duration
 	slots             int
 	minHealthyPercent int
@@ -118,6 +126,7 @@
 	candidates int
 	distances  Distances
 	random     func() uint64
+	refresher  Refresher
 	policy     policy
 }
 
@@ -132,6 +141,7 @@
 		candidates: cfg.Candidates,
 		distances:  DefaultDistances(),
 		random:     cfg.Random,
+		refresher:  cfg.Refresher,
 	}
 	if p.candidates == 0 {
 		p.candidates = DefaultCandidates
@@ -160,6 +170,7 @@
 	r := requests.Get().(*request)
 	defer r.release()
 	r.Query = q
+	r.spec = spec
 	r.sampleMaxAge = spec.SampleMaxAge
 	r.slots = spec.Slots
 	r.minHealthyPercent = spec.MinHealthyPercent
--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -13,6 +13,8 @@
 const (
 	// PolicyLeastExpectedLatency compares a few candidates by load and latency.
 	PolicyLeastExpectedLatency = "least-expected-latency"
+	// PolicyLeastExpectedFinish asks a few candidates at the moment of the choice.
+	PolicyLeastExpectedFinish = "least-expected-finish"
 	// PolicyRandom takes a random instance, by slots.
 	PolicyRandom = "random"
 	// PolicyRoundRobin takes the instances one after the other.
@@ -38,6 +40,8 @@
 	switch name {
 	case "", PolicyLeastExpectedLatency:
 		return &leastExpectedLatency{p}, nil
+	case PolicyLeastExpectedFinish:
+		return &leastExpectedFinish{p}, nil
 	case PolicyRandom:
 		return &randomChoice{baseline{p}}, nil
 	case PolicyRoundRobin:
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -20,6 +20,8 @@
 	Reason  classifier.Reason
 	// Retried tells that a lower level retried already.
 	Retried bool
+	// Unsent tells that the attempt reached no upstream.
+	Unsent bool
 }
 
 // State is what is known of the request so far.
@@ -32,6 +34,10 @@
 	Attempts, MaxAttempts int
 	// Budget is the retry budget of the service.
 	Budget *Budget
+	// Placements is how many more attempts may follow one that reached no
+	// upstream; they count neither as attempts nor towards the budget. With 0
+	// they count as all others do.
+	Placements int
 }
 
 // Decision tells whether to try again, or why not.
@@ -52,6 +58,9 @@
 	if !allowed(f, s) {
 		return Decision{}
 	}
+	if f.Unsent && s.Placements > 0 {
+		return Decision{retry: true}
+	}
 	if f.Retried {
 		return Decision{denied: classifier.ReasonRetriedBelow}
 	}
@@ -62,7 +71,8 @@
 }
 
 func allowed(f Failure, s State) bool {
-	if s.Attempts >= s.MaxAttempts || s.BodySpent {
+	placed := f.Unsent && s.Placements > 0
+	if s.Attempts >= s.MaxAttempts && !placed || s.BodySpent {
 		return false
 	}
 	switch f.Reason {
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -47,7 +47,7 @@
 	deadline, _ := ctx.Deadline()
 	priority := ParsePriority(req.Header.Get(classifier.HeaderPriority), spec.Priority)
 	retried := req.Header.Get(classifier.HeaderHop) > firstAttempt
-	permit, err := s.cfg.Admitter.Admit(ctx, Work{Priority: priority, Deadline: deadline, Retried: retried})
+	permit, err := s.cfg.Admitter.Admit(ctx, Work{Priority: priority, Deadline: deadline, Due: dueAt(req.Header), Retried: retried})
 	if err != nil {
 		return nil, admissionRefusal(err)
 	}
@@ -83,6 +83,15 @@
 	return resp, nil
 }
 
+// dueAt returns when the answer is due, or the zero time if the request does not say.
+func dueAt(h http.Header) time.Time {
+	ms, err := strconv.ParseInt(h.Get(classifier.HeaderDue), 10, 32)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
 // address names the upstream that req is for, or refuses it while no new work
 // may be sent there.
 func (s *Server) address(req *http.Request) *refuser.Refusal {
@@ -140,6 +149,7 @@
 func prepare(ctx context.Context, req *http.Request) {
 	delete(req.Header, classifier.HeaderHop)
 	delete(req.Header, classifier.HeaderService)
+	delete(req.Header, classifier.HeaderDue)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(left, 10))
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -55,6 +55,8 @@
 type Work struct {
 	Priority compiler.Priority
 	Deadline time.Time
+	// Due is when the answer is worth most; the zero time for the deadline.
+	Due time.Time
 	// Retried tells that another attempt went before.
 	Retried bool
 }
--- a/internal/version/compiler/route.go
+++ b/internal/version/compiler/route.go
@@ -118,6 +118,12 @@
 // Ranked reports whether the route has a rank of its own.
 func (r *Route) Ranked() bool { return !r.implicit }
 
+// Goal returns the time within which an answer is worth most, or 0.
+func (r *Route) Goal() time.Duration { return r.spec.LatencyGoal }
+
+// Large reports whether answers are large.
+func (r *Route) Large() bool { return r.spec.Kind == RouteDownload }
+
 // Idempotent reports whether a request with the given method may run more than once.
 func (r *Route) Idempotent(method string) bool {
 	if r.implicit {
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -33,6 +33,11 @@
 	HeaderLoad = "Banyanscale-Load"
 	// HeaderDraining is "1" on an answer of an upstream that takes no new work.
 	HeaderDraining = "Banyanscale-Draining"
+	// HeaderDue holds, on requests between nodes, in how many milliseconds the
+	// answer is due to be worth most.
+	HeaderDue = "Banyanscale-Due-Ms"
+	// HeaderUpstreamLoad holds what an upstream reports of its load, on its answers.
+	HeaderUpstreamLoad = "Banyanscale-Upstream-Load"
 	// HeaderUpstream holds the id of the upstream that a request is for, on
 	// requests to one that announces its id.
 	HeaderUpstream = "Banyanscale-Upstream"
