--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -54,12 +54,22 @@
 	// Service and Address are those of the node's own upstream.
 	Service string
 	Address netip.AddrPort
-	// OnChange is told of each change of what Current returns, in order, and
-	// for how long a new incarnation is slow. It must not block.
-	OnChange func(available bool, coldFor time.Duration)
+	// OnChange is told of each change of what Current returns, in order. It must
+	// not block.
+	OnChange func(Change)
 	Log      zerolog.Logger
 }
 
+// Change is what becomes of the upstream.
+type Change struct {
+	// Available tells that new work may be sent to it.
+	Available bool
+	// ColdFor is for how long a new incarnation is slow.
+	ColdFor time.Duration
+	// Slots is how many requests it works on at once; 0 if it did not say.
+	Slots int
+}
+
 // incarnation is what is known of the newest incarnation of the upstream.
 type incarnation struct {
 	id           string
@@ -99,7 +109,7 @@
 		return ErrLate
 	}
 	next := incarnation{id: h.ID, born: h.Born, sequence: h.Sequence, draining: h.Draining || same && e.current.draining}
-	e.replace(next, h.ColdFor)
+	e.replace(next, h)
 	return nil
 }
 
@@ -116,7 +126,7 @@
 		next = incarnation{id: id, born: born}
 	}
 	next.deregistered = true
-	e.replace(next, 0)
+	e.replace(next, Heartbeat{})
 }
 
 // Current returns the id of the upstream, and whether new work may be sent to it.
@@ -128,7 +138,7 @@
 
 // replace takes over what is known now. The mutex is held, so that changes are
 // told in order.
-func (e *Enroller) replace(next incarnation, coldFor time.Duration) {
+func (e *Enroller) replace(next incarnation, h Heartbeat) {
 	before := e.current
 	e.current = next
 	if before.id == next.id && before.born.Equal(next.born) && before.available() == next.available() {
@@ -136,5 +146,5 @@
 	}
 	e.cfg.Log.Info().Str("upstream", next.id).Time("born", next.born).Uint64("sequence", next.sequence).
 		Bool("draining", next.draining).Bool("deregistered", next.deregistered).Msg("Upstream changed.")
-	e.cfg.OnChange(next.available(), coldFor)
+	e.cfg.OnChange(Change{Available: next.available(), ColdFor: h.ColdFor, Slots: h.Slots})
 }
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -70,6 +70,7 @@
 	reporter  *accountant.Reporter
 	prober    *prober.Prober
 	announcer *announcer.Announcer
+	slots     atomic.Int64 // Of the upstream, as it said; 0 if it did not.
 	askedAt   atomic.Int64 // When somebody last asked for the own load, in nanoseconds since the epoch.
 	leaving   atomic.Bool
 	tomb      tomb.Tomb
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -205,9 +205,13 @@
 	n.enroller = enroller.New(enroller.Config{
 		Service: n.settings.Service(),
 		Address: n.settings.UpstreamAddress(),
-		OnChange: func(available bool, coldFor time.Duration) {
-			n.coldFor.Store(int64(coldFor))
-			n.announcer.Available(available)
+		OnChange: func(c enroller.Change) {
+			n.coldFor.Store(int64(c.ColdFor))
+			if c.Slots > 0 {
+				n.slots.Store(int64(c.Slots))
+				n.resize()
+			}
+			n.announcer.Available(c.Available)
 		},
 		Log: logger.Part(base, "enroller"),
 	})
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -113,16 +113,27 @@
 	if !n.snapshots.SetConfiguration(cfg) {
 		return false
 	}
-	if s := cfg.Service(n.settings.Service()); s != nil {
+	if cfg.Service(n.settings.Service()) != nil {
 		n.announcer.Configured()
-		spec := s.Spec()
-		slots, connections := orDefault(n.settings.Slots(), spec.Slots), orDefault(n.settings.Connections(), spec.Connections)
-		n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
-		n.gossiper.Resize(slots, connections)
+		n.resize()
 	}
 	return true
 }
 
+// resize takes over the size of the upstream: what the settings say, or else
+// the upstream itself, or else the configuration.
+func (n *Node) resize() {
+	s := n.service()
+	if s == nil {
+		return
+	}
+	spec := s.Spec()
+	slots := orDefault(n.settings.Slots(), orDefault(int(n.slots.Load()), spec.Slots))
+	connections := orDefault(n.settings.Connections(), spec.Connections)
+	n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
+	n.gossiper.Resize(slots, connections)
+}
+
 // service returns the configuration of the node's own service, or nil.
 func (n *Node) service() *compiler.Service {
 	cfg := n.snapshots.Snapshot().Configuration()
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -290,7 +290,7 @@
 // dispatch starts waiting requests while there are free slots.
 func (a *Admitter) dispatch(now time.Time) {
 	for a.inFlight < a.limiter.limit(now) {
-		w := a.queue.next()
+		w := a.queue.next(func(work Work) bool { return a.feasible(work, now) })
 		if w == nil {
 			return
 		}
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -15,7 +15,10 @@
 	stragglerRatio = 3
 	// firstWaitShare is the inverse of the share of the time until it is due for
 	// which the first attempt of a request may wait.
-	firstWaitShare = 4
+	firstWaitShare = 3
+	// lateWaitShare is the inverse of the share of the time until its deadline
+	// within which work that can only be late must be done.
+	lateWaitShare = 2
 	// maxWaitRatio is how many times the usual latency a request may wait at a
 	// straggler, since other instances are faster.
 	maxWaitRatio = 6
@@ -45,19 +48,26 @@
 	return classifier.ReasonNone
 }
 
-// overdue reports whether work with a due time would wait for too much of what
-// is left of it. A first attempt may wait for less, since other instances may
-// have room.
+// overdue reports whether work with a due time is better not to wait here. A
+// first attempt may wait for a part of what is left, since other instances may
+// have room. Work that can only be late may wait for a part of its deadline.
 func (a *Admitter) overdue(work Work, p place, now time.Time) bool {
 	if work.Due.IsZero() {
 		return false
 	}
-	left := work.Due.Sub(now)
 	wait := a.expectedWait(work, p, now)
 	if !work.Retried {
-		return wait > left/firstWaitShare
+		return wait > work.Due.Sub(now)/firstWaitShare
 	}
-	return wait+a.latency(now) > left
+	if wait+a.latency(now) <= work.Due.Sub(now) {
+		return false
+	}
+	return !work.Deadline.IsZero() && wait+a.latency(now) > work.Deadline.Sub(now)/lateWaitShare
+}
+
+// feasible reports whether waiting work that starts now is answered when it is due.
+func (a *Admitter) feasible(work Work, now time.Time) bool {
+	return work.Due.IsZero() || !now.Add(a.limiter.fastestLatency(now)).After(work.Due)
 }
 
 // late reports whether work at the given place is expected to be answered
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -65,10 +65,10 @@
 	return max(share, minShareBelow)
 }
 
-// next returns the request whose turn is next, or nil: the first one, or now and
-// then the one of a lower class that waits longest.
-func (q *queue) next() *waiter {
-	next := q.first()
+// next returns the request whose turn is next, or nil: the first one that can
+// be in time, or now and then the one of a lower class that waits longest.
+func (q *queue) next(feasible func(Work) bool) *waiter {
+	next := q.firstFeasible(feasible)
 	if next == nil || q.turns%agedTurn != agedTurn-1 {
 		return next
 	}
@@ -98,6 +98,19 @@
 	return nil
 }
 
+// firstFeasible returns the first request of the highest priority that has one
+// that can be in time, or else the first one, or nil.
+func (q *queue) firstFeasible(feasible func(Work) bool) *waiter {
+	for p := len(q.classes) - 1; p >= 0; p-- {
+		for e := q.classes[p].Front(); e != nil; e = e.Next() {
+			if w := e.Value.(*waiter); feasible(w.work) {
+				return w
+			}
+		}
+	}
+	return q.first()
+}
+
 // first returns the first request of the highest priority, or nil.
 func (q *queue) first() *waiter {
 	for p := len(q.classes) - 1; p >= 0; p-- {
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -47,6 +47,10 @@
 
 func (c *leastExpectedFinish) usesLoad() bool { return true }
 
+// avoidsOutliers reports false: slowness and failures are part of the expected
+// finish, and few instances with noise look like outliers all the time.
+func (c *leastExpectedFinish) avoidsOutliers() bool { return false }
+
 func (c *leastExpectedFinish) pick(r *request, choice *Choice) {
 	if c.tryOwn(r, choice) {
 		return
--- a/internal/request/picker/leastexpectedlatency.go
+++ b/internal/request/picker/leastexpectedlatency.go
@@ -38,6 +38,8 @@
 
 func (c *leastExpectedLatency) usesLoad() bool { return true }
 
+func (c *leastExpectedLatency) avoidsOutliers() bool { return true }
+
 // draw draws the candidates from this node's region, and one of another region
 // for when those have no slot left.
 func (c *leastExpectedLatency) draw(r *request, choice *Choice) {
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -183,12 +183,11 @@
 }
 
 // collect fills r.eligible with the best class of instances that is not empty: sound
-// ones, then outliers, then suspects. Only a policy that uses load knows
-// outliers and warming instances.
+// ones, then outliers, then suspects. Only some policies know outliers.
 func (p *Picker) collect(r *request) {
 	e := &r.eligible
 	outliers := noOutliers
-	if p.policy.usesLoad() {
+	if p.policy.avoidsOutliers() {
 		outliers = p.pool.Outliers(sampler.OutlierQuery{
 			Service:           r.Service.Name(),
 			Instances:         r.Instances,
--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -26,8 +26,11 @@
 // policy chooses among eligible instances, of which there is at least one.
 type policy interface {
 	pick(r *request, choice *Choice)
-	// usesLoad reports whether outliers and warming instances get less work.
+	// usesLoad reports whether warming instances get less work.
 	usesLoad() bool
+	// avoidsOutliers reports whether outliers are chosen only if no other
+	// instance is left.
+	avoidsOutliers() bool
 }
 
 // baseline is the part that the baselines share.
@@ -35,6 +38,8 @@
 
 func (baseline) usesLoad() bool { return false }
 
+func (baseline) avoidsOutliers() bool { return false }
+
 // newPolicy returns the policy with the given name.
 func newPolicy(name string, p *Picker) (policy, error) {
 	switch name {
