feat: a silent voter delays no answer, and is replaced by a spare

The group grows to 2f+1 voters before it acknowledges, and gives the place of a voter that left three heartbeats unanswered to an instance that is none.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -201,7 +201,7 @@
 // have been proposed.
 func outcomeOf(err error) classifier.Outcome {
 	for _, proof := range []error{
-		voter.ErrInvalid, voter.ErrTooOld, voter.ErrNoGroup, voter.ErrNoMajority, voter.ErrVoterUnreachable,
+		voter.ErrInvalid, voter.ErrTooOld, voter.ErrNoGroup, voter.ErrNoMajority, voter.ErrTooFewVoters, voter.ErrVoterUnreachable,
 	} {
 		if errors.Is(err, proof) {
 			return classifier.NotRun
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -96,6 +96,7 @@
 	c.voter, err = voter.New(voter.Config{
 		Address:   c.settings.PeerAddress().String(),
 		Initial:   addressTexts(c.settings.Voters()),
+		Tolerated: c.settings.ToleratedLosses(),
 		Sources:   func() []string { return addressTexts(c.otherControls()) },
 		Journal:   journal,
 		Transport: voter.NewConnectTransport(c.client),
--- a/internal/process/voter/monitor.go
+++ b/internal/process/voter/monitor.go
@@ -43,6 +43,7 @@
 	// Only the goroutine of run uses these.
 	undecided int            // Heartbeats in a row that found no chosen state.
 	lost      map[string]int // Heartbeats in a row that found another identity, by address.
+	silent    map[string]int // Heartbeats in a row that a voter left unanswered, by identity.
 }
 
 func newMonitor(v *Voter) *monitor {
@@ -52,6 +53,7 @@
 		repairing:   make(chan struct{}, 1),
 		lastContact: time.Now().Add(-staleAfter),
 		lost:        make(map[string]int),
+		silent:      make(map[string]int),
 	}
 }
 
@@ -72,7 +74,7 @@
 	if held, _ := m.voter.acceptor.held(); held == nil && !m.join(ctx) {
 		return
 	}
-	s := m.survey(ctx)
+	s := m.survey(ctx, func(*survey) bool { return false })
 	m.pull(ctx, s)
 	if !hasQuorum(s.known.membership(), s.responded) {
 		// The voters known here may have been replaced long ago.
@@ -127,8 +129,8 @@
 	return held != nil
 }
 
-// survey asks all voters what they hold.
-func (m *monitor) survey(ctx context.Context) *survey {
+// survey asks all voters what they hold, until enough have answered.
+func (m *monitor) survey(ctx context.Context, enough func(*survey) bool) *survey {
 	start := time.Now()
 	known, _ := m.voter.acceptor.held()
 	s := &survey{known: known, positions: make(map[string]*voterwire.Position), responded: make(identitySet)}
@@ -144,7 +146,7 @@
 		if s.votes(member) {
 			s.responded[member.GetIdentity()] = true
 		}
-		return false
+		return enough(s)
 	})
 	m.record(s, start)
 	return s
@@ -195,12 +197,17 @@
 }
 
 // read returns the newest accepted state if one round of questions proves it.
+// It waits for no more answers than that takes: a silent voter delays nothing.
 func (m *monitor) read(ctx context.Context) *State {
 	if held, _ := m.voter.acceptor.held(); held == nil {
 		return nil
 	}
-	s := m.survey(ctx)
-	return m.voter.acceptor.chosen(s)
+	var chosen *State
+	m.survey(ctx, func(s *survey) bool {
+		chosen = m.voter.acceptor.chosen(s)
+		return chosen != nil
+	})
+	return chosen
 }
 
 // pull brings this instance up to date with the voters that are ahead.
--- a/internal/process/voter/repair.go
+++ b/internal/process/voter/repair.go
@@ -14,7 +14,11 @@
 	if !hasQuorum(s.known.membership(), s.responded) {
 		return
 	}
+	m.countSilence(s)
 	replacement := m.replacement(s)
+	if replacement == nil && chosen != nil && len(chosen.membership().GetPrevious()) == 0 {
+		replacement = m.recruitment(ctx, s)
+	}
 	var next step
 	switch {
 	case m.undecided >= confirmBeats:
--- a/internal/process/voter/sim_test.go
+++ b/internal/process/voter/sim_test.go
@@ -120,9 +120,10 @@
 
 // cluster is a set of instances and the network between them.
 type cluster struct {
-	t       testing.TB
-	initial []string
-	sources []string // Where instances may fetch the state from, besides initial.
+	t         testing.TB
+	initial   []string
+	sources   []string // Where instances may fetch the state from, besides initial.
+	tolerated int
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -169,7 +170,7 @@
 	c.mu.Unlock()
 	handle := in.disk.open()
 	v, err := voter.New(voter.Config{
-		Address: address, Initial: c.initial, Sources: func() []string { return c.sources }, Journal: handle,
+		Address: address, Initial: c.initial, Sources: func() []string { return c.sources }, Tolerated: c.tolerated, Journal: handle,
 		Transport: &simTransport{cluster: c, from: address, handle: handle},
 		Digest:    digest, Random: rand.New(rand.NewPCG(seed, 2)),
 		OnVersion: func(version *controlwire.Version) {
--- a/internal/process/voter/submission.go
+++ b/internal/process/voter/submission.go
@@ -198,6 +198,9 @@
 	ErrStale = errors.New("this instance is stale: it reached no majority of the voters")
 	// ErrNoMajority means that no majority was reached and that the change was not proposed.
 	ErrNoMajority = errors.New("no majority of voters reached; the change was not proposed")
+	// ErrTooFewVoters means that the group has too few voters yet to bear the
+	// losses that it must, and that the change was not proposed.
+	ErrTooFewVoters = errors.New("the group has too few voters yet; the change was not proposed")
 	// ErrOutcomeUnknown means that the change was proposed, but no majority
 	// confirmed it. A resend with the same change id tells the outcome.
 	ErrOutcomeUnknown = errors.New("no majority of voters confirmed the change; whether it is accepted is unknown")
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -91,6 +91,11 @@
 	// Sources returns the addresses of other instances to fetch the group's
 	// state from, besides the initial ones. It may be nil.
 	Sources func() []string
+	// Tolerated is how many voters may be lost at the same time. The group takes
+	// in other instances until it has the voters for that, acknowledges nothing
+	// before, and gives the places of silent voters to others. With 0 only the
+	// document names the voters.
+	Tolerated int
 	// Journal keeps the durable state.
 	Journal Journal
 	// Transport reaches the other instances.
@@ -233,6 +238,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if held, _ := v.acceptor.held(); held != nil && !v.complete(held) {
+		return nil, fmt.Errorf("%w: %d of %d", ErrTooFewVoters, len(held.membership().GetVoters()), v.wantedVoters())
+	}
 	p := &proposal{next: s.next}
 	for {
 		state, err := v.propose(ctx, p)
@@ -366,7 +374,7 @@
 		return reasonInvalid
 	case errors.Is(err, ErrTooOld):
 		return reasonTooOld
-	case errors.Is(err, ErrNoMajority):
+	case errors.Is(err, ErrNoMajority), errors.Is(err, ErrTooFewVoters):
 		return reasonNoMajority
 	case errors.Is(err, ErrOutcomeUnknown):
 		return reasonUnknown
