--- a/internal/process/distributor/settler.go
+++ b/internal/process/distributor/settler.go
@@ -12,8 +12,10 @@
 	settleWait = 15 * time.Second
 	// settlePeers is how many others must have told their version by then.
 	settlePeers = 3
-	// settleInterval is the average time between reads at control.
-	settleInterval = time.Second
+	// minSettleInterval and maxSettleInterval bound the average time between
+	// reads at control, which doubles with each.
+	minSettleInterval = 100 * time.Millisecond
+	maxSettleInterval = time.Second
 	// currentTimeout bounds one read at control.
 	currentTimeout = 2 * time.Second
 )
@@ -22,6 +24,7 @@
 // may have served before. It reports false if the process ends first.
 func (d *Distributor) settle() bool {
 	started := time.Now()
+	interval := minSettleInterval
 	for {
 		if d.readControl() {
 			return true
@@ -29,9 +32,10 @@
 		if time.Since(started) >= settleWait && d.believePeers() {
 			return true
 		}
-		if !d.sleep(settleInterval/2 + d.random(settleInterval)) {
+		if !d.sleep(interval/2 + d.random(interval)) {
 			return false
 		}
+		interval = min(2*interval, maxSettleInterval)
 	}
 }
 
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -129,6 +129,16 @@
 	e.replace(next, Heartbeat{})
 }
 
+// Identified tells that the upstream itself gave its id, and that it takes new
+// work, to a node that knows of none yet. The next heartbeat tells the rest.
+func (e *Enroller) Identified(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current.id == "" {
+		e.replace(incarnation{id: id}, Heartbeat{})
+	}
+}
+
 // Current returns the id of the upstream, and whether new work may be sent to it.
 func (e *Enroller) Current() (id string, available bool) {
 	e.mu.Lock()
@@ -141,7 +151,11 @@
 func (e *Enroller) replace(next incarnation, h Heartbeat) {
 	before := e.current
 	e.current = next
-	if before.id == next.id && before.born.Equal(next.born) && before.available() == next.available() {
+	same := before.id == next.id && (before.born.Equal(next.born) || before.born.IsZero())
+	if same && before.available() == next.available() && h.Slots == 0 {
+		return
+	}
+	if same && before.available() == next.available() && !before.born.IsZero() {
 		return
 	}
 	e.cfg.Log.Info().Str("upstream", next.id).Time("born", next.born).Uint64("sequence", next.sequence).
--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -133,6 +133,9 @@
 	return now.Sub(g.at) >= readInterval/2
 }
 
+// Identify reads the endpoint once, whether requests are about or not.
+func (g *Gauger) Identify() { g.read() }
+
 func (g *Gauger) read() {
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
@@ -150,10 +153,13 @@
 // note logs when reads begin to fail and when they succeed again.
 func (g *Gauger) note(err error) {
 	failing := err != nil
-	if failing == g.failing {
+	g.mu.Lock()
+	changed := failing != g.failing
+	g.failing = failing
+	g.mu.Unlock()
+	if !changed {
 		return
 	}
-	g.failing = failing
 	if failing {
 		g.cfg.Log.Warn().Err(err).Msg("The health endpoint does not answer.")
 		return
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -121,7 +121,7 @@
 
 // Admit implements server.Admitter.
 func (a upstreamAdmitter) Admit(ctx context.Context, work server.Work) (server.Permit, error) {
-	permit, err := a.Admitter.Admit(ctx, admitter.Work{Priority: work.Priority, Deadline: work.Deadline, Due: work.Due, Retried: work.Retried})
+	permit, err := a.Admitter.Admit(ctx, admitter.Work(work))
 	if err != nil {
 		if wantsSlot(err) {
 			a.refusedForLoad()
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -36,6 +36,12 @@
 	// lameDuck is how long a leaving node goes on taking work while the
 	// others learn that it leaves.
 	lameDuck = 3 * time.Second
+	// unreadyTime is how long a node that stops within a grace serves on as
+	// before, until the platform has seen twice that it is not ready.
+	unreadyTime = 2200 * time.Millisecond
+	// leaveNotice is how long it then goes on taking work from others while they
+	// learn that it leaves.
+	leaveNotice = 400 * time.Millisecond
 	// handOverTimeout bounds how long the keys are handed over on a planned stop.
 	handOverTimeout = 10 * time.Second
 	// goodbyeTime is the end of the grace of a planned stop in which a node
@@ -127,6 +133,7 @@
 		n.health.Start()
 	} else {
 		n.gauger.Start()
+		n.tomb.Go(n.identifyUpstream)
 	}
 	n.reporter.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
@@ -145,8 +152,14 @@
 	ctx, cancel := n.stopContext()
 	defer cancel()
 	n.leaving.Store(true)
-	n.announcer.Leave()
-	time.Sleep(lameDuck)
+	if n.settings.StopGrace() > 0 {
+		time.Sleep(unreadyTime) // The upstream is of use as long as the node can go on.
+		n.announcer.Leave()
+		time.Sleep(leaveNotice)
+	} else {
+		n.announcer.Leave()
+		time.Sleep(lameDuck)
+	}
 	n.server.Leave()
 	if err := n.server.Drain(ctx); err != nil && n.settings.StopGrace() == 0 {
 		return fmt.Errorf("drain: %w", err)
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -23,6 +23,10 @@
 // followed.
 const busyPeriod = time.Second
 
+// identifyInterval is how often an upstream that sent no heartbeat yet is asked
+// who it is.
+const identifyInterval = 100 * time.Millisecond
+
 // answerProbe tells another node the load of this one's upstream. An answer
 // that cannot be sent is like one that is lost.
 func (n *Node) answerProbe(from netip.AddrPort, payload []byte) {
@@ -166,6 +170,26 @@
 	return n.healthPath() != "" && time.Since(time.Unix(0, n.askedAt.Load())) < busyPeriod
 }
 
+// identifyUpstream asks the upstream who it is, so that a node that was
+// started again need not wait for the next heartbeat.
+func (n *Node) identifyUpstream() error {
+	tick := time.NewTicker(identifyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case <-tick.C:
+		}
+		if id, _ := n.enroller.Current(); id != "" {
+			return nil
+		}
+		if n.healthPath() != "" {
+			n.gauger.Identify()
+		}
+	}
+}
+
 // readHealth reads the upstream's health endpoint.
 func (n *Node) readHealth(ctx context.Context, r server.Requester) (bool, gauger.Report, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.settings.UpstreamAddress().String()+n.healthPath(), http.NoBody)
@@ -182,5 +206,8 @@
 	}
 	// A report that cannot be read is as good as none.
 	report, _ := gauger.ParseReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
+	if id := resp.Header.Get(classifier.HeaderUpstream); id != "" && resp.StatusCode == http.StatusOK {
+		n.enroller.Identified(id)
+	}
 	return resp.StatusCode < http.StatusInternalServerError, report, nil
 }
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -68,6 +68,9 @@
 	Deadline time.Time
 	// Due is when the answer is worth most; the zero time for the deadline.
 	Due time.Time
+	// Expected is how long the upstream works on it where nothing slows it; 0 if
+	// that is not known.
+	Expected time.Duration
 	// Retried tells that another attempt went before: what was refused elsewhere
 	// is refused for its deadline only.
 	Retried bool
@@ -207,7 +210,7 @@
 		return nil, a.refuse(classifier.ReasonLeaving, now)
 	}
 	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 {
-		if !work.Deadline.IsZero() && now.Add(a.limiter.fastestLatency(now)).After(work.Deadline) {
+		if !work.Deadline.IsZero() && now.Add(a.leastWork(work, now)).After(work.Deadline) {
 			return nil, a.refuse(classifier.ReasonDeadline, now)
 		}
 		a.begin(work, now)
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -59,15 +60,15 @@
 	if !work.Retried {
 		return wait > work.Due.Sub(now)/firstWaitShare
 	}
-	if wait+a.latency(now) <= work.Due.Sub(now) {
+	if wait+a.workTime(work, now) <= work.Due.Sub(now) {
 		return false
 	}
-	return !work.Deadline.IsZero() && wait+a.latency(now) > work.Deadline.Sub(now)/lateWaitShare
+	return !work.Deadline.IsZero() && wait+a.workTime(work, now) > work.Deadline.Sub(now)/lateWaitShare
 }
 
 // feasible reports whether waiting work that starts now is answered when it is due.
 func (a *Admitter) feasible(work Work, now time.Time) bool {
-	return work.Due.IsZero() || !now.Add(a.limiter.fastestLatency(now)).After(work.Due)
+	return work.Due.IsZero() || !now.Add(a.leastWork(work, now)).After(work.Due)
 }
 
 // late reports whether work at the given place is expected to be answered
@@ -76,7 +77,7 @@
 	if work.Deadline.IsZero() {
 		return false
 	}
-	return now.Add(a.expectedWait(work, p, now) + a.latency(now)).After(work.Deadline)
+	return now.Add(a.expectedWait(work, p, now) + a.workTime(work, now)).After(work.Deadline)
 }
 
 // expectedWait returns how long work at the given place waits for its turn. Of
@@ -88,6 +89,27 @@
 	return time.Duration(float64(a.slotTime(now)) * turns / limit)
 }
 
+// workTime returns the expected time until the answer to work begins. The mean
+// over all work of the upstream stands for what says nothing of itself.
+func (a *Admitter) workTime(work Work, now time.Time) time.Duration {
+	if work.Expected <= 0 {
+		return a.latency(now)
+	}
+	percent := fullPercent
+	if a.slowness != nil {
+		percent = a.slowness(now)
+	}
+	return max(sampler.Slowed(work.Expected, percent), a.standstill(now))
+}
+
+// leastWork returns the time that an answer to work takes if all goes well.
+func (a *Admitter) leastWork(work Work, now time.Time) time.Duration {
+	if work.Expected > 0 {
+		return work.Expected
+	}
+	return a.limiter.fastestLatency(now)
+}
+
 // latency returns the expected time until an answer begins. While all slots
 // are taken and nothing ends, it is at least the age of the youngest exchange.
 func (a *Admitter) latency(now time.Time) time.Duration {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -99,6 +99,9 @@
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
 	}
 	req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	if work := c.forwarder.works.expected(c.route.name); work > 0 {
+		req.Header[classifier.HeaderWork] = []string{strconv.FormatInt(work.Milliseconds(), 10)}
+	}
 	if c.route.goal > 0 {
 		req.Header[classifier.HeaderDue] = []string{strconv.FormatInt(c.goalLeft(time.Now()).Milliseconds(), 10)}
 	}
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -21,11 +21,6 @@
 	// assumedGoal is the time within which an answer is to come where the route
 	// names none, in multiples of its usual time.
 	assumedGoal = 3
-	// spellLeft is how much longer a spell of slowness lasts on average.
-	spellLeft = 75 * time.Millisecond
-	// typicalSlowness is how long work takes on average, in percent, once the
-	// present spell is over.
-	typicalSlowness = 150
 	// crowdingShare is the share of the work by which a full instance is slower
 	// than an empty one.
 	crowdingShare = 0.5
@@ -162,21 +157,10 @@
 	work := c.work(reading, r)
 	crowding := crowdingShare * min(float64(occupancy+1)/float64(limit), 1)
 	candidate.ground = GroundCold
-	candidate.expected = slowed(work, load.SlownessPercent()) + time.Duration(crowding*float64(work)) +
+	candidate.expected = sampler.Slowed(work, load.SlownessPercent()) + time.Duration(crowding*float64(work)) +
 		c.p.distance(candidate.instance) + failureCost(reading.FailureRate())
 	if occupancy >= limit {
 		candidate.ground = GroundHot
 		candidate.expected += max(load.Latency(), work) * time.Duration(occupancy-limit+1) / time.Duration(limit)
 	}
 }
-
-// slowed returns how long work takes that begins in a spell of the given
-// slowness, in percent: that is over before long work ends.
-func slowed(work time.Duration, percent int) time.Duration {
-	inSpell := work * time.Duration(percent) / usualSlowness
-	if inSpell <= spellLeft {
-		return inSpell
-	}
-	done := spellLeft * usualSlowness / time.Duration(percent)
-	return spellLeft + (work-done)*typicalSlowness/usualSlowness
-}
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -47,7 +47,13 @@
 	deadline, _ := ctx.Deadline()
 	priority := ParsePriority(req.Header.Get(classifier.HeaderPriority), spec.Priority)
 	retried := req.Header.Get(classifier.HeaderHop) > firstAttempt
-	permit, err := s.cfg.Admitter.Admit(ctx, Work{Priority: priority, Deadline: deadline, Due: dueAt(req.Header), Retried: retried})
+	permit, err := s.cfg.Admitter.Admit(ctx, Work{
+		Priority: priority,
+		Deadline: deadline,
+		Due:      dueAt(req.Header),
+		Expected: milliseconds(req.Header.Get(classifier.HeaderWork)),
+		Retried:  retried,
+	})
 	if err != nil {
 		return nil, admissionRefusal(err)
 	}
@@ -85,11 +91,20 @@
 
 // dueAt returns when the answer is due, or the zero time if the request does not say.
 func dueAt(h http.Header) time.Time {
-	ms, err := strconv.ParseInt(h.Get(classifier.HeaderDue), 10, 32)
-	if err != nil {
+	value := h.Get(classifier.HeaderDue)
+	if value == "" {
 		return time.Time{}
 	}
-	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+	return time.Now().Add(milliseconds(value))
+}
+
+// milliseconds returns the time that a header of a node names, or 0.
+func milliseconds(value string) time.Duration {
+	n, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
 }
 
 // address names the upstream that req is for, or refuses it while no new work
@@ -150,6 +165,7 @@
 	delete(req.Header, classifier.HeaderHop)
 	delete(req.Header, classifier.HeaderService)
 	delete(req.Header, classifier.HeaderDue)
+	delete(req.Header, classifier.HeaderWork)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(left, 10))
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -57,6 +57,9 @@
 	Deadline time.Time
 	// Due is when the answer is worth most; the zero time for the deadline.
 	Due time.Time
+	// Expected is how long the upstream works on it where nothing slows it; 0 if
+	// that is not known.
+	Expected time.Duration
 	// Retried tells that another attempt went before.
 	Retried bool
 }
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -36,6 +36,9 @@
 	// HeaderDue holds, on requests between nodes, in how many milliseconds the
 	// answer is due to be worth most.
 	HeaderDue = "Banyanscale-Due-Ms"
+	// HeaderWork holds, on requests between nodes, how many milliseconds the
+	// upstream is expected to work on the request where nothing slows it.
+	HeaderWork = "Banyanscale-Work-Ms"
 	// HeaderUpstreamLoad holds what an upstream reports of its load, on its answers.
 	HeaderUpstreamLoad = "Banyanscale-Upstream-Load"
 	// HeaderUpstream holds the id of the upstream that a request is for, on
