feat: urgent work waits as long as its deadline can be met

Cause: calls of running requests were refused for a wait of 35 ms though the next free slot was theirs; each refusal cost its parent.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -217,7 +217,7 @@
 		return nil, nil
 	}
 	place := a.queue.place(work)
-	if reason := a.objection(work, place, place.behind(margin), now); reason != classifier.ReasonNone {
+	if reason := a.objection(work, place, place.behind(marginOf(work)), now); reason != classifier.ReasonNone {
 		a.prune(now)
 		return nil, a.refuse(reason, now)
 	}
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -32,6 +33,15 @@
 // behind returns the place with the requests ahead counted n times.
 func (p place) behind(n float64) place { return place{ahead: n * p.ahead, own: p.own} }
 
+// marginOf returns the margin for work. What has a due time goes before later
+// work that is due later: what is ahead of it does not grow.
+func marginOf(work Work) float64 {
+	if !work.Due.IsZero() {
+		return 1
+	}
+	return margin
+}
+
 // objection returns why work is not to wait at a place: its answer is expected
 // after its deadline, by the place given for that, or its wait is too long.
 func (a *Admitter) objection(work Work, p, deadline place, now time.Time) classifier.Reason {
@@ -49,11 +59,13 @@
 	return classifier.ReasonNone
 }
 
-// overdue reports whether work with a due time is better not to wait here. A
-// first attempt may wait for a part of what is left, since other instances may
-// have room. Work that can only be late may wait for a part of its deadline.
+// overdue reports whether work with a due time is better not to wait here.
+// Urgent work waits as long as its deadline can be met: what it holds up costs
+// more than its own delay. Of other work a first attempt may wait for a part of
+// what is left, since other instances may have room, and what can only be late
+// may wait for a part of its deadline.
 func (a *Admitter) overdue(work Work, p place, now time.Time) bool {
-	if work.Due.IsZero() {
+	if work.Due.IsZero() || work.Priority == compiler.PriorityHigh {
 		return false
 	}
 	wait := a.expectedWait(work, p, now)
