--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -120,12 +120,12 @@
 		return nil, &Refusal{reason: reasonOf(ctx)}
 	}
 	now := time.Now()
-	w, refusal := a.enter(work, now)
+	w, r, refusal := a.enter(work, now)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if w == nil {
-		return newPermit(a, now), nil
+		return newPermit(a, r), nil
 	}
 	return a.wait(ctx, w)
 }
@@ -201,30 +201,29 @@
 	a.notify(now)
 }
 
-// enter admits, queues or refuses a request. Both results are nil if it was
-// admitted.
-func (a *Admitter) enter(work Work, now time.Time) (*waiter, *Refusal) {
+// enter admits, queues or refuses a request. The waiter and the refusal are nil
+// if it was admitted.
+func (a *Admitter) enter(work Work, now time.Time) (*waiter, run, *Refusal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.leaving {
-		return nil, a.refuse(classifier.ReasonLeaving, now)
+		return nil, run{}, a.refuse(classifier.ReasonLeaving, now)
 	}
 	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 {
 		if !work.Deadline.IsZero() && now.Add(a.leastWork(work, now)).After(work.Deadline) {
-			return nil, a.refuse(classifier.ReasonDeadline, now)
+			return nil, run{}, a.refuse(classifier.ReasonDeadline, now)
 		}
-		a.begin(work, now)
-		return nil, nil
+		return nil, a.begin(work, now), nil
 	}
 	place := a.queue.place(work)
 	if reason := a.objection(work, place, place.behind(marginOf(work)), now); reason != classifier.ReasonNone {
 		a.prune(now)
-		return nil, a.refuse(reason, now)
+		return nil, run{}, a.refuse(reason, now)
 	}
 	if a.queue.len() >= a.queue.capacity {
 		victim := a.queue.victim(work.Priority)
 		if victim == nil {
-			return nil, a.refuse(a.fullReason(), now)
+			return nil, run{}, a.refuse(a.fullReason(), now)
 		}
 		a.refuseWaiter(victim, classifier.ReasonPreempted, now)
 	}
@@ -232,7 +231,7 @@
 	a.queue.push(w)
 	a.prune(now)
 	a.dispatch(now)
-	return w, nil
+	return w, run{}, nil
 }
 
 // fullReason returns why there is no place: the connections, if they are fewer
@@ -245,28 +244,30 @@
 }
 
 // begin counts a request that starts to run.
-func (a *Admitter) begin(work Work, now time.Time) {
+func (a *Admitter) begin(work Work, now time.Time) run {
 	a.inFlight++
 	a.begunSum += now.Sub(a.started)
 	a.queue.begun(work.Priority)
 	a.changed = now
 	a.notify(now)
+	return run{begun: now, expected: work.Expected, running: a.inFlight}
 }
 
 // end counts a request that ran, and starts those whose turn it is.
-func (a *Admitter) end(result Result, begun time.Time) {
+func (a *Admitter) end(result Result, r run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	saturated := a.inFlight >= a.limiter.limit(now)
-	a.leave(begun)
+	a.leave(r.begun)
 	a.changed = now
-	a.limiter.held(now.Sub(begun))
+	a.limiter.held(now.Sub(r.begun))
 	if !result.Abandoned {
 		a.limiter.ended(result.Failed, now)
 	}
 	if !result.Abandoned && !result.Failed {
 		a.limiter.observe(result.Latency, saturated, now)
+		a.limiter.crowding.observe(r.running, a.limiter.ceiling(), result.Latency, r.expected, now)
 		a.hint.goodAt = now
 	}
 	a.dispatch(now)
@@ -303,8 +304,7 @@
 		}
 		a.queue.remove(w)
 		a.queue.turns++
-		w.begun = now
-		a.begin(w.work, now)
+		w.run = a.begin(w.work, now)
 		w.settle(nil)
 	}
 }
--- /dev/null
+++ b/internal/request/admitter/crowding.go
@@ -0,0 +1,98 @@
+package admitter
+
+import (
+	"time"
+)
+
+const (
+	// crowdedShare is the share of the slots from which on an upstream may be
+	// slower for being nearly full.
+	crowdedShare = 0.75
+	// crowdedRatio is by how much longer work must take in a crowded upstream for
+	// the limit to stay below that: a third more slots are gained otherwise.
+	crowdedRatio = 1.25
+	// crowdingQuantile is the share of the work that is faster than what is
+	// compared: the rest meets noise.
+	crowdingQuantile = 0.35
+	// crowdingStep is by how much of itself a quantile moves with one result.
+	crowdingStep = 0.08
+	// crowdingResults is how many results each side of a comparison needs.
+	crowdingResults = 12
+	// crowdingHalfLife is how long it takes until half of the results are
+	// forgotten, so that the comparison is made again.
+	crowdingHalfLife = 8 * time.Second
+	// crowdingBlock is for how long the limit stays on one side while both are
+	// compared.
+	crowdingBlock = 400 * time.Millisecond
+)
+
+// crowding finds out whether an upstream is slower when it is nearly full, by
+// how long work takes in relation to what is expected of it. It answers load
+// that fills the slots: below that the limit does not matter.
+type crowding struct {
+	started        time.Time
+	roomy, crowded slowdown
+}
+
+// slowdown is a quantile of how many times longer than expected work takes.
+type slowdown struct {
+	ratio   float64
+	results float64
+	at      time.Time
+}
+
+// observe takes in the end of work that began when so many requests ran, itself
+// included, of so many slots.
+func (c *crowding) observe(running, slots int, latency, expected time.Duration, now time.Time) {
+	if expected <= 0 {
+		return
+	}
+	side := &c.roomy
+	if running > roomySlots(slots) {
+		side = &c.crowded
+	}
+	side.observe(float64(latency)/float64(expected), now)
+}
+
+// limit returns how many of the slots are to be used.
+func (c *crowding) limit(slots int, now time.Time) int {
+	roomy := roomySlots(slots)
+	if c.roomy.known(now) && c.crowded.known(now) {
+		if c.crowded.ratio > crowdedRatio*c.roomy.ratio {
+			return roomy
+		}
+		return slots
+	}
+	if now.Sub(c.started)/crowdingBlock%2 == 1 {
+		return roomy
+	}
+	return slots
+}
+
+// roomySlots returns how many of the slots may be in use before an upstream
+// counts as crowded.
+func roomySlots(slots int) int { return max(int(crowdedShare*float64(slots)), 1) }
+
+func (s *slowdown) observe(ratio float64, now time.Time) {
+	s.results = s.remembered(now) + 1
+	s.at = now
+	step := crowdingStep * s.ratio
+	switch {
+	case s.ratio == 0:
+		s.ratio = ratio
+	case ratio < s.ratio:
+		s.ratio = max(s.ratio-step*(1-crowdingQuantile), ratio)
+	default:
+		s.ratio = min(s.ratio+step*crowdingQuantile, ratio)
+	}
+}
+
+// remembered returns the number of results that still count.
+func (s *slowdown) remembered(now time.Time) float64 {
+	if s.results == 0 {
+		return 0
+	}
+	return s.results * halved(now.Sub(s.at), crowdingHalfLife)
+}
+
+func (s *slowdown) known(now time.Time) bool { return s.remembered(now) >= crowdingResults }
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -44,7 +44,9 @@
 	coldStart          time.Duration
 	started            time.Time
 	current            float64
-	fixed              bool // The limit stays at the ceiling.
+	// fixed keeps the limit at the ceiling, or below crowding if that slows the upstream.
+	fixed    bool
+	crowding crowding
 
 	average, baseline, fastest         time.Duration
 	slotTime                           time.Duration // Moving average.
@@ -93,7 +95,12 @@
 // failureRate returns the smoothed share of exchanges that failed.
 func (l *limiter) failureRate(now time.Time) float64 {
 	age := max(now.Sub(l.endedAt), 0)
-	return l.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
+	return l.failures * halved(age, failureHalfLife)
+}
+
+// halved returns what is left of 1 after a time in which it halves again and again.
+func halved(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
 // fastestLatency returns the least latency seen lately.
@@ -108,6 +115,9 @@
 // limit returns how many requests may run at once now.
 func (l *limiter) limit(now time.Time) int {
 	limit := l.current
+	if l.fixed {
+		limit = float64(l.crowding.limit(l.ceiling(), now))
+	}
 	if warm := l.warmPercent(now); warm < fullPercent {
 		share := minShare + (1-minShare)*float64(warm)/fullPercent
 		limit = min(limit, share*float64(l.ceiling()))
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -20,15 +20,24 @@
 // Permit is the right to run one request. It holds one slot until Done.
 type Permit struct {
 	admitter *Admitter
-	begun    time.Time
+	run      run
 	done     atomic.Bool
 }
 
-func newPermit(a *Admitter, begun time.Time) *Permit { return &Permit{admitter: a, begun: begun} }
+// run is one admitted request while it runs.
+type run struct {
+	begun time.Time
+	// expected is how long it was expected to take, or 0.
+	expected time.Duration
+	// running is how many requests ran when it began, itself included.
+	running int
+}
+
+func newPermit(a *Admitter, r run) *Permit { return &Permit{admitter: a, run: r} }
 
 // Done gives the slot back. Only the first call counts.
 func (p *Permit) Done(result Result) {
 	if p.done.CompareAndSwap(false, true) {
-		p.admitter.end(result, p.begun)
+		p.admitter.end(result, p.run)
 	}
 }
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -22,7 +22,7 @@
 	work    Work
 	element *list.Element
 	number  uint64        // In the order of arrival.
-	begun   time.Time     // When it got its permit.
+	run     run           // Set when it got its permit.
 	settled chan *Refusal // Receives nil for a permit.
 }
 
@@ -83,7 +83,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return newPermit(a, w.begun), nil
+	return newPermit(a, w.run), nil
 }
 
 // abandon takes w out of the queue. If it got its permit in the meantime, the
@@ -98,6 +98,6 @@
 	if refusal != nil {
 		return refusal
 	}
-	a.release(w.begun)
+	a.release(w.run.begun)
 	return &Refusal{reason: reason}
 }
