feat: JSON lines on standard output, one for each request and its choices

Bounded by a budget of lines for each kind, counted where left out, and never waiting for the reader. Histograms of latency at entry, admission and upstream.

--- a/internal/cmd/control.go
+++ b/internal/cmd/control.go
@@ -10,5 +10,5 @@
 func controlCmd(app *kingpin.Application, env *environment) (string, action) {
 	c := app.Command("control", "Run a control instance, which keeps configurations and the owners' ledger.")
 	path := c.Flag("settings", "INI file with the control instance's settings.").Required().String()
-	return c.FullCommand(), func() error { return launcher.RunControl(env.ctx, *path, env.stderr, nil) }
+	return c.FullCommand(), func() error { return launcher.RunControl(env.ctx, *path, env.stdout, nil) }
 }
--- a/internal/cmd/node.go
+++ b/internal/cmd/node.go
@@ -12,7 +12,7 @@
 	c := app.Command("node", "Run the process beside one upstream.")
 	path := c.Flag("settings", "INI file with the node's settings.").Required().String()
 	return c.FullCommand(), func() error {
-		return launcher.RunNode(env.ctx, *path, env.stderr, func(*configurer.Node) (launcher.Dialect, error) {
+		return launcher.RunNode(env.ctx, *path, env.stdout, func(*configurer.Node) (launcher.Dialect, error) {
 			return launcher.Dialect{}, nil
 		})
 	}
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
@@ -43,7 +44,26 @@
 	if !ok {
 		return forwarder.Choice{}, false
 	}
-	return forwarder.Choice{Instance: choice.Instance(), Candidates: candidates(choice.Candidates())}, true
+	return forwarder.Choice{
+		Instance:   choice.Instance(),
+		Candidates: candidates(choice.Candidates()),
+		Grounds:    grounds{choice.Chosen(), len(choice.Candidates())},
+	}, true
+}
+
+// grounds writes into a log line what a choice rests on.
+type grounds struct {
+	chosen     picker.Candidate
+	considered int
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (g grounds) MarshalZerologObject(e *zerolog.Event) {
+	load := g.chosen.Load()
+	e.Str("why", g.chosen.Reason()).Int("considered", g.considered).
+		Float64("expected-ms", milliseconds(g.chosen.Expected())).Float64("sample-age-ms", milliseconds(g.chosen.SampleAge())).
+		Int("in-flight", load.InFlight()).Int("queued", load.Queued()).Int("limit", load.Limit()).
+		Int("slowness-percent", load.SlownessPercent())
 }
 
 // candidates shows what a choice was made from in JSON.
--- a/internal/process/launcher/fleet.go
+++ b/internal/process/launcher/fleet.go
@@ -11,7 +11,6 @@
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/gossiper"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
@@ -47,7 +46,7 @@
 	var err error
 	f.courier, err = courier.New(courier.Config{
 		Address: cfg.instance.Peer,
-		Logger:  logger.Part(base, "courier"),
+		Logger:  base,
 		Scope:   scope.SubScope("courier"),
 	})
 	if err != nil {
@@ -63,7 +62,7 @@
 		Apply:    compiler.Apply,
 		Publish:  cfg.publish,
 		Announce: func(v *controlwire.VersionDigest) { g.SetVersion(v) },
-		Logger:   logger.Part(base, "distributor"),
+		Logger:   base,
 		Scope:    scope.SubScope("distributor"),
 		Random:   newRandom(),
 	})
@@ -74,7 +73,7 @@
 		Client:    gossiper.NewClient(f.client),
 		OnView:    cfg.onView,
 		OnVersion: f.distributor.Learn,
-		Logger:    logger.Part(base, "gossiper"),
+		Logger:    base,
 		Scope:     scope.SubScope("gossiper"),
 		Random:    newRandom(),
 	})
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -78,6 +78,7 @@
 	announcer *announcer.Announcer
 	slots     atomic.Int64 // Of the upstream, as it said; 0 if it did not.
 	askedAt   atomic.Int64 // When somebody last asked for the own load, in nanoseconds since the epoch.
+	noOverlay atomic.Bool  // It was logged that no overlay names the site.
 	leaving   atomic.Bool
 	tomb      tomb.Tomb
 }
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -97,6 +97,7 @@
 		Admitter:  upstreamAdmitter{n.admitter, n.noteRefusal},
 		Snapshots: n.snapshots,
 		Scope:     n.metrics.Scope().SubScope("server"),
+		Log:       logger.Part(base, "server"),
 	})
 	n.keyer = keyer.New(keyer.Config{
 		Instance: s.Instance(),
@@ -242,7 +243,7 @@
 		InForce: n.distributor.InForce,
 		Control: n.controlAddresses,
 		Sender:  accountant.NewSender(n.client),
-		Logger:  logger.Part(base, "accountant"),
+		Logger:  base,
 		Scope:   n.metrics.Scope().SubScope("accountant"),
 		Random:  newRandom(),
 	})
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -51,7 +51,7 @@
 // compile makes the configuration for the node's site. A site without an
 // overlay follows the base file alone, which may be a slip in the settings.
 func (n *Node) compile(doc *controlwire.Document, number uint64) (*compiler.Configuration, error) {
-	if !slices.Contains(compiler.Sites(doc), n.settings.Site()) {
+	if !slices.Contains(compiler.Sites(doc), n.settings.Site()) && !n.noOverlay.Swap(true) {
 		n.log.Warn().Str("site", n.settings.Site()).Uint64("version", number).Msg("No overlay names this site; the base file holds.")
 	}
 	return compiler.Compile(doc, n.settings.Site(), number)
@@ -200,8 +200,8 @@
 	if err != nil {
 		return false, gauger.Report{}, fmt.Errorf("ask the health endpoint: %w", err)
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	if err != nil {
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return false, gauger.Report{}, fmt.Errorf("read the answer: %w", err)
 	}
 	// A report that cannot be read is as good as none.
--- a/internal/process/launcher/runner.go
+++ b/internal/process/launcher/runner.go
@@ -12,6 +12,7 @@
 	"goji.io"
 
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
+	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/reloader"
 )
 
@@ -26,7 +27,9 @@
 	if err != nil {
 		return fmt.Errorf("read what the platform says: %w", err)
 	}
-	n, err := NewNodeWith(settings, logs, d)
+	out, flush := logger.NonBlocking(logs)
+	defer flush()
+	n, err := NewNodeWith(settings, out, d)
 	if err != nil {
 		return fmt.Errorf("start the node: %w", err)
 	}
@@ -47,7 +50,9 @@
 	if err != nil {
 		return fmt.Errorf("read the settings of the control instance: %w", err)
 	}
-	c, err := NewControlWith(settings, logs, extra)
+	out, flush := logger.NonBlocking(logs)
+	defer flush()
+	c, err := NewControlWith(settings, out, extra)
 	if err != nil {
 		return fmt.Errorf("start the control instance: %w", err)
 	}
--- /dev/null
+++ b/internal/process/logger/logger_test.go
@@ -0,0 +1,79 @@
+package logger_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/logger"
+)
+
+// line is what the tests read of a line.
+type line struct {
+	Part    string `json:"part"`
+	Message string `json:"message"`
+	LeftOut int    `json:"left-out"`
+}
+
+func readLines(t *testing.T, text string) []line {
+	t.Helper()
+	var lines []line
+	for _, one := range strings.Split(strings.TrimSpace(text), "\n") {
+		var l line
+		assert.NilError(t, json.Unmarshal([]byte(one), &l), "%s", one)
+		lines = append(lines, l)
+	}
+	return lines
+}
+
+func TestLinesAreJSON(t *testing.T) {
+	var out bytes.Buffer
+	log := logger.Part(logger.New(&out), "gossiper")
+	log.Info().Str("instance", "vitrina-1").Msg("Instance joined.")
+	assert.DeepEqual(t, readLines(t, out.String()), []line{{Part: "gossiper", Message: "Instance joined."}})
+}
+
+func TestBudgetTellsWhatItLeavesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := logger.New(&out)
+		b := logger.NewBudget(2)
+		for range 5 {
+			b.Line(log.Info()).Msg("Request ended.")
+		}
+		time.Sleep(time.Second)
+		b.Line(log.Info()).Msg("Request ended.")
+		lines := readLines(t, out.String())
+		assert.Equal(t, len(lines), 3)
+		assert.Equal(t, lines[2].LeftOut, 3)
+	})
+}
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestSlowReaderBlocksNothing(*testing.T) {
+	reader := stuck{release: make(chan struct{})}
+	out, flush := logger.NonBlocking(reader)
+	log := logger.New(out)
+	done := make(chan struct{})
+	go func() {
+		for range 10_000 {
+			log.Info().Msg("Request ended.")
+		}
+		close(done)
+	}()
+	<-done // A test that blocks here fails by the timeout of go test.
+	close(reader.release)
+	flush()
+}
--- a/internal/process/voter/voter.go
+++ b/internal/process/voter/voter.go
@@ -190,7 +190,11 @@
 // accepted.
 func (v *Voter) Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
 	resp, err := v.submit(ctx, req)
-	v.results.Inc(reasonOf(resp, err))
+	reason := reasonOf(resp, err)
+	v.results.Inc(reason)
+	v.cfg.Log.Info().Str("change", req.GetChangeId()).Str("operator", req.GetOperator()).
+		Uint64("replaces", req.GetReplaces()).Uint64("wanted", req.GetVersion()).Uint64("version", resp.GetVersion()).
+		Str("result", string(reason)).AnErr("error", err).Msg("Change decided.")
 	if err != nil {
 		return nil, fmt.Errorf("submit change: %w", err)
 	}
--- a/internal/request/explainer/trace.go
+++ b/internal/request/explainer/trace.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -17,6 +19,8 @@
 	Instance string
 	// Candidates is what the choice was made from; its JSON form is shown.
 	Candidates any
+	// Choice tells in a log line what the choice rests on; nil for nothing.
+	Choice zerolog.LogObjectMarshaler
 	// Cause is why this attempt was made: none for the first, else the reason
 	// of the retry, or ReasonHedge.
 	Cause classifier.Reason
@@ -91,6 +95,65 @@
 // SetService tells the service that the request was routed to.
 func (t *Trace) SetService(name string) { t.service = name }
 
+// MarshalZerologObject writes what a log line tells of the request.
+func (t *Trace) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("request", t.id).Str("method", t.method).Str("path", t.path).Str("service", t.service).
+		Int("status", t.status).Stringer("outcome", t.outcome).Str("reason", string(t.reason)).
+		Float64("ms", milliseconds(t.end.Sub(t.start))).Int64("bytes", t.bytes)
+	if t.resumed > 0 {
+		e.Int("resumed", t.resumed)
+	}
+	e.Array("attempts", attemptLines{t})
+}
+
+// attemptLines writes the attempts of a request into a log line.
+type attemptLines struct{ trace *Trace }
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l attemptLines) MarshalZerologArray(a *zerolog.Array) {
+	for i := range l.trace.attempts {
+		a.Object(attemptLine{&l.trace.attempts[i], l.trace.start})
+	}
+}
+
+// attemptLine writes one attempt. Its times are milliseconds since start.
+type attemptLine struct {
+	*Attempt
+	start time.Time
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (a attemptLine) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("instance", a.Instance).Float64("start-ms", milliseconds(a.Start.Sub(a.start))).
+		Float64("end-ms", milliseconds(a.End.Sub(a.start))).Stringer("outcome", a.Outcome)
+	if a.Status > 0 {
+		e.Int("status", a.Status)
+	}
+	for _, reason := range []struct {
+		key   string
+		value classifier.Reason
+	}{{"cause", a.Cause}, {"reason", a.Reason}, {"denied", a.Denied}} {
+		if reason.value != classifier.ReasonNone {
+			e.Str(reason.key, string(reason.value))
+		}
+	}
+	if a.Choice != nil {
+		e.Object("choice", a.Choice)
+	}
+}
+
+// Status returns the status that the caller got, or 0.
+func (t *Trace) Status() int { return t.status }
+
+// Broken reports whether the caller did not get a whole answer.
+func (t *Trace) Broken() bool { return t.outcome != classifier.Done }
+
+// Duration returns how long the request took.
+func (t *Trace) Duration() time.Duration { return t.end.Sub(t.start) }
+
+// Service returns the service that the request was routed to, or "".
+func (t *Trace) Service() string { return t.service }
+
 // MarshalJSON returns the view of a trace for the explain command. Times of
 // attempts are milliseconds since the request came.
 func (t *Trace) MarshalJSON() ([]byte, error) {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -188,6 +188,7 @@
 	return explainer.Attempt{
 		Instance:   a.choice.Instance.ID(),
 		Candidates: a.choice.Candidates,
+		Choice:     a.choice.Grounds,
 		Cause:      a.cause,
 		Start:      a.start,
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/counter"
+	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
@@ -56,6 +57,8 @@
 	// Candidates is what the choice was made from. Its JSON form is shown by
 	// the explain command; it must not change any more.
 	Candidates any
+	// Grounds tells in a log line what the choice rests on; nil for nothing.
+	Grounds zerolog.LogObjectMarshaler
 }
 
 // Picker chooses an instance. It reports false if none can take the request.
@@ -136,6 +139,9 @@
 	denials  *counter.Counter
 	aborts   *counter.Counter
 	requests tally.Counter
+	// served and failed bound the lines on requests that ended well and badly.
+	served, failed *logger.Budget
+	latencies      *latencies
 }
 
 // New returns a forwarder.
@@ -147,6 +153,10 @@
 		denials:  counter.New(cfg.Scope, "retries_denied"),
 		aborts:   counter.New(cfg.Scope, "answers_aborted"),
 		requests: cfg.Scope.Counter("requests"),
+		served:   logger.NewBudget(servedLinesPerSecond),
+		failed:   logger.NewBudget(failedLinesPerSecond),
+
+		latencies: newLatencies(cfg.Scope),
 	}
 }
 
@@ -156,7 +166,8 @@
 	id := requestID(r)
 	w.Header().Set(classifier.HeaderRequestID, id)
 	trace := explainer.NewTrace(id, r.Method, r.URL.Path, time.Now())
-	defer f.cfg.Explainer.Add(trace)
+	var route route
+	defer func() { f.finish(trace, &route) }()
 	route, refusal := f.route(r)
 	if refusal != nil {
 		f.refuseEarly(w, r, trace, refusal)
@@ -192,8 +203,6 @@
 	f.refusals.Inc(refusal.Reason())
 	status := refusal.Write(w, f.cfg.Instance)
 	trace.End(time.Now(), status, refusal.Outcome(), refusal.Reason())
-	f.cfg.Log.Debug().Str("request", w.Header().Get(classifier.HeaderRequestID)).
-		Str("reason", string(refusal.Reason())).Stringer("outcome", refusal.Outcome()).Msg("Refused request.")
 }
 
 // hostname returns the host of a request without its port.
--- a/internal/request/picker/choice.go
+++ b/internal/request/picker/choice.go
@@ -58,6 +58,9 @@
 // Instance returns the chosen instance, or nil if there is none.
 func (c *Choice) Instance() *registrar.Instance { return c.candidates[c.chosen].instance }
 
+// Chosen returns the chosen candidate.
+func (c *Choice) Chosen() Candidate { return c.candidates[c.chosen] }
+
 func (c *Choice) add(candidate Candidate) {
 	c.candidates[c.n] = candidate
 	c.n++
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -47,6 +47,7 @@
 	deadline, _ := ctx.Deadline()
 	priority := ParsePriority(req.Header.Get(classifier.HeaderPriority), spec.Priority)
 	retried := req.Header.Get(classifier.HeaderHop) > firstAttempt
+	arrived := time.Now()
 	permit, err := s.cfg.Admitter.Admit(ctx, Work{
 		Priority: priority,
 		Deadline: deadline,
@@ -63,6 +64,7 @@
 		return nil, refusal
 	}
 	start := time.Now()
+	s.waits.RecordDuration(start.Sub(arrived))
 	resp, err := s.cfg.Requester.DoLimited(ctx, s.cfg.Upstream, req, requester.Limits{StallTimeout: spec.StallTimeout})
 	latency := time.Since(start)
 	if err != nil {
@@ -76,6 +78,7 @@
 		permit.Done(Result{Latency: latency, Failed: true})
 		return nil, refusal
 	}
+	s.answers.RecordDuration(latency)
 	s.mark(resp)
 	end := func() {
 		permit.Done(Result{Latency: latency, Failed: resp.StatusCode >= http.StatusInternalServerError})
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -23,11 +23,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/connection/responder"
 	"github.com/banyanscale/banyanscale/internal/process/counter"
+	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
@@ -35,6 +37,13 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// linesPerSecond bounds the log lines on requests that were not served.
+const linesPerSecond = 50
+
+// latencyBuckets are the bounds of the histograms of latencies: from a
+// millisecond to eight seconds, each twice the one before.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Result is how one admitted request ended.
 type Result struct {
 	// Latency is the time from admission to the head of the answer.
@@ -109,6 +118,7 @@
 	// Upstreams is nil if the upstream does not announce itself.
 	Upstreams Upstreams
 	Scope     tally.Scope
+	Log       zerolog.Logger
 }
 
 // Server serves the requests for the node's own upstream.
@@ -117,6 +127,10 @@
 	// instance is the value of HeaderInstance. It must not be changed.
 	instance []string
 	refusals *counter.Counter
+	// lines bounds the log lines on requests that were not served.
+	lines    *logger.Budget
+	waits    tally.Histogram
+	answers  tally.Histogram
 	inFlight atomic.Int64
 	// answering counts the answers that are on their way on connections that
 	// were taken over.
@@ -132,6 +146,9 @@
 		cfg:      cfg,
 		instance: []string{cfg.Instance},
 		refusals: counter.New(cfg.Scope, "serving_refusals"),
+		lines:    logger.NewBudget(linesPerSecond),
+		waits:    cfg.Scope.Histogram("admission_wait", latencyBuckets),
+		answers:  cfg.Scope.Histogram("upstream_latency", latencyBuckets),
 		idle:     make(chan struct{}, 1),
 	}
 }
@@ -153,9 +170,16 @@
 // headers of req must be its own. Its error is a *refuser.Refusal. The slot of
 // the upstream is held until the body of the answer is read or closed.
 func (s *Server) Exchange(ctx context.Context, req *http.Request) (*http.Response, error) {
+	id := req.Header.Get(classifier.HeaderRequestID)
+	due := req.Header.Get(classifier.HeaderDue)
+	start := time.Now()
 	resp, refusal := s.exchange(ctx, req)
 	if refusal != nil {
 		s.refusals.Inc(refusal.Reason())
+		s.lines.Line(s.cfg.Log.Warn()).Str("request", id).Str("reason", string(refusal.Reason())).
+			Stringer("outcome", refusal.Outcome()).Str("due-ms", due).Dur("after-ms", time.Since(start)).
+			Str("load", s.cfg.Admitter.Load()).Dur("retry-after-ms", refusal.RetryAfter()).AnErr("cause", refusal.Unwrap()).
+			Msg("Request not served.")
 		return nil, refusal
 	}
 	return resp, nil
