--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -13,11 +13,15 @@
 	refreshTimeout = 8 * time.Millisecond
 	// reusePeriod is how old a sample may be to be used without asking again.
 	reusePeriod = 3 * time.Millisecond
-	// stayShare and stayShareLarge are the shares of the time until the goal
-	// within which an answer must be expected for a request to stay in its
-	// failure domain without a look at others. Large answers cost more on the way.
-	stayShare      = 0.5
-	stayShareLarge = 0.8
+	// stayShare is the share of the time until the goal within which an answer
+	// must be expected for a request to stay in its failure domain without a
+	// look at others.
+	stayShare = 0.5
+	// awayShare and awayShareLarge are the shares of the goal by which another
+	// failure domain must be faster: what crosses is paid for by the byte, and
+	// meets what others send.
+	awayShare      = 0.05
+	awayShareLarge = 0.4
 	// assumedGoal is the time within which an answer is to come where the route
 	// names none, in multiples of its usual time.
 	assumedGoal = 3
@@ -25,6 +29,11 @@
 	// than an empty one.
 	crowdingShare = 0.5
 	usualSlowness = 100
+	// roomyShare is the share of the slots up to which an instance has room: many
+	// are slower when they are nearly full.
+	roomyShare = 0.75
+	// maxStayFailures is the failure rate from which on others are looked at.
+	maxStayFailures = 0.1
 )
 
 // Refresher asks instances for their load.
@@ -123,17 +132,38 @@
 	return best
 }
 
-// stays reports whether the candidate is good enough to look no further.
+// stays reports whether the candidate is good enough to look no further: it
+// has room and nothing slows it, or the answer is expected early enough.
 func (c *leastExpectedFinish) stays(candidate *Candidate, r *request) bool {
-	goal := r.Goal
-	if goal == 0 {
-		goal = assumedGoal * c.work(candidate.reading, r)
+	goal := c.goal(candidate.reading, r)
+	load := candidate.reading.Load()
+	running := float64(load.InFlight() + load.Queued() + candidate.reading.SentSince() + 1)
+	free := running <= roomyShare*float64(load.Limit()) && load.SlownessPercent() <= usualSlowness
+	if free && candidate.reading.FailureRate() < maxStayFailures {
+		return candidate.expected <= goal
 	}
-	share := stayShare
+	return candidate.expected <= time.Duration(stayShare*float64(goal))
+}
+
+// goal returns the time within which the answer is to come.
+func (c *leastExpectedFinish) goal(reading sampler.Reading, r *request) time.Duration {
+	if r.Goal > 0 {
+		return r.Goal
+	}
+	return assumedGoal * c.work(reading, r)
+}
+
+// wayCost returns what it costs to send the request to the candidate.
+func (c *leastExpectedFinish) wayCost(candidate *Candidate, r *request) time.Duration {
+	way := c.p.distance(candidate.instance)
+	if candidate.instance.FailureDomain() == c.p.domain {
+		return way
+	}
+	share := awayShare
 	if r.Large {
-		share = stayShareLarge
+		share = awayShareLarge
 	}
-	return candidate.expected <= time.Duration(share*float64(goal))
+	return way + time.Duration(share*float64(c.goal(candidate.reading, r)))
 }
 
 // work returns how long the request takes at an instance that nothing slows.
@@ -158,7 +188,7 @@
 	crowding := crowdingShare * min(float64(occupancy+1)/float64(limit), 1)
 	candidate.ground = GroundCold
 	candidate.expected = sampler.Slowed(work, load.SlownessPercent()) + time.Duration(crowding*float64(work)) +
-		c.p.distance(candidate.instance) + failureCost(reading.FailureRate())
+		c.wayCost(candidate, r) + failureCost(reading.FailureRate())
 	if occupancy >= limit {
 		candidate.ground = GroundHot
 		candidate.expected += max(load.Latency(), work) * time.Duration(occupancy-limit+1) / time.Duration(limit)
