--- a/internal/process/distributor/adopter.go
+++ b/internal/process/distributor/adopter.go
@@ -15,6 +15,7 @@
 var (
 	errDigest     = errors.New("document does not match its digest")
 	errBase       = errors.New("delta does not start from the version that is held")
+	errSilent     = errors.New("holder is silent")
 	errEmpty      = errors.New("holder has nothing newer")
 	errTooOld     = errors.New("version is older than one that may have been served")
 	errRefused    = errors.New("version was refused before")
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -56,6 +56,9 @@
 	fetchRetry = 200 * time.Millisecond
 	// fetchTimeout bounds one call.
 	fetchTimeout = 3 * time.Second
+	// fetchPatience is how long one holder is waited for before another one is
+	// asked beside it: a version must be in force everywhere within two seconds.
+	fetchPatience = 300 * time.Millisecond
 )
 
 // Config lists what a Distributor depends on.
@@ -200,7 +203,7 @@
 		if !ok {
 			return
 		}
-		if err := d.fetchNewer(source); err != nil {
+		if err := d.fetchInTime(source); err != nil {
 			d.metrics.fetchFailures.Inc(1)
 			d.log.Debug().Err(err).Stringer("holder", source).Msg("Fetching a version failed.")
 			d.dropSource(source)
@@ -211,6 +214,26 @@
 	}
 }
 
+// fetchInTime fetches from a holder. It gives up waiting for one that is silent,
+// which may still answer.
+func (d *Distributor) fetchInTime(source netip.AddrPort) error {
+	done := make(chan error, 1)
+	d.tomb.Go(func() error {
+		done <- d.fetchNewer(source)
+		return nil
+	})
+	timer := time.NewTimer(fetchPatience)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-timer.C:
+		return errSilent
+	case <-d.tomb.Dying():
+		return errSilent
+	}
+}
+
 func (d *Distributor) random(bound time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -233,12 +256,29 @@
 func (d *Distributor) source() (netip.AddrPort, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.wanted.GetNumber() <= max(d.holder.number(), d.refused) || len(d.sources) == 0 {
+	if d.wanted.GetNumber() <= max(d.holder.number(), d.refused) {
 		return netip.AddrPort{}, false
 	}
+	if len(d.sources) == 0 {
+		return d.controlSource()
+	}
 	return d.sources[d.cfg.Random.IntN(len(d.sources))], true
 }
 
+// controlSource returns a random control instance, which holds every version
+// soon, for a process that knows of no other holder. It reports false if there
+// is none, and for a control instance.
+func (d *Distributor) controlSource() (netip.AddrPort, bool) {
+	if d.cfg.Control == nil {
+		return netip.AddrPort{}, false
+	}
+	addresses := d.cfg.Control()
+	if len(addresses) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return addresses[d.cfg.Random.IntN(len(addresses))], true
+}
+
 func (d *Distributor) dropSource(source netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/process/distributor/distributor_test.go
+++ b/internal/process/distributor/distributor_test.go
@@ -63,7 +63,8 @@
 	holders map[netip.AddrPort]*Distributor
 	current atomic.Pointer[controlwire.Version]
 	lie     *controlwire.FetchResponse // What Fetch answers instead, if set.
-	fetches int
+	fetches atomic.Int64
+	silent  map[netip.AddrPort]bool // Holders that take a call and never answer.
 }
 
 // newNetwork returns a network whose control answers with current.
@@ -74,7 +75,11 @@
 }
 
 func (n *network) Fetch(ctx context.Context, to netip.AddrPort, have *controlwire.VersionDigest) (*controlwire.FetchResponse, error) {
-	n.fetches++
+	n.fetches.Add(1)
+	if n.silent[to] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if n.lie != nil {
 		return n.lie, nil
 	}
@@ -259,7 +264,7 @@
 				n.Learn(peers[0], version(13).GetDigest())
 				time.Sleep(3 * time.Second)
 				assertPublished(t, n, 1)
-				assert.Assert(t, net.fetches > 0)
+				assert.Assert(t, net.fetches.Load() > 0)
 			})
 		})
 	}
@@ -281,3 +286,21 @@
 	resp, ok := d.holder.answer(version(4).GetDigest(), now)
 	assert.Assert(t, ok && resp.GetDelta() == nil && resp.GetSnapshot() == nil)
 }
+
+// TestSilentHolderDelaysNothing checks that a version is in force in time while
+// its holders, machines that are gone, take calls and never answer.
+func TestSilentHolderDelaysNothing(t *testing.T) {
+	run(t, func(t *testing.T) {
+		n := newNetwork(version(1))
+		newHolderAt(t, n, control, 1, 2)
+		x := newNode(n, control)
+		x.Start()
+		time.Sleep(time.Second)
+		n.silent = map[netip.AddrPort]bool{peers[0]: true, peers[1]: true}
+		x.Learn(peers[0], version(2).GetDigest())
+		x.Learn(peers[1], version(2).GetDigest())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, x.InForce().GetNumber(), uint64(2))
+		assert.NilError(t, x.Stop())
+	})
+}
--- a/internal/process/distributor/settler.go
+++ b/internal/process/distributor/settler.go
@@ -17,7 +17,7 @@
 	minSettleInterval = 100 * time.Millisecond
 	maxSettleInterval = time.Second
 	// currentTimeout bounds one read at control.
-	currentTimeout = 2 * time.Second
+	currentTimeout = 700 * time.Millisecond
 )
 
 // settle waits until this process knows a version no older than any that it
