--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -128,10 +128,12 @@
 	instance []string
 	refusals *counter.Counter
 	// lines bounds the log lines on requests that were not served.
-	lines    *logger.Budget
-	waits    tally.Histogram
-	answers  tally.Histogram
-	inFlight atomic.Int64
+	lines *logger.Budget
+	// transfers gives large answers their turns on the link.
+	transfers *transfers
+	waits     tally.Histogram
+	answers   tally.Histogram
+	inFlight  atomic.Int64
 	// answering counts the answers that are on their way on connections that
 	// were taken over.
 	answering atomic.Int64
@@ -143,13 +145,14 @@
 // New returns a server.
 func New(cfg Config) *Server {
 	return &Server{
-		cfg:      cfg,
-		instance: []string{cfg.Instance},
-		refusals: counter.New(cfg.Scope, "serving_refusals"),
-		lines:    logger.NewBudget(linesPerSecond),
-		waits:    cfg.Scope.Histogram("admission_wait", latencyBuckets),
-		answers:  cfg.Scope.Histogram("upstream_latency", latencyBuckets),
-		idle:     make(chan struct{}, 1),
+		cfg:       cfg,
+		instance:  []string{cfg.Instance},
+		refusals:  counter.New(cfg.Scope, "serving_refusals"),
+		lines:     logger.NewBudget(linesPerSecond),
+		transfers: newTransfers(),
+		waits:     cfg.Scope.Histogram("admission_wait", latencyBuckets),
+		answers:   cfg.Scope.Histogram("upstream_latency", latencyBuckets),
+		idle:      make(chan struct{}, 1),
 	}
 }
 
@@ -268,6 +271,10 @@
 		}
 	}
 	h.Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
+	if isLarge(resp) {
+		takeIn(resp)
+		defer s.transfers.begin(r.Context())()
+	}
 	if err := relayer.Relay(w, resp); err != nil {
 		relayer.Abort(w, r)
 	}
