fix: late calls go before fresh orders; tests of the new parts

Cause, found by TestCallsGoBeforeFreshWork: a call that had passed its own goal counted as unable to be in time and went after every order; and while no slot was freed for 80 ms each call was refused for the standstill, though the next slot was its own. Waiting work now goes by the time that is left until it is worth less: until it is due, or until its deadline when that has passed.

--- /dev/null
+++ b/internal/process/enroller/enroller_test.go
@@ -0,0 +1,103 @@
+package enroller_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/enroller"
+)
+
+var address = netip.MustParseAddrPort("10.0.0.9:8080")
+
+// born is the start time of incarnation n.
+func born(n int) time.Time { return time.UnixMilli(1_700_000_000_000 + int64(n)*1000) }
+
+// beat is a heartbeat of incarnation n, whose id is its own.
+func beat(id string, n int, sequence uint64, draining bool) enroller.Heartbeat {
+	return enroller.Heartbeat{ID: id, Born: born(n), Sequence: sequence, Service: "vitrina", Address: address, Slots: 6, Draining: draining}
+}
+
+func newEnroller() (*enroller.Enroller, *[]enroller.Change) {
+	var changes []enroller.Change
+	e := enroller.New(enroller.Config{
+		Service: "vitrina", Address: address, Log: zerolog.Nop(),
+		OnChange: func(c enroller.Change) { changes = append(changes, c) },
+	})
+	return e, &changes
+}
+
+func assertCurrent(t *testing.T, e *enroller.Enroller, id string, available bool) {
+	t.Helper()
+	gotID, gotAvailable := e.Current()
+	assert.Equal(t, gotID, id)
+	assert.Equal(t, gotAvailable, available)
+}
+
+func TestLateHeartbeatsMoveNothing(t *testing.T) {
+	e, _ := newEnroller()
+	assertCurrent(t, e, "", false)
+	assert.NilError(t, e.Beat(beat("i-2", 2, 5, false)))
+	for name, late := range map[string]enroller.Heartbeat{
+		"of an earlier incarnation":      beat("i-1", 1, 900, false),
+		"overtaken":                      beat("i-2", 2, 4, true),
+		"sent again":                     beat("i-2", 2, 5, true),
+		"same start under another id":    beat("i-3", 2, 6, false),
+		"earlier start of the same name": beat("i-2", 1, 9, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.ErrorIs(t, e.Beat(late), enroller.ErrLate)
+			assertCurrent(t, e, "i-2", true)
+		})
+	}
+}
+
+func TestDrainingLasts(t *testing.T) {
+	e, changes := newEnroller()
+	assert.NilError(t, e.Beat(beat("i-1", 1, 1, false)))
+	assert.NilError(t, e.Beat(beat("i-1", 1, 2, true)))
+	assertCurrent(t, e, "i-1", false)
+	assert.NilError(t, e.Beat(beat("i-1", 1, 3, false)), "a target that left does not come back")
+	assertCurrent(t, e, "i-1", false)
+	assert.NilError(t, e.Beat(beat("i-1", 2, 1, false)), "the same id starts again")
+	assertCurrent(t, e, "i-1", true)
+	assert.Equal(t, len(*changes), 3)
+}
+
+func TestDeregisteredIsNeverUsedAgain(t *testing.T) {
+	e, _ := newEnroller()
+	e.Deregister("i-1", born(1)) // Before any heartbeat, after a restart of the node.
+	assertCurrent(t, e, "i-1", false)
+	assert.ErrorIs(t, e.Beat(beat("i-1", 1, 7, false)), enroller.ErrLate)
+	assert.NilError(t, e.Beat(beat("i-2", 2, 1, false)))
+	e.Deregister("i-1", born(1))
+	assertCurrent(t, e, "i-2", true)
+	e.Deregister("i-2", born(2))
+	assertCurrent(t, e, "i-2", false)
+}
+
+func TestIdentifiedUpstreamIsKnownOnce(t *testing.T) {
+	e, changes := newEnroller()
+	e.Identified("i-1")
+	assertCurrent(t, e, "i-1", true)
+	assert.NilError(t, e.Beat(beat("i-1", 1, 30, false)))
+	assertCurrent(t, e, "i-1", true)
+	e.Deregister("i-1", born(1))
+	e.Identified("i-1")
+	assertCurrent(t, e, "i-1", false)
+	assert.Equal(t, (*changes)[1].Slots, 6)
+}
+
+func TestForeignHeartbeats(t *testing.T) {
+	e, changes := newEnroller()
+	h := beat("i-1", 1, 1, false)
+	h.Service = "almacen"
+	assert.ErrorIs(t, e.Beat(h), enroller.ErrForeign)
+	h = beat("i-1", 1, 1, false)
+	h.Address = netip.MustParseAddrPort("10.0.0.8:8080")
+	assert.ErrorIs(t, e.Beat(h), enroller.ErrForeign)
+	assert.Equal(t, len(*changes), 0)
+}
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -294,7 +294,7 @@
 // dispatch starts waiting requests while there are free slots.
 func (a *Admitter) dispatch(now time.Time) {
 	for a.inFlight < a.limiter.limit(now) {
-		w := a.queue.next(func(work Work) bool { return a.feasible(work, now) })
+		w := a.queue.next(func(work Work) time.Duration { return a.timeLeft(work, now) })
 		if w == nil {
 			return
 		}
--- /dev/null
+++ b/internal/request/admitter/due_test.go
@@ -0,0 +1,148 @@
+package admitter
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+// admitAll starts requests one after the other and returns the names of those
+// that were admitted, in order. Each runs for the time that it is expected to.
+func admitAll(t *testing.T, slots int, requests []named) []string {
+	t.Helper()
+	var order []string
+	synctest.Test(t, func(*testing.T) {
+		a := New(Config{Slots: slots, Connections: 100, QueueLength: 100, FixedLimit: true})
+		for _, r := range requests {
+			work := r.work
+			work.Due = time.Now().Add(r.due)
+			work.Deadline = time.Now().Add(r.deadline)
+			go func() {
+				p, err := a.Admit(context.Background(), work)
+				if err != nil {
+					return
+				}
+				order = append(order, r.name)
+				time.Sleep(work.Expected)
+				p.Done(Result{Latency: work.Expected})
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(10 * time.Second)
+	})
+	return order
+}
+
+// named is one request of a test.
+type named struct {
+	name          string
+	due, deadline time.Duration
+	work          Work
+}
+
+func urgent(name string, due, deadline, expected time.Duration) named {
+	return named{name, due, deadline, Work{Priority: compiler.PriorityHigh, Expected: expected}}
+}
+
+// TestCallsGoBeforeFreshWork checks that of one class what is due first goes
+// first, as calls do that a running request waits for.
+func TestCallsGoBeforeFreshWork(t *testing.T) {
+	const ms = time.Millisecond
+	order := admitAll(t, 2, []named{
+		urgent("order-1", 400*ms, 1200*ms, 130*ms),
+		urgent("order-2", 400*ms, 1200*ms, 150*ms),
+		urgent("order-3", 400*ms, 1200*ms, 150*ms),
+		urgent("call", 100*ms, 250*ms, 20*ms),
+	})
+	assert.DeepEqual(t, order, []string{"order-1", "order-2", "call", "order-3"})
+}
+
+// TestUrgentWorkWaitsForItsDeadline checks that a call for which the next free
+// slot is in time is not refused for being later than it is due.
+func TestUrgentWorkWaitsForItsDeadline(t *testing.T) {
+	const ms = time.Millisecond
+	order := admitAll(t, 2, []named{
+		urgent("order-1", 400*ms, 1200*ms, 150*ms),
+		urgent("order-2", 400*ms, 1200*ms, 150*ms),
+		urgent("call", 100*ms, 250*ms, 20*ms),
+	})
+	assert.DeepEqual(t, order, []string{"order-1", "order-2", "call"})
+}
+
+// TestWhatCanBeInTimeGoesFirst plays twice the load that the slots bear, with
+// goals of five times the work, and checks that most of what they bear is in time.
+func TestWhatCanBeInTimeGoesFirst(t *testing.T) {
+	const work, goal, slots = 90 * time.Millisecond, 450 * time.Millisecond, 6
+	inTime, refusedLate := 0, 0
+	synctest.Test(t, func(*testing.T) {
+		a := New(Config{Slots: slots, Connections: 100, QueueLength: 32, FixedLimit: true})
+		r := rand.New(rand.NewPCG(5, 6))
+		for range 2000 {
+			time.Sleep(time.Duration(r.ExpFloat64() / (2 * slots) * float64(work)))
+			arrived := time.Now()
+			request := Work{Priority: compiler.PriorityNormal, Expected: work, Due: arrived.Add(goal), Deadline: arrived.Add(3 * goal), Retried: true}
+			go func() {
+				p, err := a.Admit(context.Background(), request)
+				if err != nil {
+					if time.Since(arrived) > goal/2 {
+						refusedLate++
+					}
+					return
+				}
+				time.Sleep(work)
+				p.Done(Result{Latency: work})
+				if time.Since(arrived) <= goal {
+					inTime++
+				}
+			}()
+		}
+		time.Sleep(10 * time.Second)
+	})
+	t.Logf("in time: %d of 1000 that the slots bear, refused late: %d", inTime, refusedLate)
+	assert.Assert(t, inTime > 700)
+	assert.Assert(t, refusedLate < 100)
+}
+
+// TestCrowdedUpstreamIsKeptRoomy plays load above the capacity of an upstream
+// that is 1.7 times slower from four fifths of its slots on, and of one that is
+// not, and checks how many slots are used.
+func TestCrowdedUpstreamIsKeptRoomy(t *testing.T) {
+	const work, slots = 90 * time.Millisecond, 6
+	for name, tc := range map[string]struct {
+		slower float64
+		want   int
+	}{"slower when crowded": {1.7, 4}, "as fast as ever": {1, 6}} {
+		t.Run(name, func(t *testing.T) {
+			limit := 0
+			synctest.Test(t, func(*testing.T) {
+				a := New(Config{Slots: slots, Connections: 100, QueueLength: 8, FixedLimit: true})
+				r := rand.New(rand.NewPCG(7, 8))
+				for begin := time.Now(); time.Since(begin) < 10*time.Second; {
+					load := 0.4 + 0.8*time.Since(begin).Seconds()/10 // From light to too much.
+					time.Sleep(time.Duration(r.ExpFloat64() / (load * slots) * float64(work)))
+					go func() {
+						p, err := a.Admit(context.Background(), Work{Expected: work, Deadline: time.Now().Add(time.Second)})
+						if err != nil {
+							return
+						}
+						took := float64(work) * (0.7 + 0.6*r.Float64())
+						if a.InFlight() > 4 {
+							took *= tc.slower
+						}
+						time.Sleep(time.Duration(took))
+						p.Done(Result{Latency: time.Duration(took)})
+					}()
+				}
+				limit = a.Load().Limit()
+				time.Sleep(time.Minute)
+			})
+			assert.Equal(t, limit, tc.want)
+		})
+	}
+}
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -78,9 +78,17 @@
 	return !work.Deadline.IsZero() && wait+a.workTime(work, now) > work.Deadline.Sub(now)/lateWaitShare
 }
 
-// feasible reports whether waiting work that starts now is answered when it is due.
-func (a *Admitter) feasible(work Work, now time.Time) bool {
-	return work.Due.IsZero() || !now.Add(a.leastWork(work, now)).After(work.Due)
+// timeLeft returns how much time waiting work has until it is worth less: until
+// it is due, or, if it cannot be in time for that any more, until its deadline.
+// Work that does not say when it is due is taken as it came.
+func (a *Admitter) timeLeft(work Work, now time.Time) time.Duration {
+	if work.Due.IsZero() {
+		return 0
+	}
+	if !now.Add(a.leastWork(work, now)).After(work.Due) || work.Deadline.IsZero() {
+		return work.Due.Sub(now)
+	}
+	return work.Deadline.Sub(now)
 }
 
 // late reports whether work at the given place is expected to be answered
@@ -111,7 +119,7 @@
 	if a.slowness != nil {
 		percent = a.slowness(now)
 	}
-	return max(sampler.Slowed(work.Expected, percent), a.standstill(now))
+	return sampler.Slowed(work.Expected, percent)
 }
 
 // leastWork returns the time that an answer to work takes if all goes well.
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
@@ -65,10 +66,11 @@
 	return max(share, minShareBelow)
 }
 
-// next returns the request whose turn is next, or nil: the first one that can
-// be in time, or now and then the one of a lower class that waits longest.
-func (q *queue) next(feasible func(Work) bool) *waiter {
-	next := q.firstFeasible(feasible)
+// next returns the request whose turn is next, or nil: of the highest class
+// the one with the least time left by the given measure, or now and then the one
+// of a lower class that waits longest.
+func (q *queue) next(timeLeft func(Work) time.Duration) *waiter {
+	next := q.mostPressing(timeLeft)
 	if next == nil || q.turns%agedTurn != agedTurn-1 {
 		return next
 	}
@@ -98,17 +100,23 @@
 	return nil
 }
 
-// firstFeasible returns the first request of the highest priority that has one
-// that can be in time, or else the first one, or nil.
-func (q *queue) firstFeasible(feasible func(Work) bool) *waiter {
+// mostPressing returns the request of the highest class that has any with the
+// least time left, the first of several, or nil.
+func (q *queue) mostPressing(timeLeft func(Work) time.Duration) *waiter {
 	for p := len(q.classes) - 1; p >= 0; p-- {
+		var best *waiter
+		var least time.Duration
 		for e := q.classes[p].Front(); e != nil; e = e.Next() {
-			if w := e.Value.(*waiter); feasible(w.work) {
-				return w
+			w := e.Value.(*waiter)
+			if left := timeLeft(w.work); best == nil || left < least {
+				best, least = w, left
 			}
 		}
+		if best != nil {
+			return best
+		}
 	}
-	return q.first()
+	return nil
 }
 
 // first returns the first request of the highest priority, or nil.
