--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
@@ -30,6 +32,9 @@
 // it leaves.
 const minStopGrace = time.Second
 
+// maxRetryAllowance bounds the retries that all nodes together may save up.
+const maxRetryAllowance = 1_000_000
+
 var policyNames = []string{
 	string(PolicyLeastExpectedLatency), string(PolicyLeastExpectedFinish), string(PolicyRandom), string(PolicyRoundRobin), string(PolicyLeastOwn),
 }
@@ -44,6 +49,7 @@
 	policy                      Policy
 	upstreamHeartbeats          bool
 	stopGrace                   time.Duration
+	retryAllowance              int
 	logLevel                    zerolog.Level
 }
 
@@ -78,6 +84,7 @@
 		controls:           parser.Optional(r, "control-addresses", nil, parser.Addresses),
 		policy:             parser.Optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
 		stopGrace:          parser.Optional(r, "stop-grace", 0, parseGrace),
+		retryAllowance:     parser.Optional(r, "retry-allowance", 0, parseAllowance),
 		upstreamHeartbeats: parser.Optional(r, "upstream-heartbeats", false, parser.YesNo),
 		logLevel:           parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
@@ -101,6 +108,15 @@
 	return func(value string) (int, error) { return parser.Int(value, 1, high) }
 }
 
+// parseAllowance reads a number of retries, of which a fraction does not count.
+func parseAllowance(value string) (int, error) {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || n < 1 || n > maxRetryAllowance {
+		return 0, errors.Errorf("%q is not a number from 1 to %d", value, maxRetryAllowance)
+	}
+	return int(n), nil
+}
+
 func parseGrace(value string) (time.Duration, error) {
 	return parser.Duration(value, minStopGrace, time.Hour)
 }
@@ -161,5 +177,10 @@
 // StopGrace returns how long a planned stop may take, or 0 for no bound.
 func (n *Node) StopGrace() time.Duration { return n.stopGrace }
 
+// RetryAllowance returns how many retries of a service all nodes together may
+// make at once beside their share of fresh requests, or 0 to leave each node
+// its own default.
+func (n *Node) RetryAllowance() int { return n.retryAllowance }
+
 // LogLevel returns the least level of lines that are logged.
 func (n *Node) LogLevel() zerolog.Level { return n.logLevel }
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -155,10 +155,21 @@
 	return ""
 }
 
+// shareRetries takes this node's share of the retries that all nodes together
+// may save up. Half of them are left for nodes that see the fleet differently.
+func (n *Node) shareRetries(view *registrar.View) {
+	if n.settings.RetryAllowance() == 0 {
+		return
+	}
+	const left = 2
+	n.forwarder.SaveRetries(n.settings.RetryAllowance() / left / max(view.Len(), 1))
+}
+
 // setView puts a new picture of the fleet in force.
 func (n *Node) setView(view *registrar.View) {
 	n.keyer.Observe(view.Service(n.settings.Service()), n.keyRetention())
 	n.snapshots.SetView(view)
+	n.shareRetries(view)
 	n.pool.Retain(func(id string) bool { return view.Instance(id) != nil })
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -133,7 +133,7 @@
 type Forwarder struct {
 	cfg      Config
 	works    works
-	budgets  retrier.Budgets
+	budgets  *retrier.Budgets
 	refusals *counter.Counter
 	retries  *counter.Counter
 	denials  *counter.Counter
@@ -148,6 +148,7 @@
 func New(cfg Config) *Forwarder {
 	return &Forwarder{
 		cfg:      cfg,
+		budgets:  retrier.NewBudgets(),
 		refusals: counter.New(cfg.Scope, "refusals"),
 		retries:  counter.New(cfg.Scope, "retries"),
 		denials:  counter.New(cfg.Scope, "retries_denied"),
@@ -160,6 +161,10 @@
 	}
 }
 
+// SaveRetries sets how many retries the node saves up for each service, beside
+// the share of fresh requests.
+func (f *Forwarder) SaveRetries(n int) { f.budgets.Save(n) }
+
 // ServeHTTP answers one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.requests.Inc(1)
