--- a/internal/process/distributor/adopter.go
+++ b/internal/process/distributor/adopter.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return fmt.Errorf("ask holder: %w", err)
 	}
+	if resp, err = unpackResponse(resp); err != nil {
+		return fmt.Errorf("read the holder's answer: %w", err)
+	}
 	if resp.GetDelta() != nil {
 		if err := d.adoptDelta(resp.GetDelta()); err != nil {
 			return d.fetchSnapshot(ctx, source)
--- a/internal/process/distributor/distributor_test.go
+++ b/internal/process/distributor/distributor_test.go
@@ -304,3 +304,31 @@
 		assert.NilError(t, x.Stop())
 	})
 }
+
+// TestLargeDeltasArePackedOnce checks that a large delta is compressed once for
+// all who ask, and read back as it was.
+func TestLargeDeltasArePackedOnce(t *testing.T) {
+	large := version(2)
+	for i := range 2000 {
+		large.Document.Entries = append(large.Document.Entries, &controlwire.Entry{Section: fmt.Sprintf("route r%d", i), Key: "services", Value: "vitrina"})
+	}
+	large.Digest.Digest = digest(large.GetDocument())
+	h := newHolder(func(_, next *controlwire.Document) []*controlwire.EntryChange {
+		var changes []*controlwire.EntryChange
+		for _, e := range next.GetEntries()[50:] {
+			changes = append(changes, &controlwire.EntryChange{Entry: e})
+		}
+		return changes
+	})
+	h.put(version(1))
+	h.put(large)
+	first, ok := h.answer(version(1).GetDigest(), time.Now())
+	assert.Assert(t, ok && first.GetPacked() != nil)
+	second, _ := h.answer(version(1).GetDigest(), time.Now())
+	assert.Assert(t, first == second)
+	unpacked, err := unpackResponse(first)
+	assert.NilError(t, err)
+	assert.Equal(t, len(unpacked.GetDelta().GetChanges()), len(large.GetDocument().GetEntries())-50)
+	_, err = unpackResponse(&controlwire.FetchResponse{Packed: []byte("no gzip")})
+	assert.ErrorContains(t, err, "decompress")
+}
--- a/internal/process/distributor/holder.go
+++ b/internal/process/distributor/holder.go
@@ -13,6 +13,9 @@
 const (
 	// maxDeltas bounds the deltas that are kept for others.
 	maxDeltas = 256
+	// deltaShare is how many times the size of the whole version a delta may have:
+	// unlike a snapshot it is no sign of many processes that start at once.
+	deltaShare = 2
 	// snapshotBytesPerSecond bounds the snapshots that one process hands out.
 	snapshotBytesPerSecond = 4 << 10
 	// snapshotBurst is how many bytes of snapshots it hands out at once, in bytes.
@@ -27,6 +30,9 @@
 	mu      sync.Mutex
 	current *controlwire.Version
 	deltas  []*controlwire.Delta // Each starts where the one before ends.
+	// packed holds large answers for the current version by the number that the
+	// asking process has.
+	packed map[uint64]*controlwire.FetchResponse
 }
 
 func newHolder(diff func(old, next *controlwire.Document) []*controlwire.EntryChange) *holder {
@@ -59,10 +65,11 @@
 		h.deltas = append([]*controlwire.Delta(nil), h.deltas[len(h.deltas)-maxDeltas:]...)
 	}
 	h.current = version
+	h.packed = make(map[uint64]*controlwire.FetchResponse)
 }
 
 // answer returns what leads from have to the held version: nothing if have is
-// not older, a delta if one is known and smaller, else the whole version. It
+// not older, a delta if one is known and not far larger, else the whole version. It
 // reports false if a snapshot exceeds what may be handed out now.
 func (h *holder) answer(have *controlwire.VersionDigest, now time.Time) (*controlwire.FetchResponse, bool) {
 	h.mu.Lock()
@@ -70,14 +77,34 @@
 	if h.current == nil || have.GetNumber() >= h.current.GetDigest().GetNumber() {
 		return &controlwire.FetchResponse{}, true
 	}
-	size := proto.Size(h.current)
-	if delta := h.deltaFrom(have); delta != nil && proto.Size(delta) < size {
-		return &controlwire.FetchResponse{Delta: delta}, true
+	if packed := h.packed[have.GetNumber()]; packed != nil && have.GetNumber() > 0 {
+		return packed, true
 	}
-	if !h.limiter.AllowN(now, min(size, snapshotBurst)) {
+	if delta := h.deltaFrom(have); delta != nil && proto.Size(delta) < deltaShare*proto.Size(h.current) {
+		return h.pack(have, &controlwire.FetchResponse{Delta: delta}), true
+	}
+	snapshot := h.pack(nil, &controlwire.FetchResponse{Snapshot: h.current})
+	if !h.limiter.AllowN(now, min(proto.Size(snapshot), snapshotBurst)) {
 		return nil, false
 	}
-	return &controlwire.FetchResponse{Snapshot: h.current}, true
+	return snapshot, true
+}
+
+// pack returns the answer in the form in which it is handed out, and keeps it
+// if it is large.
+func (h *holder) pack(have *controlwire.VersionDigest, resp *controlwire.FetchResponse) *controlwire.FetchResponse {
+	if packed := h.packed[have.GetNumber()]; packed != nil {
+		return packed
+	}
+	if proto.Size(resp) < packFrom {
+		return resp
+	}
+	packed, err := packResponse(resp)
+	if err != nil {
+		return resp // Handed out as it is.
+	}
+	h.packed[have.GetNumber()] = packed
+	return packed
 }
 
 // deltaFrom joins the kept deltas from have on, or returns nil.
