feat: routes hedge where an instance is to spare

Cause: noise makes one in twelve requests late though others stand idle. A request of an idempotent route gets a second attempt after half of its goal, if the best other instance has room and nothing slows it, inside the retry budget.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -47,6 +47,7 @@
 	return forwarder.Choice{
 		Instance:   choice.Instance(),
 		Candidates: candidates(choice.Candidates()),
+		Spare:      choice.Spare(),
 		Grounds:    grounds{choice.Chosen(), len(choice.Candidates())},
 	}, true
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -67,6 +67,12 @@
 	return a
 }
 
+// unpick takes the last choice back, which was not sent.
+func (c *call) unpick() {
+	c.attempts--
+	c.exclude = c.exclude[:len(c.exclude)-1]
+}
+
 // send performs the exchange of an attempt and tells the observer.
 func (c *call) send(ctx context.Context, a *attempt, extra http.Header) {
 	observer := c.forwarder.cfg.Observer
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -57,6 +57,9 @@
 	// Candidates is what the choice was made from. Its JSON form is shown by
 	// the explain command; it must not change any more.
 	Candidates any
+	// Spare tells that the instance has room and that nothing slows it, so that a
+	// hedge takes nothing from others there.
+	Spare bool
 	// Grounds tells in a log line what the choice rests on; nil for nothing.
 	Grounds zerolog.LogObjectMarshaler
 }
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -74,14 +74,19 @@
 	if c.attempts-c.unsent >= c.route.spec.MaxAttempts {
 		return
 	}
-	if !c.budget.SpendHedge() {
-		c.forwarder.denials.Inc(classifier.ReasonRetryBudget)
-		return
-	}
 	a := c.pick(classifier.ReasonHedge)
 	if a == nil {
 		return
 	}
+	if c.route.ranked && !a.choice.Spare {
+		c.unpick()
+		return
+	}
+	if !c.budget.SpendHedge() {
+		c.unpick()
+		c.forwarder.denials.Inc(classifier.ReasonRetryBudget)
+		return
+	}
 	c.forwarder.retries.Inc(classifier.ReasonHedge)
 	r.start(a)
 }
--- a/internal/request/picker/choice.go
+++ b/internal/request/picker/choice.go
@@ -58,6 +58,20 @@
 // Instance returns the chosen instance, or nil if there is none.
 func (c *Choice) Instance() *registrar.Instance { return c.candidates[c.chosen].instance }
 
+// Spare reports whether the chosen instance has room, nothing slows it, and it
+// fails nothing.
+func (c *Choice) Spare() bool { return c.candidates[c.chosen].spare() }
+
+// spare reports whether the candidate can take work that could do without it.
+func (c *Candidate) spare() bool {
+	if c.ground != GroundCold || c.reading.FailureRate() >= maxStayFailures {
+		return false
+	}
+	load := c.reading.Load()
+	running := load.InFlight() + load.Queued() + c.reading.SentSince() + 1
+	return float64(running) <= roomyShare*float64(load.Limit()) && load.SlownessPercent() <= usualSlowness
+}
+
 // Chosen returns the chosen candidate.
 func (c *Choice) Chosen() Candidate { return c.candidates[c.chosen] }
 
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -136,10 +136,7 @@
 // has room and nothing slows it, or the answer is expected early enough.
 func (c *leastExpectedFinish) stays(candidate *Candidate, r *request) bool {
 	goal := c.goal(candidate.reading, r)
-	load := candidate.reading.Load()
-	running := float64(load.InFlight() + load.Queued() + candidate.reading.SentSince() + 1)
-	free := running <= roomyShare*float64(load.Limit()) && load.SlownessPercent() <= usualSlowness
-	if free && candidate.reading.FailureRate() < maxStayFailures {
+	if candidate.spare() {
 		return candidate.expected <= goal
 	}
 	return candidate.expected <= time.Duration(stayShare*float64(goal))
--- a/internal/version/compiler/route.go
+++ b/internal/version/compiler/route.go
@@ -89,14 +89,25 @@
 		settings.MaxTimeout = spec.Timeout
 		settings.MaxAttempts = spec.MaxAttempts
 		settings.Priority = spec.priority()
-		if spec.Kind == RouteDownload {
-			settings.HedgeAfter = 0 // A second copy of a large answer costs more than it saves.
-		}
+		settings.HedgeAfter = spec.hedgeAfter()
 		r.settings = append(r.settings, settings)
 	}
 	return r
 }
 
+// hedgeShare is the inverse of the share of its goal after which a request gets
+// a second attempt: what is left must suffice for that one.
+const hedgeShare = 2
+
+// hedgeAfter returns when a second attempt starts; 0 for never. A second copy
+// of a large answer costs more than it saves.
+func (s *RouteSpec) hedgeAfter() time.Duration {
+	if s.Kind != RouteIdempotent {
+		return 0
+	}
+	return s.LatencyGoal / hedgeShare
+}
+
 // priority returns the class in which an instance queues the route's requests.
 func (s *RouteSpec) priority() Priority {
 	switch {
