--- a/internal/connection/requester/stray_test.go
+++ b/internal/connection/requester/stray_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -22,19 +23,19 @@
 
 // serveRaw accepts connections and has each request on them answered by the
 // bytes that answer writes. It returns the address and the number of connections.
-func serveRaw(t *testing.T, answer func(w net.Conn, r *http.Request)) (netip.AddrPort, *int) {
+func serveRaw(t *testing.T, answer func(w net.Conn, r *http.Request)) (netip.AddrPort, *atomic.Int64) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
-	accepted := new(int)
+	accepted := &atomic.Int64{}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			*accepted++
+			accepted.Add(1)
 			go serveConnection(conn, answer)
 		}
 	}()
@@ -88,32 +89,27 @@
 // TestStrayAnswers checks that an answer that belongs to another request
 // reaches nobody, and that its connection is not used again.
 func TestStrayAnswers(t *testing.T) {
-	t.Run("before the answer", func(t *testing.T) {
-		addr, accepted := serveRaw(t, func(w net.Conn, r *http.Request) {
+	for name, answer := range map[string]func(w net.Conn, r *http.Request){
+		"before the answer": func(w net.Conn, r *http.Request) {
 			framed(w, "earlier", "of another")
 			framed(w, r.Header.Get(echoHeader), "own")
-		})
-		p := newEchoPool(t)
-		for _, id := range []string{"a", "b"} {
-			body, err := get(t, p, addr, id)
-			assert.NilError(t, err)
-			assert.Equal(t, body, "own")
-		}
-		assert.Equal(t, *accepted, 2)
-	})
-	t.Run("behind the answer", func(t *testing.T) {
-		addr, accepted := serveRaw(t, func(w net.Conn, r *http.Request) {
+		},
+		"behind the answer": func(w net.Conn, r *http.Request) {
 			framed(w, r.Header.Get(echoHeader), "own")
 			framed(w, r.Header.Get(echoHeader), "again")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, accepted := serveRaw(t, answer)
+			p := newEchoPool(t)
+			for _, id := range []string{"a", "b"} {
+				body, err := get(t, p, addr, id)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "own")
+			}
+			assert.Equal(t, accepted.Load(), int64(2))
 		})
-		p := newEchoPool(t)
-		for _, id := range []string{"a", "b"} {
-			body, err := get(t, p, addr, id)
-			assert.NilError(t, err)
-			assert.Equal(t, body, "own")
-		}
-		assert.Equal(t, *accepted, 2)
-	})
+	}
 }
 
 // TestUnframedAnswers checks that an answer without length is whole if its
--- a/internal/process/exporter/exporter.go
+++ b/internal/process/exporter/exporter.go
@@ -27,6 +27,10 @@
 	reportInterval = time.Second
 )
 
+// LatencyBuckets are the bounds of histograms of latencies: from a millisecond
+// to eight seconds, each twice the one before.
+var LatencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Exporter owns the root scope of a process's metrics.
 type Exporter struct {
 	scope    tally.Scope
--- a/internal/request/forwarder/finish.go
+++ b/internal/request/forwarder/finish.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 )
 
@@ -17,10 +18,6 @@
 	failedLinesPerSecond = 100
 )
 
-// latencyBuckets are the bounds of the histograms of latencies: from a
-// millisecond to eight seconds, each twice the one before.
-var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
-
 // latencies holds a histogram of the time of requests for each service.
 type latencies struct {
 	scope     tally.Scope
@@ -34,7 +31,7 @@
 		h.(tally.Histogram).RecordDuration(d)
 		return
 	}
-	made := l.scope.Tagged(map[string]string{"service": service}).Histogram("request_latency", latencyBuckets)
+	made := l.scope.Tagged(map[string]string{"service": service}).Histogram("request_latency", exporter.LatencyBuckets)
 	h, _ := l.byService.LoadOrStore(service, made)
 	h.(tally.Histogram).RecordDuration(d)
 }
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -29,6 +29,7 @@
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/connection/responder"
 	"github.com/banyanscale/banyanscale/internal/process/counter"
+	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
@@ -40,10 +41,6 @@
 // linesPerSecond bounds the log lines on requests that were not served.
 const linesPerSecond = 50
 
-// latencyBuckets are the bounds of the histograms of latencies: from a
-// millisecond to eight seconds, each twice the one before.
-var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
-
 // Result is how one admitted request ended.
 type Result struct {
 	// Latency is the time from admission to the head of the answer.
@@ -150,8 +147,8 @@
 		refusals:  counter.New(cfg.Scope, "serving_refusals"),
 		lines:     logger.NewBudget(linesPerSecond),
 		transfers: newTransfers(),
-		waits:     cfg.Scope.Histogram("admission_wait", latencyBuckets),
-		answers:   cfg.Scope.Histogram("upstream_latency", latencyBuckets),
+		waits:     cfg.Scope.Histogram("admission_wait", exporter.LatencyBuckets),
+		answers:   cfg.Scope.Histogram("upstream_latency", exporter.LatencyBuckets),
 		idle:      make(chan struct{}, 1),
 	}
 }
