--- a/internal/request/admitter/crowding.go
+++ b/internal/request/admitter/crowding.go
@@ -1,8 +1,7 @@
 package admitter
 
-import (
-	"time"
-)
+import "time"
+
 
 const (
 	// crowdedShare is the share of the slots from which on an upstream may be
@@ -21,18 +20,12 @@
 	// crowdingHalfLife is how long it takes until half of the results are
 	// forgotten, so that the comparison is made again.
 	crowdingHalfLife = 8 * time.Second
-	// crowdingBlock is for how long the limit stays on one side while both are
-	// compared.
-	crowdingBlock = 400 * time.Millisecond
 )
 
 // crowding finds out whether an upstream is slower when it is nearly full, by
 // how long work takes in relation to what is expected of it. It answers load
 // that fills the slots: below that the limit does not matter.
-type crowding struct {
-	started        time.Time
-	roomy, crowded slowdown
-}
+type crowding struct{ roomy, crowded slowdown }
 
 // slowdown is a quantile of how many times longer than expected work takes.
 type slowdown struct {
@@ -54,17 +47,12 @@
 	side.observe(float64(latency)/float64(expected), now)
 }
 
-// limit returns how many of the slots are to be used.
+// limit returns how many of the slots are to be used: all of them while it is
+// not known whether crowding slows the upstream.
 func (c *crowding) limit(slots int, now time.Time) int {
-	roomy := roomySlots(slots)
-	if c.roomy.known(now) && c.crowded.known(now) {
-		if c.crowded.ratio > crowdedRatio*c.roomy.ratio {
-			return roomy
-		}
-		return slots
-	}
-	if now.Sub(c.started)/crowdingBlock%2 == 1 {
-		return roomy
+	known := c.roomy.known(now) && c.crowded.known(now)
+	if known && c.crowded.ratio > crowdedRatio*c.roomy.ratio {
+		return roomySlots(slots)
 	}
 	return slots
 }
