--- a/internal/request/admitter/crowding.go
+++ b/internal/request/admitter/crowding.go
@@ -2,7 +2,6 @@
 
 import "time"
 
-
 const (
 	// crowdedShare is the share of the slots from which on an upstream may be
 	// slower for being nearly full.
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -268,8 +268,7 @@
 		}
 	}
 	h.Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
-	if isLarge(resp) {
-		takeIn(resp)
+	if mayBeLarge(resp) && takeIn(resp) {
 		defer s.transfers.begin(r.Context())()
 	}
 	if err := relayer.Relay(w, resp); err != nil {
--- a/internal/request/server/transfers.go
+++ b/internal/request/server/transfers.go
@@ -43,18 +43,21 @@
 	return func() {}
 }
 
-// isLarge reports whether an answer is to be sent in turn.
-func isLarge(resp *http.Response) bool {
+// mayBeLarge reports whether an answer is large, or does not say.
+func mayBeLarge(resp *http.Response) bool {
 	return resp.Body != http.NoBody && (resp.ContentLength < 0 || resp.ContentLength >= largeAnswer)
 }
 
 // takeIn reads the body of an answer as fast as the upstream gives it, up to
 // maxBufferedAnswer, so that its slot is free while the answer is sent on. What
-// ends early still ends with the error that tells so.
-func takeIn(resp *http.Response) {
+// ends early still ends with the error that tells so. It reports whether the
+// answer is large.
+func takeIn(resp *http.Response) bool {
 	var held bytes.Buffer
 	_, err := io.Copy(&held, io.LimitReader(resp.Body, maxBufferedAnswer))
+	large := held.Len() >= largeAnswer
 	resp.Body = &bufferedBody{held: &held, rest: resp.Body, err: err}
+	return large
 }
 
 // bufferedBody is a body of which the first part is held.
--- a/internal/request/server/transfers_test.go
+++ b/internal/request/server/transfers_test.go
@@ -46,14 +46,16 @@
 func (broken) Close() error { return nil }
 
 func TestTakenAnswersEndAsTheyDid(t *testing.T) {
+	small := &http.Response{Body: io.NopCloser(strings.NewReader("a price"))}
+	assert.Assert(t, !takeIn(small), "a small answer waits for nobody")
 	text := strings.Repeat("x", 2*largeAnswer)
 	whole := &http.Response{Body: io.NopCloser(strings.NewReader(text))}
-	takeIn(whole)
+	assert.Assert(t, takeIn(whole))
 	got, err := io.ReadAll(whole.Body)
 	assert.NilError(t, err)
 	assert.Equal(t, len(got), len(text))
 	part := &http.Response{Body: broken{strings.NewReader(text)}}
-	takeIn(part)
+	assert.Assert(t, takeIn(part))
 	got, err = io.ReadAll(part.Body)
 	assert.ErrorIs(t, err, errBroken)
 	assert.Equal(t, len(got), len(text))
