--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -142,14 +142,6 @@
 	return 0
 }
 
-// slowness returns how long work takes at the upstream now, 100 as usual.
-func (n *Node) slowness(now time.Time) int {
-	if n.gauger == nil {
-		return 0
-	}
-	return n.gauger.Slowness(now)
-}
-
 // assembleGauger makes the part that follows the speed of the upstream, if
 // that reports it.
 func (n *Node) assembleGauger(base zerolog.Logger) {
