--- a/internal/process/voter/linearizability_test.go
+++ b/internal/process/voter/linearizability_test.go
@@ -342,3 +342,21 @@
 	}
 	return b.String()
 }
+
+// TestLinearizableWithRecruits does what TestLinearizable does in a group that
+// bears one loss and has two instances to spare, so that silent voters are
+// replaced while the faults come and go.
+func TestLinearizableWithRecruits(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			simulate(t, 100+seed, 3, func(t *testing.T, c *cluster) {
+				c.tolerated = 1
+				c.sources = []string{"v3", "v4"}
+				c.restartAll()
+				c.add("v3")
+				c.add("v4")
+				checkHistory(t, c, 100+seed)
+			})
+		})
+	}
+}
