--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -49,6 +49,7 @@
 	statusCmd,
 	explainCmd,
 	standInCmd,
+	proxyCmd,
 	loadCmd,
 	configCheckCmd,
 	configDiffCmd,
