--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -43,6 +43,14 @@
 	"${runner[@]}" "${@:2}"
 }
 
+# fleet_forget takes a process that has ended off the list of those to be
+# stopped: its id may belong to another process by now.
+fleet_forget() { # pid
+	local pid kept=()
+	for pid in "${fleet_pids[@]}"; do [ "$pid" = "$1" ] || kept+=("$pid"); done
+	fleet_pids=("${kept[@]}")
+}
+
 fleet_stop() {
 	for pid in "${fleet_pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
 	for pid in "${fleet_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
