fix: a new voter does not say that it votes before the replacement is over

Cause, by reading (the output holds no states): control-4 learns the state that names both sets of voters, and said that it votes then; until the next step, some milliseconds, the group also needs a majority of the previous voters, of which control-1 is one (the limit in agreement.md). Status now says so once the replacement is over, as it did for the voters that it lists. TestNewVoterVotesOnceTheReplacementIsOver failed before (no such check).

--- a/internal/process/voter/status.go
+++ b/internal/process/voter/status.go
@@ -25,7 +25,7 @@
 		return status
 	}
 	status.Version = state.number()
-	status.Voting = isVoter(state.membership(), p.GetIdentity()) && !p.GetFailed()
+	status.Voting = votesAlone(state.membership(), p.GetIdentity()) && !p.GetFailed()
 	for _, member := range state.membership().GetVoters() {
 		voter := last.status(member)
 		voter.Voting = voter.GetVoting() && len(state.membership().GetPrevious()) == 0
@@ -34,6 +34,16 @@
 	return status
 }
 
+// votesAlone reports whether the identity is one of the voters, and has been
+// since before any replacement that is not over: until then the group needs a
+// majority of the previous voters too, to which a new one does not count.
+func votesAlone(m *voterwire.Membership, identity string) bool {
+	if !isVoter(m, identity) {
+		return false
+	}
+	return len(m.GetPrevious()) == 0 || isVoter(&voterwire.Membership{Voters: m.GetPrevious()}, identity)
+}
+
 // status tells what the survey, which may be nil, found out about a member.
 func (s *survey) status(member *voterwire.Member) *controlwire.VoterStatus {
 	status := &controlwire.VoterStatus{Identity: member.GetIdentity(), Address: member.GetAddress()}
