--- a/internal/process/distributor/adopter.go
+++ b/internal/process/distributor/adopter.go
@@ -39,15 +39,13 @@
 	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), fetchTimeout)
 	defer cancel()
 	d.metrics.fetches.Inc(1)
-	resp, err := d.cfg.Client.Fetch(ctx, source, d.holder.digest())
+	resp, err := d.ask(ctx, source, d.holder.digest())
 	if err != nil {
-		return fmt.Errorf("ask holder: %w", err)
-	}
-	if resp, err = unpackResponse(resp); err != nil {
-		return fmt.Errorf("read the holder's answer: %w", err)
+		return fmt.Errorf("fetch what is newer: %w", err)
 	}
 	if resp.GetDelta() != nil {
 		if err := d.adoptDelta(resp.GetDelta()); err != nil {
+			d.log.Info().Err(err).Stringer("holder", source).Msg("A delta could not be used, the whole version is asked for.")
 			return d.fetchSnapshot(ctx, source)
 		}
 		return nil
@@ -60,9 +58,9 @@
 
 // fetchSnapshot asks for the whole version after a delta could not be used.
 func (d *Distributor) fetchSnapshot(ctx context.Context, source netip.AddrPort) error {
-	resp, err := d.cfg.Client.Fetch(ctx, source, nil)
+	resp, err := d.ask(ctx, source, nil)
 	if err != nil {
-		return fmt.Errorf("ask holder for all: %w", err)
+		return fmt.Errorf("fetch all: %w", err)
 	}
 	if resp.GetSnapshot() == nil {
 		return errEmpty
@@ -70,6 +68,19 @@
 	return d.adopt(resp.GetSnapshot())
 }
 
+// ask returns what a holder has beyond have, in plain form.
+func (d *Distributor) ask(ctx context.Context, source netip.AddrPort, have *controlwire.VersionDigest) (*controlwire.FetchResponse, error) {
+	resp, err := d.cfg.Client.Fetch(ctx, source, have)
+	if err != nil {
+		return nil, fmt.Errorf("ask holder: %w", err)
+	}
+	plain, err := unpackResponse(resp)
+	if err != nil {
+		return nil, fmt.Errorf("read the holder's answer: %w", err)
+	}
+	return plain, nil
+}
+
 // adoptDelta applies a delta to the held version.
 func (d *Distributor) adoptDelta(delta *controlwire.Delta) error {
 	held := d.holder.version()
--- a/internal/process/distributor/distributor_test.go
+++ b/internal/process/distributor/distributor_test.go
@@ -305,14 +305,32 @@
 	})
 }
 
-// TestLargeDeltasArePackedOnce checks that a large delta is compressed once for
-// all who ask, and read back as it was.
-func TestLargeDeltasArePackedOnce(t *testing.T) {
-	large := version(2)
+// largeVersion returns a version that is handed out in packed form.
+func largeVersion(number uint64) *controlwire.Version {
+	large := version(number)
 	for i := range 2000 {
 		large.Document.Entries = append(large.Document.Entries, &controlwire.Entry{Section: fmt.Sprintf("route r%d", i), Key: "services", Value: "vitrina"})
 	}
 	large.Digest.Digest = digest(large.GetDocument())
+	return large
+}
+
+// TestTakesPackedSnapshotAfterUnusableDelta checks that a process whose delta
+// does not lead to the announced version takes the whole one, in packed form too.
+func TestTakesPackedSnapshotAfterUnusableDelta(t *testing.T) {
+	n := &network{}
+	h := newHolderAt(t, n, peers[0], 1)
+	assert.NilError(t, h.Offer(largeVersion(2))) // The test's diff names one entry only.
+	x := newNode(n)
+	assert.NilError(t, x.Offer(version(1)))
+	assert.NilError(t, x.fetch(peers[0]))
+	assert.Equal(t, x.InForce().GetNumber(), uint64(2))
+}
+
+// TestLargeDeltasArePackedOnce checks that a large delta is compressed once for
+// all who ask, and read back as it was.
+func TestLargeDeltasArePackedOnce(t *testing.T) {
+	large := largeVersion(2)
 	h := newHolder(func(_, next *controlwire.Document) []*controlwire.EntryChange {
 		var changes []*controlwire.EntryChange
 		for _, e := range next.GetEntries()[50:] {
