refactor: one path-prefix setting and one check of a host

Routes and services each had a copy of the reading of path-prefix and of the check of a host name. Patterns and messages are as before; the tests of the compiler pass unchanged.

--- a/internal/version/compiler/route_setting.go
+++ b/internal/version/compiler/route_setting.go
@@ -26,7 +26,7 @@
 // routeSettings lists the keys of a route's section in the order of RouteSpec.
 var routeSettings = []setting[RouteSpec]{
 	{key: keyHost, set: setRouteHost, get: getRouteHost},
-	{key: keyPathPrefix, set: setRoutePrefix, get: func(s *RouteSpec) string { return s.PathPrefix }},
+	pathSetting(func(s *RouteSpec) *string { return &s.PathPrefix }),
 	{key: keyServices, set: setRouteServices, get: func(s *RouteSpec) string { return FormatWeights(s.Services) }},
 	{key: keyKind, set: setRouteKind, get: func(s *RouteSpec) string { return string(s.Kind) }},
 	durationSetting(keyTimeout, time.Millisecond, time.Hour, func(s *RouteSpec) *time.Duration { return &s.Timeout }),
@@ -55,8 +55,8 @@
 	if value == anyHost {
 		return nil
 	}
-	if !hostPattern.MatchString(value) {
-		return errors.Errorf("%q is not a host name in lower case without a port", value)
+	if err := checkHost(value); err != nil {
+		return err
 	}
 	s.Host = value
 	return nil
@@ -69,14 +69,6 @@
 	return s.Host
 }
 
-func setRoutePrefix(s *RouteSpec, value string) error {
-	if !pathPattern.MatchString(value) {
-		return errors.Errorf("%q is not a path that starts with a slash", value)
-	}
-	s.PathPrefix = value
-	return nil
-}
-
 func setRouteKind(s *RouteSpec, value string) error {
 	name, err := parser.OneOf(value, []string{string(RouteIdempotent), string(RouteNonIdempotent), string(RouteDownload)})
 	s.Kind = RouteKind(name)
--- a/internal/version/compiler/setting.go
+++ b/internal/version/compiler/setting.go
@@ -42,7 +42,7 @@
 var settings = []setting[ServiceSpec]{
 	nameSetting("owner", func(s *ServiceSpec) *string { return &s.Owner }),
 	{key: "hosts", set: setHosts, get: getHosts},
-	{key: "path-prefix", set: setPathPrefix, get: func(s *ServiceSpec) string { return s.PathPrefix }},
+	pathSetting(func(s *ServiceSpec) *string { return &s.PathPrefix }),
 	durationSetting("timeout", time.Millisecond, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.Timeout }),
 	durationSetting("max-timeout", time.Millisecond, time.Hour, func(s *ServiceSpec) *time.Duration { return &s.MaxTimeout }),
 	durationSetting("stall-timeout", 10*time.Millisecond, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.StallTimeout }),
@@ -137,8 +137,8 @@
 		return err
 	}
 	for _, host := range hosts {
-		if !hostPattern.MatchString(host) {
-			return errors.Errorf("%q is not a host name in lower case without a port", host)
+		if err := checkHost(host); err != nil {
+			return err
 		}
 	}
 	s.Hosts = hosts
@@ -155,14 +155,28 @@
 	return strings.Join(s.Hosts, ", ")
 }
 
-func setPathPrefix(s *ServiceSpec, value string) error {
-	if !pathPattern.MatchString(value) {
-		return errors.Errorf("%q is not a path that starts with a slash", value)
+func checkHost(host string) error {
+	if !hostPattern.MatchString(host) {
+		return errors.Errorf("%q is not a host name in lower case without a port", host)
 	}
-	s.PathPrefix = value
 	return nil
 }
 
+// pathSetting returns the key path-prefix of a service or a route.
+func pathSetting[S any](field func(*S) *string) setting[S] {
+	return setting[S]{
+		key: keyPathPrefix,
+		set: func(s *S, value string) error {
+			if !pathPattern.MatchString(value) {
+				return errors.Errorf("%q is not a path that starts with a slash", value)
+			}
+			*field(s) = value
+			return nil
+		},
+		get: func(s *S) string { return *field(s) },
+	}
+}
+
 func setPriority(s *ServiceSpec, value string) (err error) {
 	s.Priority, err = ParsePriority(value)
 	return err
