--- a/internal/connection/requester/stray_test.go
+++ b/internal/connection/requester/stray_test.go
@@ -19,7 +19,7 @@
 )
 
 // echoHeader is copied by the servers of these tests from requests to answers.
-const echoHeader = "Request-Id"
+const echoHeader = "X-Echo"
 
 // serveRaw accepts connections and has each request on them answered by the
 // bytes that answer writes. It returns the address and the number of connections.
