--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -152,10 +152,8 @@
 	before := e.current
 	e.current = next
 	same := before.id == next.id && (before.born.Equal(next.born) || before.born.IsZero())
-	if same && before.available() == next.available() && h.Slots == 0 {
-		return
-	}
-	if same && before.available() == next.available() && !before.born.IsZero() {
+	known := !before.born.IsZero() || h.Slots == 0
+	if same && known && before.available() == next.available() {
 		return
 	}
 	e.cfg.Log.Info().Str("upstream", next.id).Time("born", next.born).Uint64("sequence", next.sequence).
