--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -64,6 +64,8 @@
 type Change struct {
 	// Available tells that new work may be sent to it.
 	Available bool
+	// Replaced tells that it is another incarnation than the one known before.
+	Replaced bool
 	// ColdFor is for how long a new incarnation is slow.
 	ColdFor time.Duration
 	// Slots is how many requests it works on at once; 0 if it did not say.
@@ -158,5 +160,5 @@
 	}
 	e.cfg.Log.Info().Str("upstream", next.id).Time("born", next.born).Uint64("sequence", next.sequence).
 		Bool("draining", next.draining).Bool("deregistered", next.deregistered).Msg("Upstream changed.")
-	e.cfg.OnChange(Change{Available: next.available(), ColdFor: h.ColdFor, Slots: h.Slots})
+	e.cfg.OnChange(Change{Available: next.available(), Replaced: !same && before.id != "", ColdFor: h.ColdFor, Slots: h.Slots})
 }
--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -7,11 +7,12 @@
 //	g := gauger.New(gauger.Config{Read: readHealth, Busy: busy, OnHealth: admitter.Hint, ...})
 //	g.Start()
 //	g.Observe(report)           // with each answer that reports
-//	percent := g.Slowness(time.Now())
+//	spell := g.Spell(time.Now())
 //	err := g.Stop()
 //
 // Reports ride on the answers of requests. Between those, while requests are
-// about, the upstream's health endpoint is read.
+// about, the upstream's health endpoint is read: often while it is not known
+// when the speed changes, and then once after each moment at which it may.
 package gauger
 
 import (
@@ -22,16 +23,30 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
+
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
 )
 
 const (
-	// readInterval is the time between two reads while requests are about: a
-	// third of the time for which a neighbor slows an upstream.
-	readInterval = 50 * time.Millisecond
+	// learnInterval is the time between two reads while it is looked for when the
+	// speed changes, for no more than learnReads.
+	learnInterval = 10 * time.Millisecond
+	learnReads    = 300
+	// readInterval is the time between two reads where no such moments are found.
+	readInterval = 25 * time.Millisecond
+	// idleInterval is how often it is looked whether requests are about.
+	idleInterval = 50 * time.Millisecond
+	// settleTime is how long after a change of speed it is read, and readTime how
+	// long it takes until the answer is there.
+	settleTime = 500 * time.Microsecond
+	readTime   = 3 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = 250 * time.Millisecond
 	// maxAge is how long a report counts.
 	maxAge = 200 * time.Millisecond
+	// maxSlowPeriods is for how many periods an upstream may be slow without a
+	// break until the end of that is not expected any more.
+	maxSlowPeriods = 8
 	// usual is the slowness of an upstream that nothing slows.
 	usual = 100
 )
@@ -55,8 +70,10 @@
 	Busy func() bool
 	// OnHealth is told of each reading of health. It must not block.
 	OnHealth func(healthy bool)
-	Log      zerolog.Logger
-	Scope    tally.Scope
+	// OnSpell is told when the speed may have changed. It must not block.
+	OnSpell func()
+	Log     zerolog.Logger
+	Scope   tally.Scope
 }
 
 // Gauger follows one upstream.
@@ -66,9 +83,12 @@
 	tomb          tomb.Tomb
 
 	mu       sync.Mutex
+	cadence  cadence
 	slowness int
-	at       time.Time
-	failing  bool // The last read failed.
+	at       time.Time // Of the last report.
+	usualAt  time.Time // Of the last report that nothing slows the upstream.
+	learning int       // Reads made while no cadence is known.
+	failing  bool      // The last read failed.
 }
 
 // New returns a gauger that has not started.
@@ -90,38 +110,73 @@
 }
 
 // Observe takes in a report that arrived now.
-func (g *Gauger) Observe(r Report) {
-	if r.SlownessPercent <= 0 {
-		return
-	}
+func (g *Gauger) Observe(r Report) { g.observe(r, time.Now()) }
+
+// Forget drops what is known: another upstream has taken the place.
+func (g *Gauger) Forget() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slowness = r.SlownessPercent
-	g.at = time.Now()
+	g.cadence = cadence{}
+	g.slowness = 0
+	g.at = time.Time{}
+	g.learning = 0
 }
 
-// Slowness returns how long work takes now, 100 as usual. That stands also for
-// an upstream whose last report is old.
-func (g *Gauger) Slowness(now time.Time) int {
+// Spell returns how fast the upstream works now. It works as usual if its last
+// report is old.
+func (g *Gauger) Spell(now time.Time) sampler.Spell {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.slowness == 0 || now.Sub(g.at) > maxAge {
-		return usual
+	if g.slowness == 0 || now.Sub(g.at) > maxAge+g.cadence.period {
+		return sampler.Spell{SlownessPercent: usual}
+	}
+	spell := sampler.Spell{SlownessPercent: g.slowness}
+	if !g.cadence.known() || now.Sub(g.usualAt) > maxSlowPeriods*g.cadence.period {
+		return spell
+	}
+	low, high := g.cadence.next(now)
+	spell.Ends = high.Add(settleTime + readTime)
+	if g.at.Before(low.Add(-g.cadence.period)) {
+		spell.Ends = now.Add(readTime) // The report of this spell is on its way.
+	}
+	return spell
+}
+
+// observe takes in a report made between asked and now.
+func (g *Gauger) observe(r Report, asked time.Time) {
+	if r.SlownessPercent <= 0 {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	changed := g.slowness != 0 && g.slowness != r.SlownessPercent
+	if changed && now.Sub(g.at) <= maxAge {
+		g.cadence.observe(change{after: g.at, by: now})
+	}
+	g.slowness = r.SlownessPercent
+	g.at = asked
+	if r.SlownessPercent <= usual {
+		g.usualAt = now
+	}
+	g.mu.Unlock()
+	if changed {
+		g.cfg.OnSpell()
 	}
-	return g.slowness
 }
 
 func (g *Gauger) run() error {
-	tick := time.NewTicker(readInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-g.tomb.Dying():
 			return nil
-		case now := <-tick.C:
-			if g.cfg.Busy() && g.stale(now) {
+		case <-timer.C:
+			if g.cfg.Busy() && g.stale(time.Now()) {
 				g.read()
+				g.cfg.OnSpell()
 			}
+			timer.Reset(g.nextRead(time.Now()))
 		}
 	}
 }
@@ -130,7 +185,30 @@
 func (g *Gauger) stale(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return now.Sub(g.at) >= readInterval/2
+	if g.cadence.known() {
+		low, high := g.cadence.next(now)
+		sharp := high.Sub(low) <= sharpWidth
+		return !sharp || g.at.Before(high.Add(-g.cadence.period))
+	}
+	return now.Sub(g.at) >= learnInterval/2
+}
+
+// nextRead returns in how long the endpoint is to be read again.
+func (g *Gauger) nextRead(now time.Time) time.Duration {
+	if !g.cfg.Busy() {
+		return idleInterval
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.cadence.known() {
+		g.learning++
+		if g.learning > learnReads {
+			return readInterval
+		}
+		return learnInterval
+	}
+	g.learning = max(g.learning-1, 0)
+	return g.cadence.nextRead(now).Add(settleTime).Sub(now)
 }
 
 // Identify reads the endpoint once, whether requests are about or not.
@@ -140,6 +218,7 @@
 	ctx, cancel := context.WithTimeout(g.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
 	g.reads.Inc(1)
+	asked := time.Now()
 	healthy, report, err := g.cfg.Read(ctx)
 	g.note(err)
 	if err != nil {
@@ -147,7 +226,7 @@
 		return
 	}
 	g.cfg.OnHealth(healthy)
-	g.Observe(report)
+	g.observe(report, asked)
 }
 
 // note logs when reads begin to fail and when they succeed again.
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -82,7 +82,7 @@
 		QueueLength: spec.QueueLength,
 		ColdStart:   spec.ColdStart,
 		FixedLimit:  s.UpstreamHeartbeats(),
-		Slowness:    n.slowness,
+		Spell:       n.spell,
 		Observer:    n.meter,
 	})
 	n.assembleReports(base)
@@ -157,6 +157,7 @@
 		Read:     func(ctx context.Context) (bool, gauger.Report, error) { return n.readHealth(ctx, reader) },
 		Busy:     n.busy,
 		OnHealth: func(healthy bool) { n.admitter.Hint(healthy) },
+		OnSpell:  func() { n.admitter.SpellChanged() },
 		Log:      logger.Part(base, "gauger"),
 		Scope:    n.metrics.Scope().SubScope("gauger"),
 	})
@@ -199,6 +200,9 @@
 		Service: n.settings.Service(),
 		Address: n.settings.UpstreamAddress(),
 		OnChange: func(c enroller.Change) {
+			if c.Replaced {
+				n.gauger.Forget()
+			}
 			n.coldFor.Store(int64(c.ColdFor))
 			if c.Slots > 0 {
 				n.slots.Store(int64(c.Slots))
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/gauger"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -16,18 +17,18 @@
 const (
 	// busyPeriod is for how long after a request for it the load of the upstream is
 	// followed.
-	busyPeriod = time.Second
+	busyPeriod = 2 * time.Second
 	// identifyInterval is how often an upstream that sent no heartbeat yet is asked
 	// who it is.
 	identifyInterval = 100 * time.Millisecond
 )
 
-// slowness returns how long work takes at the upstream now, 100 as usual.
-func (n *Node) slowness(now time.Time) int {
+// spell returns how fast the upstream works now.
+func (n *Node) spell(now time.Time) sampler.Spell {
 	if n.gauger == nil {
-		return 0
+		return sampler.Spell{}
 	}
-	return n.gauger.Slowness(now)
+	return n.gauger.Spell(now)
 }
 
 // busy reports whether the speed of the upstream matters now.
--- a/internal/process/prober/message.go
+++ b/internal/process/prober/message.go
@@ -13,10 +13,10 @@
 
 const (
 	// formatVersion is the first byte of each message.
-	formatVersion = 2
+	formatVersion = 3
 	// probeBytes and answerBytes are the lengths of the messages.
 	probeBytes  = 1 + 4 + 4
-	answerBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1 + 2
+	answerBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1 + 2 + 2
 	// datagramBytes are the headers of a datagram: IP, UDP and the byte that
 	// tells its kind.
 	datagramBytes = 20 + 8 + 1
@@ -58,6 +58,7 @@
 			WarmPercent:     int(b[23]),
 			FailurePercent:  int(b[24]),
 			SlownessPercent: int(order.Uint16(b[25:])),
+			SpellLeft:       time.Duration(order.Uint16(b[27:])) * time.Millisecond,
 		}),
 	}, nil
 }
@@ -80,7 +81,8 @@
 	b = order.AppendUint16(b, clampUint16(a.load.Limit()))
 	b = order.AppendUint32(b, uint32(a.load.Latency().Microseconds()))
 	b = append(b, byte(a.load.WarmPercent()), byte(a.load.FailurePercent()))
-	return order.AppendUint16(b, clampUint16(a.load.SlownessPercent()))
+	b = order.AppendUint16(b, clampUint16(a.load.SlownessPercent()))
+	return order.AppendUint16(b, clampUint16(int(a.load.SpellLeft().Milliseconds())))
 }
 
 func (p probe) encode() []byte {
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -15,13 +15,18 @@
 	maxCount     = 1 << 20
 	maxLatency   = time.Hour
 	fullPercent  = 100
-	maxLoadBytes = 128
+	maxLoadBytes = 160
 	maxSlowness  = 60_000
+	maxSpellLeft = time.Minute
 )
 
-// slownessKey is the key of a last field that is there only if work is slower
-// or faster than usual.
-const slownessKey = ";slowness-percent="
+// slownessKey is the key of a field that is there only if work is slower or
+// faster than usual, spellKey that of a last one that follows it if it is known
+// when that may end.
+const (
+	slownessKey = ";slowness-percent="
+	spellKey    = ";spell-left-ms="
+)
 
 // ErrLoad reports text that is not a load header value.
 var ErrLoad = errors.New("malformed load")
@@ -47,6 +52,8 @@
 	// SlownessPercent is how long work takes at this moment, 100 as usual; 0
 	// stands for 100.
 	SlownessPercent int
+	// SpellLeft is in how long the slowness may change; 0 if that is not known.
+	SpellLeft time.Duration
 }
 
 // Load is the load of one instance, as its serving node counted it. It is
@@ -65,6 +72,10 @@
 		spec.SlownessPercent = fullPercent
 	}
 	spec.SlownessPercent = clamp(spec.SlownessPercent, maxSlowness)
+	if spec.SlownessPercent == fullPercent {
+		spec.SpellLeft = 0 // Of interest only while work is not as usual.
+	}
+	spec.SpellLeft = min(max(spec.SpellLeft, 0), maxSpellLeft).Truncate(time.Millisecond)
 	spec.Latency = min(max(spec.Latency, 0), maxLatency).Truncate(time.Microsecond)
 	return Load{spec: spec}
 }
@@ -77,6 +88,7 @@
 	}
 	var values [len(loadKeys)]int
 	rest, slowness, _ := strings.Cut(s, slownessKey)
+	slowness, spellLeft, _ := strings.Cut(slowness, spellKey)
 	for i, key := range loadKeys {
 		field, tail, found := strings.Cut(rest, ";")
 		if found != (i < len(loadKeys)-1) {
@@ -108,6 +120,13 @@
 		}
 		spec.SlownessPercent = int(n)
 	}
+	if spellLeft != "" {
+		n, err := strconv.ParseUint(spellLeft, 10, 32)
+		if err != nil {
+			return Load{}, errors.Wrapf(ErrLoad, "%q: spell", s)
+		}
+		spec.SpellLeft = time.Duration(n) * time.Millisecond
+	}
 	l := NewLoad(spec)
 	if l.String() != s {
 		return Load{}, errors.Wrapf(ErrLoad, "%q is out of bounds", s)
@@ -141,6 +160,9 @@
 	if slowness := l.SlownessPercent(); slowness != fullPercent {
 		text += slownessKey + strconv.Itoa(slowness)
 	}
+	if l.spec.SpellLeft > 0 {
+		text += spellKey + strconv.FormatInt(l.spec.SpellLeft.Milliseconds(), 10)
+	}
 	return text
 }
 
@@ -152,6 +174,9 @@
 	return l.spec.SlownessPercent
 }
 
+// SpellLeft returns in how long the slowness may change, or 0 if that is not known.
+func (l Load) SpellLeft() time.Duration { return l.spec.SpellLeft }
+
 // WarmPercent returns how far the upstream has come in its cold start, from 0
 // to 100.
 func (l Load) WarmPercent() int { return l.spec.WarmPercent }
--- a/internal/process/sampler/reading.go
+++ b/internal/process/sampler/reading.go
@@ -49,5 +49,15 @@
 // SentSince returns the number of own requests sent since the sample.
 func (r Reading) SentSince() int { return r.sentSince }
 
+// Spell returns how fast the instance works at the given moment, which is that
+// of the reading.
+func (r Reading) Spell(now time.Time) Spell {
+	s := Spell{SlownessPercent: r.load.SlownessPercent()}
+	if left := r.load.SpellLeft() - r.age; left > 0 {
+		s.Ends = now.Add(left)
+	}
+	return s
+}
+
 // Sampled reports whether there is any sample, however old.
 func (r Reading) Sampled() bool { return r.sampled }
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -53,9 +53,9 @@
 	// FixedLimit keeps the limit at the slots, for an upstream that is slowed by
 	// others rather than by its own work.
 	FixedLimit bool
-	// Slowness returns how long work takes at this moment, 100 as usual; nil if
-	// that is not known.
-	Slowness func(now time.Time) int
+	// Spell returns how fast the upstream works at this moment; nil if that is
+	// not known.
+	Spell func(now time.Time) sampler.Spell
 	// Observer is told of each change of the work in flight; nil for none.
 	Observer Observer
 }
@@ -79,7 +79,7 @@
 // Admitter admits work to one upstream.
 type Admitter struct {
 	observer Observer
-	slowness func(now time.Time) int
+	spell    func(now time.Time) sampler.Spell
 
 	mu       sync.Mutex // Guards all below.
 	limiter  *limiter
@@ -99,7 +99,7 @@
 	now := time.Now()
 	a := &Admitter{
 		observer: cfg.Observer,
-		slowness: cfg.Slowness,
+		spell:    cfg.Spell,
 		limiter:  newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
 		queue:    queue{capacity: cfg.QueueLength},
 		changed:  now,
@@ -162,12 +162,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	slowness := 0
-	if a.slowness != nil {
-		slowness = a.slowness(now)
-	}
+	spell := a.spellAt(now)
 	return sampler.NewLoad(sampler.LoadSpec{
-		SlownessPercent: slowness,
+		SlownessPercent: spell.SlownessPercent,
+		SpellLeft:       spell.Ends.Sub(now),
 		InFlight:        a.inFlight,
 		Queued:          a.queue.len(),
 		Limit:           a.limiter.limit(now),
@@ -186,6 +184,16 @@
 	return int(a.limiter.failureRate(now) * fullPercent)
 }
 
+// SpellChanged lets work begin that waited for the upstream to be faster.
+func (a *Admitter) SpellChanged() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.dispatch(now)
+	a.prune(now)
+	a.notify(now)
+}
+
 // Update replaces the settings by those of a new configuration.
 func (a *Admitter) Update(slots, connections, queueLength int, coldStart time.Duration) {
 	a.mu.Lock()
@@ -209,7 +217,7 @@
 	if a.leaving {
 		return nil, run{}, a.refuse(classifier.ReasonLeaving, now)
 	}
-	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 {
+	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 && a.holdTime(work, now) == 0 {
 		if !work.Deadline.IsZero() && now.Add(a.leastWork(work, now)).After(work.Deadline) {
 			return nil, run{}, a.refuse(classifier.ReasonDeadline, now)
 		}
@@ -250,7 +258,7 @@
 	a.queue.begun(work.Priority)
 	a.changed = now
 	a.notify(now)
-	return run{begun: now, expected: work.Expected, running: a.inFlight}
+	return run{begun: now, expected: work.Expected, running: a.inFlight, usual: a.spellAt(now).Usual()}
 }
 
 // end counts a request that ran, and starts those whose turn it is.
@@ -267,7 +275,9 @@
 	}
 	if !result.Abandoned && !result.Failed {
 		a.limiter.observe(result.Latency, saturated, now)
-		a.limiter.crowding.observe(r.running, a.limiter.ceiling(), result.Latency, r.expected, now)
+		if r.usual {
+			a.limiter.crowding.observe(r.running, a.limiter.ceiling(), result.Latency, r.expected, now)
+		}
 		a.hint.goodAt = now
 	}
 	a.dispatch(now)
@@ -294,7 +304,10 @@
 // dispatch starts waiting requests while there are free slots.
 func (a *Admitter) dispatch(now time.Time) {
 	for a.inFlight < a.limiter.limit(now) {
-		w := a.queue.next(func(work Work) time.Duration { return a.timeLeft(work, now) })
+		w := a.queue.next(
+			func(work Work) time.Duration { return a.timeLeft(work, now) },
+			func(work Work) bool { return a.holdTime(work, now) == 0 },
+		)
 		if w == nil {
 			return
 		}
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -104,9 +104,13 @@
 // the slots that become free, some go to higher classes that have yet to
 // arrive; a few go to lower classes.
 func (a *Admitter) expectedWait(work Work, p place, now time.Time) time.Duration {
+	hold := a.holdTime(work, now)
 	limit := float64(a.limiter.limit(now))
+	if float64(a.inFlight)+p.ahead < limit {
+		return hold
+	}
 	turns := min((p.ahead+1)/a.queue.below(work.Priority), (p.own+1)*agedTurn)
-	return time.Duration(float64(a.slotTime(now)) * turns / limit)
+	return max(hold, time.Duration(float64(a.slotTime(now))*turns/limit))
 }
 
 // workTime returns the expected time until the answer to work begins. The mean
@@ -115,11 +119,30 @@
 	if work.Expected <= 0 {
 		return a.latency(now)
 	}
-	percent := fullPercent
-	if a.slowness != nil {
-		percent = a.slowness(now)
+	if a.holdTime(work, now) > 0 {
+		return work.Expected
+	}
+	return sampler.Slowed(work.Expected, a.spellAt(now).SlownessPercent)
+}
+
+// holdTime returns for how long work is held back, although a slot may be free,
+// since it is done earlier if it begins when the upstream is faster. It answers
+// an upstream that is slowed for fractions of a second: what begins then takes
+// its slot for several times as long.
+func (a *Admitter) holdTime(work Work, now time.Time) time.Duration {
+	wait := a.spellAt(now).Wait(work.Expected, now)
+	if !work.Deadline.IsZero() && now.Add(wait+work.Expected).After(work.Deadline) {
+		return 0
+	}
+	return wait
+}
+
+// spellAt returns how fast the upstream works now.
+func (a *Admitter) spellAt(now time.Time) sampler.Spell {
+	if a.spell == nil {
+		return sampler.Spell{SlownessPercent: fullPercent}
 	}
-	return sampler.Slowed(work.Expected, percent)
+	return a.spell(now)
 }
 
 // leastWork returns the time that an answer to work takes if all goes well.
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -31,6 +31,8 @@
 	expected time.Duration
 	// running is how many requests ran when it began, itself included.
 	running int
+	// usual tells that nothing slowed the upstream when it began.
+	usual bool
 }
 
 func newPermit(a *Admitter, r run) *Permit { return &Permit{admitter: a, run: r} }
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -68,16 +68,16 @@
 
 // next returns the request whose turn is next, or nil: of the highest class
 // the one with the least time left by the given measure, or now and then the one
-// of a lower class that waits longest.
-func (q *queue) next(timeLeft func(Work) time.Duration) *waiter {
-	next := q.mostPressing(timeLeft)
+// of a lower class that waits longest. What is not ready has no turn.
+func (q *queue) next(timeLeft func(Work) time.Duration, ready func(Work) bool) *waiter {
+	next := q.mostPressing(timeLeft, ready)
 	if next == nil || q.turns%agedTurn != agedTurn-1 {
 		return next
 	}
 	var oldest *waiter
 	for p := range classOf(next.work.Priority) {
 		if e := q.classes[p].Front(); e != nil {
-			if w := e.Value.(*waiter); oldest == nil || w.number < oldest.number {
+			if w := e.Value.(*waiter); ready(w.work) && (oldest == nil || w.number < oldest.number) {
 				oldest = w
 			}
 		}
@@ -100,14 +100,17 @@
 	return nil
 }
 
-// mostPressing returns the request of the highest class that has any with the
-// least time left, the first of several, or nil.
-func (q *queue) mostPressing(timeLeft func(Work) time.Duration) *waiter {
+// mostPressing returns the request of the highest class that has any ready with
+// the least time left, the first of several, or nil.
+func (q *queue) mostPressing(timeLeft func(Work) time.Duration, ready func(Work) bool) *waiter {
 	for p := len(q.classes) - 1; p >= 0; p-- {
 		var best *waiter
 		var least time.Duration
 		for e := q.classes[p].Front(); e != nil; e = e.Next() {
 			w := e.Value.(*waiter)
+			if !ready(w.work) {
+				continue
+			}
 			if left := timeLeft(w.work); best == nil || left < least {
 				best, least = w, left
 			}
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -62,10 +62,12 @@
 	return max(w.work.Deadline.Sub(now)/2, minCheckInterval)
 }
 
-// refuseIfLate refuses w if it would be late even as the next one to run.
+// refuseIfLate refuses w if it would be late even as the next one to run. What
+// waits for the upstream to be faster begins, if nobody told that it is.
 func (a *Admitter) refuseIfLate(w *waiter, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.dispatch(now)
 	if w.element != nil && a.late(w.work, place{}, now) {
 		a.refuseWaiter(w, classifier.ReasonDeadline, now)
 	}
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -13,10 +13,14 @@
 	refreshTimeout = 8 * time.Millisecond
 	// reusePeriod is how old a sample may be to be used without asking again.
 	reusePeriod = 3 * time.Millisecond
-	// stayShare is the share of the time until the goal within which an answer
-	// must be expected for a request to stay in its failure domain without a
-	// look at others.
-	stayShare = 0.5
+	// homeRounds is how often candidates of the node's own failure domain are
+	// drawn before others are.
+	homeRounds = 2
+	// stayShare and stayShareLarge are the shares of the time until the goal
+	// within which an answer must be expected for a request to stay in its failure
+	// domain without a look at others.
+	stayShare      = 0.5
+	stayShareLarge = 0.8
 	// awayShare and awayShareLarge are the shares of the goal by which another
 	// failure domain must be faster: what crosses is paid for by the byte, and
 	// meets what others send.
@@ -59,10 +63,12 @@
 	if c.tryOwn(r, choice) {
 		return
 	}
-	c.consider(r, choice, true)
-	if best := c.best(choice, r); best >= 0 && c.stays(&choice.candidates[best], r) {
-		choice.chosen = best
-		return
+	for range homeRounds {
+		c.consider(r, choice, true)
+		if best := c.best(choice, r); best >= 0 && c.stays(&choice.candidates[best], r) {
+			choice.chosen = best
+			return
+		}
 	}
 	c.consider(r, choice, false)
 	choice.chosen = max(c.best(choice, r), 0)
@@ -139,7 +145,11 @@
 	if candidate.spare() {
 		return candidate.expected <= goal
 	}
-	return candidate.expected <= time.Duration(stayShare*float64(goal))
+	share := stayShare
+	if r.Large {
+		share = stayShareLarge
+	}
+	return candidate.expected <= time.Duration(share*float64(goal))
 }
 
 // goal returns the time within which the answer is to come.
@@ -184,7 +194,7 @@
 	work := c.work(reading, r)
 	crowding := crowdingShare * min(float64(occupancy+1)/float64(limit), 1)
 	candidate.ground = GroundCold
-	candidate.expected = sampler.Slowed(work, load.SlownessPercent()) + time.Duration(crowding*float64(work)) +
+	candidate.expected = reading.Spell(r.Now).Finish(work, r.Now) + time.Duration(crowding*float64(work)) +
 		c.wayCost(candidate, r) + failureCost(reading.FailureRate())
 	if occupancy >= limit {
 		candidate.ground = GroundHot
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -37,7 +37,7 @@
 	// DefaultCandidates is how many candidates a choice draws if not set.
 	DefaultCandidates = 3
 	// MaxCandidates bounds the candidates of one choice.
-	MaxCandidates = 8
+	MaxCandidates = 9
 )
 
 // ErrPolicy reports the name of a policy that does not exist.
