--- a/internal/request/admitter/crowding.go
+++ b/internal/request/admitter/crowding.go
@@ -19,12 +19,19 @@
 	// crowdingHalfLife is how long it takes until half of the results are
 	// forgotten, so that the comparison is made again.
 	crowdingHalfLife = 8 * time.Second
+	// crowdingMemory is how long the result of a comparison holds.
+	crowdingMemory = 20 * time.Second
 )
 
 // crowding finds out whether an upstream is slower when it is nearly full, by
 // how long work takes in relation to what is expected of it. It answers load
 // that fills the slots: below that the limit does not matter.
-type crowding struct{ roomy, crowded slowdown }
+type crowding struct {
+	roomy, crowded slowdown
+	// slows is what the last comparison found, at the time of judged.
+	slows  bool
+	judged time.Time
+}
 
 // slowdown is a quantile of how many times longer than expected work takes.
 type slowdown struct {
@@ -44,13 +51,17 @@
 		side = &c.crowded
 	}
 	side.observe(float64(latency)/float64(expected), now)
+	if c.roomy.known(now) && c.crowded.known(now) {
+		c.slows = c.crowded.ratio > crowdedRatio*c.roomy.ratio
+		c.judged = now
+	}
 }
 
-// limit returns how many of the slots are to be used: all of them while it is
-// not known whether crowding slows the upstream.
+// limit returns how many of the slots are to be used: by the last comparison,
+// or, if that is too old, those that are needed for the next one.
 func (c *crowding) limit(slots int, now time.Time) int {
-	known := c.roomy.known(now) && c.crowded.known(now)
-	if known && c.crowded.ratio > crowdedRatio*c.roomy.ratio {
+	compared := !c.judged.IsZero() && now.Sub(c.judged) <= crowdingMemory
+	if compared && c.slows || !compared && c.crowded.known(now) {
 		return roomySlots(slots)
 	}
 	return slots
--- a/internal/request/admitter/due_test.go
+++ b/internal/request/admitter/due_test.go
@@ -111,20 +111,27 @@
 
 // TestCrowdedUpstreamIsKeptRoomy plays load above the capacity of an upstream
 // that is 1.7 times slower from four fifths of its slots on, and of one that is
-// not, and checks how many slots are used.
+// not, and checks how many slots are used: with load that grows, and with too
+// much from the start.
 func TestCrowdedUpstreamIsKeptRoomy(t *testing.T) {
 	const work, slots = 90 * time.Millisecond, 6
 	for name, tc := range map[string]struct {
 		slower float64
+		first  float64 // Load at the start, as a share of the slots.
 		want   int
-	}{"slower when crowded": {1.7, 4}, "as fast as ever": {1, 6}} {
+	}{
+		"slower when crowded":             {1.7, 0.4, 4},
+		"as fast as ever":                 {1, 0.4, 6},
+		"slower, crowded from the start":  {1.7, 1.5, 4},
+		"as fast, crowded from the start": {1, 1.5, 6},
+	} {
 		t.Run(name, func(t *testing.T) {
 			limit := 0
 			synctest.Test(t, func(*testing.T) {
 				a := New(Config{Slots: slots, Connections: 100, QueueLength: 8, FixedLimit: true})
 				r := rand.New(rand.NewPCG(7, 8))
 				for begin := time.Now(); time.Since(begin) < 10*time.Second; {
-					load := 0.4 + 0.8*time.Since(begin).Seconds()/10 // From light to too much.
+					load := max(tc.first, 0.4+0.8*time.Since(begin).Seconds()/10) // Up to too much.
 					time.Sleep(time.Duration(r.ExpFloat64() / (load * slots) * float64(work)))
 					go func() {
 						p, err := a.Admit(context.Background(), Work{Expected: work, Deadline: time.Now().Add(time.Second)})
