--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -35,6 +35,9 @@
 // maxRetryAllowance bounds the retries that all nodes together may save up.
 const maxRetryAllowance = 1_000_000
 
+// maxLinkMegabits bounds what the link of an instance carries, in Mbit/s.
+const maxLinkMegabits = 1_000_000
+
 var policyNames = []string{
 	string(PolicyLeastExpectedLatency), string(PolicyLeastExpectedFinish), string(PolicyRandom), string(PolicyRoundRobin), string(PolicyLeastOwn),
 }
@@ -50,6 +53,7 @@
 	upstreamHeartbeats          bool
 	stopGrace                   time.Duration
 	retryAllowance              int
+	linkMegabits                float64
 	logLevel                    zerolog.Level
 }
 
@@ -85,6 +89,7 @@
 		policy:             parser.Optional(r, "policy", PolicyLeastExpectedLatency, parsePolicy),
 		stopGrace:          parser.Optional(r, "stop-grace", 0, parseGrace),
 		retryAllowance:     parser.Optional(r, "retry-allowance", 0, parseAllowance),
+		linkMegabits:       parser.Optional(r, "link-mbps", 0, parseLink),
 		upstreamHeartbeats: parser.Optional(r, "upstream-heartbeats", false, parser.YesNo),
 		logLevel:           parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
@@ -117,6 +122,15 @@
 	return int(n), nil
 }
 
+// parseLink reads how many megabits a second a link carries.
+func parseLink(value string) (float64, error) {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n > 0 && n <= maxLinkMegabits) {
+		return 0, errors.Errorf("%q is not a number above 0 and up to %d", value, maxLinkMegabits)
+	}
+	return n, nil
+}
+
 func parseGrace(value string) (time.Duration, error) {
 	return parser.Duration(value, minStopGrace, time.Hour)
 }
@@ -177,6 +191,13 @@
 // StopGrace returns how long a planned stop may take, or 0 for no bound.
 func (n *Node) StopGrace() time.Duration { return n.stopGrace }
 
+// LinkBytesPerSecond returns how many bytes a second the link of the instance
+// carries, or 0 if that is not set.
+func (n *Node) LinkBytesPerSecond() float64 {
+	const bitsPerByte, mega = 8, 1e6
+	return n.linkMegabits * mega / bitsPerByte
+}
+
 // RetryAllowance returns how many retries of a service all nodes together may
 // make at once beside their share of fresh requests, or 0 to leave each node
 // its own default.
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -171,6 +171,9 @@
 // upstreamPermit is an admitter's permit as the server uses it.
 type upstreamPermit struct{ permit *admitter.Permit }
 
+// Usual implements server.Permit.
+func (p upstreamPermit) Usual() bool { return p.permit.Usual() }
+
 // Done implements server.Permit.
 func (p upstreamPermit) Done(result server.Result) {
 	p.permit.Done(admitter.Result{
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -20,6 +20,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/pacer"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
@@ -69,6 +70,7 @@
 	watcher   *watcher.Watcher
 	enroller  *enroller.Enroller // Nil if the upstream sends no heartbeats.
 	gauger    *gauger.Gauger     // Nil like enroller.
+	link      *pacer.Pacer
 	dialect   Dialect
 	coldFor   atomic.Int64 // Nanoseconds for which the upstream is slow, as it said at its start.
 	health    *watcher.HealthReader
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -18,6 +18,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/pacer"
 	"github.com/banyanscale/banyanscale/internal/process/prober"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/watcher"
@@ -75,6 +76,7 @@
 	s := n.settings
 	spec := compiler.DefaultServiceSpec(s.Service())
 	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
+	n.link = pacer.New(s.LinkBytesPerSecond())
 	n.assembleGauger(base)
 	n.admitter = admitter.New(admitter.Config{
 		Slots:       orDefault(s.Slots(), spec.Slots),
@@ -83,6 +85,7 @@
 		ColdStart:   spec.ColdStart,
 		FixedLimit:  s.UpstreamHeartbeats(),
 		Spell:       n.spell,
+		LinkWait:    n.link.Wait,
 		Observer:    n.meter,
 	})
 	n.assembleReports(base)
@@ -95,6 +98,7 @@
 		Requester: watchedRequester{n.upstreamRequester(orDefault(s.Connections(), spec.Connections)), n.watcher, n.gauger},
 		Upstreams: n.upstreams(),
 		Admitter:  upstreamAdmitter{n.admitter, n.noteRefusal},
+		Link:      n.link,
 		Snapshots: n.snapshots,
 		Scope:     n.metrics.Scope().SubScope("server"),
 		Log:       logger.Part(base, "server"),
--- /dev/null
+++ b/internal/process/pacer/pacer_test.go
@@ -0,0 +1,85 @@
+package pacer_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/pacer"
+)
+
+// answer returns the body of a large answer.
+func answer(size int) io.ReadCloser {
+	return io.NopCloser(strings.NewReader(strings.Repeat("x", size)))
+}
+
+// send sends a large answer and returns how long that took from the start.
+func send(t *testing.T, p *pacer.Pacer, size int, start time.Time) time.Duration {
+	t.Helper()
+	body := p.Begin(context.Background(), size, answer(size))
+	n, err := io.Copy(io.Discard, body)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(size))
+	assert.NilError(t, body.Close())
+	return time.Since(start)
+}
+
+// TestLargeAnswersTakeTurns checks that a third large answer waits for one of
+// two, and that a stalled one holds it up for a bounded time.
+func TestLargeAnswersTakeTurns(t *testing.T) {
+	const maxTurnWait = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		p := pacer.New(0)
+		ctx := context.Background()
+		first := p.Begin(ctx, 1, answer(1))
+		p.Begin(ctx, 1, answer(1)) // Never ends.
+		time.AfterFunc(100*time.Millisecond, func() { first.Close() })
+		start := time.Now()
+		p.Begin(ctx, 1, answer(1))
+		assert.Equal(t, time.Since(start), 100*time.Millisecond)
+		p.Begin(ctx, 1, answer(1))
+		assert.Equal(t, time.Since(start), 100*time.Millisecond+maxTurnWait)
+	})
+}
+
+// TestLinkIsNotOverfilled plays three large answers at once over a link of 9
+// answers a second, and checks that no more is handed to it than it sends.
+func TestLinkIsNotOverfilled(t *testing.T) {
+	const size = 100_000
+	synctest.Test(t, func(t *testing.T) {
+		p := pacer.New(10 * size) // Nine tenths of that are used.
+		start := time.Now()
+		ends := make(chan time.Duration, 3)
+		for range 3 {
+			go func() { ends <- send(t, p, size, start) }()
+		}
+		time.Sleep(time.Millisecond)
+		wait := p.Wait()
+		assert.Assert(t, wait > 200*time.Millisecond && wait < 334*time.Millisecond, "%s", wait)
+		for range 2 {
+			<-ends
+		}
+		last := <-ends
+		assert.Assert(t, last > 300*time.Millisecond && last < 334*time.Millisecond, "%s", last)
+		assert.Equal(t, p.Wait(), time.Duration(0))
+	})
+}
+
+// TestUnwantedAnswerFreesTheLink checks that an answer whose caller has left
+// takes no more of the link.
+func TestUnwantedAnswerFreesTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := pacer.New(1000)
+		ctx, cancel := context.WithCancel(context.Background())
+		body := p.Begin(ctx, 100_000, answer(100_000))
+		assert.Assert(t, p.Wait() > time.Minute)
+		cancel()
+		assert.NilError(t, body.Close())
+		assert.Equal(t, p.Wait(), time.Duration(0))
+	})
+}
--- a/internal/process/prober/message.go
+++ b/internal/process/prober/message.go
@@ -16,7 +16,7 @@
 	formatVersion = 3
 	// probeBytes and answerBytes are the lengths of the messages.
 	probeBytes  = 1 + 4 + 4
-	answerBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1 + 2 + 2
+	answerBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1 + 2 + 2 + 2
 	// datagramBytes are the headers of a datagram: IP, UDP and the byte that
 	// tells its kind.
 	datagramBytes = 20 + 8 + 1
@@ -59,6 +59,7 @@
 			FailurePercent:  int(b[24]),
 			SlownessPercent: int(order.Uint16(b[25:])),
 			SpellLeft:       time.Duration(order.Uint16(b[27:])) * time.Millisecond,
+			LinkWait:        time.Duration(order.Uint16(b[29:])) * time.Millisecond,
 		}),
 	}, nil
 }
@@ -82,7 +83,8 @@
 	b = order.AppendUint32(b, uint32(a.load.Latency().Microseconds()))
 	b = append(b, byte(a.load.WarmPercent()), byte(a.load.FailurePercent()))
 	b = order.AppendUint16(b, clampUint16(a.load.SlownessPercent()))
-	return order.AppendUint16(b, clampUint16(int(a.load.SpellLeft().Milliseconds())))
+	b = order.AppendUint16(b, clampUint16(int(a.load.SpellLeft().Milliseconds())))
+	return order.AppendUint16(b, clampUint16(int(a.load.LinkWait().Milliseconds())))
 }
 
 func (p probe) encode() []byte {
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -15,17 +15,19 @@
 	maxCount     = 1 << 20
 	maxLatency   = time.Hour
 	fullPercent  = 100
-	maxLoadBytes = 160
+	maxLoadBytes = 192
 	maxSlowness  = 60_000
 	maxSpellLeft = time.Minute
+	maxLinkWait  = time.Minute
 )
 
 // slownessKey is the key of a field that is there only if work is slower or
-// faster than usual, spellKey that of a last one that follows it if it is known
-// when that may end.
+// faster than usual, spellKey that of one that follows it if it is known when
+// that may end, and linkKey that of a last one if large answers wait.
 const (
 	slownessKey = ";slowness-percent="
 	spellKey    = ";spell-left-ms="
+	linkKey     = ";link-wait-ms="
 )
 
 // ErrLoad reports text that is not a load header value.
@@ -54,6 +56,8 @@
 	SlownessPercent int
 	// SpellLeft is in how long the slowness may change; 0 if that is not known.
 	SpellLeft time.Duration
+	// LinkWait is how long a large answer waits until its turn on the link.
+	LinkWait time.Duration
 }
 
 // Load is the load of one instance, as its serving node counted it. It is
@@ -76,6 +80,7 @@
 		spec.SpellLeft = 0 // Of interest only while work is not as usual.
 	}
 	spec.SpellLeft = min(max(spec.SpellLeft, 0), maxSpellLeft).Truncate(time.Millisecond)
+	spec.LinkWait = min(max(spec.LinkWait, 0), maxLinkWait).Truncate(time.Millisecond)
 	spec.Latency = min(max(spec.Latency, 0), maxLatency).Truncate(time.Microsecond)
 	return Load{spec: spec}
 }
@@ -87,7 +92,8 @@
 		return Load{}, errors.Wrapf(ErrLoad, "%d bytes", len(s))
 	}
 	var values [len(loadKeys)]int
-	rest, slowness, _ := strings.Cut(s, slownessKey)
+	rest, linkWait, _ := strings.Cut(s, linkKey)
+	rest, slowness, _ := strings.Cut(rest, slownessKey)
 	slowness, spellLeft, _ := strings.Cut(slowness, spellKey)
 	for i, key := range loadKeys {
 		field, tail, found := strings.Cut(rest, ";")
@@ -127,6 +133,13 @@
 		}
 		spec.SpellLeft = time.Duration(n) * time.Millisecond
 	}
+	if linkWait != "" {
+		n, err := strconv.ParseUint(linkWait, 10, 32)
+		if err != nil {
+			return Load{}, errors.Wrapf(ErrLoad, "%q: link", s)
+		}
+		spec.LinkWait = time.Duration(n) * time.Millisecond
+	}
 	l := NewLoad(spec)
 	if l.String() != s {
 		return Load{}, errors.Wrapf(ErrLoad, "%q is out of bounds", s)
@@ -148,6 +161,9 @@
 // Limit returns how many requests the upstream may work on at once.
 func (l Load) Limit() int { return l.spec.Limit }
 
+// LinkWait returns how long a large answer waits until its turn on the link.
+func (l Load) LinkWait() time.Duration { return l.spec.LinkWait }
+
 // Queued returns how many requests wait for a slot.
 func (l Load) Queued() int { return l.spec.Queued }
 
@@ -163,6 +179,9 @@
 	if l.spec.SpellLeft > 0 {
 		text += spellKey + strconv.FormatInt(l.spec.SpellLeft.Milliseconds(), 10)
 	}
+	if l.spec.LinkWait > 0 {
+		text += linkKey + strconv.FormatInt(l.spec.LinkWait.Milliseconds(), 10)
+	}
 	return text
 }
 
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -56,6 +56,9 @@
 	// Spell returns how fast the upstream works at this moment; nil if that is
 	// not known.
 	Spell func(now time.Time) sampler.Spell
+	// LinkWait returns how long a large answer waits until it is sent; nil if
+	// that is not known.
+	LinkWait func() time.Duration
 	// Observer is told of each change of the work in flight; nil for none.
 	Observer Observer
 }
@@ -80,6 +83,7 @@
 type Admitter struct {
 	observer Observer
 	spell    func(now time.Time) sampler.Spell
+	linkWait func() time.Duration
 
 	mu       sync.Mutex // Guards all below.
 	limiter  *limiter
@@ -100,6 +104,7 @@
 	a := &Admitter{
 		observer: cfg.Observer,
 		spell:    cfg.Spell,
+		linkWait: cfg.LinkWait,
 		limiter:  newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
 		queue:    queue{capacity: cfg.QueueLength},
 		changed:  now,
@@ -163,9 +168,14 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	spell := a.spellAt(now)
+	linkWait := time.Duration(0)
+	if a.linkWait != nil {
+		linkWait = a.linkWait()
+	}
 	return sampler.NewLoad(sampler.LoadSpec{
 		SlownessPercent: spell.SlownessPercent,
 		SpellLeft:       spell.Ends.Sub(now),
+		LinkWait:        linkWait,
 		InFlight:        a.inFlight,
 		Queued:          a.queue.len(),
 		Limit:           a.limiter.limit(now),
@@ -258,7 +268,7 @@
 	a.queue.begun(work.Priority)
 	a.changed = now
 	a.notify(now)
-	return run{begun: now, expected: work.Expected, running: a.inFlight, usual: a.spellAt(now).Usual()}
+	return run{begun: now, expected: work.Expected, running: a.inFlight, slowness: a.spellAt(now).SlownessPercent}
 }
 
 // end counts a request that ran, and starts those whose turn it is.
@@ -275,7 +285,7 @@
 	}
 	if !result.Abandoned && !result.Failed {
 		a.limiter.observe(result.Latency, saturated, now)
-		if r.usual {
+		if r.usual() {
 			a.limiter.crowding.observe(r.running, a.limiter.ceiling(), result.Latency, r.expected, now)
 		}
 		a.hint.goodAt = now
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -31,12 +31,18 @@
 	expected time.Duration
 	// running is how many requests ran when it began, itself included.
 	running int
-	// usual tells that nothing slowed the upstream when it began.
-	usual bool
+	// slowness is how slow the upstream was when it began, in percent.
+	slowness int
 }
 
+// usual reports whether nothing slowed the upstream when it began.
+func (r run) usual() bool { return r.slowness <= fullPercent }
+
 func newPermit(a *Admitter, r run) *Permit { return &Permit{admitter: a, run: r} }
 
+// Usual reports whether nothing slowed the upstream when the request began.
+func (p *Permit) Usual() bool { return p.run.usual() }
+
 // Done gives the slot back. Only the first call counts.
 func (p *Permit) Done(result Result) {
 	if p.done.CompareAndSwap(false, true) {
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -81,9 +81,7 @@
 	resp, refusal := c.exchange(ctx, a, extra) //nolint:bodyclose // Closed by who takes or discards the attempt.
 	a.resp, a.refusal = resp, refusal
 	a.end = time.Now()
-	if resp != nil && resp.StatusCode < http.StatusBadRequest {
-		c.forwarder.works.observe(c.route.name, a.end.Sub(a.start))
-	}
+	c.observeWork(resp)
 	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
 	observer.Finished(id, Result{
 		Latency:     a.end.Sub(a.start),
@@ -93,6 +91,19 @@
 	})
 }
 
+// observeWork takes in how long the upstream took for a good answer, as its node
+// told if nothing slowed the upstream.
+func (c *call) observeWork(resp *http.Response) {
+	if resp == nil {
+		return
+	}
+	told := resp.Header.Get(classifier.HeaderWork)
+	delete(resp.Header, classifier.HeaderWork)
+	if ms, err := strconv.ParseUint(told, 10, 31); err == nil && resp.StatusCode < http.StatusBadRequest {
+		c.forwarder.works.observe(c.route.name, time.Duration(ms)*time.Millisecond)
+	}
+}
+
 // exchange sends the request and receives the head of the answer, and the body
 // if it is small.
 func (c *call) exchange(ctx context.Context, a *attempt, extra http.Header) (*http.Response, *refuser.Refusal) {
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/pacer"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
@@ -110,6 +111,7 @@
 
 func (f *fleet) serve(id, nodeAddress, targetAddress string, refusal error) {
 	s := server.New(server.Config{
+		Link:     pacer.New(0),
 		Instance: id, Service: "almacen", Upstream: netip.MustParseAddrPort(targetAddress),
 		Requester: f.pool(), Admitter: admitter{refusal, &f.retried}, Snapshots: f.publisher, Scope: tally.NoopScope,
 	})
@@ -212,6 +214,7 @@
 
 type permit struct{}
 
+func (permit) Usual() bool        { return true }
 func (permit) Done(server.Result) {}
 
 // admissionRefusal is what an admitter refuses with.
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -20,7 +20,7 @@
 	// within which an answer must be expected for a request to stay in its failure
 	// domain without a look at others.
 	stayShare      = 0.5
-	stayShareLarge = 0.8
+	stayShareLarge = 0.7
 	// awayShare and awayShareLarge are the shares of the goal by which another
 	// failure domain must be faster: what crosses is paid for by the byte, and
 	// meets what others send.
@@ -196,6 +196,9 @@
 	candidate.ground = GroundCold
 	candidate.expected = reading.Spell(r.Now).Finish(work, r.Now) + time.Duration(crowding*float64(work)) +
 		c.wayCost(candidate, r) + failureCost(reading.FailureRate())
+	if r.Large && candidate.instance.ID() != c.p.self {
+		candidate.expected += load.LinkWait()
+	}
 	if occupancy >= limit {
 		candidate.ground = GroundHot
 		candidate.expected += max(load.Latency(), work) * time.Duration(occupancy-limit+1) / time.Duration(limit)
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -53,6 +54,8 @@
 
 // Permit is the leave to send one request to the upstream.
 type Permit interface {
+	// Usual reports whether nothing slowed the upstream when the request began.
+	Usual() bool
 	// Done gives the slot back. It must be called once.
 	Done(Result)
 }
@@ -92,6 +95,13 @@
 	DoLimited(ctx context.Context, addr netip.AddrPort, req *http.Request, limits requester.Limits) (*http.Response, error)
 }
 
+// Link gives large answers their turns on the link of the instance.
+type Link interface {
+	// Begin waits for the turn of an answer of so many bytes, and returns its body,
+	// which must be closed.
+	Begin(ctx context.Context, size int, body io.ReadCloser) io.ReadCloser
+}
+
 // Snapshots gives the configuration in force.
 type Snapshots interface {
 	Snapshot() *publisher.Snapshot
@@ -112,6 +122,7 @@
 	Requester Requester
 	Admitter  Admitter
 	Snapshots Snapshots
+	Link      Link
 	// Upstreams is nil if the upstream does not announce itself.
 	Upstreams Upstreams
 	Scope     tally.Scope
@@ -125,12 +136,10 @@
 	instance []string
 	refusals *counter.Counter
 	// lines bounds the log lines on requests that were not served.
-	lines *logger.Budget
-	// transfers gives large answers their turns on the link.
-	transfers *transfers
-	waits     tally.Histogram
-	answers   tally.Histogram
-	inFlight  atomic.Int64
+	lines    *logger.Budget
+	waits    tally.Histogram
+	answers  tally.Histogram
+	inFlight atomic.Int64
 	// answering counts the answers that are on their way on connections that
 	// were taken over.
 	answering atomic.Int64
@@ -142,14 +151,13 @@
 // New returns a server.
 func New(cfg Config) *Server {
 	return &Server{
-		cfg:       cfg,
-		instance:  []string{cfg.Instance},
-		refusals:  counter.New(cfg.Scope, "serving_refusals"),
-		lines:     logger.NewBudget(linesPerSecond),
-		transfers: newTransfers(),
-		waits:     cfg.Scope.Histogram("admission_wait", exporter.LatencyBuckets),
-		answers:   cfg.Scope.Histogram("upstream_latency", exporter.LatencyBuckets),
-		idle:      make(chan struct{}, 1),
+		cfg:      cfg,
+		instance: []string{cfg.Instance},
+		refusals: counter.New(cfg.Scope, "serving_refusals"),
+		lines:    logger.NewBudget(linesPerSecond),
+		waits:    cfg.Scope.Histogram("admission_wait", exporter.LatencyBuckets),
+		answers:  cfg.Scope.Histogram("upstream_latency", exporter.LatencyBuckets),
+		idle:     make(chan struct{}, 1),
 	}
 }
 
@@ -262,14 +270,17 @@
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	h := w.Header()
-	for _, name := range [...]string{classifier.HeaderOutcome, classifier.HeaderInstance, classifier.HeaderRetried} {
+	for _, name := range [...]string{classifier.HeaderOutcome, classifier.HeaderInstance, classifier.HeaderRetried, classifier.HeaderWork} {
 		if value := resp.Header[name]; value != nil {
 			h[name] = value
 		}
 	}
 	h.Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
-	if mayBeLarge(resp) && takeIn(resp) {
-		defer s.transfers.begin(r.Context())()
+	if mayBeLarge(resp) {
+		if size := takeIn(resp); size >= largeAnswer {
+			resp.Body = s.cfg.Link.Begin(r.Context(), size, resp.Body)
+			defer resp.Body.Close()
+		}
 	}
 	if err := relayer.Relay(w, resp); err != nil {
 		relayer.Abort(w, r)
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -36,7 +36,8 @@
 	// HeaderDue holds, on requests between nodes, in how many milliseconds the
 	// answer is due to be worth most.
 	HeaderDue = "Banyanscale-Due-Ms"
-	// HeaderWork holds, on requests between nodes, how many milliseconds the
+	// HeaderWork holds, on answers between nodes, how many milliseconds the upstream
+	// took, if nothing slowed it, and on requests, how many milliseconds the
 	// upstream is expected to work on the request where nothing slows it.
 	HeaderWork = "Banyanscale-Work-Ms"
 	// HeaderUpstreamLoad holds what an upstream reports of its load, on its answers.
