--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -142,7 +142,13 @@
 
 // Admit implements server.Admitter.
 func (a upstreamAdmitter) Admit(ctx context.Context, work server.Work) (server.Permit, error) {
-	permit, err := a.Admitter.Admit(ctx, admitter.Work(work))
+	permit, err := a.Admitter.Admit(ctx, admitter.Work{
+		Priority: work.Priority,
+		Deadline: work.Deadline,
+		Due:      work.Due,
+		Expected: work.Expected,
+		Retried:  work.Retried,
+	})
 	if err != nil {
 		if wantsSlot(err) {
 			a.refusedForLoad()
@@ -171,8 +177,10 @@
 // upstreamPermit is an admitter's permit as the server uses it.
 type upstreamPermit struct{ permit *admitter.Permit }
 
-// Usual implements server.Permit.
-func (p upstreamPermit) Usual() bool { return p.permit.Usual() }
+// Work implements server.Permit.
+func (p upstreamPermit) Work(latency time.Duration) (time.Duration, bool) {
+	return p.permit.Work(latency)
+}
 
 // Done implements server.Permit.
 func (p upstreamPermit) Done(result server.Result) {
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -77,6 +77,8 @@
 	// Retried tells that another attempt went before: what was refused elsewhere
 	// is refused for its deadline only.
 	Retried bool
+	// late tells that it could not be in time any more when it came.
+	late bool
 }
 
 // Admitter admits work to one upstream.
@@ -233,6 +235,7 @@
 		}
 		return nil, a.begin(work, now), nil
 	}
+	work.late = a.tooLate(work, now)
 	place := a.queue.place(work)
 	if reason := a.objection(work, place, place.behind(marginOf(work)), now); reason != classifier.ReasonNone {
 		a.prune(now)
@@ -285,8 +288,8 @@
 	}
 	if !result.Abandoned && !result.Failed {
 		a.limiter.observe(result.Latency, saturated, now)
-		if r.usual() {
-			a.limiter.crowding.observe(r.running, a.limiter.ceiling(), result.Latency, r.expected, now)
+		if work, ok := r.work(result.Latency); ok {
+			a.limiter.crowding.observe(r.running, a.limiter.ceiling(), work, r.expected, now)
 		}
 		a.hint.goodAt = now
 	}
--- a/internal/request/admitter/due_test.go
+++ b/internal/request/admitter/due_test.go
@@ -109,6 +109,66 @@
 	assert.Assert(t, refusedLate < 100)
 }
 
+// TestWhatCameLateGoesLast checks that work that was past its goal when it came
+// does not hold up what can be in time, while calls that became late do.
+func TestWhatCameLateGoesLast(t *testing.T) {
+	const ms = time.Millisecond
+	order := admitAll(t, 1, []named{
+		urgent("first", 400*ms, 1200*ms, 150*ms),
+		urgent("came late", 0, 900*ms, 100*ms),
+		urgent("in time", 400*ms, 1200*ms, 100*ms),
+		urgent("call", 100*ms, 350*ms, 20*ms),
+	})
+	assert.DeepEqual(t, order, []string{"first", "call", "in time", "came late"})
+}
+
+// TestReturningCallersDoNotMakeAllLate plays twice the load that the slots bear,
+// with callers that come back after a refusal. It checks that more of them are
+// served within the goal if it is known how long they have waited already.
+func TestReturningCallersDoNotMakeAllLate(t *testing.T) {
+	unknown := playReturning(t, false)
+	known := playReturning(t, true)
+	t.Logf("in time, of 1000 that the slots bear: %d if not known, %d if known", unknown, known)
+	assert.Assert(t, known > unknown)
+	assert.Assert(t, known > 800)
+}
+
+func playReturning(t *testing.T, known bool) int {
+	t.Helper()
+	const work, goal, patience, slots = 90 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second, 6
+	inTime := 0
+	synctest.Test(t, func(*testing.T) {
+		a := New(Config{Slots: slots, Connections: 100, QueueLength: 32, FixedLimit: true})
+		r := rand.New(rand.NewPCG(9, 9))
+		call := func(first time.Time) {
+			for range 3 {
+				asked := first
+				if !known {
+					asked = time.Now()
+				}
+				p, err := a.Admit(context.Background(), Work{
+					Priority: compiler.PriorityNormal, Expected: work, Due: asked.Add(goal), Deadline: first.Add(patience), Retried: true,
+				})
+				if err == nil {
+					time.Sleep(work)
+					p.Done(Result{Latency: work})
+					if time.Since(first) <= goal {
+						inTime++
+					}
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		for range 2000 {
+			time.Sleep(time.Duration(r.ExpFloat64() / (2 * slots) * float64(work)))
+			go call(time.Now())
+		}
+		time.Sleep(10 * time.Second)
+	})
+	return inTime
+}
+
 // TestCrowdedUpstreamIsKeptRoomy plays load above the capacity of an upstream
 // that is 1.7 times slower from four fifths of its slots on, and of one that is
 // not, and checks how many slots are used: with load that grows, and with too
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -18,6 +18,9 @@
 	// firstWaitShare is the inverse of the share of the time until it is due for
 	// which the first attempt of a request may wait.
 	firstWaitShare = 3
+	// lateTurn is longer than any deadline: by that much work that was too late when
+	// it came goes after other work of its class.
+	lateTurn = 24 * time.Hour
 	// lateWaitShare is the inverse of the share of the time until its deadline
 	// within which work that can only be late must be done.
 	lateWaitShare = 2
@@ -78,17 +81,31 @@
 	return !work.Deadline.IsZero() && wait+a.workTime(work, now) > work.Deadline.Sub(now)/lateWaitShare
 }
 
-// timeLeft returns how much time waiting work has until it is worth less: until
+// timeLeft returns how much time waiting work has left until it is worth less: until
 // it is due, or, if it cannot be in time for that any more, until its deadline.
-// Work that does not say when it is due is taken as it came.
+// What was too late when it came has its turn after all else. Work that does not
+// say when it is due is taken as it came.
 func (a *Admitter) timeLeft(work Work, now time.Time) time.Duration {
 	if work.Due.IsZero() {
 		return 0
 	}
-	if !now.Add(a.leastWork(work, now)).After(work.Due) || work.Deadline.IsZero() {
+	switch left := work.Deadline.Sub(now); {
+	case work.late:
+		return lateTurn + left
+	case a.tooLate(work, now):
+		return left
+	default:
 		return work.Due.Sub(now)
 	}
-	return work.Deadline.Sub(now)
+}
+
+// tooLate reports whether work cannot be done any more when it is due, but may
+// be before its deadline.
+func (a *Admitter) tooLate(work Work, now time.Time) bool {
+	if work.Due.IsZero() || work.Deadline.IsZero() {
+		return false
+	}
+	return now.Add(a.leastWork(work, now)).After(work.Due)
 }
 
 // late reports whether work at the given place is expected to be answered
--- a/internal/request/admitter/permit.go
+++ b/internal/request/admitter/permit.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// maxComparedSlowness is the slowness, in percent, up to which what work takes is
+// compared with what it takes at other times: that of a cold start, not of a
+// slow spell.
+const maxComparedSlowness = 250
+
 // Result tells how admitted work ended.
 type Result struct {
 	// Latency is the time until the upstream's answer began.
@@ -35,13 +40,21 @@
 	slowness int
 }
 
-// usual reports whether nothing slowed the upstream when it began.
-func (r run) usual() bool { return r.slowness <= fullPercent }
+// work returns how long the upstream would have taken if nothing had slowed it,
+// given how long it took. It reports false where too much did: what is left of
+// that tells little.
+func (r run) work(latency time.Duration) (time.Duration, bool) {
+	if r.slowness <= 0 || r.slowness > maxComparedSlowness {
+		return 0, false
+	}
+	return latency * fullPercent / time.Duration(r.slowness), true
+}
 
 func newPermit(a *Admitter, r run) *Permit { return &Permit{admitter: a, run: r} }
 
-// Usual reports whether nothing slowed the upstream when the request began.
-func (p *Permit) Usual() bool { return p.run.usual() }
+// Work returns how long the upstream would have taken if nothing had slowed it,
+// given how long it took, and whether that can be told.
+func (p *Permit) Work(latency time.Duration) (time.Duration, bool) { return p.run.work(latency) }
 
 // Done gives the slot back. Only the first call counts.
 func (p *Permit) Done(result Result) {
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -43,9 +43,18 @@
 }
 
 // before reports whether work goes before other work of its class that came
-// earlier: it is due earlier.
+// earlier: it is due earlier, or the other was late when it came.
 func (w Work) before(other Work) bool {
-	return !w.Due.IsZero() && !other.Due.IsZero() && w.Due.Before(other.Due)
+	if w.Due.IsZero() || other.Due.IsZero() {
+		return false
+	}
+	if w.late != other.late {
+		return other.late
+	}
+	if w.late {
+		return w.Deadline.Before(other.Deadline)
+	}
+	return w.Due.Before(other.Due)
 }
 
 // begun takes in the priority of a request that begins to run.
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -48,7 +48,7 @@
 		r:          r,
 		route:      route,
 		trace:      trace,
-		started:    time.Now(),
+		started:    route.started,
 		budget:     f.budgets.Service(route.spec.Name),
 		repeatable: route.idempotent,
 		header:     relayer.CopyRequestHeader(r.Header),
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -214,7 +214,8 @@
 
 type permit struct{}
 
-func (permit) Usual() bool        { return true }
+func (permit) Work(latency time.Duration) (time.Duration, bool) { return latency, true }
+
 func (permit) Done(server.Result) {}
 
 // admissionRefusal is what an admitter refuses with.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -134,14 +134,16 @@
 
 // Forwarder handles callers' requests.
 type Forwarder struct {
-	cfg      Config
-	works    works
-	budgets  *retrier.Budgets
-	refusals *counter.Counter
-	retries  *counter.Counter
-	denials  *counter.Counter
-	aborts   *counter.Counter
-	requests tally.Counter
+	cfg   Config
+	works works
+	// patiences tells how long callers have waited before they sent a request.
+	patiences patiences
+	budgets   *retrier.Budgets
+	refusals  *counter.Counter
+	retries   *counter.Counter
+	denials   *counter.Counter
+	aborts    *counter.Counter
+	requests  tally.Counter
 	// served and failed bound the lines on requests that ended well and badly.
 	served, failed *logger.Budget
 	latencies      *latencies
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -27,8 +27,11 @@
 	version uint64
 	// idempotent tells that the request may run more than once.
 	idempotent bool
-	// goal is the time within which an answer is worth most; 0 for none.
+	// goal is the time within which an answer is worth most, from started on; 0
+	// for none.
 	goal time.Duration
+	// started is when the caller made its first attempt, as far as that is known.
+	started time.Time
 	// large tells that answers are large.
 	large bool
 	// ranked tells that the route, not the caller, sets the priority.
@@ -68,6 +71,7 @@
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBadRequest)
 	}
 	return route{
+		started:    f.firstAttempt(r, found, time.Now()),
 		service:    service,
 		spec:       spec,
 		instances:  snapshot.View().Service(spec.Name),
@@ -82,6 +86,17 @@
 	}, nil
 }
 
+// firstAttempt returns when the caller of a request made its first attempt, as
+// far as the time that it names tells that.
+func (f *Forwarder) firstAttempt(r *http.Request, route *compiler.Route, now time.Time) time.Time {
+	ms, err := parseCount(r.Header.Get(classifier.HeaderTimeout))
+	if err != nil || ms == 0 || !route.Ranked() {
+		return now
+	}
+	left := time.Duration(ms) * time.Millisecond
+	return now.Add(-f.patiences.of(route.Name()).waited(left, now))
+}
+
 // requestTimeout returns the time that the request names, bounded by the
 // service, or the service's own.
 func requestTimeout(header string, spec *compiler.ServiceSpec) (time.Duration, error) {
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -80,8 +80,8 @@
 	}
 	s.answers.RecordDuration(latency)
 	s.mark(resp)
-	if permit.Usual() {
-		resp.Header[classifier.HeaderWork] = []string{strconv.FormatInt(latency.Milliseconds(), 10)}
+	if work, ok := permit.Work(latency); ok {
+		resp.Header[classifier.HeaderWork] = []string{strconv.FormatInt(work.Milliseconds(), 10)}
 	}
 	end := func() {
 		permit.Done(Result{Latency: latency, Failed: resp.StatusCode >= http.StatusInternalServerError})
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -54,8 +54,9 @@
 
 // Permit is the leave to send one request to the upstream.
 type Permit interface {
-	// Usual reports whether nothing slowed the upstream when the request began.
-	Usual() bool
+	// Work returns how long the upstream would have taken if nothing had slowed
+	// it, given how long it took, and whether that can be told.
+	Work(latency time.Duration) (time.Duration, bool)
 	// Done gives the slot back. It must be called once.
 	Done(Result)
 }
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -37,7 +37,7 @@
 	// answer is due to be worth most.
 	HeaderDue = "Banyanscale-Due-Ms"
 	// HeaderWork holds, on answers between nodes, how many milliseconds the upstream
-	// took, if nothing slowed it, and on requests, how many milliseconds the
+	// would have taken if nothing had slowed it, and on requests, how many milliseconds the
 	// upstream is expected to work on the request where nothing slows it.
 	HeaderWork = "Banyanscale-Work-Ms"
 	// HeaderUpstreamLoad holds what an upstream reports of its load, on its answers.
