--- a/internal/connection/requester/stray_test.go
+++ b/internal/connection/requester/stray_test.go
@@ -1,8 +1,8 @@
 package requester_test
 
 import (
-	"bytes"
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
