--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -44,9 +44,9 @@
 	readTimeout = 250 * time.Millisecond
 	// maxAge is how long a report counts.
 	maxAge = 200 * time.Millisecond
-	// maxSlowPeriods is for how many periods an upstream may be slow without a
-	// break until the end of that is not expected any more.
-	maxSlowPeriods = 8
+	// assumedSpell is how long a slow spell lasts that began while it is not known
+	// when the speed changes.
+	assumedSpell = 150 * time.Millisecond
 	// usual is the slowness of an upstream that nothing slows.
 	usual = 100
 )
@@ -86,7 +86,8 @@
 	cadence  cadence
 	slowness int
 	at       time.Time // Of the last report.
-	usualAt  time.Time // Of the last report that nothing slows the upstream.
+	base     base
+	changed  time.Time // When the speed was last seen to change.
 	learning int       // Reads made while no cadence is known.
 	failing  bool      // The last read failed.
 }
@@ -117,6 +118,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.cadence = cadence{}
+	g.base = base{}
 	g.slowness = 0
 	g.at = time.Time{}
 	g.learning = 0
@@ -130,8 +132,12 @@
 	if g.slowness == 0 || now.Sub(g.at) > maxAge+g.cadence.period {
 		return sampler.Spell{SlownessPercent: usual}
 	}
-	spell := sampler.Spell{SlownessPercent: g.slowness}
-	if !g.cadence.known() || now.Sub(g.usualAt) > maxSlowPeriods*g.cadence.period {
+	spell := sampler.Spell{SlownessPercent: g.slowness, AfterPercent: g.base.percent()}
+	if g.slowness <= spell.AfterPercent {
+		return spell
+	}
+	if !g.cadence.known() {
+		spell.Ends = later(g.changed.Add(assumedSpell), now.Add(readInterval))
 		return spell
 	}
 	low, high := g.cadence.next(now)
@@ -153,11 +159,12 @@
 	if changed && now.Sub(g.at) <= maxAge {
 		g.cadence.observe(change{after: g.at, by: now})
 	}
+	if changed {
+		g.changed = now
+	}
+	g.base.observe(r.SlownessPercent, now)
 	g.slowness = r.SlownessPercent
 	g.at = asked
-	if r.SlownessPercent <= usual {
-		g.usualAt = now
-	}
 	g.mu.Unlock()
 	if changed {
 		g.cfg.OnSpell()
--- a/internal/process/gauger/gauger_test.go
+++ b/internal/process/gauger/gauger_test.go
@@ -151,6 +151,32 @@
 	}
 }
 
+// TestSpellEndsBeforeTheGridIsKnown checks that a slow spell is expected to end
+// soon after the start too, and that a cold start is no such spell.
+func TestSpellEndsBeforeTheGridIsKnown(t *testing.T) {
+	for name, tc := range map[string]struct {
+		share float64
+		ends  bool
+	}{"spells": {0.35, true}, "always the same": {1, false}} {
+		t.Run(name, func(t *testing.T) {
+			m := &machine{slice: 150 * time.Millisecond, share: tc.share, seed: 1}
+			m.busy.Store(true)
+			m.follow(t, func(g *gauger.Gauger) {
+				told := 0
+				for range 100 {
+					time.Sleep(10 * time.Millisecond)
+					now := time.Now()
+					if spell := g.Spell(now); spell.SlownessPercent == 500 && spell.Ends.After(now) {
+						told++
+						assert.Equal(t, spell.AfterPercent, 100)
+					}
+				}
+				assert.Equal(t, told > 0, tc.ends, "%d", told)
+			})
+		})
+	}
+}
+
 // TestSpellEnds checks that the end of a slow spell is told, and that it is no
 // more for an upstream that stays slow.
 func TestSpellEnds(t *testing.T) {
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/process/gossiper/exchanger.go
@@ -25,8 +25,12 @@
 	// windowBuckets is how many buckets are compared at once while the table is
 	// not complete, so that a request stays small.
 	windowBuckets = 32
-	// seedInterval is the average time between exchanges while no other instance is known.
-	seedInterval = time.Second
+	// seedInterval is the average time between exchanges while no other instance is
+	// known: such a process serves nobody, and a seed that has just started is soon found.
+	seedInterval = 250 * time.Millisecond
+	// youngPeriod is how long after its start a process looks for the seeds that it
+	// has not found.
+	youngPeriod = 8 * time.Second
 	// quietTimeout bounds how long a starting node probes nobody.
 	quietTimeout = 30 * time.Second
 	// exchangeTimeout bounds one exchange.
@@ -62,6 +66,7 @@
 	differing netip.AddrPort // A peer whose table differed lately.
 	next      time.Time
 	started   time.Time
+	seedTurn  bool // The next exchange while young is with a missing seed.
 }
 
 // quiet reports whether the node started lately and its table is not complete.
@@ -71,6 +76,11 @@
 	return x.joining && now.Sub(x.started) < quietTimeout
 }
 
+// young reports whether the process started lately. Where all start at the same
+// moment, those that found different seeds know nothing of each other until the
+// other seeds are found as well.
+func (x *exchangeState) young(now time.Time) bool { return now.Sub(x.started) < youngPeriod }
+
 // Handler returns the path and the handler of the membership service, to be
 // served over TCP at the address of the datagrams.
 func (g *Gossiper) Handler() (string, http.Handler) {
@@ -84,7 +94,7 @@
 		return
 	}
 	peer, ok := g.exchangePeer(now)
-	x.next = now.Add(g.exchangeDelay())
+	x.next = now.Add(g.exchangeDelay(now))
 	x.differing = netip.AddrPort{}
 	if !ok || g.budget.bulk() < exchangeRoom || !g.budget.takeBulk(callOverhead) {
 		return
@@ -100,22 +110,32 @@
 	})
 }
 
-func (g *Gossiper) exchangeDelay() time.Duration {
+func (g *Gossiper) exchangeDelay(now time.Time) time.Duration {
 	switch {
 	case g.table.live < 2:
 		return g.jitter(seedInterval)
 	case g.exchange.joining:
 		return g.jitter(joinInterval)
+	case g.exchange.young(now):
+		return g.jitter(seedInterval)
 	default:
 		return g.jitter(exchangeInterval)
 	}
 }
 
 // exchangePeer returns the peer of the next exchange: a random member or a
-// seed while the table is incomplete, else one whose table differed.
+// seed while the table is incomplete, else one whose table differed, or, soon
+// after the start, a seed that was not there yet.
 func (g *Gossiper) exchangePeer(now time.Time) (netip.AddrPort, bool) {
-	if !g.exchange.joining && !g.detector.resyncing(now) {
-		return g.exchange.differing, g.exchange.differing.IsValid()
+	x := &g.exchange
+	if x.young(now) {
+		x.seedTurn = !x.seedTurn
+		if seed, missing := g.missingSeed(); missing && x.seedTurn {
+			return seed, true
+		}
+	}
+	if !x.joining && !g.detector.resyncing(now) {
+		return x.differing, x.differing.IsValid()
 	}
 	if m := g.table.sample(1, func(m *member) bool { return m != g.self }); len(m) > 0 {
 		return m[0].spec.Peer, true
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -60,8 +60,10 @@
 	DefaultBytesPerSecond = 6000
 	// tickInterval is how often timers are looked at.
 	tickInterval = 100 * time.Millisecond
-	// viewInterval is the shortest time between two views.
-	viewInterval = 500 * time.Millisecond
+	// viewInterval is the shortest time between two views, and memberViewTime what
+	// is added for each member: making a view takes longer where there are many.
+	viewInterval   = 100 * time.Millisecond
+	memberViewTime = 150 * time.Microsecond
 	// leaveTimeout bounds how long Leave spreads the announcement.
 	leaveTimeout = time.Second
 )
@@ -291,10 +293,15 @@
 	g.publish(now)
 }
 
+// viewDelay returns the shortest time between two views.
+func (g *Gossiper) viewDelay() time.Duration {
+	return viewInterval + time.Duration(g.table.live)*memberViewTime
+}
+
 // publish hands out a new view if the table changed.
 func (g *Gossiper) publish(now time.Time) {
 	g.mu.Lock()
-	if !g.dirty || now.Sub(g.lastView) < viewInterval {
+	if !g.dirty || now.Sub(g.lastView) < g.viewDelay() {
 		g.mu.Unlock()
 		return
 	}
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -37,6 +37,10 @@
 	peerIdleConnections = 2
 	// peerCallTimeout bounds one call to another process.
 	peerCallTimeout = 5 * time.Second
+	// peerDialTimeout bounds the opening of a connection to another process, so
+	// that a machine without power costs little before another one is asked. It
+	// is several round trips between regions.
+	peerDialTimeout = 250 * time.Millisecond
 )
 
 // newPeerClient returns the HTTP client for calls between processes. Its calls
@@ -45,6 +49,7 @@
 	return &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 			MaxIdleConnsPerHost: peerIdleConnections,
 			IdleConnTimeout:     serverIdleTimeout / 3,
 		},
--- a/internal/process/sampler/slowness.go
+++ b/internal/process/sampler/slowness.go
@@ -6,6 +6,8 @@
 type Spell struct {
 	// SlownessPercent is how long work takes that begins in it, 100 as usual.
 	SlownessPercent int
+	// AfterPercent is the same for work that begins when the spell is over; 0 for 100.
+	AfterPercent int
 	// Ends is when the speed may change; the zero time if that is not known.
 	Ends time.Time
 }
@@ -21,17 +23,25 @@
 		return 0
 	}
 	left := s.Ends.Sub(now)
-	if Slowed(work, s.SlownessPercent) <= left+work {
+	if Slowed(work, s.SlownessPercent) <= left+s.after(work) {
 		return 0
 	}
 	return left
 }
 
+// after returns how long work takes that begins when the spell is over.
+func (s Spell) after(work time.Duration) time.Duration {
+	if s.AfterPercent == 0 {
+		return work
+	}
+	return Slowed(work, s.AfterPercent)
+}
+
 // Finish returns how long it takes from now until work is done that begins now
 // or, if that is better, when the spell is over.
 func (s Spell) Finish(work time.Duration, now time.Time) time.Duration {
 	if wait := s.Wait(work, now); wait > 0 {
-		return wait + work
+		return wait + s.after(work)
 	}
 	return Slowed(work, s.SlownessPercent)
 }
--- a/internal/process/sampler/slowness_test.go
+++ b/internal/process/sampler/slowness_test.go
@@ -23,6 +23,8 @@
 		wait, finish time.Duration
 	}{
 		"nothing slows it":           {sampler.Spell{SlownessPercent: 100, Ends: now.Add(50 * ms)}, 90 * ms, 0, 90 * ms},
+		"a cold start goes on":       {sampler.Spell{SlownessPercent: 1000, AfterPercent: 200, Ends: now.Add(50 * ms)}, 90 * ms, 50 * ms, 230 * ms},
+		"nearly as slow afterwards":  {sampler.Spell{SlownessPercent: 500, AfterPercent: 400, Ends: now.Add(100 * ms)}, 90 * ms, 0, 450 * ms},
 		"the end is near":            {slow(50 * ms), 90 * ms, 50 * ms, 140 * ms},
 		"short work, far end":        {slow(140 * ms), 20 * ms, 0, 100 * ms},
 		"the end is not known":       {sampler.Spell{SlownessPercent: 500}, 90 * ms, 0, 450 * ms},
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -136,10 +136,11 @@
 	if work.Expected <= 0 {
 		return a.latency(now)
 	}
-	if a.holdTime(work, now) > 0 {
-		return work.Expected
+	spell := a.spellAt(now)
+	if hold := a.holdTime(work, now); hold > 0 {
+		return spell.Finish(work.Expected, now) - hold
 	}
-	return sampler.Slowed(work.Expected, a.spellAt(now).SlownessPercent)
+	return sampler.Slowed(work.Expected, spell.SlownessPercent)
 }
 
 // holdTime returns for how long work is held back, although a slot may be free,
