--- a/internal/request/admitter/due_test.go
+++ b/internal/request/admitter/due_test.go
@@ -122,6 +122,24 @@
 	assert.DeepEqual(t, order, []string{"first", "call", "in time", "came late"})
 }
 
+// TestLateRequestIsNotSentAround checks that a request that can only be late may
+// wait where it came first: no other instance can answer it in time.
+func TestLateRequestIsNotSentAround(t *testing.T) {
+	const ms = time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{Slots: 1, Connections: 100, QueueLength: 100, FixedLimit: true})
+		first, err := a.Admit(context.Background(), Work{Expected: 50 * ms})
+		assert.NilError(t, err)
+		time.AfterFunc(80*ms, func() { first.Done(Result{Latency: 80 * ms}) })
+		time.Sleep(30 * ms)
+		now := time.Now()
+		late, err := a.Admit(context.Background(), Work{Priority: compiler.PriorityNormal, Expected: 50 * ms, Due: now, Deadline: now.Add(time.Second)})
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(now), 50*ms)
+		late.Done(Result{Latency: 50 * ms})
+	})
+}
+
 // TestReturningCallersDoNotMakeAllLate plays twice the load that the slots bear,
 // with callers that come back after a refusal. It checks that more of them are
 // served within the goal if it is known how long they have waited already.
