--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -65,6 +65,8 @@
 	checker Checker
 	ledger  Ledger
 	reports *reports
+	// newest is the last answer to a read of the newest version.
+	newest snapshot
 }
 
 // New returns a controller.
@@ -106,7 +108,7 @@
 }
 
 // Current implements controlwireconnect.ControlHandler.
-func (c *Controller) Current(ctx context.Context, _ *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
+func (c *Controller) Current(ctx context.Context, req *connect.Request[controlwire.CurrentRequest]) (*connect.Response[controlwire.CurrentResponse], error) {
 	state, err := c.voter.Current(ctx)
 	if errors.Is(err, voter.ErrStale) {
 		return nil, staleError(c.voter.Status())
@@ -114,7 +116,14 @@
 	if err != nil {
 		return nil, connect.NewError(codeOf(err), err)
 	}
-	return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version()}), nil
+	if !req.Msg.GetPacked() {
+		return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version()}), nil
+	}
+	resp, err := c.newest.of(state.Version())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // Fetch implements controlwireconnect.ControlHandler.
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -17,6 +18,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/controller"
 	"github.com/banyanscale/banyanscale/internal/process/journaler"
 	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -207,6 +209,30 @@
 	assert.Equal(t, current.Msg.GetVersion().GetDigest().GetNumber(), uint64(3))
 }
 
+// TestCurrentIsPackedOnce checks that a large version is handed out compressed to
+// those who ask for that, from the same bytes, and anew after a change.
+func TestCurrentIsPackedOnce(t *testing.T) {
+	client := start(t, &fakeLedger{}, "v0")
+	read := func(packed bool) *controlwire.CurrentResponse {
+		t.Helper()
+		resp, err := client.Current(context.Background(), connect.NewRequest(&controlwire.CurrentRequest{Packed: packed}))
+		assert.NilError(t, err)
+		return resp.Msg
+	}
+	assert.Assert(t, read(true).GetPacked() == nil, "a small version stays as it is")
+	for number, fill := range []string{"a", "b"} {
+		base := uint64(number + 1)
+		assert.NilError(t, submit(client, "large-"+fill, base, fill, strings.Repeat(fill, 64<<10)))
+		first, second := read(true), read(true)
+		assert.Assert(t, len(first.GetPacked()) > 0 && first.GetVersion() == nil)
+		assert.DeepEqual(t, first.GetPacked(), second.GetPacked())
+		plain, err := packer.Unpack(&controlwire.FetchResponse{Packed: first.GetPacked()})
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Equal(plain.GetSnapshot(), read(false).GetVersion()))
+		assert.Equal(t, plain.GetSnapshot().GetDigest().GetNumber(), base+1)
+	}
+}
+
 // staleVoter knows version 1 and has reached no majority for 5 s.
 type staleVoter struct{ controller.Voter }
 
--- a/internal/process/distributor/adopter.go
+++ b/internal/process/distributor/adopter.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask holder: %w", err)
 	}
-	plain, err := unpackResponse(resp)
+	plain, err := packer.Unpack(resp)
 	if err != nil {
 		return nil, fmt.Errorf("read the holder's answer: %w", err)
 	}
--- a/internal/process/distributor/client.go
+++ b/internal/process/distributor/client.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
@@ -36,7 +37,10 @@
 func NewClient(client connect.HTTPClient) Client { return &httpClient{client: client} }
 
 func (c *httpClient) control(to netip.AddrPort) controlwireconnect.ControlClient {
-	return controlwireconnect.NewControlClient(c.client, "http://"+to.String(), connect.WithReadMaxBytes(maxVersionBytes))
+	return controlwireconnect.NewControlClient(c.client, "http://"+to.String(),
+		connect.WithReadMaxBytes(maxVersionBytes),
+		connect.WithAcceptCompression("gzip", nil, nil), // What is large comes packed.
+	)
 }
 
 // Fetch implements Client.
@@ -50,11 +54,18 @@
 
 // Current implements Client.
 func (c *httpClient) Current(ctx context.Context, to netip.AddrPort) (*controlwire.Version, error) {
-	resp, err := c.control(to).Current(ctx, connect.NewRequest(&controlwire.CurrentRequest{}))
+	resp, err := c.control(to).Current(ctx, connect.NewRequest(&controlwire.CurrentRequest{Packed: true}))
 	if err != nil {
 		return nil, fmt.Errorf("read newest version: %w", err)
 	}
-	return resp.Msg.GetVersion(), nil
+	if resp.Msg.GetPacked() == nil {
+		return resp.Msg.GetVersion(), nil
+	}
+	plain, err := packer.Unpack(&controlwire.FetchResponse{Packed: resp.Msg.GetPacked()})
+	if err != nil {
+		return nil, fmt.Errorf("read newest version: %w", err)
+	}
+	return plain.GetSnapshot(), nil
 }
 
 // Fetch answers from what this process holds. A control instance may offer it
--- a/internal/process/distributor/distributor_test.go
+++ b/internal/process/distributor/distributor_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -344,9 +345,9 @@
 	assert.Assert(t, ok && first.GetPacked() != nil)
 	second, _ := h.answer(version(1).GetDigest(), time.Now())
 	assert.Assert(t, first == second)
-	unpacked, err := unpackResponse(first)
+	unpacked, err := packer.Unpack(first)
 	assert.NilError(t, err)
 	assert.Equal(t, len(unpacked.GetDelta().GetChanges()), len(large.GetDocument().GetEntries())-50)
-	_, err = unpackResponse(&controlwire.FetchResponse{Packed: []byte("no gzip")})
+	_, err = packer.Unpack(&controlwire.FetchResponse{Packed: []byte("no gzip")})
 	assert.ErrorContains(t, err, "decompress")
 }
--- a/internal/process/distributor/holder.go
+++ b/internal/process/distributor/holder.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -96,12 +97,9 @@
 	if packed := h.packed[have.GetNumber()]; packed != nil {
 		return packed
 	}
-	if proto.Size(resp) < packFrom {
-		return resp
-	}
-	packed, err := packResponse(resp)
-	if err != nil {
-		return resp // Handed out as it is.
+	packed, err := packer.Pack(resp)
+	if err != nil || packed.GetPacked() == nil {
+		return resp // Small, or handed out as it is.
 	}
 	h.packed[have.GetNumber()] = packed
 	return packed
--- a/internal/process/distributor/settler.go
+++ b/internal/process/distributor/settler.go
@@ -15,7 +15,7 @@
 	// minSettleInterval and maxSettleInterval bound the average time between
 	// reads at control, which doubles with each.
 	minSettleInterval = 100 * time.Millisecond
-	maxSettleInterval = time.Second
+	maxSettleInterval = 500 * time.Millisecond
 	// currentTimeout bounds one read at control.
 	currentTimeout = 700 * time.Millisecond
 )
--- a/internal/process/distributor/packer.go
+++ b/internal/version/packer/packer.go
@@ -1,4 +1,13 @@
-package distributor
+// Package packer compresses versions for the way between processes, once for all
+// who ask for the same.
+//
+// # Usage
+//
+//	packed, err := packer.Pack(&controlwire.FetchResponse{Snapshot: version})
+//	plain, err := packer.Unpack(packed)
+//
+// What is small is left as it is.
+package packer
 
 import (
 	"bytes"
@@ -11,12 +20,19 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// packFrom is the size, in bytes, from which on an answer is compressed once for
-// all who ask, rather than each time.
-const packFrom = 16 << 10
+const (
+	// packFrom is the size, in bytes, from which on an answer is compressed.
+	packFrom = 16 << 10
+	// maxBytes bounds an answer in plain form.
+	maxBytes = 8 << 20
+)
 
-// packResponse returns an answer that holds another one in compressed form.
-func packResponse(resp *controlwire.FetchResponse) (*controlwire.FetchResponse, error) {
+// Pack returns an answer that holds another one in compressed form, or that one
+// itself if it is small.
+func Pack(resp *controlwire.FetchResponse) (*controlwire.FetchResponse, error) {
+	if proto.Size(resp) < packFrom {
+		return resp, nil
+	}
 	plain, err := proto.Marshal(resp)
 	if err != nil {
 		return nil, fmt.Errorf("encode answer: %w", err)
@@ -32,8 +48,8 @@
 	return &controlwire.FetchResponse{Packed: out.Bytes()}, nil
 }
 
-// unpackResponse returns the answer that another one holds, or that one itself.
-func unpackResponse(resp *controlwire.FetchResponse) (*controlwire.FetchResponse, error) {
+// Unpack returns the answer that another one holds, or that one itself.
+func Unpack(resp *controlwire.FetchResponse) (*controlwire.FetchResponse, error) {
 	if resp.GetPacked() == nil {
 		return resp, nil
 	}
@@ -41,7 +57,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("decompress answer: %w", err)
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, maxVersionBytes))
+	plain, err := io.ReadAll(io.LimitReader(r, maxBytes))
 	if err != nil {
 		return nil, fmt.Errorf("decompress answer: %w", err)
 	}
