--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -27,6 +27,8 @@
 	picker *picker.Picker
 	// observeOwn takes a sample of the node's own upstream, which costs nothing.
 	observeOwn func(service string, now time.Time)
+	// domain is the failure domain of this node.
+	domain string
 }
 
 // Pick implements forwarder.Picker.
@@ -48,6 +50,7 @@
 		Instance:   choice.Instance(),
 		Candidates: candidates(choice.Candidates()),
 		Spare:      choice.Spare(),
+		Home:       choice.Instance().FailureDomain() == p.domain,
 		Grounds:    grounds{choice.Chosen(), len(choice.Candidates())},
 	}, true
 }
@@ -148,6 +151,7 @@
 		Due:      work.Due,
 		Expected: work.Expected,
 		Retried:  work.Retried,
+		Stays:    work.Stays,
 	})
 	if err != nil {
 		if wantsSlot(err) {
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -124,7 +124,7 @@
 	n.forwarder = forwarder.New(forwarder.Config{
 		Instance:   s.Instance(),
 		Snapshots:  n.snapshots,
-		Picker:     choicePicker{choice, n.observeOwn},
+		Picker:     choicePicker{choice, n.observeOwn, s.FailureDomain()},
 		Observer:   loadObserver{n.pool, n.gossiper.ReportUnreachable},
 		Requester:  newRequester(maxConnectionsPerNode),
 		Local:      n.server,
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -77,6 +77,9 @@
 	// Retried tells that another attempt went before: what was refused elsewhere
 	// is refused for its deadline only.
 	Retried bool
+	// Stays tells that to wait here is better than to go elsewhere, as long as it
+	// can be in time.
+	Stays bool
 	// late tells that it could not be in time any more when it came.
 	late bool
 }
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	wait := a.expectedWait(work, p, now)
-	if !work.Retried && !a.tooLate(work, now) {
+	if !work.Retried && !work.Stays && !a.tooLate(work, now) {
 		return wait > work.Due.Sub(now)/firstWaitShare
 	}
 	if wait+a.workTime(work, now) <= work.Due.Sub(now) {
--- a/internal/request/admitter/hold_test.go
+++ b/internal/request/admitter/hold_test.go
@@ -151,5 +151,13 @@
 		assert.Assert(t, errors.As(err, &refusal))
 		assert.Equal(t, refusal.Reason(), classifier.ReasonQueueSlow)
 		assert.Equal(t, time.Since(start), time.Duration(0))
+		// One that is better answered here waits, as long as it can be in time.
+		time.AfterFunc(140*ms, func() {
+			spell = sampler.Spell{SlownessPercent: 100}
+			a.SpellChanged()
+		})
+		_, err = a.Admit(context.Background(), Work{Priority: compiler.PriorityNormal, Expected: 90 * ms, Due: start.Add(300 * ms), Deadline: start.Add(time.Second), Stays: true})
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), 140*ms)
 	})
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -18,6 +18,9 @@
 // maxDiscard is how many bytes of an unwanted answer are read to keep its connection.
 const maxDiscard = 4 << 10
 
+// stayValue is the value of HeaderStay. It is shared: it must not be changed.
+var stayValue = []string{"1"}
+
 // attempt is one try at one instance. Either resp or refusal is set.
 type attempt struct {
 	number  int // From 1 on.
@@ -122,6 +125,9 @@
 	if c.route.goal > 0 {
 		req.Header[classifier.HeaderDue] = []string{strconv.FormatInt(c.goalLeft(time.Now()).Milliseconds(), 10)}
 	}
+	if c.route.large && a.choice.Home {
+		req.Header[classifier.HeaderStay] = stayValue
+	}
 	resp, refusal := c.deliver(ctx, a.choice.Instance, req)
 	if refusal != nil {
 		return nil, refusal
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -60,6 +60,8 @@
 	// Spare tells that the instance has room and that nothing slows it, so that a
 	// hedge takes nothing from others there.
 	Spare bool
+	// Home tells that the instance is in the failure domain of this node.
+	Home bool
 	// Grounds tells in a log line what the choice rests on; nil for nothing.
 	Grounds zerolog.LogObjectMarshaler
 }
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// refreshTimeout bounds how long a choice waits for load samples.
-	refreshTimeout = 8 * time.Millisecond
+	// refreshTimeout bounds how long a choice waits for load samples, and
+	// refreshTimeoutLarge does for a large answer: the link of who is asked may be
+	// full of such.
+	refreshTimeout      = 8 * time.Millisecond
+	refreshTimeoutLarge = 20 * time.Millisecond
 	// reusePeriod is how old a sample may be to be used without asking again.
 	reusePeriod = 3 * time.Millisecond
 	// homeRounds is how often candidates of the node's own failure domain are
@@ -104,7 +107,11 @@
 		choice.add(candidate)
 	}
 	if len(stale) > 0 && c.p.refresher != nil {
-		c.p.refresher.Refresh(&r.spec, stale, refreshTimeout)
+		timeout := refreshTimeout
+		if r.Large {
+			timeout = refreshTimeoutLarge
+		}
+		c.p.refresher.Refresh(&r.spec, stale, timeout)
 		r.Now = time.Now()
 	}
 	for i := first; i < choice.n; i++ {
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -54,6 +54,7 @@
 		Due:      dueAt(req.Header),
 		Expected: milliseconds(req.Header.Get(classifier.HeaderWork)),
 		Retried:  retried,
+		Stays:    req.Header.Get(classifier.HeaderStay) != "",
 	})
 	if err != nil {
 		return nil, admissionRefusal(err)
@@ -172,6 +173,7 @@
 	delete(req.Header, classifier.HeaderService)
 	delete(req.Header, classifier.HeaderDue)
 	delete(req.Header, classifier.HeaderWork)
+	delete(req.Header, classifier.HeaderStay)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(left, 10))
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -72,6 +72,8 @@
 	Expected time.Duration
 	// Retried tells that another attempt went before.
 	Retried bool
+	// Stays tells that to wait here is better than to go elsewhere.
+	Stays bool
 }
 
 // Admitter bounds the work of the upstream.
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -36,6 +36,9 @@
 	// HeaderDue holds, on requests between nodes, in how many milliseconds the
 	// answer is due to be worth most.
 	HeaderDue = "Banyanscale-Due-Ms"
+	// HeaderStay is 1 on requests between nodes that are better answered by this
+	// instance after a wait than by one of another failure domain.
+	HeaderStay = "Banyanscale-Stay"
 	// HeaderWork holds, on answers between nodes, how many milliseconds the upstream
 	// would have taken if nothing had slowed it, and on requests, how many milliseconds the
 	// upstream is expected to work on the request where nothing slows it.
