--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -14,8 +14,11 @@
 	// full of such.
 	refreshTimeout      = 8 * time.Millisecond
 	refreshTimeoutLarge = 20 * time.Millisecond
-	// reusePeriod is how old a sample may be to be used without asking again.
-	reusePeriod = 3 * time.Millisecond
+	// reusePeriod is how old a sample may be to be used without asking again, and
+	// reusePeriodFull that of an instance without a free slot: for that to change
+	// work must end, and to ask it again at each attempt costs more than is gained.
+	reusePeriod     = 3 * time.Millisecond
+	reusePeriodFull = 25 * time.Millisecond
 	// homeRounds is how often candidates of the node's own failure domain are
 	// drawn before others are.
 	homeRounds = 2
@@ -126,7 +129,13 @@
 // current reports whether a candidate's sample needs no refresh.
 func (c *leastExpectedFinish) current(candidate *Candidate) bool {
 	reading := candidate.reading
-	return reading.Fresh() && reading.Age() <= reusePeriod && reading.Incarnation() == candidate.instance.Incarnation()
+	if !reading.Sampled() || reading.Incarnation() != candidate.instance.Incarnation() {
+		return false
+	}
+	if load := reading.Load(); load.InFlight() >= load.Limit() && reading.Age() <= reusePeriodFull {
+		return true
+	}
+	return reading.Fresh() && reading.Age() <= reusePeriod
 }
 
 // best scores all candidates and returns the best one with a sample, or -1.
--- a/internal/request/picker/leastexpectedfinish_test.go
+++ b/internal/request/picker/leastexpectedfinish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -36,6 +37,15 @@
 }
 
 func (p placement) pick(t *testing.T) (chosen string, considered []string) {
+	t.Helper()
+	a, choose, query := p.picker(t)
+	choice, ok := choose.Pick(query)
+	assert.Assert(t, ok)
+	return choice.Instance().ID(), a.ids
+}
+
+// picker returns the picker of the placement with what it asks, and a query.
+func (p placement) picker(t *testing.T) (*asked, *picker.Picker, picker.Query) {
 	t.Helper()
 	a := &asked{pool: sampler.New(sampler.Config{}), loads: p.loads}
 	var instances []*registrar.Instance
@@ -51,12 +61,10 @@
 		Pool: a.pool, Self: "a-1", Region: "sur", FailureDomain: "a", Policy: picker.PolicyLeastExpectedFinish, Refresher: a,
 	})
 	assert.NilError(t, err)
-	choice, ok := choose.Pick(picker.Query{
+	return a, choose, picker.Query{
 		Service: compiler.NewService(compiler.DefaultServiceSpec("vitrina")), Instances: instances,
 		Work: 90 * time.Millisecond, Goal: 300 * time.Millisecond, Large: p.large, Now: time.Now(),
-	})
-	assert.Assert(t, ok)
-	return choice.Instance().ID(), a.ids
+	}
 }
 
 // TestLeastExpectedFinish plays choices under load that differs from instance
@@ -86,3 +94,31 @@
 		})
 	}
 }
+
+// TestFullInstancesAreNotAskedAgain checks that a request which found all instances
+// full does not ask them again at its next attempt, while those with room are
+// asked each time.
+func TestFullInstancesAreNotAskedAgain(t *testing.T) {
+	full := sampler.LoadSpec{InFlight: 6, Queued: 3, Latency: 90 * time.Millisecond}
+	idle := sampler.LoadSpec{InFlight: 5, SlownessPercent: 500}
+	for name, tc := range map[string]struct {
+		load  sampler.LoadSpec
+		asked int // At the second attempt, of three.
+	}{"full": {full, 0}, "slow, with room": {idle, 3}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := placement{loads: map[string]sampler.LoadSpec{"a-1": tc.load, "a-2": tc.load, "b-1": tc.load, "b-2": tc.load}}
+				a, choose, query := p.picker(t)
+				_, ok := choose.Pick(query)
+				assert.Assert(t, ok)
+				a.ids = nil
+				time.Sleep(10 * time.Millisecond)
+				query.Now = time.Now()
+				query.Exclude = []string{"a-1"}
+				_, ok = choose.Pick(query)
+				assert.Assert(t, ok)
+				assert.Equal(t, len(a.ids), tc.asked, "%v", a.ids)
+			})
+		})
+	}
+}
