--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -85,13 +85,18 @@
 	a.resp, a.refusal = resp, refusal
 	a.end = time.Now()
 	c.observeWork(resp)
+	observer.Finished(id, resultOf(resp, refusal, a.end.Sub(a.start)))
+}
+
+// resultOf returns what an exchange says of the instance. One whose address
+// belongs to another instance by now is as unreachable as one that is gone.
+func resultOf(resp *http.Response, refusal *refuser.Refusal, latency time.Duration) Result {
 	failed := blamesInstance(refusal) || resp != nil && resp.StatusCode >= http.StatusInternalServerError
-	observer.Finished(id, Result{
-		Latency:     a.end.Sub(a.start),
-		Failed:      failed,
-		Refused:     refusal != nil && !failed,
-		Unreachable: refusal != nil && refusal.Reason() == classifier.ReasonConnect,
-	})
+	result := Result{Latency: latency, Failed: failed, Refused: refusal != nil && !failed}
+	if refusal != nil {
+		result.Unreachable = refusal.Reason() == classifier.ReasonConnect || refusal.Reason() == classifier.ReasonWrongInstance
+	}
+	return result
 }
 
 // observeWork takes in how long the upstream took for a good answer, as its node
@@ -239,7 +244,8 @@
 	}
 	switch refusal.Reason() {
 	case classifier.ReasonConnect, classifier.ReasonSend, classifier.ReasonReset, classifier.ReasonTruncated,
-		classifier.ReasonStalled, classifier.ReasonMalformed, classifier.ReasonTimeout, classifier.ReasonShed:
+		classifier.ReasonStalled, classifier.ReasonMalformed, classifier.ReasonTimeout, classifier.ReasonShed,
+		classifier.ReasonWrongInstance:
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/request/forwarder/result_test.go
@@ -0,0 +1,37 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// TestResultOf checks what the end of an attempt says of the instance.
+func TestResultOf(t *testing.T) {
+	const latency = 5 * time.Millisecond
+	refusal := func(reason classifier.Reason) *refuser.Refusal { return refuser.New(classifier.NotRun, reason) }
+	for name, tc := range map[string]struct {
+		status  int
+		refusal *refuser.Refusal
+		want    Result
+	}{
+		"answered":                       {http.StatusOK, nil, Result{Latency: latency}},
+		"failed by its upstream":         {http.StatusInternalServerError, nil, Result{Latency: latency, Failed: true}},
+		"no room":                        {0, refusal(classifier.ReasonQueueSlow), Result{Latency: latency, Refused: true}},
+		"gone":                           {0, refusal(classifier.ReasonConnect), Result{Latency: latency, Failed: true, Unreachable: true}},
+		"its address is used by another": {0, refusal(classifier.ReasonWrongInstance), Result{Latency: latency, Failed: true, Unreachable: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var resp *http.Response
+			if tc.status != 0 {
+				resp = &http.Response{StatusCode: tc.status}
+			}
+			assert.DeepEqual(t, resultOf(resp, tc.refusal, latency), tc.want)
+		})
+	}
+}
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -33,6 +33,9 @@
 	fleet_runner "$1"
 	"${runner[@]}" "$bin" "${@:3}" >"$dir/$2.log" 2>&1 &
 	fleet_pids+=("$!")
+	# Until then it is a copy of this shell, which a signal would make run the traps
+	# of the script, or which may lose the signal.
+	while [ "/proc/$!/exe" -ef "/proc/$$/exe" ]; do sleep 0.002; done
 	printf '%s\n' "$!" >"$dir/$2.pid"
 }
 
