--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -155,10 +155,12 @@
 	}
 	now := time.Now()
 	g.mu.Lock()
+	known := g.cadence.known()
 	changed := g.slowness != 0 && g.slowness != r.SlownessPercent
 	if changed && now.Sub(g.at) <= maxAge {
 		g.cadence.observe(change{after: g.at, by: now})
 	}
+	period := g.cadence.period
 	if changed {
 		g.changed = now
 	}
@@ -166,6 +168,9 @@
 	g.slowness = r.SlownessPercent
 	g.at = asked
 	g.mu.Unlock()
+	if known != (period > 0) {
+		g.cfg.Log.Info().Dur("period-ms", period).Msg("What is known of when the upstream's speed changes is new.")
+	}
 	if changed {
 		g.cfg.OnSpell()
 	}
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -76,18 +76,8 @@
 	s := n.settings
 	spec := compiler.DefaultServiceSpec(s.Service())
 	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
-	n.link = pacer.New(s.LinkBytesPerSecond())
 	n.assembleGauger(base)
-	n.admitter = admitter.New(admitter.Config{
-		Slots:       orDefault(s.Slots(), spec.Slots),
-		Connections: orDefault(s.Connections(), spec.Connections),
-		QueueLength: spec.QueueLength,
-		ColdStart:   spec.ColdStart,
-		FixedLimit:  s.UpstreamHeartbeats(),
-		Spell:       n.spell,
-		LinkWait:    n.link.Wait,
-		Observer:    n.meter,
-	})
+	n.assembleAdmitter(spec)
 	n.assembleReports(base)
 	n.assembleEnroller(base)
 	n.assembleWatchers()
@@ -137,6 +127,23 @@
 	return nil
 }
 
+// assembleAdmitter makes the parts that bound the work of the upstream and the
+// large answers on the link.
+func (n *Node) assembleAdmitter(spec compiler.ServiceSpec) {
+	s := n.settings
+	n.link = pacer.New(s.LinkBytesPerSecond())
+	n.admitter = admitter.New(admitter.Config{
+		Slots:       orDefault(s.Slots(), spec.Slots),
+		Connections: orDefault(s.Connections(), spec.Connections),
+		QueueLength: spec.QueueLength,
+		ColdStart:   spec.ColdStart,
+		FixedLimit:  s.UpstreamHeartbeats(),
+		Spell:       n.spell,
+		LinkWait:    n.link.Wait,
+		Observer:    n.meter,
+	})
+}
+
 // placements returns how many attempts of one request may find that an
 // instance has no room, beside those that reach an upstream.
 func (n *Node) placements() int {
--- a/scripts/fleet_test.go
+++ b/scripts/fleet_test.go
@@ -2,35 +2,22 @@
 package scripts_test
 
 import (
-	"os/exec"
+	"path/filepath"
 	"testing"
 
+	"github.com/rogpeppe/go-internal/testscript"
 	"gotest.tools/v3/assert"
 )
 
-// earlyStop starts processes and stops each at once, and then looks whether another
-// one that the script started is still there.
-const earlyStop = `
-set -euo pipefail
-dir=$1
-bin=/bin/sleep
-. lib/fleet.sh
-trap fleet_stop EXIT
-fleet_start bystander 20
-bystander=$!
-for n in $(seq 50); do
-	fleet_start early 20
-	kill -TERM $!
-	wait $! 2>/dev/null || true
-	fleet_forget $!
-done
-kill -0 $bystander
-`
-
-// TestStopBeforeTheStart checks that to stop a process that has just been started
-// stops no other one.
-func TestStopBeforeTheStart(t *testing.T) {
-	cmd := exec.CommandContext(t.Context(), "bash", "-c", earlyStop, "bash", t.TempDir())
-	out, err := cmd.CombinedOutput()
-	assert.NilError(t, err, "%s", out)
+// TestScripts plays the sessions in testdata.
+func TestScripts(t *testing.T) {
+	lib, err := filepath.Abs("lib")
+	assert.NilError(t, err)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("LIB", lib)
+			return nil
+		},
+	})
 }
