--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -18,6 +18,9 @@
 // hopValue is the value of HeaderHop. It is shared: it must not be changed.
 var hopValue = []string{"1"}
 
+// nodeHeaders are headers between nodes that mean nothing from a caller.
+var nodeHeaders = [...]string{classifier.HeaderKeyHome, classifier.HeaderDue, classifier.HeaderStay, classifier.HeaderWork}
+
 // call is one request of a caller on its way through attempts.
 type call struct {
 	ctx        context.Context
@@ -57,7 +60,9 @@
 	c.header[classifier.HeaderDepth] = []string{strconv.Itoa(route.depth)}
 	c.header[classifier.HeaderRequestID] = []string{trace.ID()}
 	c.header[classifier.HeaderHop] = hopValue
-	delete(c.header, classifier.HeaderKeyHome)
+	for _, name := range nodeHeaders {
+		delete(c.header, name)
+	}
 	c.header[classifier.HeaderService] = []string{route.spec.Name}
 	if route.ranked {
 		c.header[classifier.HeaderPriority] = []string{route.spec.Priority.String()}
--- /dev/null
+++ b/internal/request/forwarder/call_test.go
@@ -0,0 +1,31 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/request/explainer"
+	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+// TestCallersSetNoNodeHeaders checks that a caller cannot say what only nodes tell
+// each other: how urgent a request is, how long it takes, and that it stays.
+func TestCallersSetNoNodeHeaders(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/prices", http.NoBody)
+	for _, name := range nodeHeaders {
+		r.Header.Set(name, "1")
+	}
+	r.Header.Set("Accept-Language", "es")
+	spec := compiler.DefaultServiceSpec("vitrina")
+	c := newCall(context.Background(), &Forwarder{budgets: retrier.NewBudgets()}, r, route{spec: &spec}, explainer.NewTrace("a", r.Method, r.URL.Path, time.Now()))
+	for _, name := range nodeHeaders {
+		assert.Equal(t, c.header.Get(name), "")
+	}
+	assert.Equal(t, c.header.Get("Accept-Language"), "es")
+}
