--- a/internal/process/gauger/gauger.go
+++ b/internal/process/gauger/gauger.go
@@ -168,14 +168,23 @@
 	g.slowness = r.SlownessPercent
 	g.at = asked
 	g.mu.Unlock()
-	if known != (period > 0) {
-		g.cfg.Log.Info().Dur("period-ms", period).Msg("What is known of when the upstream's speed changes is new.")
-	}
+	g.noteCadence(known, period)
 	if changed {
 		g.cfg.OnSpell()
 	}
 }
 
+// noteCadence logs when it gets known how often the speed changes, and when that
+// turns out to be wrong.
+func (g *Gauger) noteCadence(known bool, period time.Duration) {
+	switch {
+	case !known && period > 0:
+		g.cfg.Log.Info().Dur("period-ms", period).Msg("The upstream's speed changes at regular times.")
+	case known && period == 0:
+		g.cfg.Log.Info().Msg("The upstream's speed changes at other times than expected.")
+	}
+}
+
 func (g *Gauger) run() error {
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
