--- a/internal/process/gauger/gauger_test.go
+++ b/internal/process/gauger/gauger_test.go
@@ -34,11 +34,15 @@
 	reads atomic.Int64
 	busy  atomic.Bool
 	fail  atomic.Bool
+	stuck atomic.Bool // Slow from now on.
 	spell atomic.Int64 // How often it was told that the speed may have changed.
 }
 
 // slowness returns the speed at a moment.
 func (m *machine) slowness(now time.Time) int {
+	if m.stuck.Load() {
+		return 500
+	}
 	slice := uint64(0)
 	if m.slice > 0 {
 		slice = uint64(now.Sub(m.start) / m.slice)
@@ -192,7 +196,7 @@
 		left := g.Spell(now).Ends.Sub(now)
 		want := m.slice - now.Sub(m.start)%m.slice
 		assert.Assert(t, (left-want).Abs() <= 10*time.Millisecond, "%s, want %s", left, want)
-		m.share = 1
+		m.stuck.Store(true)
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, g.Spell(time.Now()).SlownessPercent, 500)
 		assert.Assert(t, g.Spell(time.Now()).Ends.IsZero())
--- a/internal/request/admitter/hold_test.go
+++ b/internal/request/admitter/hold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,8 +144,9 @@
 func TestFirstAttemptGoesElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const ms = time.Millisecond
-		spell := sampler.Spell{SlownessPercent: 500, Ends: time.Now().Add(140 * ms)}
-		a := New(Config{Slots: 6, Connections: 100, QueueLength: 100, FixedLimit: true, Spell: func(time.Time) sampler.Spell { return spell }})
+		var spell atomic.Pointer[sampler.Spell]
+		spell.Store(&sampler.Spell{SlownessPercent: 500, Ends: time.Now().Add(140 * ms)})
+		a := New(Config{Slots: 6, Connections: 100, QueueLength: 100, FixedLimit: true, Spell: func(time.Time) sampler.Spell { return *spell.Load() }})
 		start := time.Now()
 		_, err := a.Admit(context.Background(), Work{Priority: compiler.PriorityNormal, Expected: 90 * ms, Due: start.Add(300 * ms), Deadline: start.Add(time.Second)})
 		var refusal *Refusal
@@ -153,7 +155,7 @@
 		assert.Equal(t, time.Since(start), time.Duration(0))
 		// One that is better answered here waits, as long as it can be in time.
 		time.AfterFunc(140*ms, func() {
-			spell = sampler.Spell{SlownessPercent: 100}
+			spell.Store(&sampler.Spell{SlownessPercent: 100})
 			a.SpellChanged()
 		})
 		_, err = a.Admit(context.Background(), Work{Priority: compiler.PriorityNormal, Expected: 90 * ms, Due: start.Add(300 * ms), Deadline: start.Add(time.Second), Stays: true})
