--- a/internal/process/gauger/gauger_test.go
+++ b/internal/process/gauger/gauger_test.go
@@ -34,7 +34,7 @@
 	reads atomic.Int64
 	busy  atomic.Bool
 	fail  atomic.Bool
-	stuck atomic.Bool // Slow from now on.
+	stuck atomic.Bool  // Slow from now on.
 	spell atomic.Int64 // How often it was told that the speed may have changed.
 }
 
--- a/internal/request/admitter/due_test.go
+++ b/internal/request/admitter/due_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,7 @@
 // that were admitted, in order. Each runs for the time that it is expected to.
 func admitAll(t *testing.T, slots int, requests []named) []string {
 	t.Helper()
+	var mu sync.Mutex
 	var order []string
 	synctest.Test(t, func(*testing.T) {
 		a := New(Config{Slots: slots, Connections: 100, QueueLength: 100, FixedLimit: true})
@@ -28,7 +31,9 @@
 				if err != nil {
 					return
 				}
+				mu.Lock()
 				order = append(order, r.name)
+				mu.Unlock()
 				time.Sleep(work.Expected)
 				p.Done(Result{Latency: work.Expected})
 			}()
@@ -79,7 +84,7 @@
 // goals of five times the work, and checks that most of what they bear is in time.
 func TestWhatCanBeInTimeGoesFirst(t *testing.T) {
 	const work, goal, slots = 90 * time.Millisecond, 450 * time.Millisecond, 6
-	inTime, refusedLate := 0, 0
+	var inTime, refusedLate atomic.Int64
 	synctest.Test(t, func(*testing.T) {
 		a := New(Config{Slots: slots, Connections: 100, QueueLength: 32, FixedLimit: true})
 		r := rand.New(rand.NewPCG(5, 6))
@@ -91,22 +96,22 @@
 				p, err := a.Admit(context.Background(), request)
 				if err != nil {
 					if time.Since(arrived) > goal/2 {
-						refusedLate++
+						refusedLate.Add(1)
 					}
 					return
 				}
 				time.Sleep(work)
 				p.Done(Result{Latency: work})
 				if time.Since(arrived) <= goal {
-					inTime++
+					inTime.Add(1)
 				}
 			}()
 		}
 		time.Sleep(10 * time.Second)
 	})
-	t.Logf("in time: %d of 1000 that the slots bear, refused late: %d", inTime, refusedLate)
-	assert.Assert(t, inTime > 700)
-	assert.Assert(t, refusedLate < 100)
+	t.Logf("in time: %d of 1000 that the slots bear, refused late: %d", inTime.Load(), refusedLate.Load())
+	assert.Assert(t, inTime.Load() > 700)
+	assert.Assert(t, refusedLate.Load() < 100)
 }
 
 // TestWhatCameLateGoesLast checks that work that was past its goal when it came
@@ -154,7 +159,7 @@
 func playReturning(t *testing.T, known bool) int {
 	t.Helper()
 	const work, goal, patience, slots = 90 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second, 6
-	inTime := 0
+	var inTime atomic.Int64
 	synctest.Test(t, func(*testing.T) {
 		a := New(Config{Slots: slots, Connections: 100, QueueLength: 32, FixedLimit: true})
 		r := rand.New(rand.NewPCG(9, 9))
@@ -171,7 +176,7 @@
 					time.Sleep(work)
 					p.Done(Result{Latency: work})
 					if time.Since(first) <= goal {
-						inTime++
+						inTime.Add(1)
 					}
 					return
 				}
@@ -184,7 +189,7 @@
 		}
 		time.Sleep(10 * time.Second)
 	})
-	return inTime
+	return int(inTime.Load())
 }
 
 // TestCrowdedUpstreamIsKeptRoomy plays load above the capacity of an upstream
@@ -211,12 +216,12 @@
 				for begin := time.Now(); time.Since(begin) < 10*time.Second; {
 					load := max(tc.first, 0.4+0.8*time.Since(begin).Seconds()/10) // Up to too much.
 					time.Sleep(time.Duration(r.ExpFloat64() / (load * slots) * float64(work)))
+					took := float64(work) * (0.7 + 0.6*r.Float64())
 					go func() {
 						p, err := a.Admit(context.Background(), Work{Expected: work, Deadline: time.Now().Add(time.Second)})
 						if err != nil {
 							return
 						}
-						took := float64(work) * (0.7 + 0.6*r.Float64())
 						if a.InFlight() > 4 {
 							took *= tc.slower
 						}
--- a/internal/request/admitter/hold_test.go
+++ b/internal/request/admitter/hold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,13 @@
 // which are answered within due.
 func (s *slices) play(t *testing.T, hold bool, perSecond float64, work, due time.Duration) served {
 	t.Helper()
+	var mu sync.Mutex
 	var got served
+	count := func(n *int) {
+		mu.Lock()
+		defer mu.Unlock()
+		*n++
+	}
 	synctest.Test(t, func(*testing.T) {
 		const length = 20 * time.Second
 		s.start = time.Now()
@@ -72,16 +79,16 @@
 					Priority: compiler.PriorityHigh, Expected: work, Due: arrived.Add(due), Deadline: arrived.Add(5 * due),
 				})
 				if err != nil {
-					got.refused++
+					count(&got.refused)
 					return
 				}
 				taken := sampler.Slowed(work, s.spell(time.Now()).SlownessPercent)
 				time.Sleep(taken)
 				p.Done(Result{Latency: taken})
 				if time.Since(arrived) <= due {
-					got.inTime++
+					count(&got.inTime)
 				} else {
-					got.late++
+					count(&got.late)
 				}
 			}()
 			synctest.Wait()
