--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -65,8 +65,8 @@
 	checker Checker
 	ledger  Ledger
 	reports *reports
-	// newest is the last answer to a read of the newest version.
-	newest snapshot
+	// newest holds the last answers with the newest version.
+	newest answers
 }
 
 // New returns a controller.
@@ -119,7 +119,7 @@
 	if !req.Msg.GetPacked() {
 		return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version()}), nil
 	}
-	resp, err := c.newest.of(state.Version())
+	resp, err := c.newest.whole(state.Version())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
@@ -132,11 +132,9 @@
 	if state == nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, voter.ErrNoGroup)
 	}
-	resp := &controlwire.FetchResponse{}
-	if delta, ok := state.Delta(req.Msg.GetHave()); ok {
-		resp.Delta = delta
-	} else {
-		resp.Snapshot = state.Version()
+	resp, err := c.newest.since(state, req.Msg.GetHave())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -233,6 +233,25 @@
 	}
 }
 
+// TestLargeChangesArePackedOnce checks that a large change is handed out compressed,
+// from the same bytes to all who have the same version.
+func TestLargeChangesArePackedOnce(t *testing.T) {
+	client := start(t, &fakeLedger{}, "v0")
+	have := fetch(t, client, 0, "").GetSnapshot().GetDigest()
+	assert.NilError(t, submit(client, "large", 1, "a", strings.Repeat("a", 64<<10)))
+	read := func() *controlwire.FetchResponse {
+		resp, err := client.Fetch(context.Background(), connect.NewRequest(&controlwire.FetchRequest{Have: have}))
+		assert.NilError(t, err)
+		return resp.Msg
+	}
+	first, second := read(), read()
+	assert.Assert(t, len(first.GetPacked()) > 0)
+	assert.DeepEqual(t, first.GetPacked(), second.GetPacked())
+	plain, err := packer.Unpack(first)
+	assert.NilError(t, err)
+	assert.Equal(t, plain.GetDelta().GetTarget().GetNumber(), uint64(2))
+}
+
 // staleVoter knows version 1 and has reached no majority for 5 s.
 type staleVoter struct{ controller.Voter }
 
