--- a/internal/process/distributor/client.go
+++ b/internal/process/distributor/client.go
@@ -15,9 +15,6 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
 
-// maxVersionBytes bounds a version on the wire, in bytes.
-const maxVersionBytes = 8 << 20
-
 // errBusy tells an asking process to turn to another holder.
 var errBusy = errors.New("too many snapshots were handed out lately")
 
@@ -38,7 +35,7 @@
 
 func (c *httpClient) control(to netip.AddrPort) controlwireconnect.ControlClient {
 	return controlwireconnect.NewControlClient(c.client, "http://"+to.String(),
-		connect.WithReadMaxBytes(maxVersionBytes),
+		connect.WithReadMaxBytes(packer.MaxBytes),
 		connect.WithAcceptCompression("gzip", nil, nil), // What is large comes packed.
 	)
 }
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -30,6 +30,10 @@
 	linkKey     = ";link-wait-ms="
 )
 
+// RoomyShare is the share of its slots up to which an upstream has room: many are
+// slower when they are nearly full.
+const RoomyShare = 0.75
+
 // ErrLoad reports text that is not a load header value.
 var ErrLoad = errors.New("malformed load")
 
--- a/internal/process/sampler/slowness.go
+++ b/internal/process/sampler/slowness.go
@@ -23,14 +23,14 @@
 		return 0
 	}
 	left := s.Ends.Sub(now)
-	if Slowed(work, s.SlownessPercent) <= left+s.after(work) {
+	if Slowed(work, s.SlownessPercent) <= left+s.After(work) {
 		return 0
 	}
 	return left
 }
 
-// after returns how long work takes that begins when the spell is over.
-func (s Spell) after(work time.Duration) time.Duration {
+// After returns how long work takes that begins when the spell is over.
+func (s Spell) After(work time.Duration) time.Duration {
 	if s.AfterPercent == 0 {
 		return work
 	}
@@ -41,7 +41,7 @@
 // or, if that is better, when the spell is over.
 func (s Spell) Finish(work time.Duration, now time.Time) time.Duration {
 	if wait := s.Wait(work, now); wait > 0 {
-		return wait + s.after(work)
+		return wait + s.After(work)
 	}
 	return Slowed(work, s.SlownessPercent)
 }
--- a/internal/request/admitter/crowding.go
+++ b/internal/request/admitter/crowding.go
@@ -1,19 +1,16 @@
 package admitter
 
-import "time"
+import (
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/request/estimator"
+)
 
 const (
-	// crowdedShare is the share of the slots from which on an upstream may be
-	// slower for being nearly full.
-	crowdedShare = 0.75
 	// crowdedRatio is by how much longer work must take in a crowded upstream for
 	// the limit to stay below that: a third more slots are gained otherwise.
 	crowdedRatio = 1.25
-	// crowdingQuantile is the share of the work that is faster than what is
-	// compared: the rest meets noise.
-	crowdingQuantile = 0.35
-	// crowdingStep is by how much of itself a quantile moves with one result.
-	crowdingStep = 0.08
 	// crowdingResults is how many results each side of a comparison needs.
 	crowdingResults = 12
 	// crowdingHalfLife is how long it takes until half of the results are
@@ -33,7 +30,7 @@
 	judged time.Time
 }
 
-// slowdown is a quantile of how many times longer than expected work takes.
+// slowdown is the estimate of how many times longer than expected work takes.
 type slowdown struct {
 	ratio   float64
 	results float64
@@ -69,20 +66,12 @@
 
 // roomySlots returns how many of the slots may be in use before an upstream
 // counts as crowded.
-func roomySlots(slots int) int { return max(int(crowdedShare*float64(slots)), 1) }
+func roomySlots(slots int) int { return max(int(sampler.RoomyShare*float64(slots)), 1) }
 
 func (s *slowdown) observe(ratio float64, now time.Time) {
 	s.results = s.remembered(now) + 1
 	s.at = now
-	step := crowdingStep * s.ratio
-	switch {
-	case s.ratio == 0:
-		s.ratio = ratio
-	case ratio < s.ratio:
-		s.ratio = max(s.ratio-step*(1-crowdingQuantile), ratio)
-	default:
-		s.ratio = min(s.ratio+step*crowdingQuantile, ratio)
-	}
+	s.ratio = estimator.Next(s.ratio, ratio)
 }
 
 // remembered returns the number of results that still count.
--- a/internal/request/admitter/estimate.go
+++ b/internal/request/admitter/estimate.go
@@ -137,8 +137,8 @@
 		return a.latency(now)
 	}
 	spell := a.spellAt(now)
-	if hold := a.holdTime(work, now); hold > 0 {
-		return spell.Finish(work.Expected, now) - hold
+	if a.holdTime(work, now) > 0 {
+		return spell.After(work.Expected)
 	}
 	return sampler.Slowed(work.Expected, spell.SlownessPercent)
 }
--- a/internal/request/forwarder/works.go
+++ b/internal/request/forwarder/works.go
@@ -4,14 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-const (
-	// workQuantile is the share of the latencies of a route that are shorter than
-	// its work: the others hold waits and slow spells.
-	workQuantile = 0.35
-	// workStep is by how much of itself the estimate moves with one latency.
-	workStep = 0.08
+	"github.com/banyanscale/banyanscale/internal/request/estimator"
 )
 
 // works holds, for each route, how long its requests take where nothing slows them.
@@ -31,22 +25,9 @@
 	estimate := found.(*atomic.Int64)
 	for {
 		old := estimate.Load()
-		if estimate.CompareAndSwap(old, nextEstimate(old, int64(latency))) {
+		next := int64(estimator.Next(float64(old), float64(latency)))
+		if estimate.CompareAndSwap(old, next) {
 			return
 		}
 	}
 }
-
-// nextEstimate moves the estimate so that it settles where workQuantile of the
-// latencies lie below it.
-func nextEstimate(old, latency int64) int64 {
-	step := workStep * float64(old)
-	switch {
-	case old == 0:
-		return latency
-	case latency < old:
-		return max(old-int64(step*(1-workQuantile)), latency)
-	default:
-		return min(old+int64(step*workQuantile), latency)
-	}
-}
--- a/internal/request/picker/choice.go
+++ b/internal/request/picker/choice.go
@@ -69,7 +69,7 @@
 	}
 	load := c.reading.Load()
 	running := load.InFlight() + load.Queued() + c.reading.SentSince() + 1
-	return float64(running) <= roomyShare*float64(load.Limit()) && load.SlownessPercent() <= usualSlowness
+	return float64(running) <= sampler.RoomyShare*float64(load.Limit()) && load.SlownessPercent() <= usualSlowness
 }
 
 // Chosen returns the chosen candidate.
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -39,9 +39,6 @@
 	// than an empty one.
 	crowdingShare = 0.5
 	usualSlowness = 100
-	// roomyShare is the share of the slots up to which an instance has room: many
-	// are slower when they are nearly full.
-	roomyShare = 0.75
 	// maxStayFailures is the failure rate from which on others are looked at.
 	maxStayFailures = 0.1
 )
--- a/internal/version/packer/packer.go
+++ b/internal/version/packer/packer.go
@@ -23,8 +23,8 @@
 const (
 	// packFrom is the size, in bytes, from which on an answer is compressed.
 	packFrom = 16 << 10
-	// maxBytes bounds an answer in plain form.
-	maxBytes = 8 << 20
+	// MaxBytes bounds an answer in plain form.
+	MaxBytes = 8 << 20
 )
 
 // Pack returns an answer that holds another one in compressed form, or that one
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("decompress answer: %w", err)
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, maxBytes))
+	plain, err := io.ReadAll(io.LimitReader(r, MaxBytes))
 	if err != nil {
 		return nil, fmt.Errorf("decompress answer: %w", err)
 	}
