feat: rate limits that upstreams name are logged and counted

The serving node logs when its upstream names or ends a limit, and shows it in two gauges. Nothing acts on it yet.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -18,6 +18,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/picker"
+	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -193,23 +194,37 @@
 	})
 }
 
-// observingRequester reports the upstream's responses to the watcher and the gauger.
+// observingRequester reports the upstream's responses to the watcher, the gauger and the
+// rate limiter.
 type observingRequester struct {
 	server.Requester
-	watcher *watcher.Watcher
-	gauger  *gauger.Gauger // Nil if the upstream reports nothing.
+	watcher     *watcher.Watcher
+	gauger      *gauger.Gauger // Nil if the upstream reports nothing.
+	rateLimiter *ratelimiter.Limiter
+	// upstreamID returns the id of the current upstream.
+	upstreamID func() string
 }
 
 // DoLimited implements server.Requester.
 func (r observingRequester) DoLimited(
 	ctx context.Context, addr netip.AddrPort, req *http.Request, limits requester.Limits,
 ) (*http.Response, error) {
+	sentAt := time.Now()
+	id := req.Header.Get(classifier.HeaderUpstream)
 	resp, err := r.Requester.DoLimited(ctx, addr, req, limits)
-	if err == nil {
-		r.watcher.ObserveResponse(resp.Header.Get(classifier.HeaderDraining) != "")
-		r.observeReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
+	if err != nil {
+		return nil, err // A *requester.Error, which the server reads.
+	}
+	r.watcher.ObserveResponse(resp.Header.Get(classifier.HeaderDraining) != "")
+	r.observeReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
+	if id == r.upstreamID() {
+		r.rateLimiter.Observe(ratelimiter.Response{
+			Limit:   resp.Header.Get(classifier.HeaderRateLimit),
+			SentAt:  sentAt,
+			Refused: classifier.FromResponse(resp, nil).Outcome() == classifier.NotRun,
+		})
 	}
-	return resp, err
+	return resp, nil
 }
 
 // observeReport passes the load report of a response to the gauger. It ignores a report
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -29,6 +29,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -65,6 +66,7 @@
 	snapshots            *publisher.Publisher
 	samplePool           *sampler.Pool
 	admitter             *admitter.Admitter
+	rateLimiter          *ratelimiter.Limiter
 	server               *server.Server
 	forwarder            *forwarder.Forwarder
 	explainer            *explainer.Explainer
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -26,6 +26,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/picker"
+	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
@@ -76,16 +77,26 @@
 	s := n.settings
 	spec := compiler.DefaultServiceSpec(s.Service())
 	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
+	n.rateLimiter = ratelimiter.New(ratelimiter.Config{
+		Scope: n.metrics.Scope().SubScope("server"),
+		Log:   logger.Part(base, "ratelimiter"),
+	})
 	n.assembleGauger(base)
 	n.assembleAdmitter(spec)
 	n.assembleLoadReporting(base)
 	n.assembleEnroller(base)
 	n.assembleWatchers()
 	n.server = server.New(server.Config{
-		Instance:        s.Instance(),
-		Service:         s.Service(),
-		Upstream:        s.UpstreamAddress(),
-		Requester:       observingRequester{n.upstreamRequester(orDefault(s.Connections(), spec.Connections)), n.watcher, n.gauger},
+		Instance: s.Instance(),
+		Service:  s.Service(),
+		Upstream: s.UpstreamAddress(),
+		Requester: observingRequester{
+			Requester:   n.upstreamRequester(orDefault(s.Connections(), spec.Connections)),
+			watcher:     n.watcher,
+			gauger:      n.gauger,
+			rateLimiter: n.rateLimiter,
+			upstreamID:  n.upstreamID,
+		},
 		UpstreamTracker: n.upstreamTracker(),
 		Admitter:        admitterAdapter{n.admitter, n.recordCapacityRefusal},
 		Link:            n.linkPacer,
@@ -214,6 +225,7 @@
 		OnChange: func(c enroller.Change) {
 			if c.Replaced {
 				n.gauger.Reset()
+				n.rateLimiter.Reset()
 			}
 			n.upstreamColdStart.Store(int64(c.ColdRemaining))
 			if c.Slots > 0 {
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -38,6 +38,15 @@
 	return n.gauger.Slowdown(now)
 }
 
+// upstreamID returns the id of the upstream, or "" if it is unknown.
+func (n *Node) upstreamID() string {
+	if n.enroller == nil {
+		return ""
+	}
+	id, _ := n.enroller.Current()
+	return id
+}
+
 // upstreamInUse reports whether the gauger should measure the upstream now: it is
 // available, has a health endpoint, and its load was requested recently.
 func (n *Node) upstreamInUse() bool {
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -45,6 +45,9 @@
 	HeaderWork = "Banyanscale-Work-Ms"
 	// HeaderUpstreamLoad holds the load that an upstream reports, on its responses.
 	HeaderUpstreamLoad = "Banyanscale-Upstream-Load"
+	// HeaderRateLimit holds the requests a second, a decimal number, that an upstream
+	// accepts from all nodes together, on its responses for as long as that holds.
+	HeaderRateLimit = "Banyanscale-Rate-Limit"
 	// HeaderUpstream holds the id of the upstream that a request is for, on requests to
 	// an upstream that announces its id. On its health responses it is its own id.
 	HeaderUpstream = "Banyanscale-Upstream"
