--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -86,24 +86,7 @@
 	n.assembleLoadReporting(base)
 	n.assembleEnroller(base)
 	n.assembleWatchers()
-	n.server = server.New(server.Config{
-		Instance: s.Instance(),
-		Service:  s.Service(),
-		Upstream: s.UpstreamAddress(),
-		Requester: observingRequester{
-			Requester:   n.upstreamRequester(orDefault(s.Connections(), spec.Connections)),
-			watcher:     n.watcher,
-			gauger:      n.gauger,
-			rateLimiter: n.rateLimiter,
-			upstreamID:  n.upstreamID,
-		},
-		UpstreamTracker: n.upstreamTracker(),
-		Admitter:        admitterAdapter{n.admitter, n.recordCapacityRefusal},
-		Link:            n.linkPacer,
-		Snapshots:       n.snapshots,
-		Scope:           n.metrics.Scope().SubScope("server"),
-		Log:             logger.Part(base, "server"),
-	})
+	n.assembleServer(base, n.upstreamRequester(orDefault(s.Connections(), spec.Connections)))
 	n.deduplicator = deduplicator.New(deduplicator.Config{
 		Instance:         s.Instance(),
 		StartIncarnation: n.gossiper.Self().Incarnation(),
@@ -138,6 +121,30 @@
 	return nil
 }
 
+// assembleServer creates the server, which sends requests to the upstream by the given
+// requester.
+func (n *Node) assembleServer(base zerolog.Logger, upstream server.Requester) {
+	s := n.settings
+	n.server = server.New(server.Config{
+		Instance: s.Instance(),
+		Service:  s.Service(),
+		Upstream: s.UpstreamAddress(),
+		Requester: observingRequester{
+			Requester:   upstream,
+			watcher:     n.watcher,
+			gauger:      n.gauger,
+			rateLimiter: n.rateLimiter,
+			upstreamID:  n.upstreamID,
+		},
+		UpstreamTracker: n.upstreamTracker(),
+		Admitter:        admitterAdapter{n.admitter, n.recordCapacityRefusal},
+		Link:            n.linkPacer,
+		Snapshots:       n.snapshots,
+		Scope:           n.metrics.Scope().SubScope("server"),
+		Log:             logger.Part(base, "server"),
+	})
+}
+
 // assembleAdmitter creates the parts that limit concurrent requests to the upstream and
 // large responses on the link.
 func (n *Node) assembleAdmitter(spec compiler.ServiceSpec) {
