--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -77,12 +77,8 @@
 	s := n.settings
 	spec := compiler.DefaultServiceSpec(s.Service())
 	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
-	n.rateLimiter = ratelimiter.New(ratelimiter.Config{
-		Scope: n.metrics.Scope().SubScope("server"),
-		Log:   logger.Part(base, "ratelimiter"),
-	})
 	n.assembleGauger(base)
-	n.assembleAdmitter(spec)
+	n.assembleAdmitter(base, spec)
 	n.assembleLoadReporting(base)
 	n.assembleEnroller(base)
 	n.assembleWatchers()
@@ -145,10 +141,14 @@
 	})
 }
 
-// assembleAdmitter creates the parts that limit concurrent requests to the upstream and
-// large responses on the link.
-func (n *Node) assembleAdmitter(spec compiler.ServiceSpec) {
+// assembleAdmitter creates the parts that limit the concurrent requests to the upstream,
+// their rate, and large responses on the link.
+func (n *Node) assembleAdmitter(base zerolog.Logger, spec compiler.ServiceSpec) {
 	s := n.settings
+	n.rateLimiter = ratelimiter.New(ratelimiter.Config{
+		Scope: n.metrics.Scope().SubScope("server"),
+		Log:   logger.Part(base, "ratelimiter"),
+	})
 	n.linkPacer = pacer.New(s.LinkBytesPerSecond())
 	n.admitter = admitter.New(admitter.Config{
 		Slots:               orDefault(s.Slots(), spec.Slots),
--- /dev/null
+++ b/internal/process/launcher/rate_limit_test.go
@@ -0,0 +1,179 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+const (
+	// limitWindow is the length of the windows in which an upstream's rate limit is checked.
+	limitWindow = 4 * time.Second
+	// limitSpread is the time that a new limit has to reach all nodes.
+	limitSpread = 3 * time.Second
+	// upstreamLatency is the time that a limitedUpstream takes for a request.
+	upstreamLatency = 160 * time.Millisecond
+	// requestTimeout is the timeout of the requests that sendRequests sends.
+	requestTimeout = 1200 * time.Millisecond
+)
+
+// limitedUpstream is an upstream that names a rate limit and records when requests arrive.
+type limitedUpstream struct {
+	mu       sync.Mutex
+	limit    float64 // Requests a second; 0 for none.
+	namedAt  time.Time
+	stalled  bool
+	arrivals []time.Time
+}
+
+// DoLimited implements server.Requester.
+func (u *limitedUpstream) DoLimited(ctx context.Context, _ netip.AddrPort, _ *http.Request, _ requester.Limits) (*http.Response, error) {
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, time.Now())
+	stalled := u.stalled
+	u.mu.Unlock()
+	if stalled {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(upstreamLatency)
+	return &http.Response{StatusCode: http.StatusOK, Header: u.header(), Body: http.NoBody}, nil
+}
+
+func (u *limitedUpstream) header() http.Header {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	header := http.Header{}
+	if u.limit > 0 {
+		header.Set(classifier.HeaderRateLimit, strconv.FormatFloat(u.limit, 'f', -1, 64))
+	}
+	return header
+}
+
+// nameLimit makes the upstream name a limit in its responses, or none if it is 0.
+func (u *limitedUpstream) nameLimit(perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = perSecond
+	u.namedAt = time.Now()
+}
+
+// setStalled makes the upstream respond to no further request, or respond again.
+func (u *limitedUpstream) setStalled(stalled bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stalled = stalled
+}
+
+// mostInWindow returns the largest number of arrivals in a window that begins between the
+// given times.
+func (u *limitedUpstream) mostInWindow(from, to time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for i, first := range u.arrivals {
+		if first.Before(from) || first.After(to) {
+			continue
+		}
+		n := 0
+		for _, at := range u.arrivals[i:] {
+			if at.Sub(first) < limitWindow {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// assertLimitHeld asserts that no window that begins between the given times has more
+// requests than the promise allows: one and a half times the limit, and five.
+func (u *limitedUpstream) assertLimitHeld(t *testing.T, perSecond float64, from, to time.Time) {
+	t.Helper()
+	allowed := int(1.5*perSecond*limitWindow.Seconds()) + 5
+	got := u.mostInWindow(from, to)
+	assert.Assert(t, got <= allowed, "%d requests in %v with a limit of %v a second; allowed %d", got, limitWindow, perSecond, allowed)
+}
+
+// runLimited runs a test of a serving node with a limitedUpstream in fake time.
+func runLimited(t *testing.T, test func(t *testing.T, n *Node, u *limitedUpstream)) {
+	t.Helper()
+	n := newTestNode(t, "vitrina-1", "vitrina", netip.MustParseAddrPort("127.0.0.1:9"))
+	synctest.Test(t, func(t *testing.T) {
+		u := &limitedUpstream{}
+		restartServing(n, u)
+		test(t, n, u)
+	})
+}
+
+// restartServing replaces the parts of the node that serve requests, as a restart does.
+func restartServing(n *Node, u *limitedUpstream) {
+	n.assembleAdmitter(zerolog.Nop(), n.service().Spec())
+	n.assembleServer(zerolog.Nop(), u)
+}
+
+// sendRequests sends requests of as many entry nodes to the serving node, at random
+// intervals, until the returned function is called. That waits until all have ended.
+func sendRequests(n *Node, entryNodes int, perSecond float64) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range entryNodes {
+		random := rand.New(rand.NewPCG(uint64(entryNodes), uint64(i)))
+		wg.Go(func() {
+			for sent := 0; ctx.Err() == nil; sent++ {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(entryNodes) / perSecond * float64(time.Second)))
+				wg.Go(func() { sendRequest(n, fmt.Sprintf("%d-%d", i, sent)) })
+			}
+		})
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// sendRequest sends one request to the serving node and returns its error.
+func sendRequest(n *Node, id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://vitrina.oax/", http.NoBody)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(classifier.HeaderRequestID, id)
+	req.Header.Set(classifier.HeaderHop, "1")
+	resp, err := n.server.Exchange(ctx, req)
+	if err == nil {
+		resp.Body.Close()
+	}
+	return err
+}
+
+// TestUpstreamGetsNoMoreThanItsRateLimit guards against an upstream that gets more requests than the limit it has named.
+func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
+	for _, entryNodes := range []int{2, 16, 200} {
+		t.Run(fmt.Sprintf("%d entry nodes", entryNodes), func(t *testing.T) {
+			runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
+				stop := sendRequests(n, entryNodes, 25)
+				time.Sleep(2 * time.Second)
+				u.nameLimit(5.8)
+				time.Sleep(20 * time.Second)
+				stop()
+				u.assertLimitHeld(t, 5.8, u.namedAt.Add(limitSpread), time.Now())
+			})
+		})
+	}
+}
