fix: the node beside an upstream holds the rate limit that the upstream names

Callers saw nothing; upstreams in need did: one that named 5.8 requests a second got 72 in 4 s from nodes that it had told.

The class: a statement of an upstream about itself that reaches a node in a response and binds nobody.

Change: the node beside the upstream starts requests from one token bucket, and refuses those beyond it at once (rate-limited, not-run). Load reports hold the limit, its age, what is left and the wait, so that entry nodes choose such an instance last. Health reads stop while there is a limit.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -69,6 +69,10 @@
 		Float64("expected-ms", milliseconds(f.chosen.Expected())).Float64("sample-age-ms", milliseconds(f.chosen.SampleAge())).
 		Int("in-flight", load.InFlight()).Int("queued", load.Queued()).Int("limit", load.Limit()).
 		Int("slowness-percent", load.SlownessPercent())
+	if rate := load.Rate(); rate.Limited() {
+		e.Float64("rate-limit", rate.PerSecond).Float64("rate-age-ms", milliseconds(rate.Age)).
+			Int("rate-left", rate.Left).Float64("rate-wait-ms", milliseconds(rate.Wait))
+	}
 }
 
 // candidates lists the candidates of a choice as JSON.
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -158,6 +158,7 @@
 		LimitIgnoresLatency: s.UpstreamHeartbeats(),
 		Slowdown:            n.slowdown,
 		LinkWait:            n.linkPacer.EstimatedWait,
+		RateLimiter:         n.rateLimiter,
 		Observer:            n.meter,
 	})
 }
@@ -256,7 +257,7 @@
 		Upstream:  n.settings.UpstreamAddress(),
 		Path:      n.healthPath,
 		Transport: watcher.NewHealthTransport(),
-		Reserve:   func(bytes int) bool { return n.prober.Reserve(n.settings.Service(), bytes) },
+		Reserve:   n.reserveHealthRead,
 		OnHealth:  n.admitter.ObserveHealth,
 		Scope:     n.metrics.Scope().SubScope("watcher"),
 	})
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -47,13 +47,26 @@
 	return id
 }
 
+// reserveHealthRead reports whether the health endpoint may be read now, within the budget
+// for measurements and the upstream's rate limit.
+func (n *Node) reserveHealthRead(bytes int) bool {
+	now := time.Now()
+	if n.rateLimiter.Wait(1, now) > 0 || !n.prober.Reserve(n.settings.Service(), bytes) {
+		return false
+	}
+	n.rateLimiter.Take(now)
+	return true
+}
+
 // upstreamInUse reports whether the gauger should measure the upstream now: it is
-// available, has a health endpoint, and its load was requested recently.
+// available, has a health endpoint and no rate limit, which reads would use up, and its
+// load was requested recently.
 func (n *Node) upstreamInUse() bool {
-	if _, available := n.enroller.Current(); !available {
+	now := time.Now()
+	if _, available := n.enroller.Current(); !available || n.rateLimiter.Report(now).Limited() {
 		return false
 	}
-	return n.healthPath() != "" && time.Since(time.Unix(0, n.loadRequestedAt.Load())) < inUsePeriod
+	return n.healthPath() != "" && now.Sub(time.Unix(0, n.loadRequestedAt.Load())) < inUsePeriod
 }
 
 // identifyUpstream reads the upstream's id from its health endpoint, so that a restarted
--- a/internal/process/launcher/rate_limit_test.go
+++ b/internal/process/launcher/rate_limit_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,20 +36,14 @@
 	mu       sync.Mutex
 	limit    float64 // Requests a second; 0 for none.
 	namedAt  time.Time
-	stalled  bool
 	arrivals []time.Time
 }
 
 // DoLimited implements server.Requester.
-func (u *limitedUpstream) DoLimited(ctx context.Context, _ netip.AddrPort, _ *http.Request, _ requester.Limits) (*http.Response, error) {
+func (u *limitedUpstream) DoLimited(_ context.Context, _ netip.AddrPort, _ *http.Request, _ requester.Limits) (*http.Response, error) {
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, time.Now())
-	stalled := u.stalled
 	u.mu.Unlock()
-	if stalled {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
 	time.Sleep(upstreamLatency)
 	return &http.Response{StatusCode: http.StatusOK, Header: u.header(), Body: http.NoBody}, nil
 }
@@ -71,13 +66,6 @@
 	u.namedAt = time.Now()
 }
 
-// setStalled makes the upstream respond to no further request, or respond again.
-func (u *limitedUpstream) setStalled(stalled bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.stalled = stalled
-}
-
 // mostInWindow returns the largest number of arrivals in a window that begins between the
 // given times.
 func (u *limitedUpstream) mostInWindow(from, to time.Time) int {
@@ -126,22 +114,29 @@
 }
 
 // sendRequests sends requests of as many entry nodes to the serving node, at random
-// intervals, until the returned function is called. That waits until all have ended.
-func sendRequests(n *Node, entryNodes int, perSecond float64) (stop func()) {
+// intervals, until the returned function is called. That waits until all have ended, and
+// returns how many were served.
+func sendRequests(n *Node, entryNodes int, perSecond float64) (stop func() int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	var served atomic.Int64
 	for i := range entryNodes {
 		random := rand.New(rand.NewPCG(uint64(entryNodes), uint64(i)))
 		wg.Go(func() {
 			for sent := 0; ctx.Err() == nil; sent++ {
 				time.Sleep(time.Duration(random.ExpFloat64() * float64(entryNodes) / perSecond * float64(time.Second)))
-				wg.Go(func() { sendRequest(n, fmt.Sprintf("%d-%d", i, sent)) })
+				wg.Go(func() {
+					if sendRequest(n, fmt.Sprintf("%d-%d", i, sent)) == nil {
+						served.Add(1)
+					}
+				})
 			}
 		})
 	}
-	return func() {
+	return func() int {
 		cancel()
 		wg.Wait()
+		return int(served.Load())
 	}
 }
 
@@ -177,3 +172,34 @@
 		})
 	}
 }
+
+func TestLimitedUpstreamGetsWhatItAccepts(t *testing.T) {
+	for _, limit := range []float64{0.5, 5.8, 20} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
+				u.nameLimit(limit)
+				const length = 60 * time.Second
+				stop := sendRequests(n, 16, 10*limit)
+				time.Sleep(length)
+				served := stop()
+				assert.Assert(t, float64(served) >= 0.9*limit*length.Seconds(), "%d served", served)
+				u.assertLimitHeld(t, limit, u.namedAt.Add(limitSpread), time.Now())
+			})
+		})
+	}
+}
+
+func TestRateLimitFollowsItsUpstream(t *testing.T) {
+	runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
+		stop := sendRequests(n, 16, 25)
+		for _, limit := range []float64{12, 3, 8} {
+			u.nameLimit(limit)
+			time.Sleep(10 * time.Second)
+			u.assertLimitHeld(t, limit, u.namedAt.Add(limitSpread), time.Now().Add(-limitWindow))
+		}
+		u.nameLimit(0)
+		time.Sleep(10 * time.Second)
+		stop()
+		assert.Assert(t, u.mostInWindow(u.namedAt.Add(limitSpread), time.Now()) > 60, "the limit that ended is in force")
+	})
+}
--- a/internal/process/prober/budget.go
+++ b/internal/process/prober/budget.go
@@ -58,6 +58,17 @@
 	return true
 }
 
+// refund reduces a charge of the given time and size, if it is still in the window.
+func (b *budget) refund(at time.Time, charged, bytes int) {
+	for i := len(b.charges) - 1; i >= 0; i-- {
+		if c := &b.charges[i]; c.at.Equal(at) && c.bytes == charged {
+			c.bytes -= bytes
+			b.usedBytes -= bytes
+			return
+		}
+	}
+}
+
 // empty reports whether no message is charged.
 func (b *budget) empty(now time.Time) bool {
 	b.expire(now)
--- a/internal/process/prober/message.go
+++ b/internal/process/prober/message.go
@@ -17,15 +17,22 @@
 	// probeBytes and responseBytes are the lengths of the messages.
 	probeBytes    = 1 + 4 + 4
 	responseBytes = 1 + 4 + 8 + 2 + 2 + 2 + 4 + 1 + 1 + 2 + 2 + 2
+	// rateLimitBytes is the length of the rate limit, which only the response of an
+	// instance with one has at its end.
+	rateLimitBytes = 4 + 2 + 2 + 2
 	// datagramHeaderBytes is the size of the headers of a datagram: IP, UDP and the
 	// byte for its kind.
 	datagramHeaderBytes = 20 + 8 + 1
-	// responseCost and exchangeCost are the bytes charged for a response, and for a
-	// probe with its response.
-	responseCost = responseBytes + datagramHeaderBytes
-	exchangeCost = probeBytes + datagramHeaderBytes + responseCost
+	// exchangeCost is the bytes charged for a probe with its response. maxExchangeCost is
+	// charged when a probe is sent, and rateLimitBytes refunded if the response has no
+	// rate limit.
+	exchangeCost    = probeBytes + responseBytes + 2*datagramHeaderBytes
+	maxExchangeCost = exchangeCost + rateLimitBytes
 )
 
+// milli is the number of units of an encoded rate in one request a second.
+const milli = 1000
+
 // ErrMalformedMessage means that a datagram is not a probe, or not a response, where
 // one is expected.
 var ErrMalformedMessage = errors.New("malformed probe message")
@@ -44,10 +51,15 @@
 }
 
 func decodeResponse(b []byte) (response, error) {
-	if len(b) != responseBytes || b[0] != formatVersion {
+	limited := len(b) == responseBytes+rateLimitBytes
+	if len(b) != responseBytes && !limited || b[0] != formatVersion {
 		return response{}, errors.Wrapf(ErrMalformedMessage, "%d bytes", len(b))
 	}
 	order := binary.BigEndian
+	var rate sampler.RateLimit
+	if limited {
+		rate = decodeRateLimit(b[responseBytes:])
+	}
 	return response{
 		nonce:       order.Uint32(b[1:]),
 		incarnation: order.Uint64(b[5:]),
@@ -61,10 +73,22 @@
 			SlownessPercent: int(order.Uint16(b[25:])),
 			SlowdownLeft:    time.Duration(order.Uint16(b[27:])) * time.Millisecond,
 			LinkWait:        time.Duration(order.Uint16(b[29:])) * time.Millisecond,
+			Rate:            rate,
 		}),
 	}, nil
 }
 
+// decodeRateLimit decodes the rate limit at the end of a response.
+func decodeRateLimit(b []byte) sampler.RateLimit {
+	order := binary.BigEndian
+	return sampler.RateLimit{
+		PerSecond: float64(order.Uint32(b)) / milli,
+		Age:       time.Duration(order.Uint16(b[4:])) * time.Millisecond,
+		Left:      int(order.Uint16(b[6:])),
+		Wait:      time.Duration(order.Uint16(b[8:])) * time.Millisecond,
+	}
+}
+
 func decodeProbe(b []byte) (probe, error) {
 	if len(b) != probeBytes || b[0] != formatVersion {
 		return probe{}, errors.Wrapf(ErrMalformedMessage, "%d bytes", len(b))
@@ -74,7 +98,7 @@
 
 func (r response) encode() []byte {
 	order := binary.BigEndian
-	b := make([]byte, 0, responseBytes)
+	b := make([]byte, 0, responseBytes+rateLimitBytes)
 	b = append(b, formatVersion)
 	b = order.AppendUint32(b, r.nonce)
 	b = order.AppendUint64(b, r.incarnation)
@@ -85,7 +109,15 @@
 	b = append(b, byte(r.load.WarmPercent()), byte(r.load.FailurePercent()))
 	b = order.AppendUint16(b, clampUint16(r.load.SlownessPercent()))
 	b = order.AppendUint16(b, clampUint16(int(r.load.SlowdownLeft().Milliseconds())))
-	return order.AppendUint16(b, clampUint16(int(r.load.LinkWait().Milliseconds())))
+	b = order.AppendUint16(b, clampUint16(int(r.load.LinkWait().Milliseconds())))
+	rate := r.load.Rate()
+	if !rate.Limited() {
+		return b
+	}
+	b = order.AppendUint32(b, uint32(math.Round(rate.PerSecond*milli)))
+	b = order.AppendUint16(b, clampUint16(int(rate.Age.Milliseconds())))
+	b = order.AppendUint16(b, clampUint16(rate.Left))
+	return order.AppendUint16(b, clampUint16(int(rate.Wait.Milliseconds())))
 }
 
 func (p probe) encode() []byte {
--- a/internal/process/prober/prober.go
+++ b/internal/process/prober/prober.go
@@ -107,6 +107,7 @@
 	instanceID string
 	to         netip.AddrPort
 	sentAt     time.Time
+	service    *serviceState // Whose budget is charged.
 	// responded receives a value when the response arrives; nil if nothing waits for
 	// it.
 	responded chan struct{}
@@ -163,6 +164,7 @@
 	ok = ok && pending.to == unmapped(from) && now.Sub(pending.sentAt) <= responseTimeout
 	if ok {
 		delete(p.pending, resp.nonce)
+		p.refundRateLimit(pending, resp.load)
 	}
 	p.mu.Unlock()
 	if !ok {
@@ -176,6 +178,17 @@
 	}
 }
 
+// refundRateLimit refunds the bytes that a response without a rate limit did not use. The
+// mutex must be held.
+func (p *Prober) refundRateLimit(pending pendingProbe, l sampler.Load) {
+	if l.Rate().Limited() {
+		p.metrics.chargedBytes.Inc(rateLimitBytes)
+		return
+	}
+	pending.service.budget.refund(pending.sentAt, maxExchangeCost, rateLimitBytes)
+	p.nodeBudget.refund(pending.sentAt, maxExchangeCost, rateLimitBytes)
+}
+
 // HandleProbe returns the response to a probe. It returns nil if the probe is
 // malformed or meant for another instance, if this node has no upstream, or if the
 // budget of responses is spent.
@@ -189,16 +202,18 @@
 		p.metrics.unexpectedDatagrams.Inc(1)
 		return nil
 	}
+	payload = response{nonce: msg.nonce, incarnation: p.ownIncarnation(), load: p.cfg.OwnLoad.Load()}.encode()
+	cost := len(payload) + datagramHeaderBytes
 	p.mu.Lock()
-	allowed := p.responseBudget.take(time.Now(), responseCost)
+	allowed := p.responseBudget.take(time.Now(), cost)
 	p.mu.Unlock()
 	if !allowed {
 		p.metrics.responsesWithheld.Inc(1)
 		return nil
 	}
 	p.metrics.responsesSent.Inc(1)
-	p.metrics.chargedBytes.Inc(responseCost)
-	return response{nonce: msg.nonce, incarnation: p.ownIncarnation(), load: p.cfg.OwnLoad.Load()}.encode()
+	p.metrics.chargedBytes.Inc(int64(cost))
+	return payload
 }
 
 // Reserve charges one exchange of another kind of measurement, such as a read of a
@@ -336,7 +351,7 @@
 	if due := later(later(s.nextProbeAt, p.nextProbeAt), p.pausedUntil); due.After(now) {
 		return netip.AddrPort{}, nil, due
 	}
-	if allowedAt := later(s.budget.allowedAt(now, exchangeCost), p.nodeBudget.allowedAt(now, exchangeCost)); allowedAt.After(now) {
+	if allowedAt := later(s.budget.allowedAt(now, maxExchangeCost), p.nodeBudget.allowedAt(now, maxExchangeCost)); allowedAt.After(now) {
 		p.metrics.probesDeferred.Inc(1)
 		return netip.AddrPort{}, nil, allowedAt
 	}
@@ -344,14 +359,14 @@
 	if in == nil {
 		return netip.AddrPort{}, nil, now.Add(pollInterval)
 	}
-	s.budget.take(now, exchangeCost)
-	p.nodeBudget.take(now, exchangeCost)
+	s.budget.take(now, maxExchangeCost)
+	p.nodeBudget.take(now, maxExchangeCost)
 	s.nextProbeAt = followingProbeTime(s.nextProbeAt, perSecond, now)
 	p.nextProbeAt = followingProbeTime(p.nextProbeAt, min(p.cfg.Messages, p.cfg.Bytes/exchangeCost), now)
 	s.lastProbed[in.ID()] = now
 	msg := probe{nonce: p.unusedNonce(), instanceHash: hashID(in.ID())}
 	to := unmapped(in.Peer())
-	p.pending[msg.nonce] = pendingProbe{instanceID: in.ID(), to: to, sentAt: now}
+	p.pending[msg.nonce] = pendingProbe{instanceID: in.ID(), to: to, sentAt: now, service: s}
 	return to, msg.encode(), now
 }
 
--- a/internal/process/prober/prober_test.go
+++ b/internal/process/prober/prober_test.go
@@ -123,7 +123,7 @@
 				f.pool.Sent(id)
 				f.pool.Finished(id, sampler.Result{Failed: r.IntN(2) == 0})
 				if len(f.prober.HandleProbe(peer(9), probe{instanceHash: hashID("0")}.encode())) > 0 {
-					responses.record(responseCost)
+					responses.record(responseBytes + datagramHeaderBytes)
 				}
 				if size := r.IntN(1500); size > 500 && f.prober.Reserve("0", size) {
 					f.transport.record(size)
@@ -236,6 +236,21 @@
 	})
 }
 
+func TestResponseCarriesRateLimit(t *testing.T) {
+	for name, rate := range map[string]sampler.RateLimit{
+		"none":    {},
+		"limited": {PerSecond: 5.8, Age: 40 * time.Millisecond, Left: 2},
+		"reached": {PerSecond: 0.25, Wait: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := response{nonce: 7, incarnation: 3, load: sampler.NewLoad(sampler.LoadSpec{Limit: 6, Rate: rate})}
+			got, err := decodeResponse(sent.encode())
+			assert.NilError(t, err)
+			assert.Equal(t, got, sent)
+		})
+	}
+}
+
 func TestBudgetHoldsWhenTheClockIsSetBack(t *testing.T) {
 	b := budget{maxMessages: 2, maxBytes: 1000}
 	assert.Assert(t, b.take(time.UnixMilli(10000), 1))
--- a/internal/process/prober/refresh.go
+++ b/internal/process/prober/refresh.go
@@ -39,14 +39,14 @@
 	to := unmapped(in.Peer())
 	p.mu.Lock()
 	s := p.service(spec)
-	if !s.budget.allows(now, exchangeCost) || !p.nodeBudget.take(now, exchangeCost) {
+	if !s.budget.allows(now, maxExchangeCost) || !p.nodeBudget.take(now, maxExchangeCost) {
 		p.mu.Unlock()
 		p.metrics.probesDeferred.Inc(1)
 		return false
 	}
-	s.budget.take(now, exchangeCost)
+	s.budget.take(now, maxExchangeCost)
 	msg := probe{nonce: p.unusedNonce(), instanceHash: hashID(in.ID())}
-	p.pending[msg.nonce] = pendingProbe{instanceID: in.ID(), to: to, sentAt: now, responded: responded}
+	p.pending[msg.nonce] = pendingProbe{instanceID: in.ID(), to: to, sentAt: now, service: s, responded: responded}
 	p.mu.Unlock()
 	p.send(to, msg.encode())
 	return true
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -16,19 +16,26 @@
 	maxCount           = 1 << 20
 	maxLatency         = time.Hour
 	fullPercent        = 100
-	maxLoadBytes       = 192
+	maxLoadBytes       = 256
 	maxSlownessPercent = 60_000
 	maxSlowdownLeft    = time.Minute
 	maxLinkWait        = time.Minute
+	maxRatePerSecond   = 1 << 20
+	maxRateAge         = time.Minute
+	maxRateWait        = time.Minute
 )
 
 // Keys of the optional fields, in their order: slownessKey is present if the
-// slowness is not 100%, slowdownLeftKey if its end is known too, and linkWaitKey
-// if large responses wait for the link.
+// slowness is not 100%, slowdownLeftKey if its end is known too, linkWaitKey if large
+// responses wait for the link, and the others if the upstream names a rate limit.
 const (
-	slownessKey     = ";slowness-percent="
-	slowdownLeftKey = ";spell-left-ms="
-	linkWaitKey     = ";link-wait-ms="
+	slownessKey     = "slowness-percent"
+	slowdownLeftKey = "spell-left-ms"
+	linkWaitKey     = "link-wait-ms"
+	rateLimitKey    = "rate-limit"
+	rateAgeKey      = "rate-age-ms"
+	rateLeftKey     = "rate-left"
+	rateWaitKey     = "rate-wait-ms"
 )
 
 // LowOccupancyShare is the share of slots in use up to which the occupancy of an upstream
@@ -64,6 +71,8 @@
 	SlowdownLeft time.Duration
 	// LinkWait is how long a large response would wait for the instance's link.
 	LinkWait time.Duration
+	// Rate is the rate limit that the upstream names; the zero value if it names none.
+	Rate RateLimit
 }
 
 // Load is the load of one instance as counted by its serving node. It is
@@ -88,6 +97,7 @@
 	spec.SlowdownLeft = min(max(spec.SlowdownLeft, 0), maxSlowdownLeft).Truncate(time.Millisecond)
 	spec.LinkWait = min(max(spec.LinkWait, 0), maxLinkWait).Truncate(time.Millisecond)
 	spec.Latency = min(max(spec.Latency, 0), maxLatency).Truncate(time.Microsecond)
+	spec.Rate = spec.Rate.clamped()
 	return Load{spec: spec}
 }
 
@@ -97,17 +107,13 @@
 	if len(s) > maxLoadBytes {
 		return Load{}, errors.Wrapf(ErrMalformedLoad, "%d bytes", len(s))
 	}
+	fields := strings.Split(s, ";")
+	if len(fields) < len(loadKeys) {
+		return Load{}, errors.Wrapf(ErrMalformedLoad, "%q", s)
+	}
 	var values [len(loadKeys)]int
-	rest, linkWait, _ := strings.Cut(s, linkWaitKey)
-	rest, slowness, _ := strings.Cut(rest, slownessKey)
-	slowness, slowdownLeft, _ := strings.Cut(slowness, slowdownLeftKey)
 	for i, key := range loadKeys {
-		field, tail, found := strings.Cut(rest, ";")
-		if found != (i < len(loadKeys)-1) {
-			return Load{}, errors.Wrapf(ErrMalformedLoad, "%q", s)
-		}
-		rest = tail
-		value, ok := strings.CutPrefix(field, key+"=")
+		value, ok := strings.CutPrefix(fields[i], key+"=")
 		if !ok {
 			return Load{}, errors.Wrapf(ErrMalformedLoad, "%q lacks %s", s, key)
 		}
@@ -125,26 +131,10 @@
 		WarmPercent:    values[4],
 		FailurePercent: values[5],
 	}
-	if slowness != "" {
-		n, err := strconv.ParseUint(slowness, 10, 32)
-		if err != nil {
-			return Load{}, errors.Wrapf(ErrMalformedLoad, "%q: invalid slowness-percent", s)
-		}
-		spec.SlownessPercent = int(n)
-	}
-	if slowdownLeft != "" {
-		n, err := strconv.ParseUint(slowdownLeft, 10, 32)
-		if err != nil {
-			return Load{}, errors.Wrapf(ErrMalformedLoad, "%q: invalid spell-left-ms", s)
+	for _, field := range fields[len(loadKeys):] {
+		if err := spec.parseOptional(field); err != nil {
+			return Load{}, errors.Wrapf(err, "%q", s)
 		}
-		spec.SlowdownLeft = time.Duration(n) * time.Millisecond
-	}
-	if linkWait != "" {
-		n, err := strconv.ParseUint(linkWait, 10, 32)
-		if err != nil {
-			return Load{}, errors.Wrapf(ErrMalformedLoad, "%q: invalid link-wait-ms", s)
-		}
-		spec.LinkWait = time.Duration(n) * time.Millisecond
 	}
 	l := NewLoad(spec)
 	if l.String() != s {
@@ -153,6 +143,41 @@
 	return l, nil
 }
 
+// parseOptional sets the field that an optional field of a load header value holds. The
+// order of the fields is not checked.
+func (s *LoadSpec) parseOptional(field string) error {
+	key, value, _ := strings.Cut(field, "=")
+	if key == rateLimitKey {
+		perSecond, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return errors.Wrapf(ErrMalformedLoad, "invalid %s", key)
+		}
+		s.Rate.PerSecond = perSecond
+		return nil
+	}
+	n, err := strconv.ParseUint(value, 10, 32)
+	if err != nil {
+		return errors.Wrapf(ErrMalformedLoad, "invalid %s", key)
+	}
+	switch key {
+	case slownessKey:
+		s.SlownessPercent = int(n)
+	case slowdownLeftKey:
+		s.SlowdownLeft = time.Duration(n) * time.Millisecond
+	case linkWaitKey:
+		s.LinkWait = time.Duration(n) * time.Millisecond
+	case rateAgeKey:
+		s.Rate.Age = time.Duration(n) * time.Millisecond
+	case rateLeftKey:
+		s.Rate.Left = int(n)
+	case rateWaitKey:
+		s.Rate.Wait = time.Duration(n) * time.Millisecond
+	default:
+		return errors.Wrapf(ErrMalformedLoad, "unrecognized %s", key)
+	}
+	return nil
+}
+
 // FailurePercent returns the smoothed share of requests that the upstream failed, from
 // 0 to 100.
 func (l Load) FailurePercent() int { return l.spec.FailurePercent }
@@ -180,17 +205,26 @@
 		l.spec.InFlight, l.spec.Queued, l.spec.Limit, l.spec.Latency.Microseconds(),
 		l.spec.WarmPercent, l.spec.FailurePercent)
 	if slowness := l.SlownessPercent(); slowness != fullPercent {
-		text += slownessKey + strconv.Itoa(slowness)
+		text += optionalField(slownessKey, int64(slowness))
 	}
 	if l.spec.SlowdownLeft > 0 {
-		text += slowdownLeftKey + strconv.FormatInt(l.spec.SlowdownLeft.Milliseconds(), 10)
+		text += optionalField(slowdownLeftKey, l.spec.SlowdownLeft.Milliseconds())
 	}
 	if l.spec.LinkWait > 0 {
-		text += linkWaitKey + strconv.FormatInt(l.spec.LinkWait.Milliseconds(), 10)
+		text += optionalField(linkWaitKey, l.spec.LinkWait.Milliseconds())
+	}
+	if rate := l.spec.Rate; rate.Limited() {
+		text += ";" + rateLimitKey + "=" + strconv.FormatFloat(rate.PerSecond, 'f', -1, 64) +
+			optionalField(rateAgeKey, rate.Age.Milliseconds()) +
+			optionalField(rateLeftKey, int64(rate.Left)) +
+			optionalField(rateWaitKey, rate.Wait.Milliseconds())
 	}
 	return text
 }
 
+// Rate returns the rate limit that the upstream names.
+func (l Load) Rate() RateLimit { return l.spec.Rate }
+
 // SlownessPercent returns the current duration of work in percent of its duration at
 // full speed.
 func (l Load) SlownessPercent() int {
@@ -209,4 +243,9 @@
 // Warming reports whether the upstream is still in its cold start.
 func (l Load) Warming() bool { return l.spec.WarmPercent < fullPercent }
 
+// optionalField returns an optional field of a load header value with its separator.
+func optionalField(key string, value int64) string {
+	return ";" + key + "=" + strconv.FormatInt(value, 10)
+}
+
 func clamp(n, limit int) int { return min(max(n, 0), limit) }
--- a/internal/process/sampler/load_test.go
+++ b/internal/process/sampler/load_test.go
@@ -19,6 +19,19 @@
 	assert.Equal(t, parsed, l)
 }
 
+func TestRateLimitRoundTrip(t *testing.T) {
+	l := NewLoad(LoadSpec{Limit: 6, WarmPercent: 100, Rate: RateLimit{PerSecond: 5.8, Age: 1200 * time.Microsecond, Wait: 1200 * time.Microsecond}})
+	const text = "in-flight=0;queued=0;limit=6;latency-us=0;warm-percent=100;failure-percent=0;rate-limit=5.8;rate-age-ms=1;rate-left=0;rate-wait-ms=2"
+	assert.Equal(t, l.String(), text)
+	parsed, err := ParseLoad(text)
+	assert.NilError(t, err)
+	assert.Equal(t, parsed, l)
+	for _, s := range []string{"rate-limit=5.8", "rate-limit=NaN", "rate-limit=-1", "rate-limit=1e400", "rate-left=1"} {
+		_, err := ParseLoad(strings.Replace(text, "rate-limit=5.8", s, 1))
+		assert.Equal(t, err == nil, s == "rate-limit=5.8", "%s: %v", s, err)
+	}
+}
+
 func TestParseLoadRejectsMalformedText(t *testing.T) {
 	valid := NewLoad(LoadSpec{Limit: 6, WarmPercent: 100}).String()
 	for _, s := range []string{
@@ -37,6 +50,7 @@
 // FuzzParseLoad checks that ParseLoad accepts only text that String writes.
 func FuzzParseLoad(f *testing.F) {
 	f.Add("in-flight=3;queued=1;limit=6;latency-us=1200;warm-percent=40;failure-percent=2")
+	f.Add("in-flight=0;queued=0;limit=6;latency-us=0;warm-percent=100;failure-percent=0;rate-limit=5.8;rate-age-ms=1;rate-left=0;rate-wait-ms=2")
 	f.Add("in-flight=;queued=;limit=;latency-us=;warm-percent=;failure-percent=")
 	f.Fuzz(func(t *testing.T, s string) {
 		l, err := ParseLoad(s)
--- a/internal/process/sampler/reading.go
+++ b/internal/process/sampler/reading.go
@@ -61,5 +61,9 @@
 	return s
 }
 
+// RateWait returns how long the instance refuses requests because of the rate limit that
+// its upstream names, as far as the sample tells.
+func (r Reading) RateWait() time.Duration { return max(r.load.Rate().Wait-r.age, 0) }
+
 // Sampled reports whether there is any sample, however old.
 func (r Reading) Sampled() bool { return r.sampled }
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -41,6 +41,16 @@
 	InFlightChanged(now time.Time, inFlight, limit int)
 }
 
+// RateLimiter limits the rate at which requests start.
+type RateLimiter interface {
+	// Wait returns the time until n requests may start, or 0 if they may start now.
+	Wait(n int, now time.Time) time.Duration
+	// Take records that a request starts.
+	Take(now time.Time)
+	// Report returns the limit for the load report.
+	Report(now time.Time) sampler.RateLimit
+}
+
 // Config lists the settings of an Admitter.
 type Config struct {
 	// Slots is how many requests the upstream runs concurrently, at least 1.
@@ -61,6 +71,8 @@
 	// LinkWait returns how long a large response waits for the network link; nil if
 	// that is unknown.
 	LinkWait func() time.Duration
+	// RateLimiter limits the rate at which requests start; nil for no limit.
+	RateLimiter RateLimiter
 	// Observer receives changes of the requests in flight; nil for none.
 	Observer Observer
 }
@@ -91,9 +103,10 @@
 
 // Admitter is the admission control of one upstream. It is safe for concurrent use.
 type Admitter struct {
-	observer Observer
-	slowdown func(now time.Time) sampler.Slowdown
-	linkWait func() time.Duration
+	observer    Observer
+	rateLimiter RateLimiter
+	slowdown    func(now time.Time) sampler.Slowdown
+	linkWait    func() time.Duration
 
 	mu           sync.Mutex // Guards all below.
 	limiter      *limiter
@@ -112,13 +125,17 @@
 func New(cfg Config) *Admitter {
 	now := time.Now()
 	a := &Admitter{
-		observer:   cfg.Observer,
-		slowdown:   cfg.Slowdown,
-		linkWait:   cfg.LinkWait,
-		limiter:    newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
-		queue:      queue{capacity: cfg.QueueLength},
-		lastChange: now,
-		created:    now,
+		observer:    cfg.Observer,
+		rateLimiter: cfg.RateLimiter,
+		slowdown:    cfg.Slowdown,
+		linkWait:    cfg.LinkWait,
+		limiter:     newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
+		queue:       queue{capacity: cfg.QueueLength},
+		lastChange:  now,
+		created:     now,
+	}
+	if a.rateLimiter == nil {
+		a.rateLimiter = noRateLimit{}
 	}
 	a.limiter.ignoresLatency = cfg.LimitIgnoresLatency
 	a.limiter.slowdown = cfg.Slowdown
@@ -195,6 +212,7 @@
 		Latency:         a.latency(now),
 		WarmPercent:     a.limiter.warmPercent(now),
 		FailurePercent:  a.failurePercent(now),
+		Rate:            a.rateLimiter.Report(now),
 	})
 }
 
@@ -242,6 +260,9 @@
 	if a.leaving {
 		return nil, run{}, a.newRefusal(classifier.ReasonLeaving, now)
 	}
+	if refusal := a.rateRefusal(a.queue.len()+1, now); refusal != nil {
+		return nil, run{}, refusal
+	}
 	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 && a.startDelay(req, now) == 0 {
 		if !req.Deadline.IsZero() && now.Add(a.minWorkTime(req, now)).After(req.Deadline) {
 			return nil, run{}, a.newRefusal(classifier.ReasonDeadline, now)
@@ -279,6 +300,7 @@
 
 // start records that a request starts to run.
 func (a *Admitter) start(req Request, now time.Time) run {
+	a.rateLimiter.Take(now)
 	a.inFlight++
 	a.startOffsetSum += now.Sub(a.created)
 	a.queue.recordStart(req.Priority)
@@ -342,6 +364,11 @@
 			a.refuseWaiter(w, classifier.ReasonDeadline, now)
 			continue
 		}
+		if refusal := a.rateRefusal(1, now); refusal != nil {
+			a.queue.remove(w)
+			w.settle(refusal)
+			continue
+		}
 		a.queue.remove(w)
 		a.queue.dispatched++
 		w.run = a.start(w.req, now)
@@ -386,6 +413,16 @@
 	}
 }
 
+// rateRefusal returns a refusal if the rate limit does not let n requests start now, since
+// another instance may take them at once. Its RetryAfter is the time until it does.
+func (a *Admitter) rateRefusal(n int, now time.Time) *Refusal {
+	wait := a.rateLimiter.Wait(n, now)
+	if wait == 0 {
+		return nil
+	}
+	return &Refusal{reason: classifier.ReasonRateLimit, retryAfter: wait}
+}
+
 func (a *Admitter) refuseWaiter(w *waiter, reason classifier.Reason, now time.Time) {
 	refusal := a.newRefusal(reason, now)
 	a.queue.remove(w)
--- a/internal/request/picker/choice.go
+++ b/internal/request/picker/choice.go
@@ -16,6 +16,9 @@
 	// ReasonNoSample means that the candidate has no recent load sample of its current
 	// incarnation.
 	ReasonNoSample = "no-fresh-sample"
+	// ReasonRateLimited means that the candidate refuses requests now because of the rate
+	// limit of its upstream.
+	ReasonRateLimited = "rate-limited"
 	// ReasonPolicy means that a baseline policy chose without scores.
 	ReasonPolicy = "policy"
 )
@@ -72,6 +75,9 @@
 		return false
 	}
 	load := c.reading.Load()
+	if load.Rate().Limited() {
+		return false
+	}
 	occupancy := load.InFlight() + load.Queued() + c.reading.SentSinceSample() + 1 // With this request.
 	return float64(occupancy) <= sampler.LowOccupancyShare*float64(load.Limit()) && load.SlownessPercent() <= normalSlownessPercent
 }
@@ -79,6 +85,17 @@
 // Chosen returns the chosen candidate.
 func (c *Choice) Chosen() Candidate { return c.candidates[c.chosen] }
 
+// firstNotRateLimited returns the index of the first candidate that is not known to refuse
+// requests because of a rate limit, or 0 if all do.
+func (c *Choice) firstNotRateLimited() int {
+	for i := range c.n {
+		if c.candidates[i].reason != ReasonRateLimited {
+			return i
+		}
+	}
+	return 0
+}
+
 func (c *Choice) add(candidate Candidate) {
 	c.candidates[c.n] = candidate
 	c.n++
--- a/internal/request/picker/eligible.go
+++ b/internal/request/picker/eligible.go
@@ -19,15 +19,18 @@
 	classHealthy class = iota
 	classOutlier
 	classSuspect
+	classRateLimited
 	classUnroutable
 )
 
 // classOf returns the class of an instance; classUnroutable if it accepts no new
-// requests.
-func classOf(in *registrar.Instance, outliers *sampler.Outliers) class {
+// requests. rateLimited reports whether its rate limit is known to be reached.
+func classOf(in *registrar.Instance, outliers *sampler.Outliers, rateLimited bool) class {
 	switch {
 	case !in.State().Routable():
 		return classUnroutable
+	case rateLimited:
+		return classRateLimited
 	case in.State() == registrar.StateSuspect:
 		return classSuspect
 	case outliers.Has(in.ID()):
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -78,7 +78,10 @@
 		}
 	}
 	p.drawAndRefresh(s, choice, false)
-	choice.chosen = max(p.best(choice, s), 0)
+	choice.chosen = p.best(choice, s)
+	if choice.chosen < 0 {
+		choice.chosen = choice.firstNotRateLimited()
+	}
 }
 
 // tryOwnInstance adds this node's own instance as the first candidate. It reports whether
@@ -137,17 +140,20 @@
 	if load := reading.Load(); load.InFlight() >= load.Limit() && reading.Age() <= maxReuseAgeFull {
 		return true
 	}
+	if reading.RateWait() > 0 {
+		return true
+	}
 	return reading.Fresh() && reading.Age() <= maxReuseAge
 }
 
 // best scores all candidates and returns the index of the one with the lowest score, or
-// -1 if none has a usable sample.
+// -1 if none that is not rate limited has a usable sample.
 func (p *leastExpectedFinish) best(choice *Choice, s *pickState) int {
 	best := -1
 	for i := range choice.n {
 		candidate := &choice.candidates[i]
 		p.score(candidate, s)
-		if candidate.reason == ReasonNoSample {
+		if candidate.reason == ReasonNoSample || candidate.reason == ReasonRateLimited {
 			continue
 		}
 		if best < 0 || candidate.expected < choice.candidates[best].expected {
@@ -211,6 +217,10 @@
 		candidate.reason = ReasonNoSample
 		return
 	}
+	if reading.RateWait() > 0 {
+		candidate.reason = ReasonRateLimited
+		return
+	}
 	load := reading.Load()
 	limit := max(load.Limit(), 1)
 	occupancy := load.InFlight() + load.Queued() + reading.SentSinceSample()
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -15,8 +15,9 @@
 // drawn. The other policies are documented with their names.
 //
 // Instances that recently failed, or were far slower than the others, are drawn only
-// when no other is left, and suspect ones only when none of those is left either. A
-// leaving instance is never chosen.
+// when no other is left, and suspect ones only when none of those is left either. An
+// instance whose upstream accepts no more requests a second comes last. A leaving instance
+// is never chosen.
 //
 // Pick is safe for concurrent use. It takes no lock, except that PolicyLeastExpectedFinish
 // may wait for load samples.
@@ -186,8 +187,8 @@
 }
 
 // collectEligible fills s.eligible with the instances, except excluded ones, of the first
-// class that has any: healthy ones, then outliers, then suspects. Policies that do not
-// avoid outliers treat them as healthy.
+// class that has any: healthy ones, then outliers, then suspects, then those whose rate
+// limit is reached. Policies that do not avoid outliers treat them as healthy.
 func (p *Picker) collectEligible(s *pickState) {
 	e := &s.eligible
 	outliers := noOutliers
@@ -199,9 +200,9 @@
 			Now:               s.Now,
 		})
 	}
-	for want := classHealthy; want <= classSuspect && e.len() == 0; want++ {
+	for want := classHealthy; want <= classRateLimited && e.len() == 0; want++ {
 		for _, in := range s.Instances {
-			if classOf(in, outliers) != want || slices.Contains(s.Exclude, in.ID()) {
+			if classOf(in, outliers, p.rateLimited(in, s)) != want || slices.Contains(s.Exclude, in.ID()) {
 				continue
 			}
 			e.add(in, p.weight(in, s), in.Region() == p.region)
@@ -209,6 +210,13 @@
 	}
 }
 
+// rateLimited reports whether an instance refuses requests now because of the rate limit
+// of its upstream, as far as its newest sample tells.
+func (p *Picker) rateLimited(in *registrar.Instance, s *pickState) bool {
+	reading := p.read(in, s)
+	return reading.RateWait() > 0 && reading.Incarnation() == in.Incarnation()
+}
+
 // read returns the load reading of an instance.
 func (p *Picker) read(in *registrar.Instance, s *pickState) sampler.Reading {
 	return p.pool.Read(in.ID(), s.sampleMaxAge, s.Now)
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -1,14 +1,23 @@
-// Package ratelimiter tracks the rate of requests that an upstream accepts, as the
-// upstream names it in its responses.
+// Package ratelimiter limits the rate of requests to an upstream to what the upstream
+// names in its responses.
 //
 // # Usage
 //
 //	l := ratelimiter.New(ratelimiter.Config{Scope: scope, Log: log})
 //	l.Observe(ratelimiter.Response{Limit: resp.Header.Get(classifier.HeaderRateLimit), SentAt: sentAt})
+//	if wait := l.Wait(1, time.Now()); wait == 0 {
+//		l.Take(time.Now())
+//		// Send the request.
+//	}
 //	l.Reset() // after the upstream was replaced
 //
+// The node beside an upstream sends all requests to it, so that one limiter there holds the
+// limit for all nodes together. See docs/design/rate-limits.md for the alternatives.
+//
 // The limit is in force from the first response that names it until a response to a later
-// request does not. A value that cannot be parsed changes nothing.
+// request does not. A value that cannot be parsed changes nothing. Requests that were not
+// sent for a while are made up for only within the burst, so that a process that was
+// paused does not send them at once.
 package ratelimiter
 
 import (
@@ -20,12 +29,23 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/sampler"
 )
 
-// logLinesPerSecond limits the log lines about changes of the limit.
-const logLinesPerSecond = 5
+const (
+	// burstPeriod is the time whose requests may be sent at once after a pause.
+	burstPeriod = 500 * time.Millisecond
+	// minPerSecond is the least rate in requests a second that is enforced, since the end
+	// of a limit is learned only from responses.
+	minPerSecond = 0.1
+	// tokenTolerance is the number of requests by which rounding may reduce those left.
+	tokenTolerance = 1e-6
+	// logLinesPerSecond limits the log lines about changes of the limit.
+	logLinesPerSecond = 5
+)
 
 // ErrMalformed reports a limit that is not a number of requests a second.
 var ErrMalformed = errors.New("malformed rate limit")
@@ -47,18 +67,19 @@
 	Refused bool
 }
 
-// Limiter tracks the rate limit of one upstream. It is safe for concurrent use.
+// Limiter enforces the rate limit of one upstream. It is safe for concurrent use.
 type Limiter struct {
 	log        zerolog.Logger
 	logLimiter *logger.Limiter
 	limitGauge tally.Gauge // Requests a second; 0 without a limit.
+	leftGauge  tally.Gauge // Requests that might start when the last one did.
 	namedGauge tally.Gauge // Unix time of the last response that named a limit.
 
-	mu        sync.Mutex // Guards the fields below.
-	limited   bool
-	perSecond float64
-	since     time.Time // When the limit was first named.
-	namedAt   time.Time // When it was last named.
+	mu        sync.Mutex    // Guards the fields below.
+	bucket    *rate.Limiter // Nil if there is no limit.
+	perSecond float64       // As named.
+	since     time.Time     // When the limit was first named.
+	namedAt   time.Time     // When it was last named.
 }
 
 // New returns a limiter without a limit.
@@ -67,6 +88,7 @@
 		log:        cfg.Log,
 		logLimiter: logger.NewLimiter(logLinesPerSecond),
 		limitGauge: cfg.Scope.Gauge("rate_limit"),
+		leftGauge:  cfg.Scope.Gauge("rate_limit_left"),
 		namedGauge: cfg.Scope.Gauge("rate_limit_named_timestamp_seconds"),
 	}
 }
@@ -78,7 +100,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.Limit == "" {
-		if l.limited && !r.Refused && r.SentAt.After(l.namedAt) {
+		if l.bucket != nil && !r.Refused && r.SentAt.After(l.namedAt) {
 			l.end(now)
 		}
 		return
@@ -95,36 +117,97 @@
 func (l *Limiter) Reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limited {
+	if l.bucket != nil {
 		l.end(time.Now())
 	}
 }
 
+// Report returns the limit for the load report of the upstream.
+func (l *Limiter) Report(now time.Time) sampler.RateLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bucket == nil {
+		return sampler.RateLimit{}
+	}
+	return sampler.RateLimit{
+		PerSecond: float64(l.bucket.Limit()),
+		Age:       now.Sub(l.namedAt),
+		Left:      int(max(l.tokens(now), 0)),
+		Wait:      l.wait(1, now),
+	}
+}
+
+// Take records that a request starts.
+func (l *Limiter) Take(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bucket == nil {
+		return
+	}
+	l.bucket.ReserveN(now, 1)
+	l.leftGauge.Update(max(l.tokens(now), 0))
+}
+
+// Wait returns the time until n requests may start, or 0 if they may start now.
+func (l *Limiter) Wait(n int, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wait(n, now)
+}
+
 // name records a response that names a limit. The mutex must be held.
 func (l *Limiter) name(perSecond float64, now time.Time) {
-	if !l.limited {
-		l.since = now
-	}
-	if !l.limited || l.perSecond != perSecond {
+	if l.bucket == nil || l.perSecond != perSecond {
 		l.logLimiter.Limit(l.log.Info()).Float64("per-second", perSecond).Float64("per-second-before", l.perSecond).
 			Msg("Upstream named a rate limit.")
+		l.setRate(perSecond, now)
 	}
-	l.limited = true
-	l.perSecond = perSecond
 	l.namedAt = now
-	l.limitGauge.Update(perSecond)
 	l.namedGauge.Update(float64(now.Unix()))
 }
 
+// setRate changes the limit. A new limit has nothing left at first, since requests were
+// sent without it just before. The mutex must be held.
+func (l *Limiter) setRate(perSecond float64, now time.Time) {
+	l.perSecond = perSecond
+	l.limitGauge.Update(perSecond)
+	limit := rate.Limit(max(perSecond, minPerSecond))
+	burst := max(int(float64(limit)*burstPeriod.Seconds()), 1)
+	if l.bucket != nil {
+		l.bucket.SetLimitAt(now, limit)
+		l.bucket.SetBurstAt(now, burst)
+		return
+	}
+	l.since = now
+	l.bucket = rate.NewLimiter(limit, burst)
+	l.bucket.AllowN(now, burst)
+}
+
 // end ends the limit. The mutex must be held.
 func (l *Limiter) end(now time.Time) {
 	l.logLimiter.Limit(l.log.Info()).Float64("per-second-before", l.perSecond).
 		Dur("after-ms", now.Sub(l.since)).Msg("Upstream's rate limit ended.")
-	l.limited = false
+	l.bucket = nil
 	l.perSecond = 0
 	l.limitGauge.Update(0)
 }
 
+// tokens returns the number of requests that may start now, with a fraction. The limit must
+// be in force and the mutex held.
+func (l *Limiter) tokens(now time.Time) float64 { return l.bucket.TokensAt(now) + tokenTolerance }
+
+// wait returns the time until n requests may start. The mutex must be held.
+func (l *Limiter) wait(n int, now time.Time) time.Duration {
+	if l.bucket == nil {
+		return 0
+	}
+	missing := float64(n) - l.tokens(now)
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / float64(l.bucket.Limit()) * float64(time.Second))
+}
+
 // Parse parses a limit in requests a second. It returns ErrMalformed for text that is not
 // a finite decimal number of at least 0.
 func Parse(s string) (float64, error) {
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -35,6 +35,9 @@
 	ReasonTimeout Reason = "timeout"
 	// ReasonConnections means that the upstream's connection limit was reached.
 	ReasonConnections Reason = "connection-limit"
+	// ReasonRateLimit means that the upstream has said that it accepts no more requests a
+	// second.
+	ReasonRateLimit Reason = "rate-limited"
 	// ReasonLeaving means that the instance is leaving and accepts no new requests.
 	ReasonLeaving Reason = "leaving"
 	// ReasonUpstream means that the instance's upstream has not announced itself, or is
