fix: an upstream that says in its responses that it leaves gets no more requests

Callers saw requests go to an upstream that had said it leaves, and end with it. Cause, of the class of the rate limit: only heartbeats were read; the header in all its responses bound nobody.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -5,6 +5,7 @@
 //
 //	e := enroller.New(enroller.Config{Service: "vitrina", Address: addr, OnChange: announce, ...})
 //	err := e.RecordHeartbeat(enroller.Heartbeat{ID: "i-7f3a", StartedAt: startedAt, Sequence: 4, ...})
+//	e.RecordDraining("i-7f3a") // after a response that says so
 //	e.Deregister("i-7f3a", startedAt)
 //	id, ok := e.Current() // on the path of a request
 //
@@ -114,6 +115,20 @@
 	return nil
 }
 
+// RecordDraining records that the upstream with the given id has said, other than by a
+// heartbeat, that it accepts no new requests. It does nothing if another upstream has
+// replaced that one.
+func (e *Enroller) RecordDraining(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if id != e.current.id || !e.current.available() {
+		return
+	}
+	next := e.current
+	next.draining = true
+	e.setCurrent(next, Heartbeat{})
+}
+
 // Deregister records that an incarnation accepts no new requests and is about to end. An
 // unknown incarnation replaces the current one if it started later.
 func (e *Enroller) Deregister(id string, startedAt time.Time) {
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
 	"github.com/banyanscale/banyanscale/internal/process/watcher"
@@ -198,15 +199,14 @@
 	})
 }
 
-// observingRequester reports the upstream's responses to the watcher, the gauger and the
-// rate limiter.
+// observingRequester reports what the upstream says in its responses to the parts that act
+// on it.
 type observingRequester struct {
 	server.Requester
 	watcher     *watcher.Watcher
-	gauger      *gauger.Gauger // Nil if the upstream reports nothing.
+	gauger      *gauger.Gauger     // Nil if the upstream sends no heartbeats.
+	enroller    *enroller.Enroller // Nil if the upstream sends no heartbeats.
 	rateLimiter *ratelimiter.Limiter
-	// upstreamID returns the id of the current upstream.
-	upstreamID func() string
 }
 
 // DoLimited implements server.Requester.
@@ -219,18 +219,31 @@
 	if err != nil {
 		return nil, err // A *requester.Error, which the server reads.
 	}
-	r.watcher.ObserveResponse(resp.Header.Get(classifier.HeaderDraining) != "")
+	draining := resp.Header.Get(classifier.HeaderDraining) != ""
+	r.watcher.ObserveResponse(draining)
 	r.observeReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
-	if id == r.upstreamID() {
+	if r.enroller != nil && draining {
+		r.enroller.RecordDraining(id)
+	}
+	if r.isCurrent(id) {
 		r.rateLimiter.Observe(ratelimiter.Response{
-			Limit:   resp.Header.Get(classifier.HeaderRateLimit),
-			SentAt:  sentAt,
-			Refused: classifier.FromResponse(resp, nil).Outcome() == classifier.NotRun,
+			Limit:        resp.Header.Get(classifier.HeaderRateLimit),
+			SentAt:       sentAt,
+			Inconclusive: classifier.FromResponse(resp, nil).Outcome() == classifier.NotRun,
 		})
 	}
 	return resp, nil
 }
 
+// isCurrent reports whether the upstream with the given id was not replaced.
+func (r observingRequester) isCurrent(id string) bool {
+	if r.enroller == nil {
+		return true
+	}
+	current, _ := r.enroller.Current()
+	return id == current
+}
+
 // observeReport passes the load report of a response to the gauger. It ignores a report
 // that cannot be parsed.
 func (r observingRequester) observeReport(header string) {
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -12,6 +12,7 @@
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/gauger"
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -38,15 +39,6 @@
 	return n.gauger.Slowdown(now)
 }
 
-// upstreamID returns the id of the upstream, or "" if it is unknown.
-func (n *Node) upstreamID() string {
-	if n.enroller == nil {
-		return ""
-	}
-	id, _ := n.enroller.Current()
-	return id
-}
-
 // reserveHealthRead reports whether the health endpoint may be read now, within the budget
 // for measurements and the upstream's rate limit.
 func (n *Node) reserveHealthRead(bytes int) bool {
@@ -106,10 +98,25 @@
 	}
 	// A report that cannot be parsed counts as none.
 	report, _ := gauger.ParseReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
-	if id := resp.Header.Get(classifier.HeaderUpstream); id != "" && resp.StatusCode == http.StatusOK {
+	n.observeHealthHeader(resp)
+	return resp.StatusCode < http.StatusInternalServerError, report, nil
+}
+
+// observeHealthHeader records what the header of a health response says of the upstream.
+func (n *Node) observeHealthHeader(resp *http.Response) {
+	id := resp.Header.Get(classifier.HeaderUpstream)
+	if id == "" {
+		return
+	}
+	switch {
+	case resp.Header.Get(classifier.HeaderDraining) != "":
+		n.enroller.RecordDraining(id)
+	case resp.StatusCode == http.StatusOK:
 		n.enroller.Identify(id)
 	}
-	return resp.StatusCode < http.StatusInternalServerError, report, nil
+	if current, _ := n.enroller.Current(); current == id {
+		n.rateLimiter.Observe(ratelimiter.Response{Limit: resp.Header.Get(classifier.HeaderRateLimit), Inconclusive: true})
+	}
 }
 
 // discardHealthBody reads the body of a health response to its end.
--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,14 +46,15 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// newTestNode assembles a node with a configuration. Its listeners are not open.
-func newTestNode(tb testing.TB, id, service string, upstream netip.AddrPort) *Node {
+// newTestNode assembles a node with a configuration, and with the given lines added to its
+// settings. Its listeners are not open.
+func newTestNode(tb testing.TB, id, service string, upstream netip.AddrPort, settingLines ...string) *Node {
 	tb.Helper()
 	httpAddress, peerAddress := freeAddress(tb), freeAddress(tb)
 	path := filepath.Join(tb.TempDir(), id+".ini")
 	text := fmt.Sprintf("[node]\ninstance = %s\nservice = %s\nowner = o\nsite = s\nregion = r\nfailure-domain = d\n"+
 		"http-address = %s\npeer-address = %s\nupstream-address = %s\nslots = 1024\nconnections = 1024\nseeds = 127.0.0.1:1\n",
-		id, service, httpAddress, peerAddress, upstream)
+		id, service, httpAddress, peerAddress, upstream) + strings.Join(settingLines, "\n")
 	assert.NilError(tb, os.WriteFile(path, []byte(text), 0o600))
 	settings, err := configurer.LoadNode(path)
 	assert.NilError(tb, err)
--- a/internal/process/launcher/rate_limit_test.go
+++ b/internal/process/launcher/rate_limit_test.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex
 	limit    float64 // Requests a second; 0 for none.
 	namedAt  time.Time
+	leaving  bool
 	arrivals []time.Time
 }
 
@@ -51,10 +52,13 @@
 func (u *limitedUpstream) header() http.Header {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	header := http.Header{}
+	header := http.Header{classifier.HeaderUpstream: {"i-1"}}
 	if u.limit > 0 {
 		header.Set(classifier.HeaderRateLimit, strconv.FormatFloat(u.limit, 'f', -1, 64))
 	}
+	if u.leaving {
+		header.Set(classifier.HeaderDraining, "1")
+	}
 	return header
 }
 
@@ -97,9 +101,9 @@
 }
 
 // runLimited runs a test of a serving node with a limitedUpstream in fake time.
-func runLimited(t *testing.T, test func(t *testing.T, n *Node, u *limitedUpstream)) {
+func runLimited(t *testing.T, test func(t *testing.T, n *Node, u *limitedUpstream), settingLines ...string) {
 	t.Helper()
-	n := newTestNode(t, "vitrina-1", "vitrina", netip.MustParseAddrPort("127.0.0.1:9"))
+	n := newTestNode(t, "vitrina-1", "vitrina", netip.MustParseAddrPort("127.0.0.1:9"), settingLines...)
 	synctest.Test(t, func(t *testing.T) {
 		u := &limitedUpstream{}
 		restartServing(n, u)
--- a/internal/request/admitter/rate_limit_test.go
+++ b/internal/request/admitter/rate_limit_test.go
@@ -54,18 +54,15 @@
 	})
 }
 
-// TestQueueOfLimitedUpstreamIsNotSentAtOnce guards against requests that wait for a slot while the upstream stalls and then exceed its rate limit.
-func TestQueueOfLimitedUpstreamIsNotSentAtOnce(t *testing.T) {
-	runLimited(t, func(t *testing.T, a *Admitter) {
-		var stalled []*Permit
-		for range 2 {
-			permit, err := a.Admit(context.Background(), Request{})
-			assert.NilError(t, err)
-			stalled = append(stalled, permit)
-		}
+// TestWaitingRequestsHeedRateLimitNamedMeanwhile guards against requests that are sent at once after a stall, although the upstream has named a rate limit since they arrived.
+func TestWaitingRequestsHeedRateLimitNamedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := ratelimiter.New(ratelimiter.Config{Scope: tallyscope.NoopScope, Log: zerolog.Nop()})
+		a := New(Config{Slots: 1, Connections: 100, QueueLength: 100, RateLimiter: l})
+		stalled, err := a.Admit(context.Background(), Request{})
+		assert.NilError(t, err)
 		var started, refused atomic.Int64
 		for range 20 {
-			time.Sleep(300 * time.Millisecond)
 			go func() {
 				permit, err := a.Admit(context.Background(), Request{})
 				if err != nil {
@@ -77,9 +74,9 @@
 			}()
 		}
 		synctest.Wait()
-		for _, permit := range stalled {
-			permit.Done(Result{})
-		}
+		l.Observe(ratelimiter.Response{Limit: "4", SentAt: time.Now()})
+		time.Sleep(time.Second)
+		stalled.Done(Result{})
 		synctest.Wait()
 		assert.Equal(t, started.Load(), int64(2))
 		assert.Equal(t, refused.Load(), int64(18))
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -62,9 +62,9 @@
 	Limit string
 	// SentAt is when the request was sent.
 	SentAt time.Time
-	// Refused reports that the upstream refused the request. Such a response may name a
-	// limit, but does not end one.
-	Refused bool
+	// Inconclusive reports that the response does not end a limit that it does not name:
+	// the upstream refused the request, or it is one of its health endpoint.
+	Inconclusive bool
 }
 
 // Limiter enforces the rate limit of one upstream. It is safe for concurrent use.
@@ -100,7 +100,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.Limit == "" {
-		if l.bucket != nil && !r.Refused && r.SentAt.After(l.namedAt) {
+		if l.bucket != nil && !r.Inconclusive && r.SentAt.After(l.namedAt) {
 			l.end(now)
 		}
 		return
--- a/internal/request/ratelimiter/ratelimiter_test.go
+++ b/internal/request/ratelimiter/ratelimiter_test.go
@@ -79,10 +79,10 @@
 		sent     time.Duration // After the limit was named.
 		limited  bool
 	}{
-		"later request":          {Response{}, time.Second, false},
-		"earlier request":        {Response{}, -time.Second, true},
-		"later request, refused": {Response{Refused: true}, time.Second, true},
-		"malformed":              {Response{Limit: "many"}, time.Second, true},
+		"later request":   {Response{}, time.Second, false},
+		"earlier request": {Response{}, -time.Second, true},
+		"inconclusive":    {Response{Inconclusive: true}, time.Second, true},
+		"malformed":       {Response{Limit: "many"}, time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(t *testing.T, l *Limiter) {
