fix: a restarted node learns from entry nodes what its upstream has said

Callers saw nothing; an upstream that had named a limit, or had said that it leaves, got requests after a restart of its own node from entry nodes that it had told, which are bound all the same.

Cause: only the node beside the upstream kept what that says of itself, in memory. Change: its responses to other nodes hold a notice (upstream, start time, limit, leaving); entry nodes keep the latest of each instance and return it with their requests. The serving node drops one of another incarnation, and a limit once it has heard the upstream itself.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -5,7 +5,7 @@
 //
 //	e := enroller.New(enroller.Config{Service: "vitrina", Address: addr, OnChange: announce, ...})
 //	err := e.RecordHeartbeat(enroller.Heartbeat{ID: "i-7f3a", StartedAt: startedAt, Sequence: 4, ...})
-//	e.RecordDraining("i-7f3a") // after a response that says so
+//	e.RecordDraining("i-7f3a", startedAt) // after a response that says so
 //	e.Deregister("i-7f3a", startedAt)
 //	id, ok := e.Current() // on the path of a request
 //
@@ -84,6 +84,12 @@
 // available reports whether new requests may be sent to the incarnation.
 func (i incarnation) available() bool { return i.id != "" && !i.draining && !i.deregistered }
 
+// matches reports whether the incarnation may be the one with the given id and start time,
+// either of whose start times may be unknown.
+func (i incarnation) matches(id string, startedAt time.Time) bool {
+	return id == i.id && (startedAt.IsZero() || i.startedAt.IsZero() || startedAt.Equal(i.startedAt))
+}
+
 // Enroller tracks one upstream by its heartbeats. It is safe for concurrent use.
 type Enroller struct {
 	cfg Config
@@ -115,13 +121,13 @@
 	return nil
 }
 
-// RecordDraining records that the upstream with the given id has said, other than by a
-// heartbeat, that it accepts no new requests. It does nothing if another upstream has
-// replaced that one.
-func (e *Enroller) RecordDraining(id string) {
+// RecordDraining records that an upstream has said, other than by a heartbeat, that it
+// accepts no new requests. Its start time may be zero if it is unknown. It does nothing if
+// another incarnation has replaced that one.
+func (e *Enroller) RecordDraining(id string, startedAt time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if id != e.current.id || !e.current.available() {
+	if !e.current.matches(id, startedAt) || !e.current.available() {
 		return
 	}
 	next := e.current
@@ -162,6 +168,21 @@
 	return e.current.id, e.current.available()
 }
 
+// Identity returns the id of the upstream and its start time, which is zero if unknown.
+func (e *Enroller) Identity() (id string, startedAt time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current.id, e.current.startedAt
+}
+
+// Matches reports whether the upstream may be the one with the given id and start time,
+// either of whose start times may be unknown.
+func (e *Enroller) Matches(id string, startedAt time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current.matches(id, startedAt)
+}
+
 // setCurrent stores the state of the upstream, and reports a change. The mutex must be held,
 // so that changes are reported in order.
 func (e *Enroller) setCurrent(next incarnation, h Heartbeat) {
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -223,7 +223,7 @@
 	r.watcher.ObserveResponse(draining)
 	r.observeReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
 	if r.enroller != nil && draining {
-		r.enroller.RecordDraining(id)
+		r.enroller.RecordDraining(id, time.Time{})
 	}
 	if r.isCurrent(id) {
 		r.rateLimiter.Observe(ratelimiter.Response{
@@ -237,11 +237,7 @@
 
 // isCurrent reports whether the upstream with the given id was not replaced.
 func (r observingRequester) isCurrent(id string) bool {
-	if r.enroller == nil {
-		return true
-	}
-	current, _ := r.enroller.Current()
-	return id == current
+	return r.enroller == nil || r.enroller.Matches(id, time.Time{})
 }
 
 // observeReport passes the load report of a response to the gauger. It ignores a report
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -29,6 +29,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/noticer"
 	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -67,6 +68,7 @@
 	samplePool           *sampler.Pool
 	admitter             *admitter.Admitter
 	rateLimiter          *ratelimiter.Limiter
+	noticeBoard          *noticer.Board
 	server               *server.Server
 	forwarder            *forwarder.Forwarder
 	explainer            *explainer.Explainer
@@ -105,6 +107,8 @@
 		snapshots:  publisher.New(),
 		samplePool: sampler.New(sampler.Config{}),
 		explainer:  explainer.New(maxExplainedRequests),
+
+		noticeBoard: noticer.NewBoard(),
 	}
 	if err := n.assembleControlPlane(base); err != nil {
 		return nil, fmt.Errorf("assemble the control plane: %w", err)
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -110,11 +110,11 @@
 	}
 	switch {
 	case resp.Header.Get(classifier.HeaderDraining) != "":
-		n.enroller.RecordDraining(id)
+		n.enroller.RecordDraining(id, time.Time{})
 	case resp.StatusCode == http.StatusOK:
 		n.enroller.Identify(id)
 	}
-	if current, _ := n.enroller.Current(); current == id {
+	if n.enroller.Matches(id, time.Time{}) {
 		n.rateLimiter.Observe(ratelimiter.Response{Limit: resp.Header.Get(classifier.HeaderRateLimit), Inconclusive: true})
 	}
 }
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -157,5 +157,7 @@
 	n.deduplicator.Observe(view.Service(n.settings.Service()), n.keyRetention())
 	n.snapshots.SetView(view)
 	n.updateMaxSavedRetries(view)
-	n.samplePool.Retain(func(id string) bool { return view.Instance(id) != nil })
+	known := func(id string) bool { return view.Instance(id) != nil }
+	n.samplePool.Retain(known)
+	n.noticeBoard.Retain(known)
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -155,6 +155,8 @@
 		}
 		return resp, nil
 	}
+	f.presentNotice(in, req)
+	sentAt := time.Now()
 	resp, err := f.cfg.Requester.DoLimited(ctx, in.HTTP(), req, requester.Limits{StallTimeout: c.route.spec.StallTimeout})
 	if err != nil {
 		return nil, refuser.FromError(err)
@@ -162,13 +164,36 @@
 	if load := resp.Header.Get(classifier.HeaderLoad); load != "" {
 		f.cfg.Observer.ObserveLoad(in.ID(), in.Incarnation(), load, time.Now())
 	}
-	if refusal := refuser.FromResponse(resp); refusal != nil {
+	refusal := refuser.FromResponse(resp)
+	f.recordNotice(in, resp, refusal != nil, sentAt)
+	if refusal != nil {
 		discard(resp)
 		return nil, refusal
 	}
 	return resp, nil
 }
 
+// presentNotice adds to a request what the upstream of the instance last said of itself. The
+// instance's node may have been restarted since.
+func (f *Forwarder) presentNotice(in *registrar.Instance, req *http.Request) {
+	if f.cfg.Notices == nil {
+		return
+	}
+	if notice := f.cfg.Notices.Notice(in.ID()); notice != "" {
+		req.Header[classifier.HeaderUpstreamNotice] = []string{notice}
+	}
+}
+
+// recordNotice records what the upstream of the instance says of itself. The lack of a
+// notice means something only in a response of the upstream.
+func (f *Forwarder) recordNotice(in *registrar.Instance, resp *http.Response, refused bool, sentAt time.Time) {
+	notice := resp.Header.Get(classifier.HeaderUpstreamNotice)
+	if f.cfg.Notices == nil || refused && notice == "" {
+		return
+	}
+	f.cfg.Notices.Record(in.ID(), notice, sentAt)
+}
+
 // remainingMillis returns the time until the deadline of ctx, in milliseconds.
 func remainingMillis(ctx context.Context) int64 {
 	deadline, _ := ctx.Deadline()
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -21,7 +21,9 @@
 
 // nodeHeaders lists headers that only nodes may set. They are removed from callers'
 // requests.
-var nodeHeaders = [...]string{classifier.HeaderKeyHome, classifier.HeaderDue, classifier.HeaderStay, classifier.HeaderWork}
+var nodeHeaders = [...]string{
+	classifier.HeaderKeyHome, classifier.HeaderDue, classifier.HeaderStay, classifier.HeaderWork, classifier.HeaderUpstreamNotice,
+}
 
 // call is one caller's request and the state of its attempts.
 type call struct {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -113,6 +113,16 @@
 	Begin(ctx context.Context, req deduplicator.Request) (*deduplicator.Run, *deduplicator.Response, error)
 }
 
+// NoticeBoard keeps what the upstreams of instances have said of themselves, in the format
+// of HeaderUpstreamNotice.
+type NoticeBoard interface {
+	// Notice returns the latest notice of an instance, or "".
+	Notice(instanceID string) string
+	// Record records the notice, which may be empty, in the response of an instance to a
+	// request that was sent at sentAt.
+	Record(instanceID, notice string, sentAt time.Time)
+}
+
 // SnapshotSource returns the configuration in force and the view of the fleet.
 type SnapshotSource interface {
 	Snapshot() *publisher.Snapshot
@@ -120,7 +130,7 @@
 	Await(ctx context.Context, condition func(*publisher.Snapshot) bool) bool
 }
 
-// Config holds the dependencies of a Forwarder. Only Local and Keys are optional.
+// Config holds the dependencies of a Forwarder. Only Local, Keys and Notices are optional.
 type Config struct {
 	// Instance is the id of this node's instance.
 	Instance  string
@@ -132,6 +142,8 @@
 	Local LocalServer
 	// Keys is nil if the node stores no idempotency keys.
 	Keys KeyStore
+	// Notices is nil if the node returns no notices to instances.
+	Notices NoticeBoard
 	// MaxUnsentAttempts is the number of attempts per request that may fail before they
 	// reach an upstream, in addition to the attempts that the service allows.
 	MaxUnsentAttempts int
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -79,7 +79,8 @@
 	bucket    *rate.Limiter // Nil if there is no limit.
 	perSecond float64       // As named.
 	since     time.Time     // When the limit was first named.
-	namedAt   time.Time     // When it was last named.
+	namedAt   time.Time     // When it was last named; zero if only to another node.
+	heard     bool          // Whether the upstream itself has named a limit or none.
 }
 
 // New returns a limiter without a limit.
@@ -99,6 +100,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.heard = l.heard || r.Limit != "" || !r.Inconclusive
 	if r.Limit == "" {
 		if l.bucket != nil && !r.Inconclusive && r.SentAt.After(l.namedAt) {
 			l.end(now)
@@ -113,10 +115,29 @@
 	l.name(perSecond, now)
 }
 
+// Adopt records a limit that the upstream has named to another node. It does nothing once
+// the upstream itself was heard. The lowest of several is adopted. One request may start at
+// once, as its response tells whether the limit is still in force.
+func (l *Limiter) Adopt(perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heard || l.bucket != nil && l.perSecond <= perSecond {
+		return
+	}
+	now := time.Now()
+	l.logLimiter.Limit(l.log.Info()).Float64("per-second", perSecond).Msg("Another node knows a rate limit of the upstream.")
+	first := l.bucket == nil
+	l.setRate(perSecond, now)
+	if first {
+		l.leave(1, now)
+	}
+}
+
 // Reset ends the limit, for use after the upstream was replaced.
 func (l *Limiter) Reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.heard = false
 	if l.bucket != nil {
 		l.end(time.Now())
 	}
@@ -180,7 +201,14 @@
 	}
 	l.since = now
 	l.bucket = rate.NewLimiter(limit, burst)
-	l.bucket.AllowN(now, burst)
+	l.leave(0, now)
+}
+
+// leave refills the bucket and takes all but n requests from it. The mutex must be held.
+func (l *Limiter) leave(n int, now time.Time) {
+	burst := l.bucket.Burst()
+	l.bucket = rate.NewLimiter(l.bucket.Limit(), burst)
+	l.bucket.AllowN(now, burst-n)
 }
 
 // end ends the limit. The mutex must be held.
@@ -189,6 +217,7 @@
 		Dur("after-ms", now.Sub(l.since)).Msg("Upstream's rate limit ended.")
 	l.bucket = nil
 	l.perSecond = 0
+	l.namedAt = time.Time{}
 	l.limitGauge.Update(0)
 }
 
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -31,6 +31,9 @@
 // exchange admits and sends req unless the node is leaving. The request counts as in
 // flight until its response has ended.
 func (s *Server) exchange(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
+	if notice := req.Header.Get(classifier.HeaderUpstreamNotice); notice != "" && s.cfg.Notices != nil {
+		s.cfg.Notices.Heed(notice)
+	}
 	if !s.enter() {
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonLeaving)
 	}
@@ -180,6 +183,7 @@
 	delete(req.Header, classifier.HeaderDue)
 	delete(req.Header, classifier.HeaderWork)
 	delete(req.Header, classifier.HeaderStay)
+	delete(req.Header, classifier.HeaderUpstreamNotice)
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(remaining, 10))
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -119,6 +119,15 @@
 	Current() (id string, available bool)
 }
 
+// Notices exchanges with other nodes what the upstream says of itself, in the format of
+// HeaderUpstreamNotice.
+type Notices interface {
+	// Current returns what the upstream says now, or "" if that is nothing.
+	Current() string
+	// Heed records what the upstream has said to another node.
+	Heed(notice string)
+}
+
 // Config holds the dependencies of a Server. All are required unless noted.
 type Config struct {
 	// Instance is the id of the node's own instance, Service the name of its service.
@@ -131,8 +140,10 @@
 	Link      Link
 	// UpstreamTracker is nil if the upstream sends no heartbeats.
 	UpstreamTracker UpstreamTracker
-	Scope           tally.Scope
-	Log             zerolog.Logger
+	// Notices is nil if no notices are exchanged.
+	Notices Notices
+	Scope   tally.Scope
+	Log     zerolog.Logger
 }
 
 // Server serves the requests for the node's own upstream.
@@ -282,7 +293,7 @@
 			h[name] = value
 		}
 	}
-	h.Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
+	s.setState(h)
 	if mayBeLarge(resp) {
 		if size := bufferResponse(resp); size >= minPacedResponse {
 			resp.Body = s.cfg.Link.Begin(r.Context(), size, resp.Body)
@@ -294,8 +305,20 @@
 	}
 }
 
+// setState adds the load of the upstream and what it says of itself to the header of a
+// response to another node.
+func (s *Server) setState(h http.Header) {
+	h.Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
+	if s.cfg.Notices == nil {
+		return
+	}
+	if notice := s.cfg.Notices.Current(); notice != "" {
+		h.Set(classifier.HeaderUpstreamNotice, notice)
+	}
+}
+
 func (s *Server) refuse(w http.ResponseWriter, refusal *refuser.Refusal) {
-	w.Header().Set(classifier.HeaderLoad, s.cfg.Admitter.Load())
+	s.setState(w.Header())
 	refusal.Write(w, s.cfg.Instance)
 }
 
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -51,6 +51,10 @@
 	// HeaderUpstream holds the id of the upstream that a request is for, on requests to
 	// an upstream that announces its id. On its health responses it is its own id.
 	HeaderUpstream = "Banyanscale-Upstream"
+	// HeaderUpstreamNotice holds what the upstream of an instance says of itself, on
+	// responses between nodes. An entry node returns the latest one it received from an
+	// instance with its requests to that.
+	HeaderUpstreamNotice = "Banyanscale-Upstream-Notice"
 	// HeaderRetryAfterMS holds the time until a retry, in whole milliseconds.
 	HeaderRetryAfterMS = "Banyanscale-Retry-After-Ms"
 	// HeaderRetryAfter is the standard header for the time until a retry. Nodes set it
