fix: an idle connection ends before the time that its server names

A server says in Keep-Alive when it closes an idle connection; the pool kept its own 30 s and only looked whether the connection was closed yet. A request that crosses the close has an unknown outcome, so that an order is not sent again.

Change: a connection is used until half a second, or a quarter of that time, before the time in the last response's Keep-Alive.

--- a/internal/connection/requester/connection.go
+++ b/internal/connection/requester/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	peeker    *socketPeeker // Nil if netConn has no file descriptor.
 	hostPool  *hostPool
 	idleSince time.Time
+	// idleTimeout is how long the connection may be idle before its next use.
+	idleTimeout time.Duration
 
 	// sent is true once a byte of the current request may have been written to the
 	// socket.
@@ -49,7 +52,7 @@
 }
 
 func newConnection(netConn net.Conn, h *hostPool) *connection {
-	return &connection{netConn: netConn, peeker: newSocketPeeker(netConn), hostPool: h}
+	return &connection{netConn: netConn, peeker: newSocketPeeker(netConn), hostPool: h, idleTimeout: h.idleTimeout}
 }
 
 // beginExchange resets the state of the previous exchange.
@@ -101,6 +104,18 @@
 	return c.stallTimeout == 0 || c.netConn.SetDeadline(time.Time{}) == nil
 }
 
+// limitIdleTime sets how long the connection may be idle by the header of its last
+// response: no longer than the pool's timeout and that of the server.
+func (c *connection) limitIdleTime(h http.Header) {
+	c.idleTimeout = c.hostPool.idleTimeout
+	if timeout, ok := keepAliveTimeout(h); ok {
+		c.idleTimeout = min(c.idleTimeout, timeout)
+	}
+}
+
+// expired reports whether the connection has been idle for too long to be used.
+func (c *connection) expired(now time.Time) bool { return now.Sub(c.idleSince) >= c.idleTimeout }
+
 // close closes the connection and frees its slot. It is safe for concurrent use and
 // may be called more than once.
 func (c *connection) close() {
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -171,6 +171,7 @@
 	reusable := notCanceled && !e.sawMismatch && !resp.Close && !e.req.Close && e.r.Buffered() == 0 && e.fullySent()
 	e.releaseReader()
 	if reusable && e.conn.clearDeadlines() {
+		e.conn.limitIdleTime(resp.Header)
 		e.conn.hostPool.putIdle(e.conn)
 		return
 	}
--- a/internal/connection/requester/host_pool.go
+++ b/internal/connection/requester/host_pool.go
@@ -1,6 +1,7 @@
 package requester
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,7 +26,7 @@
 		if c == nil || err != nil {
 			return nil, err
 		}
-		if time.Since(c.idleSince) < h.idleTimeout && c.stillIdle() {
+		if !c.expired(time.Now()) && c.stillIdle() {
 			return c, nil
 		}
 		c.close()
@@ -74,15 +75,17 @@
 	h.mu.Unlock()
 }
 
-// closeExpired closes the connections that have reached the idle timeout.
+// closeExpired closes the connections that have reached their idle timeouts.
 func (h *hostPool) closeExpired(now time.Time) {
+	var expired []*connection
 	h.mu.Lock()
-	n := 0
-	for n < len(h.idle) && now.Sub(h.idle[n].idleSince) >= h.idleTimeout {
-		n++
-	}
-	expired := append([]*connection(nil), h.idle[:n]...)
-	h.idle = append(h.idle[:0], h.idle[n:]...)
+	h.idle = slices.DeleteFunc(h.idle, func(c *connection) bool {
+		if c.expired(now) {
+			expired = append(expired, c)
+			return true
+		}
+		return false
+	})
 	h.mu.Unlock()
 	for _, c := range expired {
 		c.close()
--- a/internal/connection/requester/pool_test.go
+++ b/internal/connection/requester/pool_test.go
@@ -294,6 +294,34 @@
 	})
 }
 
+// TestConnectionIsNotReusedUntilItsServerCloses guards against a request that crosses the close of a connection whose timeout the server has named.
+func TestConnectionIsNotReusedUntilItsServerCloses(t *testing.T) {
+	for name, tc := range map[string]struct {
+		keepAlive string
+		idle      time.Duration
+		reused    bool
+	}{
+		"well before the timeout": {"timeout=2, max=100", time.Second, true},
+		"just before the timeout": {"timeout=2", 1900 * time.Millisecond, false},
+		"timeout of a second":     {"Timeout=1", 700 * time.Millisecond, true},
+		"no time at all":          {"timeout=0", 0, false},
+		"malformed":               {"timeout=soon", 3 * time.Second, true},
+		"longer than the pool's":  {"timeout=3600", 31 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &dialer{scripts: []peerScript{respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: " + tc.keepAlive + "\r\n\r\nok")}}
+			withPool(t, requester.Config{Dialer: d}, func(t *testing.T, pool *requester.Pool) {
+				for range 2 {
+					_, err := doExchange(t.Context(), pool, newRequest(http.MethodPost, "12 litres"))
+					assert.NilError(t, err)
+					time.Sleep(tc.idle)
+				}
+			})
+			assert.Equal(t, d.dials.Load() == 1, tc.reused)
+		})
+	}
+}
+
 func TestCancellationClosesConnection(t *testing.T) {
 	disconnected := make(chan struct{})
 	d := &dialer{scripts: []peerScript{func(conn net.Conn, runs *atomic.Int64) {
