--- a/internal/process/emulator/behavior.go
+++ b/internal/process/emulator/behavior.go
@@ -20,8 +20,11 @@
 	behaviorStall         behaviorKind = "stall"
 	behaviorFreeze        behaviorKind = "freeze"
 	// behaviorLie serves requests, but the load endpoint reports 0.
-	behaviorLie   behaviorKind = "lie"
+	behaviorLie behaviorKind = "lie"
+	// behaviorDrain says in each response that the upstream leaves.
 	behaviorDrain behaviorKind = "drain"
+	// behaviorLimit names a rate limit in each response: the factor, in requests a second.
+	behaviorLimit behaviorKind = "limit"
 	// behaviorLieUnhealthy serves requests, but the health endpoint reports unavailable.
 	behaviorLieUnhealthy behaviorKind = "lie-unhealthy"
 	// behaviorStallHealth serves requests, but the health endpoint never responds.
@@ -31,7 +34,7 @@
 var behaviorKinds = map[behaviorKind]bool{
 	behaviorNormal: true, behaviorSlow: true, behaviorFailFast: true, behaviorShed: true,
 	behaviorFailAfterWork: true, behaviorTruncate: true, behaviorStall: true,
-	behaviorFreeze: true, behaviorLie: true, behaviorDrain: true,
+	behaviorFreeze: true, behaviorLie: true, behaviorDrain: true, behaviorLimit: true,
 	behaviorLieUnhealthy: true, behaviorStallHealth: true,
 }
 
@@ -41,7 +44,7 @@
 // behavior is a kind of misbehavior that is in effect for a time.
 type behavior struct {
 	kind   behaviorKind
-	factor float64 // Multiplies the service time of behaviorSlow.
+	factor float64 // Multiplies the service time of behaviorSlow; the limit of behaviorLimit.
 	since  time.Time
 	until  time.Time // Zero: no end.
 }
--- a/internal/process/emulator/emulator.go
+++ b/internal/process/emulator/emulator.go
@@ -10,7 +10,8 @@
 // It counts the executions of each request id, so that a test can check which
 // requests were executed more than once:
 //
-//	GET  /-/standin/executions       totals, and the ids executed more than once
+//	GET  /-/standin/executions       totals, the ids executed more than once, and the requests
+//	                                 beyond the rate limit that the emulator named
 //	POST /-/standin/executions       counts of the ids in the body, one per line
 //	POST /-/standin/behavior         sets a behavior: kind=slow&factor=10&for=500ms
 //	GET  /-/standin/load             the load endpoint, which lags and may report a false load
@@ -83,6 +84,7 @@
 	noise        noise
 	behavior     atomic.Pointer[behavior]
 	executions   *executionCounter
+	limitMonitor limitMonitor
 	reportedLoad laggedGauge
 }
 
@@ -114,7 +116,9 @@
 }
 
 func (e *Emulator) serveWork(w http.ResponseWriter, r *http.Request) {
-	b := e.behavior.Load().current(time.Now())
+	now := time.Now()
+	b := e.behavior.Load().current(now)
+	e.limitMonitor.observe(b, now)
 	switch b.kind {
 	case behaviorFailFast:
 		http.Error(w, "internal error", http.StatusInternalServerError)
@@ -176,8 +180,11 @@
 
 func (e *Emulator) respond(w http.ResponseWriter, r *http.Request, b behavior, body []byte) {
 	w.Header().Set("Standin-Instance", e.spec.ID)
-	if b.kind == behaviorDrain {
+	switch b.kind {
+	case behaviorDrain:
 		w.Header().Set(classifier.HeaderDraining, "1")
+	case behaviorLimit:
+		w.Header().Set(classifier.HeaderRateLimit, strconv.FormatFloat(b.factor, 'f', -1, 64))
 	}
 	w.Header().Set("Standin-Request", r.Header.Get(classifier.HeaderRequestID))
 	if b.kind == behaviorFailAfterWork {
@@ -193,7 +200,9 @@
 }
 
 func (e *Emulator) serveExecutions(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, e.executions.report())
+	report := e.executions.report()
+	report.OverLimit = e.limitMonitor.overLimit()
+	writeJSON(w, report)
 }
 
 func (e *Emulator) serveExecutionCounts(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/emulator/execution_counter.go
+++ b/internal/process/emulator/execution_counter.go
@@ -11,6 +11,9 @@
 	Total    int            `json:"total"`
 	Distinct int            `json:"distinct"`
 	Repeated map[string]int `json:"repeated"`
+	// OverLimit is the number of requests that arrived beyond the rate limit; see
+	// limitMonitor.
+	OverLimit int `json:"over-limit"`
 }
 
 // loadReport is the JSON response of the load endpoint.
--- a/internal/process/generator/auditor.go
+++ b/internal/process/generator/auditor.go
@@ -59,8 +59,7 @@
 	}
 	r.FalseNotRun = len(notRunRuns)
 	r.NotRun = len(a.notRun)
-	r.Executions, err = a.total(ctx)
-	if err != nil {
+	if err := a.addTotals(ctx, r); err != nil {
 		return fmt.Errorf("count all executions: %w", err)
 	}
 	return nil
@@ -83,18 +82,20 @@
 	return sum, nil
 }
 
-func (a *auditor) total(ctx context.Context) (int, error) {
-	total := 0
+// addTotals adds the totals of all stand-ins to r.
+func (a *auditor) addTotals(ctx context.Context, r *Result) error {
 	for _, url := range a.standIns {
 		var report struct {
-			Total int `json:"total"`
+			Total     int `json:"total"`
+			OverLimit int `json:"over-limit"`
 		}
 		if err := a.call(ctx, http.MethodGet, url+"/-/standin/executions", http.NoBody, &report); err != nil {
-			return 0, fmt.Errorf("%s: %w", url, err)
+			return fmt.Errorf("%s: %w", url, err)
 		}
-		total += report.Total
+		r.Executions += report.Total
+		r.OverLimit += report.OverLimit
 	}
-	return total, nil
+	return nil
 }
 
 // call sends a request to a stand-in and decodes the JSON response.
--- a/internal/process/generator/result.go
+++ b/internal/process/generator/result.go
@@ -57,6 +57,8 @@
 	RanMoreThanOnce int `json:"ran-more-than-once"`
 	// FalseNotRun counts requests with the outcome "not-run" that were executed.
 	FalseNotRun int `json:"false-not-run"`
+	// OverLimit counts requests to stand-ins beyond the rate limits that these named.
+	OverLimit int `json:"over-limit"`
 	// NotRun counts requests with the outcome "not-run".
 	NotRun int `json:"not-run"`
 }
@@ -64,7 +66,7 @@
 // Passed reports whether no request was executed more often than allowed, and no
 // response was foreign or truncated.
 func (r *Result) Passed() bool {
-	violations := r.RanMoreThanOnce + r.FalseNotRun
+	violations := r.RanMoreThanOnce + r.FalseNotRun + r.OverLimit
 	for _, m := range r.Mixes {
 		violations += m.Foreign + m.Truncated
 	}
