fix: a truncated winner of a hedge is resumed at the instance of the loser

Callers got a broken connection although an instance had the whole response: a hedge is won by the head and the first bytes of the body, and both instances counted as tried from then on.

Change: the instance whose attempt was canceled for the winner may be picked again, within the attempts and the retry budget. The test waits for its upstream's handler at the end, as the bubble can't end before.

--- a/internal/process/emulator/execution_counter.go
+++ b/internal/process/emulator/execution_counter.go
@@ -13,7 +13,7 @@
 	Repeated map[string]int `json:"repeated"`
 	// OverLimit is the number of requests that arrived beyond the rate limit; see
 	// limitMonitor.
-	OverLimit int `json:"over-limit"`
+	OverLimit int `json:"over-limit,omitempty"`
 }
 
 // loadReport is the JSON response of the load endpoint.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -77,6 +78,12 @@
 	c.excluded = c.excluded[:len(c.excluded)-1]
 }
 
+// undoExclusion lets the instance of an attempt be picked again.
+func (c *call) undoExclusion(a *attempt) {
+	id := a.choice.Instance.ID()
+	c.excluded = slices.DeleteFunc(c.excluded, func(excluded string) bool { return excluded == id })
+}
+
 // send performs the exchange of an attempt and reports it to the observer.
 func (c *call) send(ctx context.Context, a *attempt, extra http.Header) {
 	observer := c.forwarder.cfg.Observer
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -117,11 +117,12 @@
 }
 
 // cancelLosers cancels the attempts that are still running. Their responses are
-// discarded.
+// discarded. Their instances did not fail, so that one may resume the winner's response.
 func (h *hedger) cancelLosers() {
 	close(h.decided)
 	for _, loser := range h.running {
 		loser.cancel()
+		h.call.undoExclusion(loser.attempt)
 		explanation := loser.attempt.pendingExplanation()
 		explanation.End = time.Now()
 		explanation.Reason = classifier.ReasonCanceled
--- a/internal/request/forwarder/hedge_test.go
+++ b/internal/request/forwarder/hedge_test.go
@@ -125,6 +125,7 @@
 	f.network.fault = fault{address: firstNodeAddress, step: finish, kind: reset}
 	f.run(t, func(t *testing.T) {
 		resp, body, err := f.call(t.Context(), request(http.MethodGet))
+		time.Sleep(time.Second) // Until the upstream has ended the attempt that was canceled.
 		assertResponse(t, resp, body, err)
 	})
 }
