feat: urgent requests get a rate limit first

Change: while requests of a higher class arrive, one request of the bucket is kept for them, but for one start in 20. The bucket holds at least three.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -112,6 +112,7 @@
 	limiter      *limiter
 	queue        queue
 	healthReport healthReport
+	rateReserve  rateReserve
 	inFlight     int
 	// startOffsetSum is the sum of the start times of the requests in flight, each
 	// as an offset from created. The mean age of these requests is computed from it.
@@ -260,7 +261,7 @@
 	if a.leaving {
 		return nil, run{}, a.newRefusal(classifier.ReasonLeaving, now)
 	}
-	if refusal := a.rateRefusal(a.queue.len()+1, now); refusal != nil {
+	if refusal := a.rateRefusal(a.queue.len()+1+a.rateReserve.forHigher(req.Priority, now), now); refusal != nil {
 		return nil, run{}, refusal
 	}
 	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 && a.startDelay(req, now) == 0 {
@@ -301,6 +302,7 @@
 // start records that a request starts to run.
 func (a *Admitter) start(req Request, now time.Time) run {
 	a.rateLimiter.Take(now)
+	a.rateReserve.starts++
 	a.inFlight++
 	a.startOffsetSum += now.Sub(a.created)
 	a.queue.recordStart(req.Priority)
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -36,8 +36,10 @@
 )
 
 const (
-	// burstPeriod is the time whose requests may be sent at once after a pause.
+	// burstPeriod is the time whose requests may be sent at once after a pause, and minBurst
+	// the least number of them: one may be kept for urgent requests, and two may coincide.
 	burstPeriod = 500 * time.Millisecond
+	minBurst    = 3
 	// minPerSecond is the least rate in requests a second that is enforced, since the end
 	// of a limit is learned only from responses.
 	minPerSecond = 0.1
@@ -193,7 +195,7 @@
 	l.perSecond = perSecond
 	l.limitGauge.Update(perSecond)
 	limit := rate.Limit(max(perSecond, minPerSecond))
-	burst := max(int(float64(limit)*burstPeriod.Seconds()), 1)
+	burst := max(int(float64(limit)*burstPeriod.Seconds()), minBurst)
 	if l.bucket != nil {
 		l.bucket.SetLimitAt(now, limit)
 		l.bucket.SetBurstAt(now, burst)
