refactor: the choice reads only the wait of a rate limit for each instance

It read all that is known of each instance, with its decay, for the one figure it needs. Measure, BenchmarkPick with 100 instances, one run each beside a soak: 4,153 ns before, 2,171 ns after.

--- a/internal/process/sampler/pool.go
+++ b/internal/process/sampler/pool.go
@@ -87,6 +87,20 @@
 	return e.(*entry).read(p.maxRequestsPerSample, maxAge, now)
 }
 
+// RateWait returns how long an incarnation of an instance refuses requests because of the
+// rate limit that its upstream names, as far as the newest sample tells.
+func (p *Pool) RateWait(instanceID string, incarnation uint64, now time.Time) time.Duration {
+	e, ok := p.entries.Load(instanceID)
+	if !ok {
+		return 0
+	}
+	s := e.(*entry).sample.Load()
+	if s == nil || s.incarnation != incarnation {
+		return 0
+	}
+	return max(s.load.spec.Rate.Wait-now.Sub(s.receivedAt), 0)
+}
+
 // Retain removes every instance for which keep returns false, unless requests of
 // this node to it are in flight.
 func (p *Pool) Retain(keep func(instanceID string) bool) {
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -55,6 +55,7 @@
 // Pool provides the load readings and the outliers of instances.
 type Pool interface {
 	Read(instanceID string, maxAge time.Duration, now time.Time) sampler.Reading
+	RateWait(instanceID string, incarnation uint64, now time.Time) time.Duration
 	Outliers(q sampler.OutlierQuery) *sampler.Outliers
 }
 
@@ -213,8 +214,7 @@
 // rateLimited reports whether an instance refuses requests now because of the rate limit
 // of its upstream, as far as its newest sample tells.
 func (p *Picker) rateLimited(in *registrar.Instance, s *pickState) bool {
-	reading := p.read(in, s)
-	return reading.RateWait() > 0 && reading.Incarnation() == in.Incarnation()
+	return p.pool.RateWait(in.ID(), in.Incarnation(), s.Now) > 0
 }
 
 // read returns the load reading of an instance.
