--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -52,6 +52,7 @@
 		Instance:          choice.Instance(),
 		Candidates:        candidates(choice.Candidates()),
 		HasSpareCapacity:  choice.HasSpareCapacity(),
+		RateLimited:       choice.Chosen().Load().Rate().Limited(),
 		SameFailureDomain: choice.Instance().FailureDomain() == p.failureDomain,
 		LogFields:         choiceFields{choice.Chosen(), len(choice.Candidates())},
 	}, true
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -57,6 +57,8 @@
 	// starting makes the entry node one that has just started and knows nothing yet. By
 	// default it started some time ago.
 	starting bool
+	// rateLimited makes the picker report that all upstreams name rate limits.
+	rateLimited bool
 	// keys makes the entry node store idempotency keys, if not nil.
 	keys *deduplicator.Deduplicator
 
@@ -99,7 +101,7 @@
 		f.startNode("almacen-1", firstNodeAddress, firstUpstreamAddress, f.admissionErr)
 		f.startNode("almacen-2", secondNodeAddress, secondUpstreamAddress, nil)
 		cfg := forwarder.Config{
-			Instance: "vitrina-1", Snapshots: f.entryPublisher, Picker: firstPicker{}, Observer: noopObserver{}, Requester: f.newPool(),
+			Instance: "vitrina-1", Snapshots: f.entryPublisher, Picker: firstPicker{f.rateLimited}, Observer: noopObserver{}, Requester: f.newPool(),
 			Explainer: f.explainer, Scope: tally.NoopScope, Log: zerolog.Nop(),
 		}
 		if f.keys != nil {
@@ -195,12 +197,12 @@
 }
 
 // firstPicker picks the first untried instance.
-type firstPicker struct{}
+type firstPicker struct{ rateLimited bool }
 
-func (firstPicker) Pick(q forwarder.Query) (forwarder.Choice, bool) {
+func (p firstPicker) Pick(q forwarder.Query) (forwarder.Choice, bool) {
 	for _, in := range q.Instances {
 		if in.State().Routable() && !strings.Contains(strings.Join(q.Exclude, " "), in.ID()) {
-			return forwarder.Choice{Instance: in}, true
+			return forwarder.Choice{Instance: in, RateLimited: p.rateLimited}, true
 		}
 	}
 	return forwarder.Choice{}, false
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -68,8 +68,9 @@
 	})
 }
 
-// startHedge starts a second attempt if the attempt limit and the retry budget allow it.
-// On an explicit route, the instance must also have spare capacity.
+// startHedge starts a second attempt if the attempt limit and the retry budget allow it,
+// and the instance has no rate limit. On an explicit route, the instance must also have
+// spare capacity.
 func (h *hedger) startHedge() {
 	c := h.call
 	if c.attempts-c.unsentAttempts >= c.route.spec.MaxAttempts {
@@ -79,7 +80,7 @@
 	if a == nil {
 		return
 	}
-	if c.route.explicit && !a.choice.HasSpareCapacity {
+	if a.choice.RateLimited || c.route.explicit && !a.choice.HasSpareCapacity {
 		c.undoPick()
 		return
 	}
--- a/internal/request/forwarder/hedge_test.go
+++ b/internal/request/forwarder/hedge_test.go
@@ -109,6 +109,22 @@
 	})
 }
 
+func TestNoHedgeUsesUpRateLimit(t *testing.T) {
+	f := newFleet()
+	f.rateLimited = true
+	f.spec.HedgeAfter = 100 * time.Millisecond
+	respond := f.upstreamHandler
+	f.upstreamHandler = func(w http.ResponseWriter, r *http.Request, run int64) {
+		time.Sleep(time.Second)
+		respond(w, r, run)
+	}
+	f.run(t, func(t *testing.T) {
+		resp, body, err := f.call(t.Context(), request(http.MethodGet))
+		assertResponse(t, resp, body, err)
+		assert.Equal(t, f.runs.Load(), int64(1))
+	})
+}
+
 // TestTruncatedWinnerOfHedgeIsResumed checks that a response which won a hedge and is then
 // truncated is resumed at the instance whose attempt was canceled for it, if there is no
 // other one.
--- a/internal/request/picker/choice.go
+++ b/internal/request/picker/choice.go
@@ -75,9 +75,6 @@
 		return false
 	}
 	load := c.reading.Load()
-	if load.Rate().Limited() {
-		return false
-	}
 	occupancy := load.InFlight() + load.Queued() + c.reading.SentSinceSample() + 1 // With this request.
 	return float64(occupancy) <= sampler.LowOccupancyShare*float64(load.Limit()) && load.SlownessPercent() <= normalSlownessPercent
 }
