fix: a planned stop answers connections that are still in the backlog

Callers got a reset connection without an answer at a planned stop: closing a listening socket resets what the system has accepted and the process has not, requests that were sent included.

Change: a listener that is to be closed first accepts until no connection has arrived for 20 ms, 500 ms at most. Then it closes as before.

--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -58,8 +58,9 @@
 
 // listener is a bound HTTP server.
 type listener struct {
-	server *http.Server
-	socket net.Listener
+	server  *http.Server
+	socket  net.Listener
+	backlog *drainingListener // Inside socket.
 }
 
 func listen(ctx context.Context, addr netip.AddrPort, h http.Handler) (*listener, error) {
@@ -68,7 +69,8 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: serverIdleTimeout}
-	return &listener{server: srv, socket: socket}, nil
+	backlog := newDrainingListener(socket.(*net.TCPListener))
+	return &listener{server: srv, socket: backlog, backlog: backlog}, nil
 }
 
 // serve handles requests until the listener is closed.
@@ -79,16 +81,23 @@
 	return nil
 }
 
+// shutdown accepts what is in the backlog, closes the listener and waits for the requests in
+// flight until ctx ends.
+func (l *listener) shutdown(ctx context.Context) error {
+	l.backlog.Drain(ctx)
+	if err := l.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("close %s: %w", l.socket.Addr(), err)
+	}
+	return nil
+}
+
 // closer returns a function that closes the listener. It waits for requests in flight up
 // to closeTimeout, or until ctx ends.
 func (l *listener) closer(ctx context.Context) func() error {
 	return func() error {
 		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 		defer cancel()
-		if err := l.server.Shutdown(ctx); err != nil {
-			return fmt.Errorf("close %s: %w", l.socket.Addr(), err)
-		}
-		return nil
+		return l.shutdown(ctx)
 	}
 }
 
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -220,7 +220,7 @@
 		}
 	}
 	for _, l := range listeners {
-		if err := l.server.Shutdown(ctx); err != nil {
+		if err := l.shutdown(ctx); err != nil {
 			n.log.Warn().Err(err).Msg("A caller did not read its response to the end.")
 		}
 	}
