fix: a listener that drains sees the start of the drain

Found by reading: Accept read whether it drains twice around the call, so that a drain that began in between was taken for an empty backlog. The deadline and the state change under one mutex now, and one function reads them.

--- a/internal/process/launcher/draining_listener.go
+++ b/internal/process/launcher/draining_listener.go
@@ -5,7 +5,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,12 +23,14 @@
 // would reset the connection without an answer.
 type drainingListener struct {
 	*net.TCPListener
-	draining  atomic.Bool
-	drainEnd  atomic.Int64 // Unix time in nanoseconds.
 	drained   chan struct{}
 	drainOnce sync.Once
 	closed    chan struct{}
 	closeOnce sync.Once
+
+	mu       sync.Mutex // Guards the deadline of TCPListener and the fields below.
+	draining bool
+	drainEnd time.Time
 }
 
 func newDrainingListener(l *net.TCPListener) *drainingListener {
@@ -40,28 +41,45 @@
 // a while, and then blocks until the listener is closed.
 func (l *drainingListener) Accept() (net.Conn, error) {
 	for {
-		if l.draining.Load() {
-			now := time.Now()
-			if now.UnixNano() >= l.drainEnd.Load() {
-				return nil, l.awaitClose()
-			}
-			if err := l.SetDeadline(now.Add(drainIdleTime)); err != nil {
-				return nil, err //nolint:wrapcheck // http.Server inspects its type.
-			}
+		draining, expired := l.extendDeadline()
+		if expired {
+			return nil, l.awaitClose()
 		}
-		wasDraining := l.draining.Load()
 		conn, err := l.TCPListener.Accept()
 		switch {
 		case err == nil:
 			return conn, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err // Not wrapped: http.Server inspects its type.
-		case wasDraining:
+		case draining:
 			return nil, l.awaitClose()
 		}
+		// Drain has set the deadline to wake the call.
 	}
 }
 
+// extendDeadline sets the deadline of the next call of Accept while the listener is being
+// drained. It reports whether it is, and whether the time for that has passed.
+func (l *drainingListener) extendDeadline() (draining, expired bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.draining {
+		return false, false
+	}
+	now := time.Now()
+	return true, !now.Before(l.drainEnd) || l.SetDeadline(now.Add(drainIdleTime)) != nil
+}
+
+// startDraining sets the deadline so that a call of Accept returns.
+func (l *drainingListener) startDraining() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.draining = true
+	l.drainEnd = now.Add(maxDrainTime)
+	return l.SetDeadline(now)
+}
+
 // awaitClose reports that the listener is drained, and returns once it is closed.
 func (l *drainingListener) awaitClose() error {
 	l.drainOnce.Do(func() { close(l.drained) })
@@ -74,10 +92,8 @@
 func (l *drainingListener) Drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxDrainTime+drainIdleTime)
 	defer cancel()
-	l.drainEnd.Store(time.Now().Add(maxDrainTime).UnixNano())
-	l.draining.Store(true)
-	if l.SetDeadline(time.Now()) != nil { // Wakes Accept.
-		return
+	if l.startDraining() != nil {
+		return // The listener is closed.
 	}
 	select {
 	case <-l.drained:
--- a/internal/process/launcher/node_notice.go
+++ b/internal/process/launcher/node_notice.go
@@ -29,8 +29,8 @@
 	return notice.String()
 }
 
-// Heed implements server.Notices. It ignores a notice of another upstream.
-func (u upstreamNotices) Heed(text string) {
+// Apply implements server.Notices. It ignores a notice of another upstream.
+func (u upstreamNotices) Apply(text string) {
 	notice, err := noticer.Parse(text)
 	if err != nil {
 		u.log.Debug().Err(err).Msg("Another node sent a malformed notice.")
--- a/internal/process/launcher/upstream_notice_test.go
+++ b/internal/process/launcher/upstream_notice_test.go
@@ -45,7 +45,7 @@
 	resp := w.Result()
 	refusal := refuser.FromResponse(resp)
 	if notice := resp.Header.Get(classifier.HeaderUpstreamNotice); notice != "" || refusal == nil {
-		e.board.Record("vitrina-1", notice, sentAt)
+		assert.Check(t, e.board.Record("vitrina-1", notice, sentAt))
 	}
 	return refusal
 }
--- a/internal/process/prober/message.go
+++ b/internal/process/prober/message.go
@@ -28,11 +28,10 @@
 	// rate limit.
 	exchangeCost    = probeBytes + responseBytes + 2*datagramHeaderBytes
 	maxExchangeCost = exchangeCost + rateLimitBytes
+	// milli is the number of units of an encoded rate in one request a second.
+	milli = 1000
 )
 
-// milli is the number of units of an encoded rate in one request a second.
-const milli = 1000
-
 // ErrMalformedMessage means that a datagram is not a probe, or not a response, where
 // one is expected.
 var ErrMalformedMessage = errors.New("malformed probe message")
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -198,7 +198,9 @@
 	if f.cfg.Notices == nil || refused && notice == "" {
 		return
 	}
-	f.cfg.Notices.Record(in.ID(), notice, sentAt)
+	if err := f.cfg.Notices.Record(in.ID(), notice, sentAt); err != nil {
+		f.cfg.Log.Debug().Err(err).Msg("Notice ignored.")
+	}
 }
 
 // remainingMillis returns the time until the deadline of ctx, in milliseconds.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -123,7 +123,7 @@
 	Notice(instanceID string) string
 	// Record records the notice, which may be empty, in the response of an instance to a
 	// request that was sent at sentAt.
-	Record(instanceID, notice string, sentAt time.Time)
+	Record(instanceID, notice string, sentAt time.Time) error
 }
 
 // SnapshotSource returns the configuration in force and the view of the fleet.
--- a/internal/request/noticer/board.go
+++ b/internal/request/noticer/board.go
@@ -1,6 +1,7 @@
 package noticer
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -34,18 +35,18 @@
 }
 
 // Record records the notice in a response of an instance to a request that was sent at
-// sentAt. It ignores malformed text. An empty text, which must be in the response of an
+// sentAt. For malformed text it returns ErrMalformed and changes nothing. An empty text, which must be in the response of an
 // upstream rather than in a refusal, removes the notice held. That an upstream leaves is
 // replaced only by the response to a request that was sent after it was received.
-func (b *Board) Record(instanceID, text string, sentAt time.Time) {
+func (b *Board) Record(instanceID, text string, sentAt time.Time) error {
 	if text == "" && b.Notice(instanceID) == "" {
-		return
+		return nil
 	}
 	var notice Notice
 	if text != "" {
 		var err error
 		if notice, err = Parse(text); err != nil {
-			return
+			return fmt.Errorf("notice of %s: %w", instanceID, err)
 		}
 	}
 	b.mu.Lock()
@@ -59,6 +60,7 @@
 	default:
 		b.entries[instanceID] = entry{notice: notice, text: text, receivedAt: time.Now()}
 	}
+	return nil
 }
 
 // Retain removes the notices of the instances for which inView returns false, once they are
--- a/internal/request/noticer/notice.go
+++ b/internal/request/noticer/notice.go
@@ -1,5 +1,5 @@
-// Package noticer carries what upstreams say of themselves from the nodes that heard it to
-// the node beside the upstream.
+// Package noticer carries what upstreams say of themselves from the nodes that received it
+// to the node beside the upstream.
 //
 // # Usage
 //
@@ -12,8 +12,8 @@
 //	board.Record(instanceID, resp.Header.Get(classifier.HeaderUpstreamNotice), sentAt)
 //	req.Header.Set(classifier.HeaderUpstreamNotice, board.Notice(instanceID))
 //
-// So a node that was restarted, and has not heard from its upstream since, learns from the
-// first request of each entry node what that was told before.
+// So a node that was restarted, and has received no response of its upstream since, learns
+// from the first request of each entry node what that was told before.
 package noticer
 
 import (
@@ -31,7 +31,7 @@
 var ErrMalformed = errors.New("malformed notice")
 
 // maxNoticeBytes limits the length of a notice.
-const maxNoticeBytes = 512
+const maxNoticeBytes = 4 << 10
 
 // Keys of the fields of a notice.
 const (
--- a/internal/request/noticer/noticer_test.go
+++ b/internal/request/noticer/noticer_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -62,7 +63,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b := NewBoard()
-		b.Record("x", held, time.Now())
+		assert.NilError(t, b.Record("x", held, time.Now()))
 		test(t, b)
 	})
 }
@@ -85,7 +86,8 @@
 			runBoard(t, tc.held, func(t *testing.T, b *Board) {
 				sentAt := time.Now().Add(tc.sent)
 				time.Sleep(2 * time.Second)
-				b.Record("x", tc.received, sentAt)
+				err := b.Record("x", tc.received, sentAt)
+				assert.Equal(t, errors.Is(err, ErrMalformed), name == "malformed")
 				assert.Equal(t, b.Notice("x"), tc.want)
 			})
 		})
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -82,7 +82,7 @@
 	perSecond float64       // As named.
 	since     time.Time     // When the limit was first named.
 	namedAt   time.Time     // When it was last named; zero if only to another node.
-	heard     bool          // Whether the upstream itself has named a limit or none.
+	observed  bool          // Whether a response has told if there is a limit.
 }
 
 // New returns a limiter without a limit.
@@ -102,7 +102,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard = l.heard || r.Limit != "" || !r.Inconclusive
+	l.observed = l.observed || r.Limit != "" || !r.Inconclusive
 	if r.Limit == "" {
 		if l.bucket != nil && !r.Inconclusive && r.SentAt.After(l.namedAt) {
 			l.end(now)
@@ -117,13 +117,13 @@
 	l.name(perSecond, now)
 }
 
-// Adopt records a limit that the upstream has named to another node. It does nothing once
-// the upstream itself was heard. The lowest of several is adopted. One request may start at
+// Adopt records a limit that the upstream has named to another node. It does nothing once a
+// response of the upstream has told whether there is a limit. The lowest of several is adopted. One request may start at
 // once, as its response tells whether the limit is still in force.
 func (l *Limiter) Adopt(perSecond float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.heard || l.bucket != nil && l.perSecond <= perSecond {
+	if l.observed || l.bucket != nil && l.perSecond <= perSecond {
 		return
 	}
 	now := time.Now()
@@ -131,7 +131,7 @@
 	first := l.bucket == nil
 	l.setRate(perSecond, now)
 	if first {
-		l.leave(1, now)
+		l.setTokens(1, now)
 	}
 }
 
@@ -139,7 +139,7 @@
 func (l *Limiter) Reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard = false
+	l.observed = false
 	if l.bucket != nil {
 		l.end(time.Now())
 	}
@@ -203,11 +203,11 @@
 	}
 	l.since = now
 	l.bucket = rate.NewLimiter(limit, burst)
-	l.leave(0, now)
+	l.setTokens(0, now)
 }
 
-// leave refills the bucket and takes all but n requests from it. The mutex must be held.
-func (l *Limiter) leave(n int, now time.Time) {
+// setTokens sets the number of requests that may start at once. The mutex must be held.
+func (l *Limiter) setTokens(n int, now time.Time) {
 	burst := l.bucket.Burst()
 	l.bucket = rate.NewLimiter(l.bucket.Limit(), burst)
 	l.bucket.AllowN(now, burst-n)
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -32,7 +32,7 @@
 // flight until its response has ended.
 func (s *Server) exchange(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
 	if notice := req.Header.Get(classifier.HeaderUpstreamNotice); notice != "" && s.cfg.Notices != nil {
-		s.cfg.Notices.Heed(notice)
+		s.cfg.Notices.Apply(notice)
 	}
 	if !s.enter() {
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonLeaving)
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -124,8 +124,8 @@
 type Notices interface {
 	// Current returns what the upstream says now, or "" if that is nothing.
 	Current() string
-	// Heed records what the upstream has said to another node.
-	Heed(notice string)
+	// Apply applies what the upstream has said to another node.
+	Apply(notice string)
 }
 
 // Config holds the dependencies of a Server. All are required unless noted.
