--- a/internal/process/launcher/upstream_leaving_test.go
+++ b/internal/process/launcher/upstream_leaving_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,12 +28,21 @@
 // enroll makes the node track its upstream by heartbeats, as after a restart, and records
 // the first one.
 func enroll(t *testing.T, n *Node, u *limitedUpstream) {
+	t.Helper()
+	enrollAs(t, n, u, 1)
+}
+
+// enrollAs is like enroll, for the upstream that started at the given second.
+func enrollAs(t *testing.T, n *Node, u *limitedUpstream, startedAt int64) {
 	t.Helper()
 	n.assembleEnroller(zerolog.Nop())
 	restartServing(n, u)
-	assert.NilError(t, n.enroller.RecordHeartbeat(heartbeat(n, "i-1", 1, 1)))
+	assert.NilError(t, n.enroller.RecordHeartbeat(heartbeat(n, upstreamID(startedAt), startedAt, 1)))
 }
 
+// upstreamID returns the id of the upstream that started at the given second.
+func upstreamID(startedAt int64) string { return fmt.Sprint("i-", startedAt) }
+
 // heartbeat returns a heartbeat of a ready upstream that started at the given second.
 func heartbeat(n *Node, id string, startedAt int64, sequence uint64) enroller.Heartbeat {
 	return enroller.Heartbeat{
