--- a/internal/connection/requester/keep_alive.go
+++ b/internal/connection/requester/keep_alive.go
@@ -13,12 +13,12 @@
 	// keepAliveMarginDivisor divides.
 	keepAliveMargin        = 500 * time.Millisecond
 	keepAliveMarginDivisor = 4
-	// maxKeepAliveSeconds bounds the timeout that a server may name.
+	// maxKeepAliveSeconds bounds the timeout that a server may advertise.
 	maxKeepAliveSeconds = 3600
 )
 
 // keepAliveTimeout returns how long a connection may be idle before its next use, by the
-// header Keep-Alive of the last response. It returns false if the response names no timeout.
+// header Keep-Alive of the last response. It returns false if the response advertises no timeout.
 func keepAliveTimeout(h http.Header) (time.Duration, bool) {
 	for parameter := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
--- a/internal/process/emulator/behavior.go
+++ b/internal/process/emulator/behavior.go
@@ -21,9 +21,9 @@
 	behaviorFreeze        behaviorKind = "freeze"
 	// behaviorLie serves requests, but the load endpoint reports 0.
 	behaviorLie behaviorKind = "lie"
-	// behaviorDrain says in each response that the upstream leaves.
+	// behaviorDrain says in each response that the upstream drains.
 	behaviorDrain behaviorKind = "drain"
-	// behaviorLimit names a rate limit in each response: the factor, in requests a second.
+	// behaviorLimit advertises a rate limit in each response: the factor, in requests a second.
 	behaviorLimit behaviorKind = "limit"
 	// behaviorLieUnhealthy serves requests, but the health endpoint reports unavailable.
 	behaviorLieUnhealthy behaviorKind = "lie-unhealthy"
--- a/internal/process/emulator/emulator.go
+++ b/internal/process/emulator/emulator.go
@@ -11,7 +11,7 @@
 // requests were executed more than once:
 //
 //	GET  /-/standin/executions       totals, the ids executed more than once, and the requests
-//	                                 beyond the rate limit that the emulator named
+//	                                 beyond the rate limit that the emulator advertised
 //	POST /-/standin/executions       counts of the ids in the body, one per line
 //	POST /-/standin/behavior         sets a behavior: kind=slow&factor=10&for=500ms
 //	GET  /-/standin/load             the load endpoint, which lags and may report a false load
--- a/internal/process/emulator/emulator_test.go
+++ b/internal/process/emulator/emulator_test.go
@@ -36,7 +36,7 @@
 	}
 }
 
-func TestRequestsBeyondNamedLimitAreCounted(t *testing.T) {
+func TestRequestsBeyondAdvertisedLimitAreCounted(t *testing.T) {
 	for interval, want := range map[time.Duration]bool{
 		time.Second / 4: false, // 16 in a window; 17 are allowed.
 		time.Second / 2: false,
--- a/internal/process/emulator/limit_monitor.go
+++ b/internal/process/emulator/limit_monitor.go
@@ -16,7 +16,7 @@
 	limitSlack     = 5
 )
 
-// limitMonitor counts the requests beyond the rate limit that the emulated upstream names.
+// limitMonitor counts the requests beyond the rate limit that the emulated upstream advertises.
 type limitMonitor struct {
 	mu       sync.Mutex
 	arrivals []time.Time // Within the last window.
--- a/internal/process/generator/result.go
+++ b/internal/process/generator/result.go
@@ -57,7 +57,7 @@
 	RanMoreThanOnce int `json:"ran-more-than-once"`
 	// FalseNotRun counts requests with the outcome "not-run" that were executed.
 	FalseNotRun int `json:"false-not-run"`
-	// OverLimit counts requests to stand-ins beyond the rate limits that these named.
+	// OverLimit counts requests to stand-ins beyond the rate limits that these advertised.
 	OverLimit int `json:"over-limit"`
 	// NotRun counts requests with the outcome "not-run".
 	NotRun int `json:"not-run"`
--- a/internal/process/launcher/node_notice.go
+++ b/internal/process/launcher/node_notice.go
@@ -24,7 +24,7 @@
 	if u.enroller != nil {
 		notice.Upstream, notice.StartedAt = u.enroller.Identity()
 		_, available := u.enroller.Current()
-		notice.Leaving = notice.Upstream != "" && !available
+		notice.Draining = notice.Upstream != "" && !available
 	}
 	return notice.String()
 }
@@ -39,7 +39,7 @@
 	if u.enroller != nil && !u.enroller.Matches(notice.Upstream, notice.StartedAt) {
 		return
 	}
-	if notice.Leaving && u.enroller != nil {
+	if notice.Draining && u.enroller != nil {
 		u.enroller.RecordDraining(notice.Upstream, notice.StartedAt)
 	}
 	if notice.RateLimit > 0 {
--- a/internal/process/launcher/rate_limit_random_test.go
+++ b/internal/process/launcher/rate_limit_random_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// limitPeriod is a time in which an upstream named the same limit.
+// limitPeriod is a time in which an upstream advertised the same limit.
 type limitPeriod struct {
 	perSecond float64
 	from, to  time.Time
@@ -27,26 +27,26 @@
 	t.Helper()
 	switch e.random.IntN(6) {
 	case 0, 1:
-		e.name(0.2 * float64(1+e.random.IntN(100)))
+		e.advertise(0.2 * float64(1+e.random.IntN(100)))
 	case 2:
-		e.name(0)
+		e.advertise(0)
 	case 3, 4:
 		enrollAs(t, e.node, e.u, e.started)
 	case 5:
-		e.name(0)
+		e.advertise(0)
 		e.started++
 		e.replace(t)
 	}
 }
 
-// name makes the upstream name another limit, or none if it is 0.
-func (e *randomEvents) name(perSecond float64) {
+// advertise makes the upstream advertise another limit, or none if it is 0.
+func (e *randomEvents) advertise(perSecond float64) {
 	now := time.Now()
 	if n := len(e.periods); n > 0 {
 		e.periods[n-1].to = now
 	}
 	e.periods = append(e.periods, limitPeriod{perSecond: perSecond, from: now})
-	e.u.nameLimit(perSecond)
+	e.u.advertiseLimit(perSecond)
 }
 
 // replace replaces the upstream by one that has just started.
@@ -78,12 +78,12 @@
 				for i := range entryNodes {
 					entryNodes[i] = newEntryNode()
 				}
-				e.name(0)
+				e.advertise(0)
 				for range events {
 					e.next(t)
 					sendAll(t, n, entryNodes, time.Duration(1+e.random.IntN(6000))*time.Millisecond)
 				}
-				e.name(0)
+				e.advertise(0)
 				e.assertLimitsHeld(t)
 			})
 		})
--- a/internal/process/launcher/rate_limit_test.go
+++ b/internal/process/launcher/rate_limit_test.go
@@ -31,13 +31,13 @@
 	requestTimeout = 1200 * time.Millisecond
 )
 
-// limitedUpstream is an upstream that names a rate limit and records when requests arrive.
+// limitedUpstream is an upstream that advertises a rate limit and records when requests arrive.
 type limitedUpstream struct {
-	mu       sync.Mutex
-	limit    float64 // Requests a second; 0 for none.
-	namedAt  time.Time
-	leaving  bool
-	arrivals []time.Time
+	mu           sync.Mutex
+	limit        float64 // Requests a second; 0 for none.
+	advertisedAt time.Time
+	draining     bool
+	arrivals     []time.Time
 }
 
 // DoLimited implements server.Requester.
@@ -56,18 +56,18 @@
 	if u.limit > 0 {
 		header.Set(classifier.HeaderRateLimit, strconv.FormatFloat(u.limit, 'f', -1, 64))
 	}
-	if u.leaving {
+	if u.draining {
 		header.Set(classifier.HeaderDraining, "1")
 	}
 	return header
 }
 
-// nameLimit makes the upstream name a limit in its responses, or none if it is 0.
-func (u *limitedUpstream) nameLimit(perSecond float64) {
+// advertiseLimit makes the upstream advertise a limit in its responses, or none if it is 0.
+func (u *limitedUpstream) advertiseLimit(perSecond float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.limit = perSecond
-	u.namedAt = time.Now()
+	u.advertisedAt = time.Now()
 }
 
 // mostInWindow returns the largest number of arrivals in a window that begins between the
@@ -161,17 +161,17 @@
 	return err
 }
 
-// TestUpstreamGetsNoMoreThanItsRateLimit guards against an upstream that gets more requests than the limit it has named.
+// TestUpstreamGetsNoMoreThanItsRateLimit guards against an upstream that gets more requests than the limit it has advertised.
 func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
 	for _, entryNodes := range []int{2, 16, 200} {
 		t.Run(fmt.Sprintf("%d entry nodes", entryNodes), func(t *testing.T) {
 			runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 				stop := sendRequests(n, entryNodes, 25)
 				time.Sleep(2 * time.Second)
-				u.nameLimit(5.8)
+				u.advertiseLimit(5.8)
 				time.Sleep(20 * time.Second)
 				stop()
-				u.assertLimitHeld(t, 5.8, u.namedAt.Add(limitSpread), time.Now())
+				u.assertLimitHeld(t, 5.8, u.advertisedAt.Add(limitSpread), time.Now())
 			})
 		})
 	}
@@ -181,13 +181,13 @@
 	for _, limit := range []float64{0.5, 5.8, 20} {
 		t.Run(fmt.Sprint(limit), func(t *testing.T) {
 			runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
-				u.nameLimit(limit)
+				u.advertiseLimit(limit)
 				const length = 60 * time.Second
 				stop := sendRequests(n, 16, 10*limit)
 				time.Sleep(length)
 				served := stop()
 				assert.Assert(t, float64(served) >= 0.9*limit*length.Seconds(), "%d served", served)
-				u.assertLimitHeld(t, limit, u.namedAt.Add(limitSpread), time.Now())
+				u.assertLimitHeld(t, limit, u.advertisedAt.Add(limitSpread), time.Now())
 			})
 		})
 	}
@@ -197,13 +197,13 @@
 	runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 		stop := sendRequests(n, 16, 25)
 		for _, limit := range []float64{12, 3, 8} {
-			u.nameLimit(limit)
+			u.advertiseLimit(limit)
 			time.Sleep(10 * time.Second)
-			u.assertLimitHeld(t, limit, u.namedAt.Add(limitSpread), time.Now().Add(-limitWindow))
+			u.assertLimitHeld(t, limit, u.advertisedAt.Add(limitSpread), time.Now().Add(-limitWindow))
 		}
-		u.nameLimit(0)
+		u.advertiseLimit(0)
 		time.Sleep(10 * time.Second)
 		stop()
-		assert.Assert(t, u.mostInWindow(u.namedAt.Add(limitSpread), time.Now()) > 60, "the limit that ended is in force")
+		assert.Assert(t, u.mostInWindow(u.advertisedAt.Add(limitSpread), time.Now()) > 60, "the limit that ended is in force")
 	})
 }
--- a/internal/process/launcher/upstream_leaving_test.go
+++ b/internal/process/launcher/upstream_draining_test.go
@@ -59,18 +59,18 @@
 	assert.Equal(t, refusal.Outcome(), classifier.NotRun)
 }
 
-// TestUpstreamThatSaysItLeavesGetsNoMoreRequests guards against an upstream that says in its responses that it leaves and gets requests after that.
-func TestUpstreamThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+// TestDrainingUpstreamGetsNoMoreRequests guards against an upstream that says in its responses that it drains and gets requests after that.
+func TestDrainingUpstreamGetsNoMoreRequests(t *testing.T) {
 	runEnrolled(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 		assert.NilError(t, sendRequest(n, "1"))
-		u.setLeaving(true)
-		assert.NilError(t, sendRequest(n, "2")) // Its response says that the upstream leaves.
+		u.setDraining(true)
+		assert.NilError(t, sendRequest(n, "2")) // Its response says that the upstream drains.
 		assertRefused(t, sendRequest(n, "3"), classifier.ReasonUpstream)
 		assert.Equal(t, n.gossiper.Self().State(), registrar.StateLeaving)
 		assert.NilError(t, n.enroller.RecordHeartbeat(heartbeat(n, "i-1", 1, 2)))
 		assertRefused(t, sendRequest(n, "4"), classifier.ReasonUpstream)
 		assert.NilError(t, n.enroller.RecordHeartbeat(heartbeat(n, "i-2", 2, 1)))
-		u.setLeaving(false)
+		u.setDraining(false)
 		assert.NilError(t, sendRequest(n, "5"))
 	})
 }
@@ -81,23 +81,23 @@
 			_, _, err := n.readHealth(t.Context(), u)
 			assert.NilError(t, err)
 		}
-		u.nameLimit(2)
+		u.advertiseLimit(2)
 		health()
 		assert.Equal(t, n.rateLimiter.Report(time.Now()).PerSecond, 2.0)
-		u.nameLimit(0)
+		u.advertiseLimit(0)
 		health() // Only a request ends a limit.
 		assert.Equal(t, n.rateLimiter.Report(time.Now()).PerSecond, 2.0)
-		u.setLeaving(true)
+		u.setDraining(true)
 		health()
 		_, available := n.enroller.Current()
 		assert.Assert(t, !available)
 	})
 }
 
-// TestLateResponseOfReplacedUpstreamDoesNotBindTheNext guards against a response of an upstream that has been replaced and that says that it leaves.
+// TestLateResponseOfReplacedUpstreamDoesNotBindTheNext guards against a response of an upstream that has been replaced and that says that it drains.
 func TestLateResponseOfReplacedUpstreamDoesNotBindTheNext(t *testing.T) {
 	runEnrolled(t, func(t *testing.T, n *Node, u *limitedUpstream) {
-		u.setLeaving(true)
+		u.setDraining(true)
 		ended := make(chan error, 1)
 		go func() { ended <- sendRequest(n, "1") }()
 		synctest.Wait()
@@ -108,9 +108,9 @@
 	})
 }
 
-// setLeaving makes the upstream say in its responses that it leaves, or not.
-func (u *limitedUpstream) setLeaving(leaving bool) {
+// setDraining makes the upstream say in its responses that it drains, or not.
+func (u *limitedUpstream) setDraining(draining bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.leaving = leaving
+	u.draining = draining
 }
--- a/internal/process/launcher/upstream_notice_test.go
+++ b/internal/process/launcher/upstream_notice_test.go
@@ -86,25 +86,25 @@
 				for i := range nodes {
 					nodes[i] = newEntryNode()
 				}
-				u.nameLimit(0.5)
+				u.advertiseLimit(0.5)
 				sendAll(t, n, nodes, 20*time.Second)
 				for range 20 {
 					restartServing(n, u)
 					sendAll(t, n, nodes, time.Second)
 				}
-				u.assertLimitHeld(t, 0.5, u.namedAt.Add(limitSpread), time.Now())
+				u.assertLimitHeld(t, 0.5, u.advertisedAt.Add(limitSpread), time.Now())
 			})
 		})
 	}
 }
 
-// TestRestartedNodeKeepsThatItsUpstreamLeaves guards against an upstream that leaves and gets requests from nodes that know it, because its own node was restarted.
-func TestRestartedNodeKeepsThatItsUpstreamLeaves(t *testing.T) {
+// TestRestartedNodeKeepsThatItsUpstreamDrains guards against an upstream that drains and gets requests from nodes that know it, because its own node was restarted.
+func TestRestartedNodeKeepsThatItsUpstreamDrains(t *testing.T) {
 	runEnrolled(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 		told, other := newEntryNode(), newEntryNode()
-		u.setLeaving(true)
+		u.setDraining(true)
 		assert.Assert(t, told.send(t, n) == nil)
-		enroll(t, n, u) // The heartbeats of this upstream do not say that it leaves.
+		enroll(t, n, u) // The heartbeats of this upstream do not say that it drains.
 		assertReason(t, told.send(t, n), classifier.ReasonUpstream)
 		assertReason(t, other.send(t, n), classifier.ReasonUpstream)
 		assert.Equal(t, len(u.arrivals), 1)
@@ -122,9 +122,9 @@
 		t.Run(name, func(t *testing.T) {
 			runEnrolled(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 				told := newEntryNode()
-				u.setLeaving(true)
+				u.setDraining(true)
 				assert.Assert(t, told.send(t, n) == nil)
-				u.setLeaving(false)
+				u.setDraining(false)
 				assert.NilError(t, n.enroller.RecordHeartbeat(heartbeat(n, next.id, next.startedAt, 1)))
 				assert.Assert(t, told.send(t, n) == nil)
 				assert.Equal(t, told.board.Notice("vitrina-1"), "")
@@ -148,9 +148,9 @@
 func TestRateLimitOfReplacedUpstreamDoesNotBindTheNext(t *testing.T) {
 	runEnrolled(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 		told := newEntryNode()
-		u.nameLimit(0.5)
+		u.advertiseLimit(0.5)
 		assert.Assert(t, told.send(t, n) == nil)
-		u.nameLimit(0)
+		u.advertiseLimit(0)
 		enroll(t, n, u)
 		assert.NilError(t, n.enroller.RecordHeartbeat(heartbeat(n, "i-2", 2, 1)))
 		assertAllServed(t, told, n)
@@ -161,9 +161,9 @@
 func TestOldNoticeOfRateLimitIsCorrectedByUpstream(t *testing.T) {
 	runLimited(t, func(t *testing.T, n *Node, u *limitedUpstream) {
 		told, other := newEntryNode(), newEntryNode()
-		u.nameLimit(0.5)
+		u.advertiseLimit(0.5)
 		assert.Assert(t, told.send(t, n) == nil)
-		u.nameLimit(0)
+		u.advertiseLimit(0)
 		restartServing(n, u)
 		assert.Assert(t, other.send(t, n) == nil)
 		assertAllServed(t, told, n)
--- a/internal/process/sampler/load.go
+++ b/internal/process/sampler/load.go
@@ -27,7 +27,7 @@
 
 // Keys of the optional fields, in their order: slownessKey is present if the
 // slowness is not 100%, slowdownLeftKey if its end is known too, linkWaitKey if large
-// responses wait for the link, and the others if the upstream names a rate limit.
+// responses wait for the link, and the others if the upstream advertises a rate limit.
 const (
 	slownessKey     = "slowness-percent"
 	slowdownLeftKey = "spell-left-ms"
@@ -71,7 +71,7 @@
 	SlowdownLeft time.Duration
 	// LinkWait is how long a large response would wait for the instance's link.
 	LinkWait time.Duration
-	// Rate is the rate limit that the upstream names; the zero value if it names none.
+	// Rate is the rate limit that the upstream advertises; the zero value if it advertises none.
 	Rate RateLimit
 }
 
@@ -222,7 +222,7 @@
 	return text
 }
 
-// Rate returns the rate limit that the upstream names.
+// Rate returns the rate limit that the upstream advertises.
 func (l Load) Rate() RateLimit { return l.spec.Rate }
 
 // SlownessPercent returns the current duration of work in percent of its duration at
--- a/internal/process/sampler/pool.go
+++ b/internal/process/sampler/pool.go
@@ -88,7 +88,7 @@
 }
 
 // RateWait returns how long an incarnation of an instance refuses requests because of the
-// rate limit that its upstream names, as far as the newest sample tells.
+// rate limit that its upstream advertises, as far as the newest sample tells.
 func (p *Pool) RateWait(instanceID string, incarnation uint64, now time.Time) time.Duration {
 	e, ok := p.entries.Load(instanceID)
 	if !ok {
--- a/internal/process/sampler/rate_limit.go
+++ b/internal/process/sampler/rate_limit.go
@@ -13,7 +13,7 @@
 type RateLimit struct {
 	// PerSecond is the number of requests a second; 0 for no limit.
 	PerSecond float64
-	// Age is the time since the upstream last named the limit.
+	// Age is the time since the upstream last advertised the limit.
 	Age time.Duration
 	// Left is the number of requests that may start at once.
 	Left int
--- a/internal/request/admitter/rate_limit_test.go
+++ b/internal/request/admitter/rate_limit_test.go
@@ -20,10 +20,10 @@
 )
 
 // burst is the number of requests that may start at once after a while without any, if the
-// upstream names 4 requests a second.
+// upstream advertises 4 requests a second.
 const burst = 3
 
-// runLimited runs a test in fake time with an admitter of two slots, whose upstream names 4
+// runLimited runs a test in fake time with an admitter of two slots, whose upstream advertises 4
 // requests a second and has not been sent any for a while.
 func runLimited(t *testing.T, test func(t *testing.T, a *Admitter)) {
 	t.Helper()
@@ -61,8 +61,8 @@
 	})
 }
 
-// TestWaitingRequestsHeedRateLimitNamedMeanwhile guards against requests that are sent at once after a stall, although the upstream has named a rate limit since they arrived.
-func TestWaitingRequestsHeedRateLimitNamedMeanwhile(t *testing.T) {
+// TestWaitingRequestsHeedRateLimitAdvertisedMeanwhile guards against requests that are sent at once after a stall, although the upstream has advertised a rate limit since they arrived.
+func TestWaitingRequestsHeedRateLimitAdvertisedMeanwhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := ratelimiter.New(ratelimiter.Config{Scope: tallyscope.NoopScope, Log: zerolog.Nop()})
 		a := New(Config{Slots: 1, Connections: 100, QueueLength: 100, RateLimiter: l})
@@ -132,7 +132,7 @@
 	return true
 }
 
-// TestUrgentRequestsGetRateLimitFirst plays payments and checks at an upstream that names a limit of 4 requests a second.
+// TestUrgentRequestsGetRateLimitFirst plays payments and checks at an upstream that advertises a limit of 4 requests a second.
 func TestUrgentRequestsGetRateLimitFirst(t *testing.T) {
 	const goal = 0.8 // Of what each class gets if nothing is lost between them.
 	for name, tc := range map[string]struct {
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -57,7 +57,7 @@
 	// starting makes the entry node one that has just started and knows nothing yet. By
 	// default it started some time ago.
 	starting bool
-	// rateLimited makes the picker report that all upstreams name rate limits.
+	// rateLimited makes the picker report that all upstreams advertise rate limits.
 	rateLimited bool
 	// keys makes the entry node store idempotency keys, if not nil.
 	keys *deduplicator.Deduplicator
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -61,7 +61,7 @@
 	// HasSpareCapacity reports whether the instance has low occupancy, no slowdown and few
 	// failures, so that a hedge there delays no other request.
 	HasSpareCapacity bool
-	// RateLimited reports whether the upstream of the instance names a rate limit, so that
+	// RateLimited reports whether the upstream of the instance advertises a rate limit, so that
 	// requests that are not needed must not use it up.
 	RateLimited bool
 	// SameFailureDomain reports whether the instance is in the failure domain of this node.
--- a/internal/request/noticer/board.go
+++ b/internal/request/noticer/board.go
@@ -36,7 +36,7 @@
 
 // Record records the notice in a response of an instance to a request that was sent at
 // sentAt. For malformed text it returns ErrMalformed and changes nothing. An empty text, which must be in the response of an
-// upstream rather than in a refusal, removes the notice held. That an upstream leaves is
+// upstream rather than in a refusal, removes the notice held. That an upstream drains is
 // replaced only by the response to a request that was sent after it was received.
 func (b *Board) Record(instanceID, text string, sentAt time.Time) error {
 	if text == "" && b.Notice(instanceID) == "" {
@@ -54,7 +54,7 @@
 	held := b.entries[instanceID]
 	overtaken := !sentAt.After(held.receivedAt)
 	switch {
-	case overtaken && (text == "" || held.notice.Leaving && !notice.Leaving):
+	case overtaken && (text == "" || held.notice.Draining && !notice.Draining):
 	case text == "":
 		delete(b.entries, instanceID)
 	default:
--- a/internal/request/noticer/notice.go
+++ b/internal/request/noticer/notice.go
@@ -37,7 +37,7 @@
 const (
 	upstreamKey  = "upstream"
 	startedKey   = "started-ms"
-	leavingKey   = "leaving"
+	drainingKey  = "draining"
 	rateLimitKey = "rate-limit"
 )
 
@@ -47,8 +47,8 @@
 	Upstream string
 	// StartedAt is when the upstream started; the zero time if unknown.
 	StartedAt time.Time
-	// Leaving reports that the upstream accepts no new requests.
-	Leaving bool
+	// Draining reports that the upstream accepts no new requests.
+	Draining bool
 	// RateLimit is the number of requests a second that it accepts; 0 for no limit.
 	RateLimit float64
 }
@@ -80,8 +80,8 @@
 		var ms int64
 		ms, err = strconv.ParseInt(value, 10, 64)
 		n.StartedAt = time.UnixMilli(ms)
-	case leavingKey:
-		n.Leaving = value == "1"
+	case drainingKey:
+		n.Draining = value == "1"
 	case rateLimitKey:
 		n.RateLimit, err = ratelimiter.Parse(value)
 	default:
@@ -97,15 +97,15 @@
 // "upstream=i-7f3a;started-ms=1777447491316;rate-limit=5.8". It is empty if the notice
 // says nothing.
 func (n Notice) String() string {
-	if !n.Leaving && n.RateLimit <= 0 {
+	if !n.Draining && n.RateLimit <= 0 {
 		return ""
 	}
 	text := upstreamKey + "=" + url.QueryEscape(n.Upstream)
 	if !n.StartedAt.IsZero() {
 		text += ";" + startedKey + "=" + strconv.FormatInt(n.StartedAt.UnixMilli(), 10)
 	}
-	if n.Leaving {
-		text += ";" + leavingKey + "=1"
+	if n.Draining {
+		text += ";" + drainingKey + "=1"
 	}
 	if n.RateLimit > 0 {
 		text += ";" + rateLimitKey + "=" + strconv.FormatFloat(n.RateLimit, 'f', -1, 64)
--- a/internal/request/noticer/noticer_test.go
+++ b/internal/request/noticer/noticer_test.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	limited = "upstream=i-1;started-ms=1777447491316;rate-limit=5.8"
-	leaving = "upstream=i-1;started-ms=1777447491316;leaving=1"
+	limited  = "upstream=i-1;started-ms=1777447491316;rate-limit=5.8"
+	draining = "upstream=i-1;started-ms=1777447491316;draining=1"
 )
 
 func TestNoticeRoundTrip(t *testing.T) {
 	start := time.UnixMilli(1777447491316)
 	for want, notice := range map[string]Notice{
-		"":      {Upstream: "i-1", StartedAt: start},
-		limited: {Upstream: "i-1", StartedAt: start, RateLimit: 5.8},
-		leaving: {Upstream: "i-1", StartedAt: start, Leaving: true},
-		"upstream=a%3B%3Db;leaving=1;rate-limit=0.25": {Upstream: "a;=b", Leaving: true, RateLimit: 0.25},
+		"":       {Upstream: "i-1", StartedAt: start},
+		limited:  {Upstream: "i-1", StartedAt: start, RateLimit: 5.8},
+		draining: {Upstream: "i-1", StartedAt: start, Draining: true},
+		"upstream=a%3B%3Db;draining=1;rate-limit=0.25": {Upstream: "a;=b", Draining: true, RateLimit: 0.25},
 	} {
 		t.Run(want, func(t *testing.T) {
 			assert.Equal(t, notice.String(), want)
@@ -37,9 +37,9 @@
 
 func TestMalformedNoticesAreRejected(t *testing.T) {
 	for _, s := range []string{
-		"", "upstream=i-1", "upstream=i-1;leaving=2", "upstream=i-1;rate-limit=NaN", "upstream=i-1;rate-limit=Inf",
-		"upstream=i-1;rate-limit=-1", "leaving=1;upstream=i-1", limited + ";x=1", limited + ";",
-		"upstream=" + strings.Repeat("i", maxNoticeBytes) + ";leaving=1",
+		"", "upstream=i-1", "upstream=i-1;draining=2", "upstream=i-1;rate-limit=NaN", "upstream=i-1;rate-limit=Inf",
+		"upstream=i-1;rate-limit=-1", "draining=1;upstream=i-1", limited + ";x=1", limited + ";",
+		"upstream=" + strings.Repeat("i", maxNoticeBytes) + ";draining=1",
 	} {
 		_, err := Parse(s)
 		assert.ErrorIs(t, err, ErrMalformed, "%q", s)
@@ -49,7 +49,7 @@
 // FuzzParse checks that Parse accepts only text that String writes.
 func FuzzParse(f *testing.F) {
 	f.Add(limited)
-	f.Add(leaving)
+	f.Add(draining)
 	f.Fuzz(func(t *testing.T, s string) {
 		if n, err := Parse(s); err == nil {
 			assert.Equal(t, n.String(), s)
@@ -76,11 +76,11 @@
 	}{
 		"limit ended":                        {limited, "", time.Second, ""},
 		"limit in an earlier response":       {limited, "", -time.Second, limited},
-		"leaving after a limit":              {limited, leaving, -time.Second, leaving},
-		"limit in an overtaken response":     {leaving, limited, -time.Second, leaving},
-		"nothing in an overtaken response":   {leaving, "", -time.Second, leaving},
-		"limit of the upstream that follows": {leaving, limited, time.Second, limited},
-		"malformed":                          {limited, "leaving", time.Second, limited},
+		"draining after a limit":             {limited, draining, -time.Second, draining},
+		"limit in an overtaken response":     {draining, limited, -time.Second, draining},
+		"nothing in an overtaken response":   {draining, "", -time.Second, draining},
+		"limit of the upstream that follows": {draining, limited, time.Second, limited},
+		"malformed":                          {limited, "draining", time.Second, limited},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runBoard(t, tc.held, func(t *testing.T, b *Board) {
@@ -95,11 +95,11 @@
 }
 
 func TestNoticeOfInstanceOutOfViewIsKeptForRetention(t *testing.T) {
-	runBoard(t, leaving, func(t *testing.T, b *Board) {
+	runBoard(t, draining, func(t *testing.T, b *Board) {
 		outOfView := func(string) bool { return false }
 		time.Sleep(retention)
 		b.Retain(outOfView)
-		assert.Equal(t, b.Notice("x"), leaving)
+		assert.Equal(t, b.Notice("x"), draining)
 		time.Sleep(time.Second)
 		b.Retain(outOfView)
 		assert.Equal(t, b.Notice("x"), "")
--- a/internal/request/picker/rate_limit_test.go
+++ b/internal/request/picker/rate_limit_test.go
@@ -8,7 +8,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/sampler"
 )
 
-// limit records a load sample of an idle instance whose upstream names a rate limit.
+// limit records a load sample of an idle instance whose upstream advertises a rate limit.
 func (f *fleet) limit(id string, left int, wait time.Duration) {
 	l := sampler.NewLoad(sampler.LoadSpec{Limit: 6, Latency: time.Microsecond, WarmPercent: 100, Rate: sampler.RateLimit{PerSecond: 2, Left: left, Wait: wait}})
 	f.pool.Observe(id, 0, l, f.now)
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -1,5 +1,5 @@
 // Package ratelimiter limits the rate of requests to an upstream to what the upstream
-// names in its responses.
+// advertises in its responses.
 //
 // # Usage
 //
@@ -14,7 +14,7 @@
 // The node beside an upstream sends all requests to it, so that one limiter there holds the
 // limit for all nodes together. See docs/design/rate-limits.md for the alternatives.
 //
-// The limit is in force from the first response that names it until a response to a later
+// The limit is in force from the first response that advertises it until a response to a later
 // request does not. A value that cannot be parsed changes nothing. Requests that were not
 // sent for a while are made up for only within the burst, so that a process that was
 // paused does not send them at once.
@@ -60,66 +60,67 @@
 
 // Response is what a response of the upstream says about the limit.
 type Response struct {
-	// Limit is the limit in requests a second as text; empty if the response names none.
+	// Limit is the limit in requests a second as text; empty if the response advertises none.
 	Limit string
 	// SentAt is when the request was sent.
 	SentAt time.Time
-	// Inconclusive reports that the response does not end a limit that it does not name:
+	// Inconclusive reports that the response does not end a limit that it does not advertise:
 	// the upstream refused the request, or it is one of its health endpoint.
 	Inconclusive bool
 }
 
 // Limiter enforces the rate limit of one upstream. It is safe for concurrent use.
 type Limiter struct {
-	log        zerolog.Logger
-	logLimiter *logger.Limiter
-	limitGauge tally.Gauge // Requests a second; 0 without a limit.
-	leftGauge  tally.Gauge // Requests that might start when the last one did.
-	namedGauge tally.Gauge // Unix time of the last response that named a limit.
+	log             zerolog.Logger
+	logLimiter      *logger.Limiter
+	limitGauge      tally.Gauge // Requests a second; 0 without a limit.
+	leftGauge       tally.Gauge // Requests that might start when the last one did.
+	advertisedGauge tally.Gauge // Unix time of the last response that advertised a limit.
 
-	mu        sync.Mutex    // Guards the fields below.
-	bucket    *rate.Limiter // Nil if there is no limit.
-	perSecond float64       // As named.
-	since     time.Time     // When the limit was first named.
-	namedAt   time.Time     // When it was last named; zero if only to another node.
-	observed  bool          // Whether a response has told if there is a limit.
+	mu           sync.Mutex    // Guards the fields below.
+	bucket       *rate.Limiter // Nil if there is no limit.
+	perSecond    float64       // As advertised.
+	since        time.Time     // When the limit was first advertised.
+	advertisedAt time.Time     // When it was last advertised; zero if only to another node.
+	observed     bool          // Whether a response has told if there is a limit.
 }
 
 // New returns a limiter without a limit.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		log:        cfg.Log,
-		logLimiter: logger.NewLimiter(logLinesPerSecond),
-		limitGauge: cfg.Scope.Gauge("rate_limit"),
-		leftGauge:  cfg.Scope.Gauge("rate_limit_left"),
-		namedGauge: cfg.Scope.Gauge("rate_limit_named_timestamp_seconds"),
+		log:             cfg.Log,
+		logLimiter:      logger.NewLimiter(logLinesPerSecond),
+		limitGauge:      cfg.Scope.Gauge("rate_limit"),
+		leftGauge:       cfg.Scope.Gauge("rate_limit_left"),
+		advertisedGauge: cfg.Scope.Gauge("rate_limit_advertised_timestamp_seconds"),
 	}
 }
 
 // Observe records what a response that was received now says about the limit. A response
-// to a request that was sent before the limit was last named does not end the limit.
+// to a request that was sent before the limit was last advertised does not end the limit.
 func (l *Limiter) Observe(r Response) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.observed = l.observed || r.Limit != "" || !r.Inconclusive
 	if r.Limit == "" {
-		if l.bucket != nil && !r.Inconclusive && r.SentAt.After(l.namedAt) {
+		if l.bucket != nil && !r.Inconclusive && r.SentAt.After(l.advertisedAt) {
 			l.end(now)
 		}
 		return
 	}
 	perSecond, err := Parse(r.Limit)
 	if err != nil {
-		l.logLimiter.Limit(l.log.Warn()).Err(err).Msg("Upstream named a malformed rate limit.")
+		l.logLimiter.Limit(l.log.Warn()).Err(err).Msg("Upstream advertised a malformed rate limit.")
 		return
 	}
-	l.name(perSecond, now)
+	l.record(perSecond, now)
 }
 
-// Adopt records a limit that the upstream has named to another node. It does nothing once a
-// response of the upstream has told whether there is a limit. The lowest of several is adopted. One request may start at
-// once, as its response tells whether the limit is still in force.
+// Adopt records a limit that the upstream has advertised to another node. It does nothing
+// once a response of the upstream has told whether there is a limit. The lowest of several
+// is adopted. One request may start at once, as its response tells whether the limit is
+// still in force.
 func (l *Limiter) Adopt(perSecond float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -154,7 +155,7 @@
 	}
 	return sampler.RateLimit{
 		PerSecond: float64(l.bucket.Limit()),
-		Age:       now.Sub(l.namedAt),
+		Age:       now.Sub(l.advertisedAt),
 		Left:      int(max(l.tokens(now), 0)),
 		Wait:      l.wait(1, now),
 	}
@@ -178,15 +179,15 @@
 	return l.wait(n, now)
 }
 
-// name records a response that names a limit. The mutex must be held.
-func (l *Limiter) name(perSecond float64, now time.Time) {
+// record records a response that advertises a limit. The mutex must be held.
+func (l *Limiter) record(perSecond float64, now time.Time) {
 	if l.bucket == nil || l.perSecond != perSecond {
 		l.logLimiter.Limit(l.log.Info()).Float64("per-second", perSecond).Float64("per-second-before", l.perSecond).
-			Msg("Upstream named a rate limit.")
+			Msg("Upstream advertised a rate limit.")
 		l.setRate(perSecond, now)
 	}
-	l.namedAt = now
-	l.namedGauge.Update(float64(now.Unix()))
+	l.advertisedAt = now
+	l.advertisedGauge.Update(float64(now.Unix()))
 }
 
 // setRate changes the limit. A new limit has nothing left at first, since requests were
@@ -219,7 +220,7 @@
 		Dur("after-ms", now.Sub(l.since)).Msg("Upstream's rate limit ended.")
 	l.bucket = nil
 	l.perSecond = 0
-	l.namedAt = time.Time{}
+	l.advertisedAt = time.Time{}
 	l.limitGauge.Update(0)
 }
 
--- a/internal/request/ratelimiter/ratelimiter_test.go
+++ b/internal/request/ratelimiter/ratelimiter_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// run runs a test in fake time with a limiter whose upstream names 4 requests a second.
+// run runs a test in fake time with a limiter whose upstream advertises 4 requests a second.
 func run(t *testing.T, test func(t *testing.T, l *Limiter)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -50,7 +50,7 @@
 	}
 }
 
-func TestRequestsStartAtTheNamedRate(t *testing.T) {
+func TestRequestsStartAtTheAdvertisedRate(t *testing.T) {
 	run(t, func(t *testing.T, l *Limiter) {
 		assert.Equal(t, takeAll(l), 0)
 		assert.Equal(t, l.Wait(1, time.Now()).Round(time.Millisecond), 250*time.Millisecond)
@@ -76,7 +76,7 @@
 func TestLimitEndsOnlyByLaterRequest(t *testing.T) {
 	for name, tc := range map[string]struct {
 		response Response
-		sent     time.Duration // After the limit was named.
+		sent     time.Duration // After the limit was advertised.
 		limited  bool
 	}{
 		"later request":   {Response{}, time.Second, false},
@@ -103,7 +103,7 @@
 	})
 }
 
-// TestLimitOfZeroIsTried guards against an upstream that is never used again because it once named a limit of 0.
+// TestLimitOfZeroIsTried guards against an upstream that is never used again because it once advertised a limit of 0.
 func TestLimitOfZeroIsTried(t *testing.T) {
 	run(t, func(t *testing.T, l *Limiter) {
 		l.Observe(Response{Limit: "0", SentAt: time.Now()})
