feat: a node logs which requests were in flight when its upstream ended

Callers saw status 502 without a response (answer-missing), and no line told whether the upstream had ended or only closed a connection, nor what else was in flight. The node beside the upstream now tells them apart: after a connection broke, the address refuses new ones and the upstream has not said that it drains. It logs the crash with the fingerprint of each request in flight, a digest of method, host, path, query, credentials and body, so that copies can be compared without any part of them in the log.

--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/accountant"
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
@@ -77,6 +79,7 @@
 	enroller             *enroller.Enroller // Nil if the upstream sends no heartbeats.
 	gauger               *gauger.Gauger     // Nil if the upstream sends no heartbeats.
 	linkPacer            *pacer.Pacer
+	upstreamDialer       requester.Dialer // Checks whether the upstream has ended.
 	dialect              Dialect
 	upstreamColdStart    atomic.Int64 // Remaining cold start at the upstream's last change, in nanoseconds.
 	healthReader         *watcher.HealthReader
@@ -108,7 +111,8 @@
 		samplePool: sampler.New(sampler.Config{}),
 		explainer:  explainer.New(maxExplainedRequests),
 
-		noticeBoard: noticer.NewBoard(),
+		noticeBoard:    noticer.NewBoard(),
+		upstreamDialer: &net.Dialer{},
 	}
 	if err := n.assembleControlPlane(base); err != nil {
 		return nil, fmt.Errorf("assemble the control plane: %w", err)
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -90,23 +90,36 @@
 		MaxKeys:          maxKeys,
 		MaxBytes:         maxKeyBytes,
 	})
-	instancePicker, err := picker.New(picker.Config{
-		Pool:          n.samplePool,
-		Self:          s.Instance(),
-		Region:        s.Region(),
-		FailureDomain: s.FailureDomain(),
-		Policy:        string(s.Policy()),
-		Refresher:     n.prober,
-	})
+	instancePicker, err := n.newPicker()
 	if err != nil {
 		return fmt.Errorf("create the picker: %w", err)
 	}
+	n.assembleForwarder(base, instancePicker, newRequester(maxConnectionsPerNode))
+	return nil
+}
+
+// newPicker returns the picker of the policy in the settings.
+func (n *Node) newPicker() (*picker.Picker, error) {
+	return picker.New(picker.Config{
+		Pool:          n.samplePool,
+		Self:          n.settings.Instance(),
+		Region:        n.settings.Region(),
+		FailureDomain: n.settings.FailureDomain(),
+		Policy:        string(n.settings.Policy()),
+		Refresher:     n.prober,
+	})
+}
+
+// assembleForwarder creates the forwarder, which sends requests to other nodes by the given
+// requester.
+func (n *Node) assembleForwarder(base zerolog.Logger, instancePicker *picker.Picker, nodes forwarder.Requester) {
+	s := n.settings
 	n.forwarder = forwarder.New(forwarder.Config{
 		Instance:          s.Instance(),
 		Snapshots:         n.snapshots,
 		Picker:            pickerAdapter{instancePicker, n.observeOwnLoad, s.FailureDomain()},
 		Observer:          loadObserver{n.samplePool, n.gossiper.ReportUnreachable},
-		Requester:         newRequester(maxConnectionsPerNode),
+		Requester:         nodes,
 		Local:             n.server,
 		Keys:              n.deduplicator,
 		Notices:           n.noticeBoard,
@@ -115,7 +128,6 @@
 		Scope:             n.metrics.Scope().SubScope("forwarder"),
 		Log:               logger.Part(base, "forwarder"),
 	})
-	return nil
 }
 
 // assembleServer creates the server, which sends requests to the upstream by the given
@@ -137,6 +149,7 @@
 		Notices:         upstreamNotices{n.enroller, n.rateLimiter, logger.Part(base, "server")},
 		Admitter:        admitterAdapter{n.admitter, n.recordCapacityRefusal},
 		Link:            n.linkPacer,
+		CrashWatcher:    n.newCrashWatcher(base),
 		Snapshots:       n.snapshots,
 		Scope:           n.metrics.Scope().SubScope("server"),
 		Log:             logger.Part(base, "server"),
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -93,6 +93,13 @@
 	w.update(now)
 }
 
+// Draining reports whether the upstream has said recently that it drains.
+func (w *Watcher) Draining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining(time.Now())
+}
+
 // Start starts the checks.
 func (w *Watcher) Start() { w.tomb.Go(w.run) }
 
@@ -153,11 +160,15 @@
 // update reports a change of availability. The mutex must be held, so that changes are
 // reported in order.
 func (w *Watcher) update(now time.Time) {
-	draining := !w.drainReportedAt.IsZero() && now.Sub(w.drainReportedAt) < drainTimeout
 	unreachable := w.failedDials > 0 && (!w.available || w.failedDials >= failedDialThreshold)
-	available := !draining && !unreachable
+	available := !w.draining(now) && !unreachable
 	if available != w.available {
 		w.available = available
 		w.cfg.OnChange(available)
 	}
 }
+
+// draining reports whether the upstream drains. The mutex must be held.
+func (w *Watcher) draining(now time.Time) bool {
+	return !w.drainReportedAt.IsZero() && now.Sub(w.drainReportedAt) < drainTimeout
+}
--- /dev/null
+++ b/internal/request/crashwatcher/crashwatcher.go
@@ -0,0 +1,195 @@
+// Package crashwatcher finds out which requests were in flight when the process of the node's
+// own upstream ended unplanned.
+//
+// # Usage
+//
+//	w := crashwatcher.New(crashwatcher.Config{UpstreamEnded: ended, Observer: observer, ...})
+//	run := w.Start(id, fingerprinter.New(req)) // Before req is sent to the upstream.
+//	...
+//	run.End(crashwatcher.Broken)
+//
+// Only the node beside an upstream sees such an end: a connection breaks, and the address
+// accepts no new one. A connection that breaks while the address accepts others is no crash. A
+// request that ended without a response, such as by its deadline, may still run at the upstream,
+// so it counts as in flight for a short time.
+package crashwatcher
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
+)
+
+const (
+	// lingerPeriod is how long a request that ended without a response counts as in flight.
+	lingerPeriod = 2 * time.Second
+	// maxLingering bounds the requests that are remembered for that.
+	maxLingering = 64
+	// logLinesPerSecond limits the log lines about requests in flight in a crash.
+	logLinesPerSecond = 50
+)
+
+// CrashID identifies the end of one process of an upstream.
+type CrashID uint64
+
+// Crash is the unplanned end of the process of an upstream.
+type Crash struct {
+	ID CrashID
+	// At is when it was detected.
+	At time.Time
+}
+
+// Observer learns what becomes of requests at the own upstream.
+type Observer interface {
+	// Crashed is called for each request that was in flight in a crash.
+	Crashed(c Crash, f fingerprinter.Fingerprint)
+	// Survived is called for each request that the upstream has responded to.
+	Survived(f fingerprinter.Fingerprint)
+}
+
+// Config lists what a Watcher depends on.
+type Config struct {
+	// UpstreamEnded reports whether the process of the upstream has ended unplanned. It is
+	// called after a connection broke, by one goroutine at a time, and may block for a short
+	// time.
+	UpstreamEnded func() bool
+	// Observer may be nil.
+	Observer Observer
+	Scope    tally.Scope
+	Log      zerolog.Logger
+}
+
+// Watcher follows the requests at the own upstream. It is safe for concurrent use.
+type Watcher struct {
+	cfg         Config
+	crashes     tally.Counter
+	inFlightLog *logger.Limiter
+
+	checkMu sync.Mutex // Held while UpstreamEnded is called.
+
+	mu sync.Mutex // Guards the fields below.
+	// lingering lists the runs that ended without a response, the oldest first.
+	lingering []lingeringRun
+	last      Crash
+}
+
+// lingeringRun is a run that ended without a response at a given time.
+type lingeringRun struct {
+	run     *Run
+	endedAt time.Time
+}
+
+// New returns a watcher of an upstream without requests.
+func New(cfg Config) *Watcher {
+	return &Watcher{
+		cfg:         cfg,
+		crashes:     cfg.Scope.Counter("upstream_crashes"),
+		inFlightLog: logger.NewLimiter(logLinesPerSecond),
+	}
+}
+
+// Start returns the run of a request that is about to be sent to the upstream. The id is for the
+// log.
+func (w *Watcher) Start(id string, r *fingerprinter.Request) *Run {
+	return &Run{watcher: w, request: r, id: id, startedAt: time.Now()}
+}
+
+// broken handles a run whose connection broke. If the upstream has ended, the run was in flight
+// in that crash.
+func (w *Watcher) broken(run *Run) {
+	w.checkMu.Lock()
+	defer w.checkMu.Unlock()
+	if crash := w.lastCrash(); crash.At.After(run.startedAt) {
+		w.report(crash, run) // The run was sent to the process that ended then.
+		return
+	}
+	if w.cfg.UpstreamEnded() {
+		w.report(w.newCrash(), run)
+	}
+}
+
+// unreachable handles a run that was not sent since the upstream accepts no connection. Runs
+// that ended without a response just before were in flight when it ended.
+func (w *Watcher) unreachable() {
+	w.checkMu.Lock()
+	defer w.checkMu.Unlock()
+	w.mu.Lock()
+	w.expireLingering(time.Now())
+	lingering := len(w.lingering)
+	w.mu.Unlock()
+	if lingering > 0 && w.cfg.UpstreamEnded() {
+		w.newCrash()
+	}
+}
+
+// responded handles a run that ended with a response.
+func (w *Watcher) responded(run *Run) {
+	if w.cfg.Observer == nil {
+		return
+	}
+	if f, ok := run.request.Fingerprint(); ok {
+		w.cfg.Observer.Survived(f)
+	}
+}
+
+func (w *Watcher) lastCrash() Crash {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.last
+}
+
+// newCrash records a crash and reports it for the runs that ended without a response just before.
+func (w *Watcher) newCrash() Crash {
+	now := time.Now()
+	crash := Crash{ID: CrashID(rand.Uint64()), At: now}
+	w.mu.Lock()
+	w.last = crash
+	w.expireLingering(now)
+	lingering := w.lingering
+	w.lingering = nil
+	w.mu.Unlock()
+	w.crashes.Inc(1)
+	w.cfg.Log.Warn().Uint64("crash", uint64(crash.ID)).Int("ended-before", len(lingering)).Msg("Upstream ended.")
+	for _, l := range lingering {
+		w.report(crash, l.run)
+	}
+	return crash
+}
+
+// report logs that a run was in flight in a crash, and tells the observer.
+func (w *Watcher) report(crash Crash, run *Run) {
+	event := w.inFlightLog.Limit(w.cfg.Log.Warn()).Uint64("crash", uint64(crash.ID)).
+		Str("request", run.id).Dur("ran-ms", crash.At.Sub(run.startedAt))
+	f, ok := run.request.Fingerprint()
+	if !ok {
+		event.Msg("A request whose body had not arrived was in flight when the upstream ended.")
+		return
+	}
+	event.Stringer("fingerprint", f).Msg("A request was in flight when the upstream ended.")
+	if w.cfg.Observer != nil {
+		w.cfg.Observer.Crashed(crash, f)
+	}
+}
+
+// linger remembers a run that ended without a response.
+func (w *Watcher) linger(run *Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.expireLingering(now)
+	if len(w.lingering) >= maxLingering {
+		w.lingering = slices.Delete(w.lingering, 0, 1)
+	}
+	w.lingering = append(w.lingering, lingeringRun{run: run, endedAt: now})
+}
+
+func (w *Watcher) expireLingering(now time.Time) {
+	w.lingering = slices.DeleteFunc(w.lingering, func(l lingeringRun) bool { return now.Sub(l.endedAt) > lingerPeriod })
+}
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -50,38 +51,43 @@
 	if refusal := s.setUpstreamID(req); refusal != nil {
 		return nil, refusal
 	}
+	tracked, refusal := s.newTrackedRun(ctx, req)
+	if refusal != nil {
+		return nil, refusal
+	}
 	spec := s.spec()
-	deadline, _ := ctx.Deadline()
-	priority := priorityFor(req.Header.Get(classifier.HeaderPriority), spec.Priority)
-	retried := req.Header.Get(classifier.HeaderHop) > firstAttempt
-	queuedAt := time.Now()
-	permit, err := s.cfg.Admitter.Admit(ctx, AdmissionRequest{
-		Priority:        priority,
-		Deadline:        deadline,
-		LatencyGoalTime: latencyGoalTime(req.Header),
-		ExpectedWork:    parseMillis(req.Header.Get(classifier.HeaderWork)),
-		Retried:         retried,
-		PreferLocal:     req.Header.Get(classifier.HeaderStay) != "",
-	})
-	if err != nil {
-		return nil, admissionRefusal(err)
+	permit, refusal := s.admit(ctx, req, spec)
+	if refusal != nil {
+		return nil, refusal
 	}
 	setUpstreamHeaders(ctx, req)
-	if refusal := s.setUpstreamID(req); refusal != nil {
+	refusal = s.setUpstreamID(req)
+	if refusal == nil {
+		refusal = tracked.start()
+	}
+	if refusal != nil {
 		permit.Done(Result{Abandoned: true})
 		return nil, refusal
 	}
+	return s.send(ctx, req, spec.StallTimeout, permit, tracked)
+}
+
+// send sends an admitted request to the upstream and returns the response.
+func (s *Server) send(
+	ctx context.Context, req *http.Request, stallTimeout time.Duration, permit Permit, tracked *trackedRun,
+) (*http.Response, *refuser.Refusal) {
 	start := time.Now()
-	s.admissionWaits.RecordDuration(start.Sub(queuedAt))
-	resp, err := s.cfg.Requester.DoLimited(ctx, s.cfg.Upstream, req, requester.Limits{StallTimeout: spec.StallTimeout})
+	resp, err := s.cfg.Requester.DoLimited(ctx, s.cfg.Upstream, req, requester.Limits{StallTimeout: stallTimeout})
 	latency := time.Since(start)
 	if err != nil {
 		refusal := refuser.FromError(err)
+		tracked.end(failureEnding(refusal))
 		abandoned := refusal.Reason() == classifier.ReasonCanceled
 		permit.Done(Result{Latency: latency, Failed: !abandoned, Abandoned: abandoned})
 		return nil, refusal
 	}
 	if refusal := shedRefusal(resp); refusal != nil {
+		tracked.end(crashwatcher.NotRun)
 		resp.Body.Close()
 		permit.Done(Result{Latency: latency, Failed: true})
 		return nil, refusal
@@ -96,13 +102,33 @@
 		s.exit()
 	}
 	if resp.Body == http.NoBody {
+		tracked.end(crashwatcher.Responded)
 		release()
 		return resp, nil
 	}
-	resp.Body = &releasingBody{ReadCloser: resp.Body, release: release}
+	resp.Body = &releasingBody{ReadCloser: resp.Body, release: release, tracked: tracked}
 	return resp, nil
 }
 
+// admit waits for a slot of the upstream.
+func (s *Server) admit(ctx context.Context, req *http.Request, spec compiler.ServiceSpec) (Permit, *refuser.Refusal) {
+	deadline, _ := ctx.Deadline()
+	queuedAt := time.Now()
+	permit, err := s.cfg.Admitter.Admit(ctx, AdmissionRequest{
+		Priority:        priorityFor(req.Header.Get(classifier.HeaderPriority), spec.Priority),
+		Deadline:        deadline,
+		LatencyGoalTime: latencyGoalTime(req.Header),
+		ExpectedWork:    parseMillis(req.Header.Get(classifier.HeaderWork)),
+		Retried:         req.Header.Get(classifier.HeaderHop) > firstAttempt,
+		PreferLocal:     req.Header.Get(classifier.HeaderStay) != "",
+	})
+	if err != nil {
+		return nil, admissionRefusal(err)
+	}
+	s.admissionWaits.RecordDuration(time.Since(queuedAt))
+	return permit, nil
+}
+
 // latencyGoalTime returns the latency-goal time of a request, or the zero time if the
 // request names none.
 func latencyGoalTime(h http.Header) time.Time {
@@ -225,12 +251,14 @@
 	io.ReadCloser
 	release func()
 	once    sync.Once
+	tracked *trackedRun
 }
 
 // Read implements io.Reader.
 func (b *releasingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
+		b.tracked.end(bodyEnding(err))
 		b.once.Do(b.release)
 	}
 	return n, err
@@ -239,6 +267,7 @@
 // Close closes the response and releases the slot.
 func (b *releasingBody) Close() error {
 	err := b.ReadCloser.Close()
+	b.tracked.end(crashwatcher.Abandoned)
 	b.once.Do(b.release)
 	return err
 }
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -33,6 +33,8 @@
 	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
@@ -128,6 +130,22 @@
 	Apply(notice string)
 }
 
+// Quarantine keeps requests that crash upstreams from running. Its errors may be
+// AdmissionRefusals.
+type Quarantine interface {
+	// Check returns an error if the request must not run now. It may read the start of the body.
+	Check(ctx context.Context, r *fingerprinter.Request) error
+	// Start records that a request is about to be sent, until release is called. It returns an
+	// error if the request must not run now. Check must have been called before.
+	Start(r *fingerprinter.Request) (release func(), err error)
+}
+
+// CrashWatcher follows the requests at the upstream.
+type CrashWatcher interface {
+	// Start returns the run of a request that is about to be sent.
+	Start(id string, r *fingerprinter.Request) *crashwatcher.Run
+}
+
 // Config holds the dependencies of a Server. All are required unless noted.
 type Config struct {
 	// Instance is the id of the node's own instance, Service the name of its service.
@@ -138,6 +156,9 @@
 	Admitter  Admitter
 	Snapshots SnapshotSource
 	Link      Link
+	// CrashWatcher and Quarantine are nil if requests that crash the upstream are not recognized.
+	CrashWatcher CrashWatcher
+	Quarantine   Quarantine
 	// UpstreamTracker is nil if the upstream sends no heartbeats.
 	UpstreamTracker UpstreamTracker
 	// Notices is nil if no notices are exchanged.
