--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,13 +26,20 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// freeAddress returns a loopback address whose port is free for TCP.
+// firstTestPort is the port of the first address of freeAddress.
+const firstTestPort = 20000
+
+// addressCount counts the addresses that freeAddress has returned.
+var addressCount atomic.Uint32
+
+// freeAddress returns a loopback address that no other test uses, nor another process of the
+// tests. Its port is free for TCP and UDP.
 func freeAddress(tb testing.TB) netip.AddrPort {
 	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	const octet = 250
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid%octet), byte(pid / octet % octet), 1})
+	return netip.AddrPortFrom(ip, uint16(firstTestPort+addressCount.Add(1)))
 }
 
 // startUpstream runs an emulated upstream that responds immediately.
