fix: a request that crashes upstreams runs no more after three

Callers of a service whose upstreams one request crashed again and again got status 502 or 503 for seconds at a time, payments among them, and each of its upstreams ended every few seconds. Cause: attempts of one call are limited, but such a request returns as a new call at any node, and nothing recognized it.

After two crashes in a row a request runs apart from other suspected ones, after three at one instance only, and once it has crashed an upstream while it ran apart, not at all. One response clears it.

--- a/internal/connection/courier/courier.go
+++ b/internal/connection/courier/courier.go
@@ -38,10 +38,12 @@
 	KindProbe
 	// KindProbeResponse marks the response to a load probe.
 	KindProbeResponse
+	// KindCrash marks a message about requests that were in flight when upstreams crashed.
+	KindCrash
 )
 
 const (
-	kindCount = int(KindProbeResponse) + 1 // Includes the unused 0.
+	kindCount = int(KindCrash) + 1 // Includes the unused 0.
 	// MaxPayload is the largest payload of a datagram, in bytes. It fits the path MTU
 	// of common networks.
 	MaxPayload = 1200
--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -12,6 +13,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/gossiper"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
@@ -32,11 +34,15 @@
 	controlAddresses func() []netip.AddrPort
 	compile          func(doc *controlwire.Document, number uint64) (*compiler.Configuration, error)
 	publish          func(*compiler.Configuration) bool
+	// runsTrial is passed to the quarantine.
+	runsTrial func(f fingerprinter.Fingerprint) bool
 }
 
 // fleetMember holds the parts that exchange membership and versions of the configuration
 // with the other processes of the fleet.
 type fleetMember struct {
+	*fleetQuarantine
+
 	client      *http.Client // For calls between processes.
 	courier     *courier.Courier
 	gossiper    *gossiper.Gossiper
@@ -55,6 +61,17 @@
 	if err != nil {
 		return fleetMember{}, fmt.Errorf("bind the peer address: %w", err)
 	}
+	var view atomic.Pointer[registrar.View]
+	view.Store(registrar.NewView(nil))
+	m.fleetQuarantine = newFleetQuarantine(quarantineConfig{
+		instance:  cfg.instance.ID,
+		service:   cfg.instance.Service,
+		transport: m.courier,
+		view:      view.Load,
+		runsTrial: cfg.runsTrial,
+		scope:     scope,
+		log:       base,
+	})
 	var g *gossiper.Gossiper
 	m.distributor = distributor.New(distributor.Config{
 		ControlAddresses: cfg.controlAddresses,
@@ -75,11 +92,14 @@
 		StartAllowance: cfg.startAllowance,
 		Transport:      m.courier,
 		Client:         gossiper.NewClient(m.client),
-		OnView:         cfg.onView,
-		OnVersion:      m.distributor.ObserveVersion,
-		Logger:         base,
-		Scope:          scope.SubScope("gossiper"),
-		Random:         newRandom(),
+		OnView: func(v *registrar.View) {
+			view.Store(v)
+			cfg.onView(v)
+		},
+		OnVersion: m.distributor.ObserveVersion,
+		Logger:    base,
+		Scope:     scope.SubScope("gossiper"),
+		Random:    newRandom(),
 	})
 	m.gossiper = g
 	return m, nil
@@ -90,4 +110,5 @@
 	m.courier.Start()
 	m.gossiper.Start()
 	m.distributor.Start()
+	m.disseminator.Start()
 }
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -187,7 +187,7 @@
 	n.handOverKeys(ctx)
 	n.gossiper.Leave(closeCtx)
 	n.tomb.Kill(nil)
-	stopFuncs := []func() error{n.reporter.Stop, n.distributor.Stop, n.gossiper.Stop, peerListener.closer(closeCtx), n.courier.Stop}
+	stopFuncs := []func() error{n.reporter.Stop, n.distributor.Stop, n.disseminator.Stop, n.gossiper.Stop, peerListener.closer(closeCtx), n.courier.Stop}
 	for _, l := range platformListeners {
 		stopFuncs = append(stopFuncs, l.listener.closer(closeCtx))
 	}
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -63,6 +63,7 @@
 		controlAddresses: n.controlAddresses,
 		compile:          n.compile,
 		publish:          n.publish,
+		runsTrial:        n.runsTrial,
 	}, base, n.metrics.Scope())
 	if err != nil {
 		return fmt.Errorf("join the fleet: %w", err)
@@ -123,6 +124,7 @@
 		Local:             n.server,
 		Keys:              n.deduplicator,
 		Notices:           n.noticeBoard,
+		Quarantine:        n.quarantiner,
 		MaxUnsentAttempts: n.unsentAttemptLimit(),
 		Explainer:         n.explainer,
 		Scope:             n.metrics.Scope().SubScope("forwarder"),
@@ -150,6 +152,7 @@
 		Admitter:        admitterAdapter{n.admitter, n.recordCapacityRefusal},
 		Link:            n.linkPacer,
 		CrashWatcher:    n.newCrashWatcher(base),
+		Quarantine:      n.quarantiner,
 		Snapshots:       n.snapshots,
 		Scope:           n.metrics.Scope().SubScope("server"),
 		Log:             logger.Part(base, "server"),
--- a/internal/process/launcher/node_crash.go
+++ b/internal/process/launcher/node_crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"syscall"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 )
 
 // endedCheckTimeout limits how long the check whether the upstream has ended takes. The
@@ -20,6 +22,7 @@
 func (n *Node) newCrashWatcher(base zerolog.Logger) *crashwatcher.Watcher {
 	return crashwatcher.New(crashwatcher.Config{
 		UpstreamEnded: n.upstreamEnded,
+		Observer:      n.quarantiner,
 		Scope:         n.metrics.Scope().SubScope("server"),
 		Log:           logger.Part(base, "crashwatcher"),
 	})
@@ -49,3 +52,21 @@
 	id, available := n.enroller.Current()
 	return id != "" && !available
 }
+
+// runsTrial reports whether this instance is the one of its service that runs a request on
+// trial. Nodes that know the same instances agree on it.
+func (n *Node) runsTrial(f fingerprinter.Fingerprint) bool {
+	chosen, best := "", uint64(0)
+	for _, in := range n.snapshots.Snapshot().View().Service(n.settings.Service()) {
+		if !in.State().Routable() {
+			continue
+		}
+		h := fnv.New64a()
+		h.Write(f[:]) // Never fails.
+		h.Write([]byte(in.ID()))
+		if rank := h.Sum64(); chosen == "" || rank > best {
+			chosen, best = in.ID(), rank
+		}
+	}
+	return chosen == n.settings.Instance()
+}
--- a/internal/request/crashwatcher/crashwatcher.go
+++ b/internal/request/crashwatcher/crashwatcher.go
@@ -28,8 +28,11 @@
 )
 
 const (
-	// lingerPeriod is how long a request that ended without a response counts as in flight.
-	lingerPeriod = 2 * time.Second
+	// LingerPeriod is how long a request that ended without a response counts as in flight.
+	LingerPeriod = 2 * time.Second
+	// lingerCheckDelay is the time after which the upstream is checked if requests ended without a
+	// response, and no other has responded since.
+	lingerCheckDelay = 500 * time.Millisecond
 	// maxLingering bounds the requests that are remembered for that.
 	maxLingering = 64
 	// logLinesPerSecond limits the log lines about requests in flight in a crash.
@@ -77,7 +80,10 @@
 	mu sync.Mutex // Guards the fields below.
 	// lingering lists the runs that ended without a response, the oldest first.
 	lingering []lingeringRun
-	last      Crash
+	// checkScheduled reports whether checkLingering will be called.
+	checkScheduled bool
+	respondedAt    time.Time
+	last           Crash
 }
 
 // lingeringRun is a run that ended without a response at a given time.
@@ -115,8 +121,8 @@
 	}
 }
 
-// unreachable handles a run that was not sent since the upstream accepts no connection. Runs
-// that ended without a response just before were in flight when it ended.
+// unreachable handles that the upstream may have ended, such as if it accepts no connection. Runs
+// that ended without a response just before were in flight then.
 func (w *Watcher) unreachable() {
 	w.checkMu.Lock()
 	defer w.checkMu.Unlock()
@@ -131,6 +137,9 @@
 
 // responded handles a run that ended with a response.
 func (w *Watcher) responded(run *Run) {
+	w.mu.Lock()
+	w.respondedAt = time.Now()
+	w.mu.Unlock()
 	if w.cfg.Observer == nil {
 		return
 	}
@@ -188,8 +197,34 @@
 		w.lingering = slices.Delete(w.lingering, 0, 1)
 	}
 	w.lingering = append(w.lingering, lingeringRun{run: run, endedAt: now})
+	w.scheduleCheck()
+}
+
+// scheduleCheck lets checkLingering run later. The mutex must be held.
+func (w *Watcher) scheduleCheck() {
+	if w.checkScheduled {
+		return
+	}
+	w.checkScheduled = true
+	time.AfterFunc(lingerCheckDelay, w.checkLingering)
+}
+
+// checkLingering checks whether the upstream has ended under a run that ended without a response.
+// Without requests after that, nothing else would tell.
+func (w *Watcher) checkLingering() {
+	w.mu.Lock()
+	w.checkScheduled = false
+	w.expireLingering(time.Now())
+	if len(w.lingering) > 0 {
+		w.scheduleCheck()
+	}
+	responding := time.Since(w.respondedAt) < lingerCheckDelay
+	w.mu.Unlock()
+	if !responding {
+		w.unreachable()
+	}
 }
 
 func (w *Watcher) expireLingering(now time.Time) {
-	w.lingering = slices.DeleteFunc(w.lingering, func(l lingeringRun) bool { return now.Sub(l.endedAt) > lingerPeriod })
+	w.lingering = slices.DeleteFunc(w.lingering, func(l lingeringRun) bool { return now.Sub(l.endedAt) > LingerPeriod })
 }
--- a/internal/request/crashwatcher/run.go
+++ b/internal/request/crashwatcher/run.go
@@ -1,7 +1,6 @@
 package crashwatcher
 
 import (
-	"sync"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
@@ -29,21 +28,18 @@
 	request   *fingerprinter.Request
 	id        string // The id of the request, for the log.
 	startedAt time.Time
-	once      sync.Once
 }
 
-// End records how the run ended. Only the first call counts.
+// End records how the run ended. It must be called once.
 func (r *Run) End(ending Ending) {
-	r.once.Do(func() {
-		switch ending {
-		case Responded:
-			r.watcher.responded(r)
-		case Unreachable:
-			r.watcher.unreachable()
-		case Broken:
-			r.watcher.broken(r)
-		case Abandoned:
-			r.watcher.linger(r)
-		}
-	})
+	switch ending {
+	case Responded:
+		r.watcher.responded(r)
+	case Unreachable:
+		r.watcher.unreachable()
+	case Broken:
+		r.watcher.broken(r)
+	case Abandoned:
+		r.watcher.linger(r)
+	}
 }
--- a/internal/request/fingerprinter/fingerprint.go
+++ b/internal/request/fingerprinter/fingerprint.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"net"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -51,7 +53,7 @@
 // HeadOf returns the digest of a request without its body.
 func HeadOf(r *http.Request) Head {
 	var text []byte
-	for _, part := range [...]string{r.Method, r.Host, r.URL.Path, r.URL.RawQuery} {
+	for _, part := range [...]string{r.Method, hostname(r.Host), r.URL.EscapedPath(), r.URL.RawQuery} {
 		text = appendPart(text, part)
 	}
 	for _, name := range callerHeaders {
@@ -70,3 +72,11 @@
 	text = binary.AppendUvarint(text, uint64(len(part)))
 	return append(text, part...)
 }
+
+// hostname returns host without its port, in lower case.
+func hostname(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -39,7 +39,7 @@
 }
 
 // try picks an untried instance and sends the request to it, with the headers in extra
-// added. It returns nil if no instance is left.
+// added. It returns nil if pick does.
 func (c *call) try(cause classifier.Reason, extra http.Header) *attempt {
 	a := c.pick(cause)
 	if a == nil {
@@ -50,8 +50,12 @@
 	return a
 }
 
-// pick creates an attempt at an untried instance. It returns nil if no instance is left.
+// pick creates an attempt at an untried instance. It returns nil if no instance is left, or if
+// the request must not be sent any more.
 func (c *call) pick(cause classifier.Reason) *attempt {
+	if c.inQuarantine() {
+		return nil
+	}
 	a := &attempt{cause: cause, start: time.Now(), explicit: c.route.explicit}
 	var ok bool
 	a.choice, ok = c.forwarder.cfg.Picker.Pick(Query{
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
@@ -49,6 +50,11 @@
 	attempts, unsentAttempts int
 	// mayHaveRun reports whether an earlier attempt may have run.
 	mayHaveRun bool
+	// fingerprint recognizes the request if it has crashed upstreams; nil if there is no
+	// quarantine, or if the body is streamed.
+	fingerprint *fingerprinter.Request
+	// quarantined is the refusal of a request that must not be sent any more, or nil.
+	quarantined *refuser.Refusal
 }
 
 func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) *call {
@@ -94,14 +100,29 @@
 	if err != nil {
 		return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	c.body = body
 	if body == nil {
+		// The deadline stays: the start of the body may be read before anything is sent.
 		c.stream = &streamedBody{src: c.r.Body}
+		return nil
 	}
+	_ = controller.SetReadDeadline(time.Time{})
+	c.body = body
 	return nil
 }
 
+// inQuarantine reports whether the request must not be sent any more.
+func (c *call) inQuarantine() bool {
+	quarantine := c.forwarder.cfg.Quarantine
+	if quarantine == nil || quarantine.Empty() || c.stream != nil {
+		return false // The node beside the upstream recognizes a streamed body.
+	}
+	if c.fingerprint == nil {
+		c.fingerprint = fingerprinter.New(c.request(nil))
+	}
+	c.quarantined = quarantine.Refusal(c.fingerprint)
+	return c.quarantined != nil
+}
+
 // serve returns the response of an upstream. A non-idempotent request with an idempotency
 // key runs at the key's home instance.
 func (c *call) serve() (*http.Response, *refuser.Refusal) {
@@ -150,9 +171,12 @@
 	}
 }
 
-// finalRefusal returns the refusal of a request for which no untried instance is left: last,
-// the refusal of the last attempt, or no-instance if last is nil.
+// finalRefusal returns the refusal of a request for which no untried instance is left, or that
+// must not be sent any more: last, the refusal of the last attempt, or no-instance if last is nil.
 func (c *call) finalRefusal(last *refuser.Refusal) *refuser.Refusal {
+	if c.quarantined != nil && (last == nil || last.Outcome() == classifier.NotRun) {
+		return c.callerRefusal(c.quarantined, retrier.Decision{})
+	}
 	if last == nil {
 		last = refuser.New(classifier.NotRun, classifier.ReasonNoInstance)
 		if c.forwarder.startingUp() {
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/recognizer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
@@ -126,6 +127,14 @@
 	Record(instanceID, notice string, sentAt time.Time) error
 }
 
+// Quarantine knows the requests that crash upstreams.
+type Quarantine interface {
+	// Empty reports whether there are no such requests.
+	Empty() bool
+	// Refusal returns the refusal of a request that must not run, or nil.
+	Refusal(r *fingerprinter.Request) *refuser.Refusal
+}
+
 // SnapshotSource returns the configuration in force and the view of the fleet.
 type SnapshotSource interface {
 	Snapshot() *publisher.Snapshot
@@ -133,7 +142,8 @@
 	Await(ctx context.Context, condition func(*publisher.Snapshot) bool) bool
 }
 
-// Config holds the dependencies of a Forwarder. Only Local, Keys and Notices are optional.
+// Config holds the dependencies of a Forwarder. Only Local, Keys, Notices and Quarantine are
+// optional.
 type Config struct {
 	// Instance is the id of this node's instance.
 	Instance  string
@@ -147,6 +157,8 @@
 	Keys KeyStore
 	// Notices is nil if the node returns no notices to instances.
 	Notices NoticeBoard
+	// Quarantine is nil if requests that crash upstreams are not recognized.
+	Quarantine Quarantine
 	// MaxUnsentAttempts is the number of attempts per request that may fail before they
 	// reach an upstream, in addition to the attempts that the service allows.
 	MaxUnsentAttempts int
--- /dev/null
+++ b/internal/request/quarantiner/evidence.go
@@ -0,0 +1,179 @@
+package quarantiner
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
+)
+
+const (
+	// apartAfter is the number of crashes in a row after which a request runs only if no other
+	// such request runs at the same upstream.
+	apartAfter = 2
+	// trialAfter is the number of crashes in a row after which a request runs at one instance
+	// of its service only, and not at all once it has crashed an upstream while it ran apart.
+	trialAfter = 3
+	// evidencePeriod is how long a crash counts.
+	evidencePeriod = 2 * time.Hour
+	// MaxCrashes bounds the crashes that are kept of one request.
+	MaxCrashes = 8
+)
+
+// holds lists how long a request is in quarantine after the first crash while it ran apart, and
+// after the second. After further ones it is held until these no longer count.
+var holds = [...]time.Duration{time.Minute, 10 * time.Minute}
+
+// Flags of a Crash.
+const (
+	flagApart byte = 1 << iota
+	flagSurvived
+)
+
+// Crash is the end of an upstream while a request ran there. Its time is on the clock of this
+// process.
+type Crash struct {
+	crashwatcher.Crash
+	// Apart reports whether the request ran apart from others that were suspected.
+	Apart bool
+	// Survived reports whether the request has run to its end since, at any upstream whose node
+	// knew of the crash.
+	Survived bool
+}
+
+// Flags returns what is known of the crash as bits.
+func (c Crash) Flags() byte {
+	flags := byte(0)
+	if c.Apart {
+		flags |= flagApart
+	}
+	if c.Survived {
+		flags |= flagSurvived
+	}
+	return flags
+}
+
+// SetFlags sets what Flags has returned.
+func (c *Crash) SetFlags(flags byte) {
+	c.Apart = flags&flagApart != 0
+	c.Survived = flags&flagSurvived != 0
+}
+
+// Evidence is what is known of one request that was in flight in crashes.
+type Evidence struct {
+	Fingerprint fingerprinter.Fingerprint
+	// Crashes lists the latest crashes, the newest one first.
+	Crashes []Crash
+}
+
+// streak returns the number of crashes since the request last ran to its end.
+func (e *Evidence) streak() int {
+	n := 0
+	for _, c := range e.Crashes {
+		if !c.Survived {
+			n++
+		}
+	}
+	return n
+}
+
+// newest returns the time of the last crash, or the zero time if there is none.
+func (e *Evidence) newest() time.Time {
+	if len(e.Crashes) == 0 {
+		return time.Time{}
+	}
+	return e.Crashes[0].At
+}
+
+// heldUntil returns when the quarantine ends, or the zero time if there is none.
+func (e *Evidence) heldUntil() time.Time {
+	apart := 0
+	for _, c := range e.Crashes {
+		if c.Apart && !c.Survived {
+			apart++
+		}
+	}
+	switch {
+	case apart == 0 || e.streak() < trialAfter:
+		return time.Time{}
+	case apart <= len(holds):
+		return e.newest().Add(holds[apart-1])
+	default:
+		return e.newest().Add(evidencePeriod)
+	}
+}
+
+// standing returns how the request is treated now.
+func (e *Evidence) standing(now time.Time) Standing {
+	switch streak := e.streak(); {
+	case streak < apartAfter:
+		return Clear
+	case streak < trialAfter:
+		return Suspected
+	case now.Before(e.heldUntil()):
+		return Quarantined
+	default:
+		return OnTrial
+	}
+}
+
+// merge adds a crash, or what it says of a known one. It reports whether that is new.
+func (e *Evidence) merge(c Crash) bool {
+	for i := range e.Crashes {
+		known := &e.Crashes[i]
+		if known.ID != c.ID {
+			continue
+		}
+		changed := c.Survived && !known.Survived || c.Apart && !known.Apart
+		known.Survived = known.Survived || c.Survived
+		known.Apart = known.Apart || c.Apart
+		if c.At.Before(known.At) {
+			known.At = c.At // The age of a crash grows by the delay of each message.
+		}
+		return changed
+	}
+	e.Crashes = append(e.Crashes, c)
+	slices.SortStableFunc(e.Crashes, func(a, b Crash) int { return b.At.Compare(a.At) })
+	if len(e.Crashes) <= MaxCrashes {
+		return true
+	}
+	oldest := e.Crashes[MaxCrashes]
+	e.Crashes = e.Crashes[:MaxCrashes]
+	return oldest.ID != c.ID
+}
+
+// survive records that the request has run to its end. It reports whether that is new.
+func (e *Evidence) survive() bool {
+	changed := false
+	for i := range e.Crashes {
+		changed = changed || !e.Crashes[i].Survived
+		e.Crashes[i].Survived = true
+	}
+	return changed
+}
+
+// expire removes the crashes that no longer count.
+func (e *Evidence) expire(now time.Time) {
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return now.Sub(c.At) >= evidencePeriod })
+}
+
+// digest returns a digest of the evidence without the times.
+func (e *Evidence) digest() uint64 {
+	sum := uint64(0)
+	for _, c := range e.Crashes {
+		h := fnv.New64a()
+		h.Write(e.Fingerprint[:]) // Never fails.
+		id := binary.BigEndian.AppendUint64(nil, uint64(c.ID))
+		h.Write(append(id, c.Flags()))
+		sum ^= h.Sum64()
+	}
+	return sum
+}
+
+// clone returns a copy that shares nothing.
+func (e *Evidence) clone() Evidence {
+	return Evidence{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes)}
+}
--- /dev/null
+++ b/internal/request/quarantiner/quarantiner.go
@@ -0,0 +1,309 @@
+// Package quarantiner keeps a request that crashes the upstreams that run it from crashing
+// more, however it returns: as a retry, a hedge or a resumption, or as a new call at any node.
+//
+// # Usage
+//
+//	q := quarantiner.New(quarantiner.Config{RunsTrial: runsTrial, OnChange: spread, ...})
+//	w := crashwatcher.New(crashwatcher.Config{Observer: q, ...})
+//	err := q.Check(r)            // Before the request waits for a slot.
+//	release, err := q.Start(r)   // Before it is sent to the own upstream.
+//	...
+//	release()
+//	changed := q.Merge(evidence) // From other nodes.
+//
+// # Evidence
+//
+// A request that was in flight when an upstream ended is suspected of that crash, unless it often
+// runs to its end there. A node or machine that ends with its upstream reports nothing, so that a
+// loss of power makes no request suspected.
+//
+// A run that ends with a response proves that the request does not crash what runs it: the
+// crashes that its node knows of do not count any more. So a popular request, which is in flight
+// in most crashes, is cleared faster than it is suspected.
+//
+// After two crashes in a row a request runs apart from other suspected ones, which tells one that
+// crashes upstreams from those that only were in flight beside it. After three it runs at one
+// instance only, and once it has crashed an upstream while it ran apart, not at all for some time.
+//
+// Crashes are known by an id and are marked as survived, never removed before their time, so that
+// nodes may merge what they know in any order, and more than once. No clock is compared: messages
+// hold ages.
+package quarantiner
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
+	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
+	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// suspectedRetryAfter is the Retry-After of a request that must not run beside the suspected one
+// that runs, or not at this instance.
+const suspectedRetryAfter = 300 * time.Millisecond
+
+// Config lists what a Quarantiner depends on.
+type Config struct {
+	// RunsTrial reports whether this instance is the one of its service that runs a request
+	// on trial.
+	RunsTrial func(f fingerprinter.Fingerprint) bool
+	// OnChange is called with evidence that this node has found. It must not block.
+	OnChange func(Evidence)
+	Scope    tally.Scope
+	Log      zerolog.Logger
+}
+
+// Quarantiner holds the evidence against requests. It is safe for concurrent use.
+type Quarantiner struct {
+	cfg         Config
+	entryGauge  tally.Gauge
+	quarantined tally.Gauge
+	// entries is the size of the table. It is read without the mutex.
+	entries atomic.Int64
+
+	mu        sync.Mutex // Guards the fields below.
+	table     *table
+	survivals survivals
+	// apart is the request in flight that must not run beside another suspected one, or nil.
+	apart *fingerprinter.Fingerprint
+}
+
+// New returns a quarantiner without evidence.
+func New(cfg Config) *Quarantiner {
+	return &Quarantiner{
+		cfg:         cfg,
+		entryGauge:  cfg.Scope.Gauge("crash_evidence"),
+		quarantined: cfg.Scope.Gauge("quarantined_requests"),
+		table:       newTable(),
+	}
+}
+
+// Empty reports whether there is no evidence against any request.
+func (q *Quarantiner) Empty() bool { return q.entries.Load() == 0 }
+
+// Refusal returns the refusal of a request in quarantine, or nil for any other. It does not read
+// the body: a request with a streamed body is refused by the node beside the upstream.
+func (q *Quarantiner) Refusal(r *fingerprinter.Request) *refuser.Refusal {
+	if !q.hasHead(r) {
+		return nil
+	}
+	f, ok := r.Fingerprint()
+	if !ok {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	if q.table.standing(f, now) != Quarantined {
+		return nil
+	}
+	return q.quarantineRefusal(f, now)
+}
+
+// Check returns a *refuser.Refusal if the request must not run now. If the evidence is about a
+// request that differs at most by its body, it reads the start of a streamed body, and returns
+// another error if that fails.
+func (q *Quarantiner) Check(r *fingerprinter.Request) error {
+	if !q.hasHead(r) {
+		return nil
+	}
+	if err := r.ReadStart(); err != nil {
+		return fmt.Errorf("recognize the request: %w", err)
+	}
+	f, ok := r.Fingerprint()
+	if !ok {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if refusal := q.refusal(f, time.Now()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+// Start records that a request is about to be sent to the own upstream, until release is called.
+// It returns a *refuser.Refusal if the request must not run now. Check must have been called before.
+func (q *Quarantiner) Start(r *fingerprinter.Request) (release func(), err error) {
+	release = func() {}
+	if !q.hasHead(r) {
+		return release, nil
+	}
+	f, ok := r.Fingerprint()
+	if !ok {
+		return release, nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	if refusal := q.refusal(f, now); refusal != nil {
+		return nil, refusal
+	}
+	if q.table.standing(f, now) != Clear {
+		q.apart = &f
+		release = func() { q.release(&f) }
+	}
+	return release, nil
+}
+
+// release ends the time for which a request runs apart. Further calls do nothing.
+func (q *Quarantiner) release(f *fingerprinter.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.apart == f {
+		q.apart = nil
+	}
+}
+
+// Merge adds evidence of another node. It returns the part that is new here.
+func (q *Quarantiner) Merge(evidence []Evidence) []Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	var changed []Evidence
+	for _, e := range evidence {
+		before := q.table.standing(e.Fingerprint, now)
+		if !q.table.merge(e, now) {
+			continue
+		}
+		changed = append(changed, q.table.entries[e.Fingerprint].clone())
+		q.logStanding(e.Fingerprint, before, "another node", now)
+	}
+	q.updateSize()
+	return changed
+}
+
+// Evidence returns all evidence, that of the most crashes first.
+func (q *Quarantiner) Evidence() []Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.expire(time.Now())
+	q.updateSize()
+	return q.table.all()
+}
+
+// Digest returns a digest of the evidence, by which nodes find that they know the same; 0 if
+// there is none.
+func (q *Quarantiner) Digest() uint64 {
+	if q.Empty() {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.expire(time.Now())
+	q.updateSize()
+	return q.table.digest()
+}
+
+// Lift ends the quarantine or the suspicion of a request at the wish of an operator. It reports
+// whether there was one.
+func (q *Quarantiner) Lift(f fingerprinter.Fingerprint) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.survive(f, "an operator", time.Now())
+}
+
+// hasHead reports whether there is evidence about a request that differs from r at most by its
+// body.
+func (q *Quarantiner) hasHead(r *fingerprinter.Request) bool {
+	if q.Empty() {
+		return false
+	}
+	head := r.Head()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.heads[head] > 0
+}
+
+// refusal returns the refusal of a request that must not run now at the own upstream, or nil.
+func (q *Quarantiner) refusal(f fingerprinter.Fingerprint, now time.Time) *refuser.Refusal {
+	standing := q.table.standing(f, now)
+	switch {
+	case standing == Clear:
+		return nil
+	case standing == Quarantined:
+		return q.quarantineRefusal(f, now)
+	case q.apart != nil, standing == OnTrial && !q.cfg.RunsTrial(f):
+		return refuser.New(classifier.NotRun, classifier.ReasonSuspected).WithRetryAfter(suspectedRetryAfter)
+	}
+	return nil
+}
+
+func (q *Quarantiner) quarantineRefusal(f fingerprinter.Fingerprint, now time.Time) *refuser.Refusal {
+	retryAfter := q.table.entries[f].heldUntil().Sub(now)
+	return refuser.New(classifier.NotRun, classifier.ReasonQuarantined).WithRetryAfter(retryAfter)
+}
+
+// Crashed implements crashwatcher.Observer. A request that often ran to its end at this upstream
+// is not suspected of a crash.
+func (q *Quarantiner) Crashed(c crashwatcher.Crash, f fingerprinter.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.survivals.spend(f, c.At) {
+		return
+	}
+	before := q.table.standing(f, c.At)
+	if !q.table.merge(Evidence{Fingerprint: f, Crashes: []Crash{{Crash: c, Apart: q.apart != nil && *q.apart == f}}}, c.At) {
+		return
+	}
+	q.updateSize()
+	q.logStanding(f, before, "this node", c.At)
+	q.cfg.OnChange(q.table.entries[f].clone())
+}
+
+// Survived implements crashwatcher.Observer.
+func (q *Quarantiner) Survived(f fingerprinter.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.survivals.add(f, now)
+	q.survive(f, "a response", now)
+}
+
+// survive marks the crashes of a request as survived. It reports whether any was not.
+func (q *Quarantiner) survive(f fingerprinter.Fingerprint, cause string, now time.Time) bool {
+	e := q.table.entries[f]
+	if e == nil {
+		return false
+	}
+	before := e.standing(now)
+	if !e.survive() {
+		return false
+	}
+	q.logStanding(f, before, cause, now)
+	q.updateSize()
+	q.cfg.OnChange(e.clone())
+	return true
+}
+
+// logStanding logs a change of the standing of a request.
+func (q *Quarantiner) logStanding(f fingerprinter.Fingerprint, before Standing, source string, now time.Time) {
+	e := q.table.entries[f]
+	after := e.standing(now)
+	if after == before {
+		return
+	}
+	q.cfg.Log.Warn().Stringer("fingerprint", f).Stringer("before", before).Stringer("standing", after).
+		Int("crashes-in-a-row", e.streak()).Str("source", source).Dur("age-ms", now.Sub(e.newest())).
+		Dur("hold-ms", max(e.heldUntil().Sub(now), 0)).Msg("Standing of a request changed.")
+}
+
+// updateSize publishes the size of the table.
+func (q *Quarantiner) updateSize() {
+	q.entries.Store(int64(len(q.table.entries)))
+	q.entryGauge.Update(float64(len(q.table.entries)))
+	held := 0
+	for _, e := range q.table.entries {
+		if !e.heldUntil().IsZero() {
+			held++
+		}
+	}
+	q.quarantined.Update(float64(held))
+}
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -80,7 +80,8 @@
 		return false
 	}
 	switch f.Reason {
-	case classifier.ReasonCanceled, classifier.ReasonTimeout, classifier.ReasonDepth, classifier.ReasonBadRequest:
+	case classifier.ReasonCanceled, classifier.ReasonTimeout, classifier.ReasonDepth, classifier.ReasonBadRequest,
+		classifier.ReasonQuarantined:
 		return false // The caller is gone, no time is left, or a retry can't help.
 	}
 	if f.Outcome == classifier.NotRun {
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -51,7 +51,7 @@
 	if refusal := s.setUpstreamID(req); refusal != nil {
 		return nil, refusal
 	}
-	tracked, refusal := s.newTrackedRun(ctx, req)
+	tracked, refusal := s.newTrackedRun(req)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -130,13 +130,13 @@
 	Apply(notice string)
 }
 
-// Quarantine keeps requests that crash upstreams from running. Its errors may be
-// AdmissionRefusals.
+// Quarantine keeps requests that crash upstreams from running. It returns a *refuser.Refusal for a
+// request that must not run now.
 type Quarantine interface {
-	// Check returns an error if the request must not run now. It may read the start of the body.
-	Check(ctx context.Context, r *fingerprinter.Request) error
-	// Start records that a request is about to be sent, until release is called. It returns an
-	// error if the request must not run now. Check must have been called before.
+	// Check may read the start of the body, and returns another error if that fails.
+	Check(r *fingerprinter.Request) error
+	// Start records that a request is about to be sent, until release is called. Check must have
+	// been called before.
 	Start(r *fingerprinter.Request) (release func(), err error)
 }
 
--- a/internal/request/server/tracked_run.go
+++ b/internal/request/server/tracked_run.go
@@ -1,9 +1,10 @@
 package server
 
 import (
-	"context"
 	"io"
 	"net/http"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,11 +22,12 @@
 	request *fingerprinter.Request
 	run     *crashwatcher.Run // Nil if the run has not started or is not watched.
 	release func()            // Nil if the run has not started or there is no quarantine.
+	once    sync.Once
 }
 
 // newTrackedRun returns a run that has not started, or a refusal if the request must not run
 // now. It may replace the body of req by one that reads the same.
-func (s *Server) newTrackedRun(ctx context.Context, req *http.Request) (*trackedRun, *refuser.Refusal) {
+func (s *Server) newTrackedRun(req *http.Request) (*trackedRun, *refuser.Refusal) {
 	r := &trackedRun{server: s, id: req.Header.Get(classifier.HeaderRequestID)}
 	if s.cfg.CrashWatcher == nil {
 		return r, nil
@@ -34,8 +36,8 @@
 	if s.cfg.Quarantine == nil {
 		return r, nil
 	}
-	if err := s.cfg.Quarantine.Check(ctx, r.request); err != nil {
-		return nil, admissionRefusal(err)
+	if err := s.cfg.Quarantine.Check(r.request); err != nil {
+		return nil, quarantineRefusal(err)
 	}
 	return r, nil
 }
@@ -49,7 +51,7 @@
 	if cfg.Quarantine != nil {
 		release, err := cfg.Quarantine.Start(r.request)
 		if err != nil {
-			return admissionRefusal(err)
+			return quarantineRefusal(err)
 		}
 		r.release = release
 	}
@@ -57,14 +59,30 @@
 	return nil
 }
 
-// end records how the run ended.
+// end records how the run ended. Only the first call counts.
 func (r *trackedRun) end(ending crashwatcher.Ending) {
-	if r.run != nil {
-		r.run.End(ending)
-	}
-	if r.release != nil {
-		r.release()
+	r.once.Do(func() {
+		if r.run != nil {
+			r.run.End(ending)
+		}
+		switch {
+		case r.release == nil:
+		case ending == crashwatcher.Abandoned: // It may still run at the upstream.
+			time.AfterFunc(crashwatcher.LingerPeriod, r.release)
+		default:
+			r.release()
+		}
+	})
+}
+
+// quarantineRefusal converts an error of the quarantine. Nothing has been sent yet; the start of
+// the body cannot be read if its sender is gone.
+func quarantineRefusal(err error) *refuser.Refusal {
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
 	}
+	return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
 }
 
 // failureEnding returns how a run ended that has no complete response.
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -82,6 +82,12 @@
 	// ReasonKeyAnswer means that an earlier request with the idempotency key ran, but
 	// its response was too large to keep.
 	ReasonKeyAnswer Reason = "key-answer-not-kept"
+	// ReasonQuarantined means that upstreams ended each time they ran an equal request, which
+	// does not run again for some time.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonSuspected means that upstreams ended while they ran an equal request, and another
+	// such request runs at the instance now.
+	ReasonSuspected Reason = "suspected"
 	// ReasonWrongInstance means that the instance is not the home instance of the
 	// request's key, or does not belong to the request's service.
 	ReasonWrongInstance Reason = "wrong-instance"
