fix: one input that panics does not end each process that takes it

The class of the crashing request in our own processes: a datagram, a version of the configuration or a hedged request whose handling panics outside of net/http ended each process that took it, again after each restart, and a request whose exchange panics kept a slot of the upstream for good. No such input is known. A datagram is dropped, a version is rejected like one that does not compile, an attempt ends with an unknown outcome, and the slot is released.

--- a/internal/connection/courier/courier.go
+++ b/internal/connection/courier/courier.go
@@ -11,7 +11,8 @@
 //
 // The first byte of each datagram is its kind; the rest is the payload. Handlers run
 // on the goroutine that reads the socket, so they must not block, and they must not
-// keep the payload after they return, since its buffer is reused.
+// keep the payload after they return, since its buffer is reused. A datagram whose handler
+// panics is dropped.
 package courier
 
 import (
@@ -26,6 +27,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/process/recoverer"
 )
 
 // Kind is the first byte of a datagram. It selects the handler.
@@ -52,6 +54,8 @@
 	Overhead = 29
 	// receiveBufferSize is the size of the socket's receive buffer, in bytes.
 	receiveBufferSize = 1 << 20
+	// panicLinesPerSecond limits the log lines about handlers that panicked.
+	panicLinesPerSecond = 10
 )
 
 // ErrTooLarge is returned by Send for a payload of more than MaxPayload bytes.
@@ -76,6 +80,8 @@
 	handlers [kindCount]atomic.Pointer[Handler]
 	unknown  tally.Counter // Dropped datagrams that are empty or have no handler.
 	oversize tally.Counter // Dropped datagrams that are too large.
+	panics   tally.Counter // Dropped datagrams whose handlers panicked.
+	panicLog *logger.Limiter
 	tomb     tomb.Tomb
 }
 
@@ -94,6 +100,8 @@
 		log:      logger.Part(cfg.Logger, "courier"),
 		unknown:  cfg.Scope.Counter("datagrams_unknown_kind"),
 		oversize: cfg.Scope.Counter("datagrams_oversize"),
+		panics:   cfg.Scope.Counter("datagrams_panicked"),
+		panicLog: logger.NewLimiter(panicLinesPerSecond),
 	}, nil
 }
 
@@ -172,7 +180,14 @@
 		c.unknown.Inc(1)
 		return
 	}
-	(*h)(from, datagram[1:])
+	err := recoverer.Call(func() error {
+		(*h)(from, datagram[1:])
+		return nil
+	})
+	if err != nil {
+		c.panics.Inc(1)
+		c.panicLog.Limit(c.log.Error()).Err(err).Uint8("kind", datagram[0]).Stringer("from", from).Msg("Datagram dropped, its handler panicked.")
+	}
 }
 
 // unmap returns a with an IPv4-mapped IPv6 address replaced by the IPv4 address.
--- a/internal/connection/courier/courier_test.go
+++ b/internal/connection/courier/courier_test.go
@@ -40,6 +40,22 @@
 	assert.ErrorIs(t, a.Send(KindGossip, a.Address(), make([]byte, MaxPayload+1)), ErrTooLarge)
 }
 
+// TestPanickingHandlerDoesNotEndProcess guards against one datagram that ends each process that receives it.
+func TestPanickingHandlerDoesNotEndProcess(t *testing.T) {
+	a, b := startCourier(t), startCourier(t)
+	received := make(chan string, 2)
+	b.Handle(KindGossip, func(_ netip.AddrPort, payload []byte) {
+		received <- string(payload)
+		if string(payload) == "panic" {
+			panic("cannot handle this")
+		}
+	})
+	for _, payload := range []string{"panic", "gossip"} {
+		assert.NilError(t, a.Send(KindGossip, b.Address(), []byte(payload)))
+		assert.Equal(t, <-received, payload)
+	}
+}
+
 // FuzzDispatch checks that no datagram makes dispatch panic, and that a handler receives
 // the payload without the kind.
 func FuzzDispatch(f *testing.F) {
--- a/internal/process/distributor/adopter.go
+++ b/internal/process/distributor/adopter.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/process/recoverer"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
@@ -27,8 +28,8 @@
 // newer afterwards.
 func (d *Distributor) fetchNewer(source netip.AddrPort) error {
 	before := d.store.number()
-	if err := d.fetch(source); err != nil {
-		return err
+	if err := recoverer.Call(func() error { return d.fetch(source) }); err != nil {
+		return fmt.Errorf("fetch from %s: %w", source, err)
 	}
 	if d.store.number() <= before {
 		return errNoNewerVersion
@@ -99,7 +100,8 @@
 }
 
 // adopt checks, compiles and publishes a version, stores it and then announces it. It
-// ignores a version that is not newer than the held one.
+// ignores a version that is not newer than the held one. One that makes this process panic is
+// rejected like one that does not compile, since it would do so after each restart.
 func (d *Distributor) adopt(version *controlwire.Version) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -110,7 +112,7 @@
 	if number <= d.store.number() {
 		return nil
 	}
-	if err := d.publish(version); err != nil {
+	if err := recoverer.Call(func() error { return d.publish(version) }); err != nil {
 		d.rejected = number
 		d.metrics.rejected.Inc(1)
 		d.log.Error().Err(err).Uint64("version", number).Msg("Failed to put a version in force.")
--- a/internal/process/distributor/distributor_test.go
+++ b/internal/process/distributor/distributor_test.go
@@ -109,15 +109,18 @@
 	published []uint64
 }
 
-// newNode returns a node for which version 13 does not compile.
+// newNode returns a node for which version 13 does not compile, and version 14 panics.
 func newNode(net *network, controls ...netip.AddrPort) *node {
 	n := &node{}
 	n.Distributor = New(Config{
 		ControlAddresses: func() []netip.AddrPort { return controls },
 		Client:           net,
 		Compile: func(doc *controlwire.Document, number uint64) (*compiler.Configuration, error) {
-			if doc.GetEntries()[0].GetValue() == "13" {
+			switch doc.GetEntries()[0].GetValue() {
+			case "13":
 				return nil, errCompile
+			case "14":
+				panic("cannot compile this")
 			}
 			return compiler.NewConfiguration(number, "oaxaca", nil), nil
 		},
@@ -273,6 +276,24 @@
 	}
 }
 
+// TestVersionThatPanicsIsRejected guards against a configuration that ends each node that takes it.
+func TestVersionThatPanicsIsRejected(t *testing.T) {
+	runSynctest(t, func(t *testing.T) {
+		net := newNetwork(version(1))
+		n := newNode(net, control)
+		startNode(t, n)
+		time.Sleep(3 * time.Second)
+		net.override = &controlwire.FetchResponse{Snapshot: version(14)}
+		n.ObserveVersion(peers[0], version(14).GetDigest())
+		time.Sleep(3 * time.Second)
+		assertPublished(t, n, 1)
+		net.override = &controlwire.FetchResponse{Snapshot: version(15)}
+		n.ObserveVersion(peers[0], version(15).GetDigest())
+		time.Sleep(3 * time.Second)
+		assertPublished(t, n, 1, 15)
+	})
+}
+
 func TestServesDeltasAndLimitsSnapshots(t *testing.T) {
 	d := newHolderAt(t, &network{}, peers[0], 1, 2, 3, 4)
 	now := time.Now()
--- a/internal/process/gossiper/messenger.go
+++ b/internal/process/gossiper/messenger.go
@@ -84,10 +84,7 @@
 		return
 	}
 	g.metrics.receivedMessages.Inc(1)
-	now := time.Now()
-	g.mu.Lock()
-	newer := g.handleDatagram(from, msg, now)
-	g.mu.Unlock()
+	newer := g.handleDatagram(from, msg, time.Now())
 	if newer != nil && g.cfg.OnVersion != nil {
 		g.cfg.OnVersion(from, newer)
 	}
@@ -97,6 +94,8 @@
 // instance. It returns the message's configuration version if that is newer than this
 // process's own.
 func (g *Gossiper) handleDatagram(from netip.AddrPort, msg *gossipwire.Datagram, now time.Time) *controlwire.VersionDigest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.detectFreeze(now)
 	if msg.GetReceiver() != "" && msg.GetReceiver() != g.self.spec.ID {
 		return nil
--- /dev/null
+++ b/internal/process/recoverer/recoverer_test.go
@@ -0,0 +1,26 @@
+package recoverer_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/process/recoverer"
+)
+
+func TestCall(t *testing.T) {
+	assert.NilError(t, recoverer.Call(func() error { return nil }))
+	assert.ErrorIs(t, recoverer.Call(func() error { return io.EOF }), io.EOF)
+	err := recoverer.Call(func() error {
+		var m map[string]int
+		m["a"] = 1
+		return nil
+	})
+	var panicErr *recoverer.PanicError
+	assert.Assert(t, errors.As(err, &panicErr), "%v", err)
+	assert.ErrorContains(t, err, "nil map")
+	assert.Assert(t, strings.Contains(panicErr.Stack(), "TestCall"))
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/process/recoverer"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
@@ -100,6 +101,22 @@
 	observer.AttemptFinished(id, attemptResult(resp, refusal, a.end.Sub(a.start)))
 }
 
+// sendGuarded is like send, for goroutines other than that of the request. An attempt that panics
+// ends with an unknown outcome instead of ending the process.
+func (c *call) sendGuarded(ctx context.Context, a *attempt) {
+	err := recoverer.Call(func() error {
+		c.send(ctx, a, nil)
+		return nil
+	})
+	if err == nil {
+		return
+	}
+	c.forwarder.cfg.Log.Error().Err(err).Str("request", c.trace.ID()).Msg("Attempt panicked.")
+	a.end = time.Now()
+	a.resp, a.refusal = nil, refuser.FromError(err)
+	c.forwarder.cfg.Observer.AttemptFinished(a.choice.Instance.ID(), Result{Latency: a.end.Sub(a.start), Failed: true})
+}
+
 // attemptResult returns the result of an exchange for the observer. An instance whose
 // address now belongs to another one is as unreachable as one that is gone.
 func attemptResult(resp *http.Response, refusal *refuser.Refusal, latency time.Duration) Result {
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -54,6 +54,8 @@
 	instances    []*registrar.Instance
 	// localUpstream makes the entry node serve the first upstream in process.
 	localUpstream bool
+	// local replaces the first serving node in process, if not nil.
+	local forwarder.LocalServer
 	// starting makes the entry node one that has just started and knows nothing yet. By
 	// default it started some time ago.
 	starting bool
@@ -111,6 +113,10 @@
 			cfg.Instance = "almacen-1"
 			cfg.Local = f.servers[0]
 		}
+		if f.local != nil {
+			cfg.Instance = "almacen-1"
+			cfg.Local = f.local
+		}
 		f.entry = forwarder.New(cfg)
 		if !f.starting {
 			time.Sleep(nodeAge)
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -58,7 +58,7 @@
 	started := &hedgedAttempt{attempt: a, cancel: cancel}
 	h.running = append(h.running, started)
 	h.tomb.Go(func() error {
-		h.call.send(ctx, a, nil)
+		h.call.sendGuarded(ctx, a)
 		select {
 		case h.results <- started:
 		case <-h.decided:
--- a/internal/request/forwarder/hedge_test.go
+++ b/internal/request/forwarder/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -145,3 +146,23 @@
 		assertResponse(t, resp, body, err)
 	})
 }
+
+// panickingServer is a forwarder.LocalServer that panics.
+type panickingServer struct{}
+
+// Exchange implements forwarder.LocalServer.
+func (panickingServer) Exchange(context.Context, *http.Request) (*http.Response, error) {
+	panic("cannot handle this")
+}
+
+// TestHedgedAttemptThatPanicsDoesNotEndNode guards against a request that ends each node that serves it in process.
+func TestHedgedAttemptThatPanicsDoesNotEndNode(t *testing.T) {
+	f := newFleet()
+	f.spec.HedgeAfter = 100 * time.Millisecond
+	f.spec.MaxAttempts = 1
+	f.local = panickingServer{}
+	f.run(t, func(t *testing.T) {
+		resp, _, err := f.call(t.Context(), request(http.MethodGet))
+		assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonReset)
+	})
+}
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -38,10 +38,14 @@
 	if !s.enter() {
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonLeaving)
 	}
+	inFlight := false
+	defer func() {
+		if !inFlight {
+			s.exit()
+		}
+	}()
 	resp, refusal := s.admitAndSend(ctx, req)
-	if refusal != nil {
-		s.exit()
-	}
+	inFlight = refusal == nil // Then the end of the response calls exit.
 	return resp, refusal
 }
 
@@ -76,9 +80,17 @@
 func (s *Server) send(
 	ctx context.Context, req *http.Request, stallTimeout time.Duration, permit Permit, tracked *trackedRun,
 ) (*http.Response, *refuser.Refusal) {
+	returned := false
+	defer func() {
+		if !returned { // A panic must not keep the slot.
+			tracked.end(crashwatcher.Abandoned)
+			permit.Done(Result{Abandoned: true})
+		}
+	}()
 	start := time.Now()
 	resp, err := s.cfg.Requester.DoLimited(ctx, s.cfg.Upstream, req, requester.Limits{StallTimeout: stallTimeout})
 	latency := time.Since(start)
+	returned = true
 	if err != nil {
 		refusal := refuser.FromError(err)
 		tracked.end(failureEnding(refusal))
