feat: operators see requests that crash upstreams, and let one run again

banyanscale quarantine lists what a node or control instance knows and lifts a quarantine at all of them.

Ages in messages about crashes are capped instead of wrapped: a crash of 50 days ago would have counted as new. Found by the test for malformed messages.

--- a/internal/cmd/page.go
+++ b/internal/cmd/page.go
@@ -15,7 +15,12 @@
 
 // fetchPage returns the body of a page that a process serves at its peer address.
 func fetchPage(env *environment, url string, timeout time.Duration) ([]byte, error) {
-	req, err := http.NewRequestWithContext(env.ctx, http.MethodGet, url, http.NoBody)
+	return callPage(env, http.MethodGet, url, timeout)
+}
+
+// callPage is like fetchPage, with any method.
+func callPage(env *environment, method, url string, timeout time.Duration) ([]byte, error) {
+	req, err := http.NewRequestWithContext(env.ctx, method, url, http.NoBody)
 	if err != nil {
 		return nil, fmt.Errorf("create request: %w", err)
 	}
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -48,6 +48,7 @@
 	nodeCmd,
 	statusCmd,
 	explainCmd,
+	quarantineCmd,
 	standInCmd,
 	proxyCmd,
 	loadCmd,
--- a/internal/cmd/standin.go
+++ b/internal/cmd/standin.go
@@ -30,26 +30,50 @@
 	c.Flag("noise-length", "Duration of a slowdown.").Default("20ms").DurationVar(&spec.NoiseLength)
 	c.Flag("noise-factor", "Factor of the service time during a slowdown.").Default("8").Float64Var(&spec.NoiseFactor)
 	c.Flag("endpoint-lag", "Age of the values that the load and health endpoints report.").Default("500ms").DurationVar(&spec.EndpointLag)
+	c.Flag("crash-path", "Start of the paths of requests that crash the stand-in.").StringVar(&spec.CrashPath)
+	restartAfter := c.Flag("restart-after", "Time until it is back after a crash.").Default("3s").Duration()
 	c.Flag("seed", "Seed of service times and slowdowns.").Default("1").Uint64Var(&spec.Seed)
-	return c.FullCommand(), func() error { return runStandIn(env, *address, spec) }
+	return c.FullCommand(), func() error { return runStandIn(env, *address, *restartAfter, spec) }
 }
 
-func runStandIn(env *environment, address string, spec emulator.Spec) error {
+// runStandIn runs a stand-in until the context ends. After a crash it is back at its address, with
+// the counts of before.
+func runStandIn(env *environment, address string, restartAfter time.Duration, spec emulator.Spec) error {
+	e := emulator.New(spec)
+	for {
+		crashed, err := serveStandIn(env, address, e)
+		if err != nil || !crashed {
+			return err
+		}
+		select {
+		case <-time.After(restartAfter):
+		case <-env.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// serveStandIn serves until the context ends, or a request crashes the stand-in. It breaks all
+// connections then.
+func serveStandIn(env *environment, address string, e *emulator.Emulator) (crashed bool, err error) {
 	listener, err := (&net.ListenConfig{}).Listen(env.ctx, "tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return false, fmt.Errorf("listen: %w", err)
 	}
-	e := emulator.New(spec)
 	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: standInHeaderTimeout}
 	stop := make(chan struct{})
 	go func() {
 		defer close(stop)
-		<-env.ctx.Done()
+		select {
+		case <-env.ctx.Done():
+		case <-e.Crashed():
+			crashed = true
+		}
 		_ = srv.Close() // A stand-in may end abruptly; callers see broken connections.
 	}()
 	if err := srv.Serve(e.Listener(listener)); err != http.ErrServerClosed {
-		return fmt.Errorf("serve: %w", err)
+		return false, fmt.Errorf("serve: %w", err)
 	}
 	<-stop
-	return nil
+	return crashed, nil
 }
--- a/internal/process/disseminator/message.go
+++ b/internal/process/disseminator/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,7 +55,8 @@
 		b = append(b, byte(len(e.Crashes)))
 		for _, c := range e.Crashes {
 			b = binary.BigEndian.AppendUint64(b, uint64(c.ID))
-			b = binary.BigEndian.AppendUint32(b, uint32(max(now.Sub(c.At), 0).Milliseconds()))
+			age := min(max(now.Sub(c.At).Milliseconds(), 0), math.MaxUint32)
+			b = binary.BigEndian.AppendUint32(b, uint32(age))
 			b = append(b, c.Flags())
 		}
 	}
--- a/internal/process/emulator/emulator.go
+++ b/internal/process/emulator/emulator.go
@@ -17,7 +17,8 @@
 //	GET  /-/standin/load             the load endpoint, which lags and may report a false load
 //	GET  /-/standin/health           the health endpoint, which lags and may report a false state
 //	GET  /guide/BYTES                a body of that many bytes with a strong ETag
-//	any  other path                  takes the service time and echoes the request id
+//	any  other path                  takes the service time and echoes the request id, or crashes
+//	                                 the upstream if it begins with Spec.CrashPath
 package emulator
 
 import (
@@ -69,6 +70,9 @@
 	NoiseFactor float64
 	// EndpointLag is the age of the values that the load and health endpoints report.
 	EndpointLag time.Duration
+	// CrashPath is the start of the paths of requests that crash the emulated upstream; empty
+	// for none.
+	CrashPath string
 	// Seed makes the service times and slowdowns reproducible.
 	Seed uint64
 }
@@ -86,6 +90,8 @@
 	executions   *executionCounter
 	limitMonitor limitMonitor
 	reportedLoad laggedGauge
+	// crashed receives a token for each crash.
+	crashed chan struct{}
 }
 
 // New returns an Emulator whose cold start begins now.
@@ -98,6 +104,7 @@
 		noise:        noise{period: spec.NoisePeriod, length: spec.NoiseLength, rng: rand.New(rand.NewPCG(spec.Seed, 2))},
 		executions:   newExecutionCounter(),
 		reportedLoad: laggedGauge{lag: spec.EndpointLag},
+		crashed:      make(chan struct{}, 1),
 	}
 	e.behavior.Store(&behavior{})
 	return e
@@ -135,9 +142,30 @@
 	if !e.run(r, b) {
 		return
 	}
+	if e.crashesAt(r.URL.Path) {
+		e.crash()
+		<-r.Context().Done() // The server is closed.
+		return
+	}
 	e.respond(w, r, b, body)
 }
 
+// Crashed returns the channel that receives a token when a request has crashed the upstream. The
+// server must then be closed.
+func (e *Emulator) Crashed() <-chan struct{} { return e.crashed }
+
+func (e *Emulator) crashesAt(path string) bool {
+	return e.spec.CrashPath != "" && strings.HasPrefix(path, e.spec.CrashPath)
+}
+
+func (e *Emulator) crash() {
+	e.executions.addCrash()
+	select {
+	case e.crashed <- struct{}{}:
+	default: // Another request has crashed it.
+	}
+}
+
 // run executes one request once a slot is free. It reports whether the client
 // still waits for the response.
 func (e *Emulator) run(r *http.Request, b behavior) bool {
--- a/internal/process/emulator/execution_counter.go
+++ b/internal/process/emulator/execution_counter.go
@@ -14,6 +14,8 @@
 	// OverLimit is the number of requests that arrived beyond the rate limit; see
 	// limitMonitor.
 	OverLimit int `json:"over-limit,omitempty"`
+	// Crashes is the number of requests that would each have crashed the upstream alone.
+	Crashes int `json:"crashes,omitempty"`
 }
 
 // loadReport is the JSON response of the load endpoint.
@@ -24,9 +26,10 @@
 
 // executionCounter counts executions by request id.
 type executionCounter struct {
-	mu    sync.Mutex
-	total int
-	byID  map[string]int
+	mu      sync.Mutex
+	total   int
+	crashes int
+	byID    map[string]int
 }
 
 func newExecutionCounter() *executionCounter {
@@ -40,10 +43,17 @@
 	c.byID[id]++
 }
 
+// addCrash counts a request that crashes the upstream.
+func (c *executionCounter) addCrash() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes++
+}
+
 func (c *executionCounter) report() executionReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := executionReport{Total: c.total, Distinct: len(c.byID), Repeated: make(map[string]int)}
+	r := executionReport{Total: c.total, Distinct: len(c.byID), Crashes: c.crashes, Repeated: make(map[string]int)}
 	for id, n := range c.byID {
 		if n > 1 {
 			r.Repeated[id] = n
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -157,6 +157,7 @@
 	mountService(mux, c.voter.Handler)
 	mountService(mux, c.gossiper.Handler)
 	mux.Handle(pat.Get("/metrics"), c.metrics.Handler())
+	c.mountQuarantine(mux)
 	if c.addHandlers != nil {
 		c.addHandlers(c, mux)
 	}
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -289,5 +289,6 @@
 	mux.Handle(pat.Get("/metrics"), n.metrics.Handler())
 	mux.HandleFunc(pat.Get("/explain/:id"), n.serveExplain)
 	mux.HandleFunc(pat.Get("/status"), n.serveStatus)
+	n.mountQuarantine(mux)
 	return mux
 }
--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -69,8 +69,8 @@
 	Crashes []Crash
 }
 
-// streak returns the number of crashes since the request last ran to its end.
-func (e *Evidence) streak() int {
+// Streak returns the number of crashes since the request last ran to its end.
+func (e *Evidence) Streak() int {
 	n := 0
 	for _, c := range e.Crashes {
 		if !c.Survived {
@@ -80,16 +80,16 @@
 	return n
 }
 
-// newest returns the time of the last crash, or the zero time if there is none.
-func (e *Evidence) newest() time.Time {
+// Newest returns the time of the last crash, or the zero time if there is none.
+func (e *Evidence) Newest() time.Time {
 	if len(e.Crashes) == 0 {
 		return time.Time{}
 	}
 	return e.Crashes[0].At
 }
 
-// heldUntil returns when the quarantine ends, or the zero time if there is none.
-func (e *Evidence) heldUntil() time.Time {
+// HeldUntil returns when the quarantine ends, or the zero time if there is none.
+func (e *Evidence) HeldUntil() time.Time {
 	apart := 0
 	for _, c := range e.Crashes {
 		if c.Apart && !c.Survived {
@@ -97,23 +97,23 @@
 		}
 	}
 	switch {
-	case apart == 0 || e.streak() < trialAfter:
+	case apart == 0 || e.Streak() < trialAfter:
 		return time.Time{}
 	case apart <= len(holds):
-		return e.newest().Add(holds[apart-1])
+		return e.Newest().Add(holds[apart-1])
 	default:
-		return e.newest().Add(evidencePeriod)
+		return e.Newest().Add(evidencePeriod)
 	}
 }
 
-// standing returns how the request is treated now.
-func (e *Evidence) standing(now time.Time) Standing {
-	switch streak := e.streak(); {
+// Standing returns how the request is treated now.
+func (e *Evidence) Standing(now time.Time) Standing {
+	switch streak := e.Streak(); {
 	case streak < apartAfter:
 		return Clear
 	case streak < trialAfter:
 		return Suspected
-	case now.Before(e.heldUntil()):
+	case now.Before(e.HeldUntil()):
 		return Quarantined
 	default:
 		return OnTrial
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -237,7 +237,7 @@
 }
 
 func (q *Quarantiner) quarantineRefusal(f fingerprinter.Fingerprint, now time.Time) *refuser.Refusal {
-	retryAfter := q.table.entries[f].heldUntil().Sub(now)
+	retryAfter := q.table.entries[f].HeldUntil().Sub(now)
 	return refuser.New(classifier.NotRun, classifier.ReasonQuarantined).WithRetryAfter(retryAfter)
 }
 
@@ -273,7 +273,7 @@
 	if e == nil {
 		return false
 	}
-	before := e.standing(now)
+	before := e.Standing(now)
 	if !e.survive() {
 		return false
 	}
@@ -286,13 +286,13 @@
 // logStanding logs a change of the standing of a request.
 func (q *Quarantiner) logStanding(f fingerprinter.Fingerprint, before Standing, source string, now time.Time) {
 	e := q.table.entries[f]
-	after := e.standing(now)
+	after := e.Standing(now)
 	if after == before {
 		return
 	}
 	q.cfg.Log.Warn().Stringer("fingerprint", f).Stringer("before", before).Stringer("standing", after).
-		Int("crashes-in-a-row", e.streak()).Str("source", source).Dur("age-ms", now.Sub(e.newest())).
-		Dur("hold-ms", max(e.heldUntil().Sub(now), 0)).Msg("Standing of a request changed.")
+		Int("crashes-in-a-row", e.Streak()).Str("source", source).Dur("age-ms", now.Sub(e.Newest())).
+		Dur("hold-ms", max(e.HeldUntil().Sub(now), 0)).Msg("Standing of a request changed.")
 }
 
 // updateSize publishes the size of the table.
@@ -301,7 +301,7 @@
 	q.entryGauge.Update(float64(len(q.table.entries)))
 	held := 0
 	for _, e := range q.table.entries {
-		if !e.heldUntil().IsZero() {
+		if !e.HeldUntil().IsZero() {
 			held++
 		}
 	}
--- a/internal/request/quarantiner/table.go
+++ b/internal/request/quarantiner/table.go
@@ -53,7 +53,7 @@
 func (t *table) leastNeeded() fingerprinter.Fingerprint {
 	var least *Evidence
 	for _, e := range t.entries {
-		if least == nil || cmp.Or(cmp.Compare(e.streak(), least.streak()), e.newest().Compare(least.newest())) < 0 {
+		if least == nil || cmp.Or(cmp.Compare(e.Streak(), least.Streak()), e.Newest().Compare(least.Newest())) < 0 {
 			least = e
 		}
 	}
@@ -80,7 +80,7 @@
 // standing returns how a request is treated now.
 func (t *table) standing(f fingerprinter.Fingerprint, now time.Time) Standing {
 	if e := t.entries[f]; e != nil {
-		return e.standing(now)
+		return e.Standing(now)
 	}
 	return Clear
 }
@@ -92,7 +92,7 @@
 		list = append(list, e.clone())
 	}
 	slices.SortFunc(list, func(a, b Evidence) int {
-		return cmp.Or(cmp.Compare(b.streak(), a.streak()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+		return cmp.Or(cmp.Compare(b.Streak(), a.Streak()), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
 	})
 	return list
 }
