fix: upstreams that end at the same moment count as one crash

A trial of random crashes of another cause, one a second and sometimes all upstreams at once, put a popular request in quarantine at 4 nodes, and one that came to two upstreams when all of them ended at once.

A request that hangs an upstream until its supervisor ends it is recognized, too: one that ended without a response counts as in flight as long as the upstream responds to nothing, up to a minute (TestRequestsBeforeLongSilenceCountAsInFlight).

--- a/internal/process/launcher/crashing_request_test.go
+++ b/internal/process/launcher/crashing_request_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
 )
 
 // crashingRequests returns requests that crash upstreams, by name.
@@ -115,6 +117,45 @@
 	}
 }
 
+// TestCrashesOfAnotherCauseQuarantineNothing guards against requests that are refused since they were in flight while upstreams crashed for another reason, some of them at the same moment.
+func TestCrashesOfAnotherCauseQuarantineNothing(t *testing.T) {
+	for _, size := range []int{4, 16} {
+		for _, paths := range []int{1, 20, 1000} {
+			t.Run(fmt.Sprintf("%d nodes, %d paths", size, paths), func(t *testing.T) {
+				runCrashingFleet(t, size, func(t *testing.T, f *crashingFleet) {
+					var wg sync.WaitGroup
+					wg.Go(func() {
+						f.sendAtRandomNodes(3, 10*float64(size), 120*time.Second, func(random *rand.Rand) callerRequest {
+							return callerRequest{method: http.MethodGet, target: fmt.Sprintf("/%d", random.IntN(paths))}
+						})
+					})
+					wg.Go(func() { f.crashAtRandom(4, 110*time.Second) })
+					wg.Wait()
+					for _, n := range f.nodes {
+						for _, e := range n.quarantiner.Evidence() {
+							assert.Assert(t, e.Standing(time.Now()) != quarantiner.Quarantined, "%v", e)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// crashAtRandom ends an upstream each second on average, and each tenth time all of them.
+func (f *crashingFleet) crashAtRandom(seed uint64, length time.Duration) {
+	random := rand.New(rand.NewPCG(1, seed))
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second)))
+		chosen, all := random.IntN(len(f.upstreams)), random.IntN(10) == 0
+		for i, u := range f.upstreams {
+			if process, up := u.process(); up && (all || i == chosen) {
+				u.crash(process)
+			}
+		}
+	}
+}
+
 func assertOnlyStatus(t *testing.T, statuses map[int]int, status int) {
 	t.Helper()
 	assert.Assert(t, statuses[status] > 0 && len(statuses) == 1, "%v", statuses)
--- a/internal/request/crashwatcher/crashwatcher.go
+++ b/internal/request/crashwatcher/crashwatcher.go
@@ -11,7 +11,7 @@
 // Only the node beside an upstream sees such an end: a connection breaks, and the address
 // accepts no new one. A connection that breaks while the address accepts others is no crash. A
 // request that ended without a response, such as by its deadline, may still run at the upstream,
-// so it counts as in flight for a short time.
+// so it counts as in flight for a short time, and longer while the upstream responds to nothing.
 package crashwatcher
 
 import (
@@ -30,9 +30,13 @@
 const (
 	// LingerPeriod is how long a request that ended without a response counts as in flight.
 	LingerPeriod = 2 * time.Second
-	// lingerCheckDelay is the time after which the upstream is checked if requests ended without a
-	// response, and no other has responded since.
+	// silentLingerPeriod is how long it does so if the upstream has not responded to anything
+	// since: it may hang until its supervisor ends it.
+	silentLingerPeriod = time.Minute
+	// lingerCheckDelay is the time between checks of an upstream if requests ended without a
+	// response, and no other has responded since. After LingerPeriod it is silentCheckDelay.
 	lingerCheckDelay = 500 * time.Millisecond
+	silentCheckDelay = 5 * time.Second
 	// maxLingering bounds the requests that are remembered for that.
 	maxLingering = 64
 	// logLinesPerSecond limits the log lines about requests in flight in a crash.
@@ -200,13 +204,18 @@
 	w.scheduleCheck()
 }
 
-// scheduleCheck lets checkLingering run later. The mutex must be held.
+// scheduleCheck lets checkLingering run later. The mutex must be held, and there must be a
+// lingering run.
 func (w *Watcher) scheduleCheck() {
 	if w.checkScheduled {
 		return
 	}
 	w.checkScheduled = true
-	time.AfterFunc(lingerCheckDelay, w.checkLingering)
+	delay := lingerCheckDelay
+	if newest := w.lingering[len(w.lingering)-1]; time.Since(newest.endedAt) > LingerPeriod {
+		delay = silentCheckDelay
+	}
+	time.AfterFunc(delay, w.checkLingering)
 }
 
 // checkLingering checks whether the upstream has ended under a run that ended without a response.
@@ -225,6 +234,13 @@
 	}
 }
 
+// expireLingering forgets the runs that count as in flight no longer.
 func (w *Watcher) expireLingering(now time.Time) {
-	w.lingering = slices.DeleteFunc(w.lingering, func(l lingeringRun) bool { return now.Sub(l.endedAt) > LingerPeriod })
+	w.lingering = slices.DeleteFunc(w.lingering, func(l lingeringRun) bool {
+		period := LingerPeriod
+		if l.endedAt.After(w.respondedAt) {
+			period = silentLingerPeriod
+		}
+		return now.Sub(l.endedAt) > period
+	})
 }
--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -17,6 +17,8 @@
 	// trialAfter is the number of crashes in a row after which a request runs at one instance
 	// of its service only, and not at all once it has crashed an upstream while it ran apart.
 	trialAfter = 3
+	// sameMoment is the time within which crashes count as one.
+	sameMoment = 20 * time.Millisecond
 	// evidencePeriod is how long a crash counts.
 	evidencePeriod = 2 * time.Hour
 	// MaxCrashes bounds the crashes that are kept of one request.
@@ -69,13 +71,17 @@
 	Crashes []Crash
 }
 
-// Streak returns the number of crashes since the request last ran to its end.
+// Streak returns the number of crashes since the request last ran to its end. Upstreams that end
+// at the same moment have another cause in common, such as power, and count once.
 func (e *Evidence) Streak() int {
 	n := 0
+	var last time.Time
 	for _, c := range e.Crashes {
-		if !c.Survived {
-			n++
+		if c.Survived || n > 0 && last.Sub(c.At) < sameMoment {
+			continue
 		}
+		n++
+		last = c.At
 	}
 	return n
 }
