--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -181,6 +181,28 @@
 	})
 }
 
+// TestFrequentRequestIsNotReported guards against a popular request that is suspected before other nodes know of its responses.
+func TestFrequentRequestIsNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(4)
+		for _, n := range nodes {
+			for range 3 {
+				assert.Equal(t, n.run("/popular", false), classifier.ReasonNone)
+			}
+		}
+		for id, n := range nodes {
+			n.Crashed(crashwatcher.Crash{ID: crashwatcher.CrashID(id), At: time.Now()}, fingerprint("/popular"))
+			time.Sleep(runTime)
+		}
+		assert.Equal(t, len(nodes[0].Evidence()), 0)
+		for id, n := range nodes { // Now no response has come since the last crash.
+			n.Crashed(crashwatcher.Crash{ID: crashwatcher.CrashID(10 + id), At: time.Now()}, fingerprint("/popular"))
+			time.Sleep(runTime)
+		}
+		assert.Equal(t, nodes[0].Evidence()[0].Streak(), 4)
+	})
+}
+
 // TestUpstreamsThatEndAtTheSameMomentCountOnce guards against a quarantine of a request that was in flight at several upstreams when all ended for another reason.
 func TestUpstreamsThatEndAtTheSameMomentCountOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
