fix: copies that end several upstreams at once crash few more

They all count now for what costs the innocent little, to run apart and at one instance, and count once only for the quarantine.

Which instance runs a request on trial changes after 5 s and after each crash: the upstream of the first may be gone for good, and with it each request that was in flight in a mass crash would wait for two hours.

--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -13,7 +13,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/distributor"
 	"github.com/banyanscale/banyanscale/internal/process/gossiper"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
+	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
@@ -35,7 +35,7 @@
 	compile          func(doc *controlwire.Document, number uint64) (*compiler.Configuration, error)
 	publish          func(*compiler.Configuration) bool
 	// runsTrial is passed to the quarantine.
-	runsTrial func(f fingerprinter.Fingerprint) bool
+	runsTrial func(t quarantiner.Trial) bool
 }
 
 // fleetMember holds the parts that exchange membership and versions of the configuration
--- a/internal/process/launcher/fleet_quarantine.go
+++ b/internal/process/launcher/fleet_quarantine.go
@@ -7,7 +7,6 @@
 	"github.com/banyanscale/banyanscale/internal/process/disseminator"
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
 )
 
@@ -18,7 +17,7 @@
 	view              func() *registrar.View
 	// runsTrial reports whether the instance runs a request on trial. It is nil in a process
 	// without an upstream, which keeps evidence only for those that restart.
-	runsTrial func(f fingerprinter.Fingerprint) bool
+	runsTrial func(t quarantiner.Trial) bool
 	scope     tally.Scope
 	log       zerolog.Logger
 }
--- a/internal/process/launcher/node_crash.go
+++ b/internal/process/launcher/node_crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"syscall"
 	"time"
 
@@ -11,7 +10,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
-	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
+	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
 )
 
 // endedCheckTimeout limits how long the check whether the upstream has ended takes. The
@@ -55,16 +54,13 @@
 
 // runsTrial reports whether this instance is the one of its service that runs a request on
 // trial. Nodes that know the same instances agree on it.
-func (n *Node) runsTrial(f fingerprinter.Fingerprint) bool {
+func (n *Node) runsTrial(t quarantiner.Trial) bool {
 	chosen, best := "", uint64(0)
 	for _, in := range n.snapshots.Snapshot().View().Service(n.settings.Service()) {
 		if !in.State().Routable() {
 			continue
 		}
-		h := fnv.New64a()
-		h.Write(f[:]) // Never fails.
-		h.Write([]byte(in.ID()))
-		if rank := h.Sum64(); chosen == "" || rank > best {
+		if rank := t.Rank(in.ID()); chosen == "" || rank > best {
 			chosen, best = in.ID(), rank
 		}
 	}
--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -17,6 +17,8 @@
 	// trialAfter is the number of crashes in a row after which a request runs at one instance
 	// of its service only, and not at all once it has crashed an upstream while it ran apart.
 	trialAfter = 3
+	// trialPeriod is how long one instance runs a request on trial.
+	trialPeriod = 5 * time.Second
 	// sameMoment is the time within which crashes count as one.
 	sameMoment = 20 * time.Millisecond
 	// evidencePeriod is how long a crash counts.
@@ -71,9 +73,20 @@
 	Crashes []Crash
 }
 
-// Streak returns the number of crashes since the request last ran to its end. Upstreams that end
-// at the same moment have another cause in common, such as power, and count once.
+// Streak returns the number of crashes since the request last ran to its end.
 func (e *Evidence) Streak() int {
+	n := 0
+	for _, c := range e.Crashes {
+		if !c.Survived {
+			n++
+		}
+	}
+	return n
+}
+
+// moments is like Streak, but upstreams that end at the same moment count once: they may have
+// another cause in common, such as power.
+func (e *Evidence) moments() int {
 	n := 0
 	var last time.Time
 	for _, c := range e.Crashes {
@@ -103,7 +116,7 @@
 		}
 	}
 	switch {
-	case apart == 0 || e.Streak() < trialAfter:
+	case apart == 0 || e.moments() < trialAfter:
 		return time.Time{}
 	case apart <= len(holds):
 		return e.Newest().Add(holds[apart-1])
@@ -117,15 +130,25 @@
 	switch streak := e.Streak(); {
 	case streak < apartAfter:
 		return Clear
-	case streak < trialAfter:
-		return Suspected
 	case now.Before(e.HeldUntil()):
 		return Quarantined
+	case streak < trialAfter:
+		return Suspected
 	default:
 		return OnTrial
 	}
 }
 
+// trial returns what decides which instance runs the request on trial now. Another one does after
+// each crash and after trialPeriod, since the upstream of the first may be gone.
+func (e *Evidence) trial(now time.Time) Trial {
+	return Trial{
+		Fingerprint: e.Fingerprint,
+		LastCrash:   e.Crashes[0].ID,
+		Period:      uint64(now.Sub(e.Newest()) / trialPeriod),
+	}
+}
+
 // merge adds a crash, or what it says of a known one. It reports whether that is new.
 func (e *Evidence) merge(c Crash) bool {
 	for i := range e.Crashes {
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -53,7 +53,7 @@
 type Config struct {
 	// RunsTrial reports whether this instance is the one of its service that runs a request
 	// on trial.
-	RunsTrial func(f fingerprinter.Fingerprint) bool
+	RunsTrial func(t Trial) bool
 	// OnChange is called with evidence that this node has found. It must not block.
 	OnChange func(Evidence)
 	Scope    tally.Scope
@@ -230,7 +230,7 @@
 		return nil
 	case standing == Quarantined:
 		return q.quarantineRefusal(f, now)
-	case q.apart != nil, standing == OnTrial && !q.cfg.RunsTrial(f):
+	case q.apart != nil, standing == OnTrial && !q.cfg.RunsTrial(q.table.entries[f].trial(now)):
 		return refuser.New(classifier.NotRun, classifier.ReasonSuspected).WithRetryAfter(suspectedRetryAfter)
 	}
 	return nil
