--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -57,7 +57,7 @@
 	case PolicyRoundRobin:
 		return &roundRobin{baseline: baseline{p}}, nil
 	case PolicyLeastOwn:
-		return &leastOwn{baseline{p}}, nil
+		return &leastOutstanding{baseline{p}}, nil
 	default:
 		return nil, errors.Wrapf(ErrPolicy, "%q", name)
 	}
@@ -83,9 +83,9 @@
 	p.picker.chooseUnscored(s.eligible.instances[i].instance, s, choice)
 }
 
-type leastOwn struct{ baseline }
+type leastOutstanding struct{ baseline }
 
-func (p *leastOwn) pick(s *pickState, choice *Choice) {
+func (p *leastOutstanding) pick(s *pickState, choice *Choice) {
 	var best *registrar.Instance
 	var bestReading sampler.Reading
 	start := int(p.picker.random() % uint64(s.eligible.len()))
