test: races in the tests of crashing requests

The race detector found them in the tests alone: a restart replaced parts of a node that requests were using, and counts were read without the lock.

--- a/internal/process/disseminator/disseminator_test.go
+++ b/internal/process/disseminator/disseminator_test.go
@@ -117,6 +117,22 @@
 	f.down[address] = down
 }
 
+// bytesSentBy returns the number of bytes that a process has sent.
+func (f *fleet) bytesSentBy(address netip.AddrPort) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sentBytes[address]
+}
+
+// totalBytes returns the number of bytes that all processes have sent.
+func (f *fleet) totalBytes() int {
+	total := 0
+	for _, p := range f.processes {
+		total += f.bytesSentBy(p.address)
+	}
+	return total
+}
+
 // crash records that a request was in flight in a crash at a process.
 func (p *process) crash(id crashwatcher.CrashID, path string) {
 	f, _ := fingerprinter.New(httptest.NewRequest(http.MethodGet, "http://vitrina.example"+path, nil)).Fingerprint()
@@ -167,7 +183,8 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		for _, p := range f.processes {
-			assert.Assert(t, f.sentBytes[p.address] <= burstBytes+seconds*bytesPerSecond, "%d bytes", f.sentBytes[p.address])
+			sent := f.bytesSentBy(p.address)
+			assert.Assert(t, sent <= burstBytes+seconds*bytesPerSecond, "%d bytes", sent)
 		}
 		time.Sleep(time.Minute)
 		f.assertAllKnow(t, 50)
@@ -177,9 +194,9 @@
 func TestNothingIsSentWithoutEvidence(t *testing.T) {
 	runFleet(t, 5, func(t *testing.T, f *fleet) {
 		time.Sleep(startupPeriod + time.Second)
-		clear(f.sentBytes)
+		before := f.totalBytes()
 		time.Sleep(time.Hour)
-		assert.Equal(t, len(f.sentBytes), 0)
+		assert.Equal(t, f.totalBytes(), before)
 	})
 }
 
--- a/internal/process/launcher/crashing_fleet_test.go
+++ b/internal/process/launcher/crashing_fleet_test.go
@@ -26,6 +26,8 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -115,44 +117,55 @@
 type crashingFleet struct {
 	nodes     []*Node
 	upstreams []*crashingUpstream
-	byAddress map[netip.AddrPort]*Node
+	// indexes holds the indexes of the nodes by their addresses.
+	indexes   map[netip.AddrPort]int
 	sent      atomic.Int64
 	datagrams *datagramNetwork
 	view      *registrar.View
 
 	mu                sync.Mutex
+	running           []runningNode
 	arrivals, crashes []time.Time // Arrivals of crashing requests, and crashes.
 }
 
+// runningNode holds the parts of a node that a restart replaces.
+type runningNode struct {
+	server     *server.Server
+	forwarder  *forwarder.Forwarder
+	quarantine *fleetQuarantine
+}
+
 // runCrashingFleet runs a test in fake time of a service with the given number of nodes.
 func runCrashingFleet(t *testing.T, size int, test func(t *testing.T, f *crashingFleet)) {
 	t.Helper()
-	f := &crashingFleet{byAddress: make(map[netip.AddrPort]*Node)}
+	f := &crashingFleet{indexes: make(map[netip.AddrPort]int), running: make([]runningNode, size)}
 	var instances []*registrar.Instance
 	for i := range size {
 		n := newTestNode(t, "vitrina-"+strconv.Itoa(i+1), "vitrina", netip.MustParseAddrPort("127.0.0.1:9"))
 		f.nodes = append(f.nodes, n)
-		f.byAddress[n.settings.HTTPAddress()] = n
+		f.indexes[n.settings.HTTPAddress()] = i
 		instances = append(instances, readyInstance(n))
 	}
 	synctest.Test(t, func(t *testing.T) {
 		f.view = registrar.NewView(instances)
 		f.datagrams = newDatagramNetwork()
 		defer f.stop(t)
-		for _, n := range f.nodes {
+		for i, n := range f.nodes {
 			n.snapshots.SetView(f.view)
 			u := &crashingUpstream{fleet: f, ended: make(chan struct{})}
 			f.upstreams = append(f.upstreams, u)
-			f.start(t, n, u)
+			n.upstreamDialer = u
+			n.assembleAdmitter(zerolog.Nop(), n.service().Spec())
+			f.start(t, i)
 		}
 		test(t, f)
 	})
 }
 
-// start assembles the parts of a node that take part in requests, as a restart does.
-func (f *crashingFleet) start(t *testing.T, n *Node, u *crashingUpstream) {
+// start assembles the parts of a node that know of requests and of crashes.
+func (f *crashingFleet) start(t *testing.T, i int) {
 	t.Helper()
-	n.upstreamDialer = u
+	n := f.nodes[i]
 	n.fleetQuarantine = newFleetQuarantine(quarantineConfig{
 		instance: n.settings.Instance(), service: n.settings.Service(),
 		transport: f.datagrams.endpoint(n.settings.PeerAddress()),
@@ -161,25 +174,34 @@
 		scope:     tally.NoopScope, log: zerolog.Nop(),
 	})
 	n.disseminator.Start()
-	n.assembleAdmitter(zerolog.Nop(), n.service().Spec())
-	n.assembleServer(zerolog.Nop(), u)
+	n.assembleServer(zerolog.Nop(), f.upstreams[i])
 	instancePicker, err := n.newPicker()
 	assert.NilError(t, err)
 	n.assembleForwarder(zerolog.Nop(), instancePicker, f)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[i] = runningNode{n.server, n.forwarder, n.fleetQuarantine}
 }
 
 // restart restarts a node, which forgets what it knows.
 func (f *crashingFleet) restart(t *testing.T, i int) {
 	t.Helper()
-	assert.NilError(t, f.nodes[i].disseminator.Stop())
-	f.start(t, f.nodes[i], f.upstreams[i])
+	assert.NilError(t, f.node(i).quarantine.disseminator.Stop())
+	f.start(t, i)
+}
+
+// node returns the running parts of a node.
+func (f *crashingFleet) node(i int) runningNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[i]
 }
 
 // stop ends what start started.
 func (f *crashingFleet) stop(t *testing.T) {
 	t.Helper()
-	for _, n := range f.nodes {
-		assert.Check(t, n.disseminator.Stop())
+	for i := range f.nodes {
+		assert.Check(t, f.node(i).quarantine.disseminator.Stop())
 	}
 }
 
@@ -191,7 +213,7 @@
 		}
 	}()
 	w := httptest.NewRecorder()
-	f.byAddress[addr].server.ServeHTTP(w, req.WithContext(ctx))
+	f.node(f.indexes[addr]).server.ServeHTTP(w, req.WithContext(ctx))
 	return w.Result(), nil
 }
 
@@ -242,7 +264,7 @@
 	r.Header.Set(classifier.HeaderRequestID, strconv.FormatInt(f.sent.Add(1), 10))
 	r.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	w := httptest.NewRecorder()
-	f.nodes[entry].forwarder.ServeHTTP(w, r)
+	f.node(entry).forwarder.ServeHTTP(w, r)
 	return w.Result()
 }
 
--- a/internal/process/launcher/crashing_request_test.go
+++ b/internal/process/launcher/crashing_request_test.go
@@ -82,7 +82,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runCrashingFleet(t, tc.size, func(t *testing.T, f *crashingFleet) {
-				f.datagrams.loss = tc.loss
+				f.datagrams.setLoss(tc.loss)
 				var wg sync.WaitGroup
 				if tc.event != nil {
 					wg.Go(func() { tc.event(t, f) })
@@ -150,8 +150,8 @@
 					wg.Go(func() { f.crashAtRandom(4, 110*time.Second) })
 					wg.Wait()
 					assertOnlyStatus(t, f.sendAtRandomNodes(5, 10*float64(size), 10*time.Second, lookup), http.StatusOK)
-					for _, n := range f.nodes {
-						for _, e := range n.quarantiner.Evidence() {
+					for i := range f.nodes {
+						for _, e := range f.node(i).quarantine.quarantiner.Evidence() {
 							assert.Assert(t, e.Standing(time.Now()) != quarantiner.Quarantined, "%v", e)
 						}
 					}
--- a/internal/process/launcher/datagram_network_test.go
+++ b/internal/process/launcher/datagram_network_test.go
@@ -42,6 +42,13 @@
 	n.cutOff[address] = cutOff
 }
 
+// setLoss sets the share of datagrams that are lost.
+func (n *datagramNetwork) setLoss(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = share
+}
+
 // deliver passes a datagram on after its latency, unless it is lost.
 func (n *datagramNetwork) deliver(from, to netip.AddrPort, payload []byte) {
 	n.mu.Lock()
