fix: a caller that leaves as its upstream ends hides no crashing request

A request that was abandoned after the crash had been detected, but before its own connection was seen to break, counted for the next crash instead of this one (TestRequestThatIsAbandonedAfterCrashCountsAsInFlight, failed before).

--- a/internal/request/crashwatcher/crashwatcher.go
+++ b/internal/request/crashwatcher/crashwatcher.go
@@ -79,7 +79,9 @@
 	crashes     tally.Counter
 	inFlightLog *logger.Limiter
 
-	checkMu sync.Mutex // Held while UpstreamEnded is called.
+	checkMu sync.Mutex // Held while UpstreamEnded is called; guards runningSince.
+	// runningSince is when the last check began that found the upstream running.
+	runningSince time.Time
 
 	mu sync.Mutex // Guards the fields below.
 	// lingering lists the runs that ended without a response, the oldest first.
@@ -114,17 +116,28 @@
 // broken handles a run whose connection broke. If the upstream has ended, the run was in flight
 // in that crash.
 func (w *Watcher) broken(run *Run) {
+	brokenAt := time.Now()
 	w.checkMu.Lock()
 	defer w.checkMu.Unlock()
 	if crash := w.lastCrash(); crash.At.After(run.startedAt) {
 		w.report(crash, run) // The run was sent to the process that ended then.
 		return
 	}
-	if w.cfg.UpstreamEnded() {
+	if w.runningSince.Before(brokenAt) && w.ended() {
 		w.report(w.newCrash(), run)
 	}
 }
 
+// ended checks whether the upstream has ended. checkMu must be held.
+func (w *Watcher) ended() bool {
+	begin := time.Now()
+	if w.cfg.UpstreamEnded() {
+		return true
+	}
+	w.runningSince = begin
+	return false
+}
+
 // unreachable handles that the upstream may have ended, such as if it accepts no connection. Runs
 // that ended without a response just before were in flight then.
 func (w *Watcher) unreachable() {
@@ -134,7 +147,7 @@
 	w.expireLingering(time.Now())
 	lingering := len(w.lingering)
 	w.mu.Unlock()
-	if lingering > 0 && w.cfg.UpstreamEnded() {
+	if lingering > 0 && w.ended() {
 		w.newCrash()
 	}
 }
@@ -191,8 +204,13 @@
 	}
 }
 
-// linger remembers a run that ended without a response.
-func (w *Watcher) linger(run *Run) {
+// abandoned handles a run that ended without a response. If the upstream has ended since it
+// started, it was in flight then; if not, it may still run.
+func (w *Watcher) abandoned(run *Run) {
+	if crash := w.lastCrash(); crash.At.After(run.startedAt) {
+		w.report(crash, run)
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
--- a/internal/request/crashwatcher/crashwatcher_test.go
+++ b/internal/request/crashwatcher/crashwatcher_test.go
@@ -161,6 +161,19 @@
 	}
 }
 
+// TestRequestThatIsAbandonedAfterCrashCountsAsInFlight guards against a crashing request whose caller leaves before its node has seen the connection break.
+func TestRequestThatIsAbandonedAfterCrashCountsAsInFlight(t *testing.T) {
+	run(t, func(t *testing.T, w *watched) {
+		first, second := w.Start("", request("/a")), w.Start("", request("/b"))
+		time.Sleep(time.Second)
+		w.ended.Store(true)
+		first.End(crashwatcher.Broken)
+		time.Sleep(time.Millisecond)
+		second.End(crashwatcher.Abandoned)
+		w.assertCrashes(t, 1, map[string]int{"/a": 1, "/b": 1})
+	})
+}
+
 // TestRequestsBeforeLongSilenceCountAsInFlight guards against a request that hangs an upstream, which is ended much later, and is not recognized.
 func TestRequestsBeforeLongSilenceCountAsInFlight(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/request/crashwatcher/run.go
+++ b/internal/request/crashwatcher/run.go
@@ -40,6 +40,6 @@
 	case Broken:
 		r.watcher.broken(r)
 	case Abandoned:
-		r.watcher.linger(r)
+		r.watcher.abandoned(r)
 	}
 }
