--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -27,7 +27,7 @@
 	// evidencePeriod is how long a crash counts.
 	evidencePeriod = 2 * time.Hour
 	// MaxCrashes bounds the crashes that are kept of one request.
-	MaxCrashes = 8
+	MaxCrashes = 32
 )
 
 // Flags of a Crash.
@@ -135,13 +135,10 @@
 }
 
 // trial returns what decides which instance runs the request on trial now. Another one does after
-// each crash and after trialPeriod, since the upstream of the first may be gone.
+// trialPeriod, since the upstream of the first may be gone. The crashes play no part: nodes may keep
+// different ones of many.
 func (e *Evidence) trial(now time.Time) Trial {
-	t := Trial{Fingerprint: e.Fingerprint, Period: uint64(now.Sub(e.Newest()) / trialPeriod)}
-	for _, c := range e.Crashes {
-		t.Crashes ^= c.ID // In any order, as nodes may list crashes of the same moment in another one.
-	}
-	return t
+	return Trial{Fingerprint: e.Fingerprint, Period: uint64(now.Sub(e.Newest()) / trialPeriod)}
 }
 
 // merge adds a crash, or what it says of a known one. It reports whether that is new.
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -5,15 +5,12 @@
 	"hash/fnv"
 
 	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 )
 
 // Trial determines which instance of a service runs a request on trial.
 type Trial struct {
 	Fingerprint fingerprinter.Fingerprint
-	// Crashes combines the ids of the crashes.
-	Crashes crashwatcher.CrashID
 	// Period counts the periods since the last crash. Nodes differ in it only around its change.
 	Period uint64
 }
@@ -38,7 +35,6 @@
 func (t Trial) rank(instanceID string) uint64 {
 	h := fnv.New64a()
 	h.Write(t.Fingerprint[:]) // Never fails.
-	h.Write(binary.BigEndian.AppendUint64(nil, uint64(t.Crashes)))
 	h.Write(binary.BigEndian.AppendUint64(nil, t.Period))
 	h.Write([]byte(instanceID))
 	return h.Sum64()
