refactor: packages of the process divided by what they serve

internal/process held 27 packages of unlike kinds, and internal/request imported it upwards. They are in internal/fleet, agreement, measurement, accounting, telemetry and testbed now; internal/process keeps settings, start, reload and stop.

--- a/docs/faults_test.go
+++ b/docs/faults_test.go
@@ -46,30 +46,30 @@
 	{
 		title:      "Steps of a change of configuration",
 		promises:   "an accepted configuration never reverts; racing operators; resent changes; lost disks",
-		command:    "go test -run TestFaultMatrix ./internal/process/voter",
-		goldenFile: "../internal/process/voter/testdata/faults.golden",
+		command:    "go test -run TestFaultMatrix ./internal/agreement/voter",
+		goldenFile: "../internal/agreement/voter/testdata/faults.golden",
 		note: "Operator a submits a change, during which the fault occurs at the step. Then operator b submits a change of the same version, " +
 			"and a resends its change.",
 	},
 	{
 		title:      "A fault that comes twice in one change",
 		promises:   "as above",
-		command:    "go test -run TestFaultTwice ./internal/process/voter",
-		goldenFile: "../internal/process/voter/testdata/faults-twice.golden",
+		command:    "go test -run TestFaultTwice ./internal/agreement/voter",
+		goldenFile: "../internal/agreement/voter/testdata/faults-twice.golden",
 		note:       "The fault begins at the step when operator a submits a change, and again at the same step when a resends it.",
 	},
 	{
 		title:      "A second loss right after a repair",
 		promises:   "as above",
-		command:    "go test -run TestSecondLoss ./internal/process/voter",
-		goldenFile: "../internal/process/voter/testdata/second-loss.golden",
+		command:    "go test -run TestSecondLoss ./internal/agreement/voter",
+		goldenFile: "../internal/agreement/voter/testdata/second-loss.golden",
 		note:       "One voter loses its disk at the step, and another one as soon as the group is repaired.",
 	},
 	{
 		title:      "Steps of membership and distribution",
 		promises:   "an upstream that is leaving receives no new requests after a few seconds; a configuration is in force within seconds and never reverts",
-		command:    "go test -run TestMembershipFaultMatrix ./internal/process/gossiper",
-		goldenFile: "../internal/process/gossiper/testdata/faults.golden",
+		command:    "go test -run TestMembershipFaultMatrix ./internal/fleet/gossiper",
+		goldenFile: "../internal/fleet/gossiper/testdata/faults.golden",
 		note:       "The times are bounds that the test asserts, in fake time.",
 	},
 	{
--- a/internal/process/accountant/accountant_test.go
+++ b/internal/accounting/accountant/accountant_test.go
@@ -17,8 +17,8 @@
 	"google.golang.org/protobuf/testing/protocmp"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/accountant/ledger.go
+++ b/internal/accounting/accountant/ledger.go
@@ -12,8 +12,8 @@
 	"google.golang.org/protobuf/proto"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/accountant/meter.go
+++ b/internal/accounting/accountant/meter.go
@@ -39,7 +39,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/accountant/replicator.go
+++ b/internal/accounting/accountant/replicator.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
--- a/internal/process/accountant/reporter.go
+++ b/internal/accounting/accountant/reporter.go
@@ -12,8 +12,8 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
--- a/internal/process/controller/bench_test.go
+++ b/internal/agreement/controller/bench_test.go
@@ -13,9 +13,9 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/accountant"
-	"github.com/banyanscale/banyanscale/internal/process/controller"
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/accounting/accountant"
+	"github.com/banyanscale/banyanscale/internal/agreement/controller"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/controller/cache.go
+++ b/internal/agreement/controller/cache.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
--- a/internal/process/controller/controller.go
+++ b/internal/agreement/controller/controller.go
@@ -33,7 +33,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/process/controller/controller_test.go
+++ b/internal/agreement/controller/controller_test.go
@@ -15,9 +15,9 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/controller"
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/controller"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
--- a/internal/process/journaler/bench_test.go
+++ b/internal/agreement/journaler/bench_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 )
 
 // changeSize is the size of the record of a typical configuration change, in bytes.
--- a/internal/process/journaler/fake_test.go
+++ b/internal/agreement/journaler/fake_test.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 )
 
 var errIO = errors.New("input/output error")
--- a/internal/process/journaler/journaler_test.go
+++ b/internal/agreement/journaler/journaler_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 )
 
 const (
--- a/internal/process/voter/acceptor.go
+++ b/internal/agreement/voter/acceptor.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
 
--- a/internal/process/voter/faults_test.go
+++ b/internal/agreement/voter/faults_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
--- a/internal/process/voter/linearizability_test.go
+++ b/internal/agreement/voter/linearizability_test.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/journaler"
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/voter/promotion_test.go
+++ b/internal/agreement/voter/promotion_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/voter/voter.go
+++ b/internal/agreement/voter/voter.go
@@ -50,7 +50,7 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/counter"
+	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire/voterwireconnect"
--- a/internal/cmd/cost.go
+++ b/internal/cmd/cost.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/accountant"
+	"github.com/banyanscale/banyanscale/internal/accounting/accountant"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/cmd/fake_control_test.go
+++ b/internal/cmd/fake_control_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/banyanscale/banyanscale/internal/process/voter"
+	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
--- a/internal/cmd/load.go
+++ b/internal/cmd/load.go
@@ -11,8 +11,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/generator"
-	"github.com/banyanscale/banyanscale/internal/process/plotter"
+	"github.com/banyanscale/banyanscale/internal/testbed/generator"
+	"github.com/banyanscale/banyanscale/internal/testbed/plotter"
 )
 
 const (
--- a/internal/cmd/proxy.go
+++ b/internal/cmd/proxy.go
@@ -6,7 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/injector"
+	"github.com/banyanscale/banyanscale/internal/testbed/injector"
 )
 
 // proxyCmd adds the command that injects network faults for soak tests.
--- a/internal/cmd/standin.go
+++ b/internal/cmd/standin.go
@@ -8,7 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/emulator"
+	"github.com/banyanscale/banyanscale/internal/testbed/emulator"
 )
 
 // standInHeaderTimeout bounds how long a stand-in waits for a request's headers.
--- a/internal/connection/courier/courier.go
+++ b/internal/connection/courier/courier.go
@@ -26,8 +26,8 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
-	"github.com/banyanscale/banyanscale/internal/process/recoverer"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
+	"github.com/banyanscale/banyanscale/internal/telemetry/recoverer"
 )
 
 // Kind is the first byte of a datagram. It selects the handler.
--- a/internal/process/pacer/pacer_test.go
+++ b/internal/connection/pacer/pacer_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/pacer"
+	"github.com/banyanscale/banyanscale/internal/connection/pacer"
 )
 
 // largeBody returns a response body of the given size.
--- a/internal/process/disseminator/disseminator.go
+++ b/internal/fleet/disseminator/disseminator.go
@@ -33,10 +33,10 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 const (
--- a/internal/process/disseminator/disseminator_test.go
+++ b/internal/fleet/disseminator/disseminator_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
--- a/internal/process/distributor/adopter.go
+++ b/internal/fleet/distributor/adopter.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/recoverer"
+	"github.com/banyanscale/banyanscale/internal/telemetry/recoverer"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
--- a/internal/process/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -42,7 +42,7 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
--- a/internal/process/gossiper/detector.go
+++ b/internal/fleet/gossiper/detector.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 )
 
--- a/internal/process/gossiper/encoder.go
+++ b/internal/fleet/gossiper/encoder.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 )
 
--- a/internal/process/gossiper/exchanger.go
+++ b/internal/fleet/gossiper/exchanger.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire/gossipwireconnect"
--- a/internal/process/gossiper/fault_test.go
+++ b/internal/fleet/gossiper/fault_test.go
@@ -17,8 +17,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/banyanscale/banyanscale/internal/process/distributor"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/distributor"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -53,8 +53,8 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
--- a/internal/process/gossiper/gossiper_test.go
+++ b/internal/fleet/gossiper/gossiper_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 )
--- a/internal/process/gossiper/member.go
+++ b/internal/fleet/gossiper/member.go
@@ -5,7 +5,7 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // status is this node's conclusion about whether a member is alive. It is independent of
--- a/internal/process/gossiper/merger.go
+++ b/internal/fleet/gossiper/merger.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 )
 
--- a/internal/process/gossiper/network_test.go
+++ b/internal/fleet/gossiper/network_test.go
@@ -15,8 +15,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/distributor"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/distributor"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 )
--- a/internal/process/gossiper/socket_test.go
+++ b/internal/fleet/gossiper/socket_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // socketNode is a gossiper that uses real sockets.
--- a/internal/process/gossiper/start_test.go
+++ b/internal/fleet/gossiper/start_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // TestGroupsWithDifferentSeedsMerge starts all nodes at the same time while each half
--- a/internal/process/gossiper/table.go
+++ b/internal/fleet/gossiper/table.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 const (
--- a/internal/process/publisher/publisher.go
+++ b/internal/fleet/publisher/publisher.go
@@ -18,7 +18,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
--- a/internal/process/publisher/publisher_test.go
+++ b/internal/fleet/publisher/publisher_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/publisher"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
--- a/internal/process/gauger/gauger.go
+++ b/internal/measurement/gauger/gauger.go
@@ -25,7 +25,7 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 const (
--- a/internal/process/gauger/gauger_test.go
+++ b/internal/measurement/gauger/gauger_test.go
@@ -13,7 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/gauger"
+	"github.com/banyanscale/banyanscale/internal/measurement/gauger"
 )
 
 func TestReportRoundTrip(t *testing.T) {
--- a/internal/process/prober/message.go
+++ b/internal/measurement/prober/message.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 const (
--- a/internal/process/prober/prober.go
+++ b/internal/measurement/prober/prober.go
@@ -29,9 +29,9 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/banyanscale/banyanscale/internal/process/publisher"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
--- a/internal/process/prober/service.go
+++ b/internal/measurement/prober/service.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // probeTimeRetention is how long the time of the newest probe is kept.
--- a/internal/process/sampler/outliers.go
+++ b/internal/measurement/sampler/outliers.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 const (
--- a/internal/process/sampler/pool_test.go
+++ b/internal/measurement/sampler/pool_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 const maxAge = 100 * time.Millisecond
--- a/internal/process/sampler/slowdown_test.go
+++ b/internal/measurement/sampler/slowdown_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 // TestWorkWaitsForTheEndOfASlowdown checks when work is delayed to the end of a
--- a/internal/process/announcer/announcer.go
+++ b/internal/process/announcer/announcer.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // Config lists what an Announcer depends on.
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -12,10 +12,10 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/measurement/gauger"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/watcher"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
-	"github.com/banyanscale/banyanscale/internal/process/gauger"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
-	"github.com/banyanscale/banyanscale/internal/process/watcher"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/picker"
--- a/internal/process/launcher/crashing_fleet_test.go
+++ b/internal/process/launcher/crashing_fleet_test.go
@@ -25,7 +25,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -10,9 +10,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/distributor"
-	"github.com/banyanscale/banyanscale/internal/process/gossiper"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/distributor"
+	"github.com/banyanscale/banyanscale/internal/fleet/gossiper"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
--- a/internal/process/launcher/fleet_quarantine.go
+++ b/internal/process/launcher/fleet_quarantine.go
@@ -4,10 +4,10 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/banyanscale/banyanscale/internal/process/disseminator"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/disseminator"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 // quarantineConfig holds what the quarantine of a process depends on.
--- a/internal/process/launcher/node_crash.go
+++ b/internal/process/launcher/node_crash.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/quarantiner"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 // endedCheckTimeout limits how long the check whether the upstream has ended takes. The
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/gauger"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/gauger"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
--- a/internal/process/launcher/node_view_test.go
+++ b/internal/process/launcher/node_view_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 func TestRefusalsAreMeteredWhileAnotherInstanceIsIdle(t *testing.T) {
--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -19,9 +19,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
-	"github.com/banyanscale/banyanscale/internal/process/emulator"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/testbed/emulator"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
--- a/internal/process/launcher/runner.go
+++ b/internal/process/launcher/runner.go
@@ -12,8 +12,8 @@
 	"goji.io"
 
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/process/reloader"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 // RunNode runs a node with the settings in a file until ctx ends, and reloads the settings
--- a/internal/process/launcher/upstream_draining_test.go
+++ b/internal/process/launcher/upstream_draining_test.go
@@ -9,8 +9,8 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -29,7 +29,7 @@
 	"sync"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
--- a/internal/request/admitter/contention.go
+++ b/internal/request/admitter/contention.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/request/estimator"
 )
 
--- a/internal/request/admitter/contention_test.go
+++ b/internal/request/admitter/contention_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 // TestContendedUpstreamUsesFewerSlots simulates load above the capacity of an upstream
--- a/internal/request/admitter/limiter.go
+++ b/internal/request/admitter/limiter.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 const (
--- a/internal/request/admitter/no_rate_limit.go
+++ b/internal/request/admitter/no_rate_limit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 // noRateLimit is the RateLimiter of an upstream without a rate limit.
--- a/internal/request/admitter/start_delay_test.go
+++ b/internal/request/admitter/start_delay_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
--- a/internal/request/crashwatcher/crashwatcher.go
+++ b/internal/request/crashwatcher/crashwatcher.go
@@ -24,8 +24,8 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 const (
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -28,7 +28,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
--- a/internal/request/deduplicator/deduplicator_test.go
+++ b/internal/request/deduplicator/deduplicator_test.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/request/deduplicator/former.go
+++ b/internal/request/deduplicator/former.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // unknownHome is a placeholder for former homes from before the recorded history,
--- a/internal/request/deduplicator/history.go
+++ b/internal/request/deduplicator/history.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // maxEpochs is the maximum number of epochs in the history. When it is exceeded,
--- a/internal/request/deduplicator/rank.go
+++ b/internal/request/deduplicator/rank.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // Home returns the home instance of a key, or nil if no instance is routable.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/recoverer"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/telemetry/recoverer"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
--- a/internal/request/forwarder/config.go
+++ b/internal/request/forwarder/config.go
@@ -10,8 +10,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/publisher"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
--- a/internal/request/forwarder/fault_test.go
+++ b/internal/request/forwarder/fault_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/request/forwarder/finish.go
+++ b/internal/request/forwarder/finish.go
@@ -7,9 +7,9 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/banyanscale/banyanscale/internal/process/exporter"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/recognizer"
+	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
 )
 
 const (
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -20,12 +20,12 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/banyanscale/banyanscale/internal/process/counter"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/recognizer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/request/forwarder/keyed_test.go
+++ b/internal/request/forwarder/keyed_test.go
@@ -12,7 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/recognizer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
--- a/internal/request/forwarder/startup.go
+++ b/internal/request/forwarder/startup.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
 	"github.com/banyanscale/banyanscale/internal/request/recognizer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
--- a/internal/request/forwarder/startup_test.go
+++ b/internal/request/forwarder/startup_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
--- a/internal/request/picker/eligible.go
+++ b/internal/request/picker/eligible.go
@@ -1,8 +1,8 @@
 package picker
 
 import (
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 const (
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
--- a/internal/request/picker/leastexpectedlatency.go
+++ b/internal/request/picker/leastexpectedlatency.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 const (
--- a/internal/request/picker/picker_test.go
+++ b/internal/request/picker/picker_test.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
--- a/internal/request/picker/policy.go
+++ b/internal/request/picker/policy.go
@@ -5,8 +5,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 // Names of the policies.
--- a/internal/request/picker/rate_limit_test.go
+++ b/internal/request/picker/rate_limit_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 )
 
 // limit records a load sample of an idle instance whose upstream advertises a rate limit.
--- a/internal/request/picker/roundtrips.go
+++ b/internal/request/picker/roundtrips.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 )
 
 // RoundTrips holds the expected network round-trip times to instances, by location. The
--- a/internal/request/quarantiner/trial.go
+++ b/internal/request/quarantiner/trial.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 
-	"github.com/banyanscale/banyanscale/internal/process/registrar"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 )
 
--- a/internal/request/ratelimiter/ratelimiter.go
+++ b/internal/request/ratelimiter/ratelimiter.go
@@ -31,8 +31,8 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
-	"github.com/banyanscale/banyanscale/internal/process/sampler"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 const (
--- a/internal/request/server/config.go
+++ b/internal/request/server/config.go
@@ -11,7 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
-	"github.com/banyanscale/banyanscale/internal/process/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -26,11 +26,11 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/connection/responder"
-	"github.com/banyanscale/banyanscale/internal/process/counter"
-	"github.com/banyanscale/banyanscale/internal/process/exporter"
-	"github.com/banyanscale/banyanscale/internal/process/logger"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
+	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
+	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
--- a/internal/process/logger/logger_test.go
+++ b/internal/telemetry/logger/logger_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/logger"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
 // line holds the fields of a log line that the tests check.
--- a/internal/process/recoverer/recoverer_test.go
+++ b/internal/telemetry/recoverer/recoverer_test.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/recoverer"
+	"github.com/banyanscale/banyanscale/internal/telemetry/recoverer"
 )
 
 func TestCall(t *testing.T) {
--- a/internal/process/generator/checker.go
+++ b/internal/testbed/generator/checker.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/banyanscale/banyanscale/internal/process/emulator"
+	"github.com/banyanscale/banyanscale/internal/testbed/emulator"
 )
 
 // checkResponse reads a response to its end and compares its body with the one
--- a/internal/process/injector/injector_test.go
+++ b/internal/testbed/injector/injector_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/process/injector"
+	"github.com/banyanscale/banyanscale/internal/testbed/injector"
 )
 
 // startEchoServer starts a server that echoes each line, and returns its address.
