feat: organisations with API keys, uploads and cold rates in the configuration

A configuration of the new deployments was refused as a whole for an unknown kind, and who may call and how often was passed over in silence. Organisations, public routes, uploads and the cold rate of a service are compiled, checked and read back as they were put.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -157,6 +157,7 @@
 		ExpectedWork:    req.ExpectedWork,
 		Retried:         req.Retried,
 		PreferLocal:     req.PreferLocal,
+		Organisation:    req.Organisation,
 	})
 	if err != nil {
 		if isCapacityRefusal(err) {
--- a/internal/process/launcher/dialect.go
+++ b/internal/process/launcher/dialect.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 )
 
@@ -18,6 +19,8 @@
 	// UnframedResponses reports whether responses of the upstream may have no length and
 	// end with their connection.
 	UnframedResponses bool
+	// Headers are the headers of callers that identify their organisations.
+	Headers forwarder.OrganisationHeaders
 	// WrapUpstream wraps the requester that sends requests to the upstream; nil to use it
 	// as it is.
 	WrapUpstream func(r server.Requester) server.Requester
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -125,6 +125,7 @@
 		Keys:              n.deduplicator,
 		Notices:           n.noticeBoard,
 		Quarantine:        n.quarantiner,
+		Headers:           n.dialect.Headers,
 		MaxUnsentAttempts: n.unsentAttemptLimit(),
 		Explainer:         n.explainer,
 		Scope:             n.metrics.Scope().SubScope("forwarder"),
--- a/internal/request/admitter/config.go
+++ b/internal/request/admitter/config.go
@@ -70,6 +70,8 @@
 	// because a response from this instance after a wait is better than one from
 	// another instance.
 	PreferLocal bool
+	// Organisation is the name of the caller's organisation; empty if it has none.
+	Organisation string
 	// arrivedLate means that the latency goal could no longer be met on arrival.
 	arrivedLate bool
 }
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -25,6 +25,7 @@
 // requests.
 var nodeHeaders = [...]string{
 	classifier.HeaderKeyHome, classifier.HeaderDue, classifier.HeaderStay, classifier.HeaderWork, classifier.HeaderUpstreamNotice,
+	classifier.HeaderAPIKey, classifier.HeaderOrganisation,
 }
 
 // call is one caller's request and the state of its attempts.
@@ -54,6 +55,8 @@
 	// fingerprint recognizes the request if it has crashed upstreams; nil if there is no
 	// quarantine, or if the body is streamed.
 	fingerprint *fingerprinter.Request
+	// quotaTaken reports whether a request was taken from the quota of the organisation.
+	quotaTaken bool
 	// quarantined is the refusal of a request that must not be sent any more, or nil.
 	quarantined *refuser.Refusal
 }
@@ -78,9 +81,10 @@
 		delete(c.header, name)
 	}
 	c.header[classifier.HeaderService] = []string{route.spec.Name}
-	if route.explicit {
-		c.header[classifier.HeaderPriority] = []string{route.spec.Priority.String()}
+	if route.explicit || route.organisation != nil {
+		c.header[classifier.HeaderPriority] = []string{route.priority.String()}
 	}
+	f.replaceOrganisationHeaders(c.header, &route)
 	return c
 }
 
--- a/internal/request/forwarder/config.go
+++ b/internal/request/forwarder/config.go
@@ -120,6 +120,15 @@
 	Trial(r *fingerprinter.Request) (quarantiner.Trial, bool)
 }
 
+// Quota limits the requests of organisations over all nodes together.
+type Quota interface {
+	// Take takes a request from the quota of an organisation. It may wait for a short time to
+	// learn whether there is room. If there is none, it returns false and the time until there is.
+	Take(ctx context.Context, o *compiler.Organisation) (taken bool, retryAfter time.Duration)
+	// Return gives back a request that was taken and has not run.
+	Return(o *compiler.Organisation)
+}
+
 // SnapshotSource returns the configuration in force and the view of the fleet.
 type SnapshotSource interface {
 	Snapshot() *publisher.Snapshot
@@ -127,8 +136,18 @@
 	Await(ctx context.Context, condition func(*publisher.Snapshot) bool) bool
 }
 
-// Config holds the dependencies of a Forwarder. Only Local, Keys, Notices and Quarantine are
-// optional.
+// OrganisationHeaders are the names of headers that callers' requests lose if the configuration
+// has organisations.
+type OrganisationHeaders struct {
+	// APIKey holds the API key of the caller's organisation; classifier.HeaderAPIKey if empty.
+	APIKey string
+	// Organisation is the header that upstreams read the organisation from; empty if that is
+	// classifier.HeaderOrganisation, which callers never set.
+	Organisation string
+}
+
+// Config holds the dependencies of a Forwarder. Only Local, Keys, Notices, Quarantine, Quota and
+// Headers are optional.
 type Config struct {
 	// Instance is the id of this node's instance.
 	Instance  string
@@ -144,6 +163,10 @@
 	Notices NoticeBoard
 	// Quarantine is nil if requests that crash upstreams are not recognized.
 	Quarantine Quarantine
+	// Quota is nil if organisations have no quotas.
+	Quota Quota
+	// Headers are the headers of callers that identify their organisations.
+	Headers OrganisationHeaders
 	// MaxUnsentAttempts is the number of attempts per request that may fail before they
 	// reach an upstream, in addition to the attempts that the service allows.
 	MaxUnsentAttempts int
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -63,6 +63,11 @@
 	rateLimited bool
 	// keys makes the entry node store idempotency keys, if not nil.
 	keys *deduplicator.Deduplicator
+	// configuration replaces that of spec, if not nil.
+	configuration *compiler.Configuration
+	// quota and headers are those of the entry node.
+	quota   forwarder.Quota
+	headers forwarder.OrganisationHeaders
 
 	runs            atomic.Int64
 	retriedRequests atomic.Int64
@@ -94,7 +99,10 @@
 func (f *fleet) run(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f.publisher.SetConfiguration(compiler.NewConfiguration(1, "oaxaca", []*compiler.Service{compiler.NewService(f.spec)}))
+		if f.configuration == nil {
+			f.configuration = compiler.NewConfiguration(1, "oaxaca", []*compiler.Service{compiler.NewService(f.spec)})
+		}
+		f.publisher.SetConfiguration(f.configuration)
 		f.publisher.SetView(registrar.NewView(f.instances))
 		f.entryPublisher = f.publisher
 		if f.starting {
@@ -104,7 +112,7 @@
 		f.startNode("almacen-2", secondNodeAddress, secondUpstreamAddress, nil)
 		cfg := forwarder.Config{
 			Instance: "vitrina-1", Snapshots: f.entryPublisher, Picker: firstPicker{f.rateLimited}, Observer: noopObserver{}, Requester: f.newPool(),
-			Explainer: f.explainer, Scope: tally.NoopScope, Log: zerolog.Nop(),
+			Explainer: f.explainer, Scope: tally.NoopScope, Log: zerolog.Nop(), Quota: f.quota, Headers: f.headers,
 		}
 		if f.keys != nil {
 			cfg.Keys = f.keys
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -88,12 +88,18 @@
 	ctx, cancel := context.WithTimeout(r.Context(), route.timeout)
 	defer cancel()
 	c := newCall(ctx, f, r, route, trace)
+	if refusal := c.takeQuota(); refusal != nil {
+		f.refuseEarly(w, r, trace, refusal)
+		return
+	}
 	if refusal := c.bufferBody(w); refusal != nil {
+		c.returnQuota(refusal)
 		f.refuseEarly(w, r, trace, refusal)
 		return
 	}
 	resp, refusal := c.serve()
 	if refusal != nil {
+		c.returnQuota(refusal)
 		f.refuse(w, trace, refusal)
 		return
 	}
--- /dev/null
+++ b/internal/request/forwarder/organisation_test.go
@@ -0,0 +1,151 @@
+package forwarder_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// organisationsBase is a configuration with an organisation and a public route.
+const organisationsBase = `[owner talleres]
+idle-rate = 0
+currency = MXN
+[service almacen]
+owner = talleres
+hosts = none
+priority = high
+[organisation gradas]
+api-keys = k1
+rank = 3
+rate = 1
+[route pedidos]
+host = pedidos.example
+services = almacen
+kind = idempotent
+rank = 0
+[route abierta]
+host = pedidos.example
+path-prefix = /abierta
+services = almacen
+public = yes
+`
+
+// fakeQuota has room for a number of requests.
+type fakeQuota struct{ left int }
+
+func (q *fakeQuota) Take(context.Context, *compiler.Organisation) (bool, time.Duration) {
+	if q.left == 0 {
+		return false, time.Second
+	}
+	q.left--
+	return true, 0
+}
+
+func (q *fakeQuota) Return(*compiler.Organisation) { q.left++ }
+
+// organisationFleet returns a fleet with organisationsBase, and the headers of the last request
+// that reached an upstream.
+func organisationFleet(t *testing.T, q *fakeQuota) (*fleet, *http.Header) {
+	t.Helper()
+	doc, err := compiler.Parse([]compiler.Source{{Name: "base.ini", Data: []byte(organisationsBase)}})
+	assert.NilError(t, err)
+	cfg, err := compiler.Compile(doc, "oaxaca", 2)
+	assert.NilError(t, err)
+	f := newFleet()
+	f.configuration = cfg
+	f.quota = q
+	f.headers = forwarder.OrganisationHeaders{APIKey: "X-Key", Organisation: "X-Organisation"}
+	received := make(http.Header)
+	f.upstreamHandler = func(w http.ResponseWriter, r *http.Request, _ int64) {
+		received = r.Header.Clone()
+		w.WriteHeader(http.StatusOK)
+	}
+	return f, &received
+}
+
+// request sends a request with the given headers, listed as names and values.
+func (f *fleet) request(t *testing.T, path string, headers ...string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+entryAddress+path, http.NoBody)
+	assert.NilError(t, err)
+	req.Host = "pedidos.example"
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Add(headers[i], headers[i+1])
+	}
+	resp, _, err := f.call(t.Context(), req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	return resp.StatusCode, resp.Header.Get(classifier.HeaderReason)
+}
+
+func TestOrganisationIsIdentifiedByItsKey(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path         string
+		headers      []string
+		status       int
+		organisation string
+	}{
+		"key":                  {"/", []string{"X-Key", "k1"}, http.StatusOK, "gradas"},
+		"no key":               {"/", nil, http.StatusOK, ""},
+		"unknown key":          {"/", []string{"X-Key", "k2"}, http.StatusUnauthorized, ""},
+		"empty key":            {"/", []string{"X-Key", ""}, http.StatusUnauthorized, ""},
+		"key sent twice":       {"/", []string{"X-Key", "k1", "X-Key", "k1"}, http.StatusUnauthorized, ""},
+		"public":               {"/abierta", []string{"X-Key", "k2"}, http.StatusOK, ""},
+		"header of the caller": {"/", []string{"X-Organisation", "otra", classifier.HeaderOrganisation, "otra"}, http.StatusOK, ""},
+		"both":                 {"/", []string{"X-Key", "k1", "X-Organisation", "otra", classifier.HeaderOrganisation, "otra"}, http.StatusOK, "gradas"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, received := organisationFleet(t, &fakeQuota{left: 1})
+			f.run(t, func(t *testing.T) {
+				status, _ := f.request(t, tc.path, tc.headers...)
+				assert.Equal(t, status, tc.status)
+				assert.Equal(t, received.Get(classifier.HeaderOrganisation), tc.organisation)
+				for _, name := range []string{"X-Key", "X-Organisation", classifier.HeaderAPIKey} {
+					assert.Equal(t, received.Get(name), "", "the upstream received %s", name)
+				}
+			})
+		})
+	}
+}
+
+func TestRankOfOrganisationReplacesThatOfRoute(t *testing.T) {
+	f, received := organisationFleet(t, &fakeQuota{left: 1})
+	f.run(t, func(t *testing.T) {
+		f.request(t, "/")
+		assert.Equal(t, received.Get(classifier.HeaderPriority), "high")
+		f.request(t, "/", "X-Key", "k1")
+		assert.Equal(t, received.Get(classifier.HeaderPriority), "low")
+	})
+}
+
+func TestRequestsBeyondTheQuotaAreRefused(t *testing.T) {
+	q := &fakeQuota{left: 1}
+	f, _ := organisationFleet(t, q)
+	f.run(t, func(t *testing.T) {
+		status, _ := f.request(t, "/", "X-Key", "k1")
+		assert.Equal(t, status, http.StatusOK)
+		status, reason := f.request(t, "/", "X-Key", "k1")
+		assert.Equal(t, status, http.StatusTooManyRequests)
+		assert.Equal(t, reason, string(classifier.ReasonQuota))
+		status, _ = f.request(t, "/")
+		assert.Equal(t, status, http.StatusOK, "without an organisation")
+	})
+}
+
+func TestRefusedRequestsAreReturnedToTheQuota(t *testing.T) {
+	q := &fakeQuota{left: 1}
+	f, _ := organisationFleet(t, q)
+	f.instances = nil
+	f.run(t, func(t *testing.T) {
+		status, _ := f.request(t, "/", "X-Key", "k1")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, q.left, 1)
+	})
+}
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -37,7 +37,13 @@
 	largeResponse bool
 	// explicit reports whether the configuration defines the route. Other routes are derived
 	// from their service. An explicit route sets the priority instead of the caller.
-	explicit  bool
+	explicit bool
+	// organisation is the caller's; nil if it has none.
+	organisation *compiler.Organisation
+	// organisationsKnown reports whether the configuration has organisations.
+	organisationsKnown bool
+	// priority is the service's, replaced by the route's and that by the organisation's.
+	priority  compiler.Priority
 	instances []*registrar.Instance
 	timeout   time.Duration
 	depth     int // The number of services in the chain of calls, including this one.
@@ -57,6 +63,10 @@
 	if matched == nil {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonNoService)
 	}
+	organisation, refusal := f.identify(r, cfg, matched)
+	if refusal != nil {
+		return route{}, refusal
+	}
 	if limit := cfg.Limits().MaxBodyBytes; limit > 0 && r.ContentLength > int64(limit) {
 		return route{}, refuser.New(classifier.NotRun, classifier.ReasonBodyTooLarge)
 	}
@@ -77,18 +87,21 @@
 		trackedName = matched.Name()
 	}
 	return route{
-		firstAttemptAt: f.recognizer.FirstAttempt(attempt, trackedName),
-		service:        service,
-		spec:           spec,
-		instances:      snapshot.View().Service(spec.Name),
-		timeout:        timeout,
-		depth:          depth + 1,
-		name:           matched.Name(),
-		version:        cfg.Number(),
-		idempotent:     matched.Idempotent(r.Method),
-		explicit:       matched.Explicit(),
-		latencyGoal:    matched.LatencyGoal(),
-		largeResponse:  matched.LargeResponses(),
+		organisation:       organisation,
+		organisationsKnown: !cfg.Organisations().Empty(),
+		priority:           organisation.Priority(spec.Priority),
+		firstAttemptAt:     f.recognizer.FirstAttempt(attempt, trackedName),
+		service:            service,
+		spec:               spec,
+		instances:          snapshot.View().Service(spec.Name),
+		timeout:            timeout,
+		depth:              depth + 1,
+		name:               matched.Name(),
+		version:            cfg.Number(),
+		idempotent:         matched.Idempotent(r.Method),
+		explicit:           matched.Explicit(),
+		latencyGoal:        matched.LatencyGoal(),
+		largeResponse:      matched.LargeResponses(),
 	}, nil
 }
 
--- a/internal/request/refuser/refusal.go
+++ b/internal/request/refuser/refusal.go
@@ -164,6 +164,10 @@
 		return http.StatusNotFound
 	case classifier.ReasonBadRequest:
 		return http.StatusBadRequest
+	case classifier.ReasonUnknownKey:
+		return http.StatusUnauthorized
+	case classifier.ReasonQuota:
+		return http.StatusTooManyRequests
 	case classifier.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case classifier.ReasonDepth:
--- a/internal/request/server/config.go
+++ b/internal/request/server/config.go
@@ -50,6 +50,8 @@
 	ExpectedWork time.Duration
 	// Retried reports whether this is not the first attempt of the request.
 	Retried bool
+	// Organisation is the name of the caller's organisation; empty if it has none.
+	Organisation string
 	// PreferLocal reports whether a wait at this instance is better than an attempt at one
 	// in another failure domain.
 	PreferLocal bool
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -133,6 +133,7 @@
 		ExpectedWork:    parseMillis(req.Header.Get(classifier.HeaderWork)),
 		Retried:         req.Header.Get(classifier.HeaderHop) > firstAttempt,
 		PreferLocal:     req.Header.Get(classifier.HeaderStay) != "",
+		Organisation:    req.Header.Get(classifier.HeaderOrganisation),
 	})
 	if err != nil {
 		return nil, admissionRefusal(err)
--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -15,16 +15,17 @@
 
 // checker validates a document while it builds the services and routes.
 type checker struct {
-	layers       map[string]*layer
-	base         *layer
-	ownerNames   []string
-	serviceNames []string
-	routeNames   []string
-	baseServices []*serviceBuilder // Without overlays, in the order of serviceNames.
-	routes       []*routeBuilder
-	limits       Limits
-	violations   []violation
-	invalid      map[entryID]bool
+	layers        map[string]*layer
+	base          *layer
+	ownerNames    []string
+	serviceNames  []string
+	routeNames    []string
+	baseServices  []*serviceBuilder // Without overlays, in the order of serviceNames.
+	routes        []*routeBuilder
+	organisations []*organisationBuilder // In the order of their names.
+	limits        Limits
+	violations    []violation
+	invalid       map[entryID]bool
 }
 
 // newChecker returns a checker that has checked the base layer of doc.
@@ -40,8 +41,12 @@
 	for _, name := range c.routeNames {
 		c.routes = append(c.routes, newRouteBuilder(name))
 	}
+	for _, name := range c.base.sectionNames(kindOrganisation) {
+		c.organisations = append(c.organisations, newOrganisationBuilder(name))
+	}
 	c.checkSections(c.base, c.baseServices)
 	c.checkBase()
+	c.checkOrganisations()
 	c.checkServices(c.baseServices)
 	return c
 }
@@ -109,6 +114,8 @@
 		case kindRoute:
 			i, _ := slices.BinarySearch(c.routeNames, name)
 			set = c.routes[i].set
+		case kindOrganisation:
+			set = c.organisation(name).set
 		case kindLimits:
 			set = func(e *controlwire.Entry) error { return limitsByKey[e.GetKey()].set(&c.limits, e.GetValue()) }
 		}
@@ -138,7 +145,7 @@
 // validHeaders returns the section headers that a layer may have.
 func (c *checker) validHeaders(layer string) []string {
 	if layer == baseLayer {
-		return []string{kindControl, kindLimits, kindOwner + " NAME", kindRoute + " NAME", kindService + " NAME"}
+		return []string{kindControl, kindLimits, kindOrganisation + " NAME", kindOwner + " NAME", kindRoute + " NAME", kindService + " NAME"}
 	}
 	headers := []string{kindSite}
 	for _, name := range c.serviceNames {
--- a/internal/version/compiler/compile.go
+++ b/internal/version/compiler/compile.go
@@ -41,6 +41,7 @@
 	}
 	cfg.sortRoutes()
 	cfg.limits = c.limits
+	cfg.organisations = c.compileOrganisations()
 	if err := c.addSiteAndOwners(cfg); err != nil {
 		return nil, fmt.Errorf("compile for site %s: %w", site, err)
 	}
--- a/internal/version/compiler/configuration.go
+++ b/internal/version/compiler/configuration.go
@@ -41,6 +41,7 @@
 	routesByHost  map[string][]*Route
 	anyHostRoutes []*Route
 	limits        Limits
+	organisations *Organisations
 }
 
 // NewConfiguration returns the configuration with the given version number,
@@ -121,6 +122,10 @@
 // caller must not change the slice.
 func (c *Configuration) Services() []*Service { return c.sortedServices }
 
+// Organisations returns the organisations of callers. It is empty if the configuration has
+// none, and API keys then have no meaning.
+func (c *Configuration) Organisations() *Organisations { return c.organisations }
+
 // Limits returns the limits on the requests of callers.
 func (c *Configuration) Limits() Limits { return c.limits }
 
--- a/internal/version/compiler/route.go
+++ b/internal/version/compiler/route.go
@@ -17,6 +17,8 @@
 	RouteNonIdempotent RouteKind = "non-idempotent"
 	// RouteDownload is for idempotent requests with large responses.
 	RouteDownload RouteKind = "download"
+	// RouteUpload is for requests with large bodies that run at most once.
+	RouteUpload RouteKind = "upload"
 )
 
 // MaxRank is the largest rank of a route, and the least urgent.
@@ -54,6 +56,8 @@
 	Rank int
 	// MaxAttempts is the maximum number of attempts per request, the first included.
 	MaxAttempts int
+	// Public means that requests need no API key and belong to no organisation.
+	Public bool
 }
 
 // Route selects the service for requests with a certain host and path. It is
@@ -112,11 +116,14 @@
 }
 
 // priority returns the priority with which an instance queues the route's requests.
-func (s *RouteSpec) priority() Priority {
+func (s *RouteSpec) priority() Priority { return rankPriority(s.Rank) }
+
+// rankPriority returns the priority of requests with the given rank.
+func rankPriority(rank int) Priority {
 	switch {
-	case s.Rank <= 1:
+	case rank <= 1:
 		return PriorityHigh
-	case s.Rank == 2:
+	case rank == 2:
 		return PriorityNormal
 	default:
 		return PriorityLow
@@ -139,12 +146,18 @@
 // LargeResponses reports whether responses are large.
 func (r *Route) LargeResponses() bool { return r.spec.Kind == RouteDownload }
 
+// LargeRequests reports whether request bodies are large.
+func (r *Route) LargeRequests() bool { return r.spec.Kind == RouteUpload }
+
+// Public reports whether the route's requests belong to no organisation.
+func (r *Route) Public() bool { return r.spec.Public }
+
 // Idempotent reports whether a request with the given method may run more than once.
 func (r *Route) Idempotent(method string) bool {
 	if r.implicit {
 		return r.services[0].Repeatable(method)
 	}
-	return r.spec.Kind != RouteNonIdempotent
+	return r.spec.Kind == RouteIdempotent || r.spec.Kind == RouteDownload
 }
 
 // Next returns the service for the next request, and the settings for that request.
--- a/internal/version/compiler/route_setting.go
+++ b/internal/version/compiler/route_setting.go
@@ -33,6 +33,7 @@
 	durationSetting("latency-goal", time.Millisecond, time.Hour, func(s *RouteSpec) *time.Duration { return &s.LatencyGoal }),
 	intSetting("rank", 0, MaxRank, func(s *RouteSpec) *int { return &s.Rank }),
 	intSetting(keyMaxAttempts, 1, 10, func(s *RouteSpec) *int { return &s.MaxAttempts }),
+	yesNoSetting("public", func(s *RouteSpec) *bool { return &s.Public }),
 }
 
 var routeSettingsByKey = byKey(routeSettings)
@@ -70,7 +71,7 @@
 }
 
 func setRouteKind(s *RouteSpec, value string) error {
-	name, err := parser.OneOf(value, []string{string(RouteIdempotent), string(RouteNonIdempotent), string(RouteDownload)})
+	name, err := parser.OneOf(value, []string{string(RouteIdempotent), string(RouteNonIdempotent), string(RouteDownload), string(RouteUpload)})
 	s.Kind = RouteKind(name)
 	return err
 }
--- a/internal/version/compiler/section.go
+++ b/internal/version/compiler/section.go
@@ -2,12 +2,13 @@
 
 // Kinds of sections.
 const (
-	kindControl = "control"
-	kindLimits  = "limits"
-	kindOwner   = "owner"
-	kindRoute   = "route"
-	kindService = "service"
-	kindSite    = "site"
+	kindControl      = "control"
+	kindLimits       = "limits"
+	kindOrganisation = "organisation"
+	kindOwner        = "owner"
+	kindRoute        = "route"
+	kindService      = "service"
+	kindSite         = "site"
 )
 
 // Keys of the sections of kind control, owner and site, and the owner key of services.
@@ -32,18 +33,19 @@
 )
 
 var (
-	controlKeys = []string{keyVoters}
-	ownerKeys   = []string{keyIdleRate, keyCurrency}
-	siteKeys    = []string{keyName, keyRegion, keyFailureDomains}
-	serviceKeys = settingKeys(serviceSettings)
-	routeKeys   = settingKeys(routeSettings)
-	limitsKeys  = settingKeys(limitsSettings)
+	controlKeys      = []string{keyVoters}
+	ownerKeys        = []string{keyIdleRate, keyCurrency}
+	siteKeys         = []string{keyName, keyRegion, keyFailureDomains}
+	serviceKeys      = settingKeys(serviceSettings)
+	routeKeys        = settingKeys(routeSettings)
+	limitsKeys       = settingKeys(limitsSettings)
+	organisationKeys = settingKeys(organisationSettings)
 )
 
 // Kinds of sections that the base and an overlay may have, mapped to whether the
 // header includes a name.
 var (
-	baseKinds    = map[string]bool{kindControl: false, kindLimits: false, kindOwner: true, kindRoute: true, kindService: true}
+	baseKinds    = map[string]bool{kindControl: false, kindLimits: false, kindOrganisation: true, kindOwner: true, kindRoute: true, kindService: true}
 	overlayKinds = map[string]bool{kindSite: false, kindService: true}
 )
 
@@ -66,6 +68,8 @@
 		return routeKeys
 	case kindLimits:
 		return limitsKeys
+	case kindOrganisation:
+		return organisationKeys
 	}
 	return serviceKeys
 }
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -72,6 +72,9 @@
 	// ColdStart is the time that a warming instance takes to reach its full share of
 	// requests.
 	ColdStart time.Duration
+	// ColdRate is the number of requests a second that an upstream bears in its cold
+	// start; 0 for no limit.
+	ColdRate float64
 	// MinHealthyPercent is the share of a service's instances that outlier detection
 	// never excludes.
 	MinHealthyPercent int
--- a/internal/version/compiler/setting.go
+++ b/internal/version/compiler/setting.go
@@ -20,6 +20,9 @@
 	noHealthPath = "none"
 )
 
+// maxRatePerSecond is the maximum rate of requests that operators may set.
+const maxRatePerSecond = 1e9
+
 // maxHealthPathBytes is the maximum length of a health path. It keeps the request
 // within the fixed number of bytes that a health read charges to the budget for
 // measurements.
@@ -61,6 +64,7 @@
 	durationSetting("sample-max-age", time.Millisecond, time.Minute, func(s *ServiceSpec) *time.Duration { return &s.SampleMaxAge }),
 	{key: "health-path", set: setHealthPath, get: getHealthPath},
 	durationSetting("cold-start", 0, 10*time.Minute, func(s *ServiceSpec) *time.Duration { return &s.ColdStart }),
+	numberSetting("cold-rate", 0, maxRatePerSecond, func(s *ServiceSpec) *float64 { return &s.ColdRate }),
 	percentSetting("min-healthy-percent", func(s *ServiceSpec) *int { return &s.MinHealthyPercent }),
 }
 
@@ -126,6 +130,36 @@
 	}
 }
 
+func yesNoSetting[S any](key string, field func(*S) *bool) setting[S] {
+	return setting[S]{
+		key: key,
+		set: func(s *S, value string) (err error) {
+			*field(s), err = parser.YesNo(value)
+			return err
+		},
+		get: func(s *S) string { return formatYesNo(*field(s)) },
+	}
+}
+
+func formatYesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
+
+// numberSetting returns a setting whose value is a decimal number.
+func numberSetting[S any](key string, low, high float64, field func(*S) *float64) setting[S] {
+	return setting[S]{
+		key: key,
+		set: func(s *S, value string) (err error) {
+			*field(s), err = parser.Number(value, low, high)
+			return err
+		},
+		get: func(s *S) string { return parser.FormatNumber(*field(s)) },
+	}
+}
+
 func setHosts(s *ServiceSpec, value string) error {
 	s.Hosts = nil
 	s.Unrouted = value == noHosts
--- a/internal/version/parser/value.go
+++ b/internal/version/parser/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -48,6 +49,21 @@
 	return n, nil
 }
 
+// Number parses a finite decimal number without a unit, between low and high inclusive.
+func Number(value string, low, high float64) (float64, error) {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		return 0, errors.Errorf("%q is not a number without a unit", value)
+	}
+	if n < low || n > high {
+		return 0, errors.Errorf("%s is out of range: %s to %s", FormatNumber(n), FormatNumber(low), FormatNumber(high))
+	}
+	return n, nil
+}
+
+// FormatNumber formats a number so that Number parses the result as the same number.
+func FormatNumber(n float64) string { return strconv.FormatFloat(n, 'f', -1, 64) }
+
 // Percent parses an integer percentage with its percent sign, such as "10%",
 // between low and high inclusive.
 func Percent(value string, low, high int) (int, error) {
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -55,6 +55,12 @@
 	// responses between nodes. An entry node returns the latest one it received from an
 	// instance with its requests to that.
 	HeaderUpstreamNotice = "Banyanscale-Upstream-Notice"
+	// HeaderAPIKey holds the API key of the caller's organisation, on requests of callers. It
+	// never reaches an upstream.
+	HeaderAPIKey = "Banyanscale-Api-Key"
+	// HeaderOrganisation holds the name of the organisation whose API key the caller sent, on
+	// requests between nodes and to upstreams. Only nodes set it.
+	HeaderOrganisation = "Banyanscale-Organisation"
 	// HeaderRetryAfterMS holds the time until a retry, in whole milliseconds.
 	HeaderRetryAfterMS = "Banyanscale-Retry-After-Ms"
 	// HeaderRetryAfter is the standard header for the time until a retry. Nodes set it
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -21,6 +21,10 @@
 	ReasonBodyTooLarge Reason = "body-too-large"
 	// ReasonDepth means that the request passed through too many services.
 	ReasonDepth Reason = "depth-exceeded"
+	// ReasonUnknownKey means that no organisation has the API key of the request.
+	ReasonUnknownKey Reason = "unknown-api-key"
+	// ReasonQuota means that the organisation's quota is used up.
+	ReasonQuota Reason = "quota-exceeded"
 	// ReasonQueueFull means that the slots and the queue of the instance were full.
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonQueueSlow means that the wait at the instance would be many times its usual
@@ -38,6 +42,11 @@
 	// ReasonRateLimit means that the upstream has said that it accepts no more requests a
 	// second.
 	ReasonRateLimit Reason = "rate-limited"
+	// ReasonCold means that the upstream started recently and bears no more requests a second
+	// until it has warmed up.
+	ReasonCold Reason = "cold"
+	// ReasonEvacuated means that operators have evacuated the failure domain of the instance.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonLeaving means that the instance is leaving and accepts no new requests.
 	ReasonLeaving Reason = "leaving"
 	// ReasonUpstream means that the instance's upstream has not announced itself, or is
