--- a/internal/version/compiler/route_setting.go
+++ b/internal/version/compiler/route_setting.go
@@ -21,6 +21,7 @@
 	keyTimeout     = "timeout"
 	keyKind        = "kind"
 	keyMaxAttempts = "max-attempts"
+	keyPublic      = "public"
 )
 
 // routeSettings lists the keys of a route's section, in the order of RouteSpec.
@@ -33,7 +34,7 @@
 	durationSetting("latency-goal", time.Millisecond, time.Hour, func(s *RouteSpec) *time.Duration { return &s.LatencyGoal }),
 	intSetting("rank", 0, MaxRank, func(s *RouteSpec) *int { return &s.Rank }),
 	intSetting(keyMaxAttempts, 1, 10, func(s *RouteSpec) *int { return &s.MaxAttempts }),
-	yesNoSetting("public", func(s *RouteSpec) *bool { return &s.Public }),
+	yesNoSetting(keyPublic, func(s *RouteSpec) *bool { return &s.Public }),
 }
 
 var routeSettingsByKey = byKey(routeSettings)
