feat: evacuation of a failure domain, from the register to the request path

The voters' register holds the evacuated failure domains beside the document; gossip spreads them by revision; nodes show the instances there as evacuated and refuse what reaches their upstream. Voter tests: faults at every step, replaced voters, lost disks, races.

--- a/internal/agreement/controller/bench_test.go
+++ b/internal/agreement/controller/bench_test.go
@@ -30,7 +30,7 @@
 				ledger, err := accountant.NewLedger(store, zerolog.Nop(), tally.NoopScope)
 				assert.NilError(b, err)
 				mux := http.NewServeMux()
-				mux.Handle(controller.New(nil, nil, ledger).Handler())
+				mux.Handle(controller.New(nil, nil, ledger, nil).Handler())
 				server := httptest.NewServer(mux)
 				defer server.Close()
 				transport := &http.Transport{DisableKeepAlives: fresh}
--- a/internal/agreement/controller/controller.go
+++ b/internal/agreement/controller/controller.go
@@ -2,11 +2,11 @@
 //
 // # Usage
 //
-//	c := controller.New(v, checker, ledger)
+//	c := controller.New(v, checker, ledger, domains)
 //	path, handler := c.Handler()
 //	mux.Handle(path, handler)
 //
-// Submit and Current need a majority of voters. The other calls are served from local
+// Submit, Current and the calls for evacuations need a majority of voters. The other calls are served from local
 // state, but History fails while the instance is stale. Errors have connect codes:
 //
 //	invalid-argument     the change can never be accepted as it is
@@ -15,6 +15,8 @@
 //	                     that would become a voter is not ready
 //	unavailable          no majority, too few voters, the outcome is unknown, the
 //	                     instance is stale, or it cannot store reported usage
+//	not-found            no instance and no site names the failure domain
+//	resource-exhausted   too many failure domains are evacuated
 //	internal             the response cannot be compressed
 //
 // The error of a failed submission has the header classifier.HeaderOutcome: "not-run" if
@@ -43,6 +45,7 @@
 type Voter interface {
 	Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error)
 	Current(ctx context.Context) (*voter.State, error)
+	SetEvacuated(ctx context.Context, domain string, evacuated bool) (*controlwire.Evacuation, error)
 	Local() *voter.State
 	Status() *controlwire.StatusResponse
 }
@@ -65,13 +68,14 @@
 	voter          Voter
 	checker        Checker
 	ledger         Ledger
+	domains        DomainChecker // Nil if every failure domain is accepted.
 	versionReports *versionReports
 	cache          responseCache
 }
 
 // New returns a controller.
-func New(v Voter, checker Checker, ledger Ledger) *Controller {
-	return &Controller{voter: v, checker: checker, ledger: ledger, versionReports: newVersionReports()}
+func New(v Voter, checker Checker, ledger Ledger, domains DomainChecker) *Controller {
+	return &Controller{voter: v, checker: checker, ledger: ledger, domains: domains, versionReports: newVersionReports()}
 }
 
 // Handler returns the HTTP handler of the service and its path.
@@ -210,6 +214,7 @@
 func outcomeOf(err error) classifier.Outcome {
 	for _, notProposed := range []error{
 		voter.ErrInvalid, voter.ErrTooOld, voter.ErrNoGroup, voter.ErrNoMajority, voter.ErrTooFewVoters, voter.ErrVoterNotReady,
+		voter.ErrTooManyEvacuated, voter.ErrAbandoned, ErrUnknownDomain,
 	} {
 		if errors.Is(err, notProposed) {
 			return classifier.NotRun
@@ -223,6 +228,10 @@
 	switch {
 	case errors.Is(err, voter.ErrInvalid):
 		return connect.CodeInvalidArgument
+	case errors.Is(err, ErrUnknownDomain):
+		return connect.CodeNotFound
+	case errors.Is(err, voter.ErrTooManyEvacuated):
+		return connect.CodeResourceExhausted
 	case errors.Is(err, voter.ErrTooOld), errors.Is(err, voter.ErrNoGroup), errors.Is(err, voter.ErrVoterNotReady):
 		return connect.CodeFailedPrecondition
 	default:
--- a/internal/agreement/controller/controller_test.go
+++ b/internal/agreement/controller/controller_test.go
@@ -99,7 +99,7 @@
 func startWithVoter(t *testing.T, v controller.Voter, ledger *fakeLedger) controlwireconnect.ControlClient {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(controller.New(v, fakeChecker{}, ledger).Handler())
+	mux.Handle(controller.New(v, fakeChecker{}, ledger, nil).Handler())
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return controlwireconnect.NewControlClient(server.Client(), server.URL)
--- a/internal/agreement/voter/sim_test.go
+++ b/internal/agreement/voter/sim_test.go
@@ -116,6 +116,8 @@
 	voter    *voter.Voter  // Nil while crashed.
 	frozen   chan struct{} // Closed when unfrozen; nil unless frozen.
 	reported uint64        // The newest version passed to OnVersion.
+	// evacuation was last passed to OnEvacuation.
+	evacuation *controlwire.Evacuation
 
 	faulty bool // True while a fault is injected here.
 }
@@ -184,11 +186,19 @@
 				inst.reported = version.GetDigest().GetNumber()
 			}
 		},
+		OnEvacuation: func(evacuation *controlwire.Evacuation) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if handle == inst.handle {
+				assert.Check(c.t, evacuation.GetRevision() > inst.evacuation.GetRevision(), "revision decreased")
+				inst.evacuation = evacuation
+			}
+		},
 		Log: zerolog.Nop(), Scope: tally.NoopScope,
 	})
 	assert.NilError(c.t, err)
 	c.mu.Lock()
-	inst.voter, inst.handle, inst.reported = v, handle, 0
+	inst.voter, inst.handle, inst.reported, inst.evacuation = v, handle, 0, nil
 	c.mu.Unlock()
 	v.Start()
 }
--- a/internal/agreement/voter/state.go
+++ b/internal/agreement/voter/state.go
@@ -60,6 +60,7 @@
 		Version:    s.wire.GetVersion(),
 		History:    s.wire.GetHistory(),
 		Membership: s.wire.GetMembership(),
+		Evacuation: s.wire.GetEvacuation(),
 	}
 	if change := t.GetChange(); change != nil {
 		document, err := compiler.Apply(s.wire.GetVersion().GetDocument(), change.GetChanges())
@@ -75,6 +76,9 @@
 	if t.GetMembership() != nil {
 		next.Membership = t.GetMembership()
 	}
+	if t.GetEvacuation() != nil {
+		next.Evacuation = t.GetEvacuation()
+	}
 	recent := s.recent[max(0, len(s.recent)+1-maxRecentTransitions):]
 	return &State{wire: next, recent: append(slices.Clip(recent), t)}, nil
 }
--- a/internal/agreement/voter/voter.go
+++ b/internal/agreement/voter/voter.go
@@ -6,6 +6,9 @@
 // accepted. In the accept phase it asks a majority to accept the next state.
 // A change is acknowledged only after a majority has synced it to disk.
 //
+// The register also holds the evacuated failure domains. Orders that change them are
+// proposals like changes, but create no version.
+//
 // A change names the version that it replaces. Of several changes that replace
 // the same version one is accepted; the others get a conflict that contains the
 // accepted one. Change ids are remembered, so that a resent change gets its
@@ -105,6 +108,9 @@
 	// OnVersion is called with newer versions that are known to be chosen, in
 	// ascending order; some may be skipped. It may be nil.
 	OnVersion func(*controlwire.Version)
+	// OnEvacuation is like OnVersion, for the evacuated failure domains. At a start it is
+	// called first. It may be nil.
+	OnEvacuation func(*controlwire.Evacuation)
 	// Random must be seeded differently at each start of each instance. If nil, a
 	// generator seeded by the operating system is used.
 	Random *rand.Rand
@@ -117,13 +123,14 @@
 // Voter is one instance's participant in the consensus: acceptor, proposer and
 // learner.
 type Voter struct {
-	cfg           Config
-	acceptor      *acceptor
-	proposer      *proposer
-	monitor       *monitor
-	submissions   *counter.Counter
-	learnedSignal chan struct{} // Signaled when a newer state was learned.
-	tomb          tomb.Tomb
+	cfg              Config
+	acceptor         *acceptor
+	proposer         *proposer
+	monitor          *monitor
+	submissions      *counter.Counter
+	evacuationOrders *counter.Counter
+	learnedSignal    chan struct{} // Signaled when a newer state was learned.
+	tomb             tomb.Tomb
 }
 
 // New reads the journal and returns a voter that has not started.
@@ -141,10 +148,11 @@
 		return nil, fmt.Errorf("read voter's journal: %w", err)
 	}
 	v := &Voter{
-		cfg:           cfg,
-		acceptor:      a,
-		submissions:   counter.New(cfg.Scope, "submissions"),
-		learnedSignal: make(chan struct{}, 1),
+		cfg:              cfg,
+		acceptor:         a,
+		submissions:      counter.New(cfg.Scope, "submissions"),
+		evacuationOrders: counter.New(cfg.Scope, "evacuation_orders"),
+		learnedSignal:    make(chan struct{}, 1),
 	}
 	v.proposer = newProposer(a, a.identity+"/"+randomID(cfg.Random), v.memberPeer, cfg.Random)
 	v.monitor = newMonitor(v)
@@ -159,7 +167,7 @@
 func (v *Voter) Start() {
 	v.tomb.Go(v.monitor.run)
 	v.tomb.Go(v.monitor.runNotifications)
-	v.tomb.Go(v.reportVersions)
+	v.tomb.Go(v.reportStates)
 }
 
 // Stop stops the voter's goroutines and waits until they have ended.
@@ -315,13 +323,16 @@
 	}
 }
 
-// reportVersions calls OnVersion for newer versions until the voter stops.
-func (v *Voter) reportVersions() error {
-	reported := uint64(0)
+// reportStates calls OnEvacuation and OnVersion for newer states until the voter stops.
+func (v *Voter) reportStates() error {
+	reported, reportedEvacuation := uint64(0), uint64(0)
 	for {
-		if state := v.Local(); state != nil && state.number() > reported && v.cfg.OnVersion != nil {
-			reported = state.number()
-			v.cfg.OnVersion(state.Version())
+		if state := v.Local(); state != nil {
+			v.reportEvacuation(state, &reportedEvacuation)
+			if state.number() > reported && v.cfg.OnVersion != nil {
+				reported = state.number()
+				v.cfg.OnVersion(state.Version())
+			}
 		}
 		select {
 		case <-v.tomb.Dying():
--- a/internal/fleet/gossiper/exchange_server.go
+++ b/internal/fleet/gossiper/exchange_server.go
@@ -83,7 +83,7 @@
 // members, which it can ask for the others. It is small, since many processes may start
 // at the same time and all ask the same seeds.
 func (g *Gossiper) introduction(id string) (*gossipwire.CompareResponse, error) {
-	resp := &gossipwire.CompareResponse{Sender: encodeRecord(g.self), Version: g.version, More: true}
+	resp := &gossipwire.CompareResponse{Sender: encodeRecord(g.self), Version: g.version, Evacuation: g.evacuation, More: true}
 	for _, m := range g.table.sample(introducedMembers, func(m *member) bool { return m != g.self && m.spec.ID != id }) {
 		resp.Records = append(resp.Records, encodeRecord(m))
 	}
@@ -101,7 +101,7 @@
 // response. The response has no buckets while this node resyncs, or if the request
 // exceeds the table.
 func (g *Gossiper) newCompareResponse(req *gossipwire.CompareRequest, maxBytes int, now time.Time) (*gossipwire.CompareResponse, int) {
-	resp := &gossipwire.CompareResponse{Sender: encodeRecord(g.self), Version: g.version, More: true}
+	resp := &gossipwire.CompareResponse{Sender: encodeRecord(g.self), Version: g.version, Evacuation: g.evacuation, More: true}
 	if g.detector.resyncing(now) || int(req.GetFirst())+len(req.GetDigests()) > bucketCount {
 		return resp, compressedSize(resp)
 	}
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -97,6 +97,10 @@
 	// OnVersion is called when another process holds a newer configuration version than
 	// the last one passed to SetVersion. It must not block.
 	OnVersion func(from netip.AddrPort, version *controlwire.VersionDigest)
+	// OnEvacuation is called when another process holds newer evacuated failure domains than
+	// this one, before OnVersion for the same message. Calls may overlap. It must not block
+	// and may be nil.
+	OnEvacuation func(*controlwire.Evacuation)
 	// BytesPerSecond limits the bytes sent; 0 means DefaultBytesPerSecond.
 	BytesPerSecond int
 	// StartAllowance is how many bytes may be sent once in addition; 0 means
@@ -121,6 +125,7 @@
 	budget            *budget
 	health            health
 	version           *controlwire.VersionDigest
+	evacuation        *controlwire.Evacuation // Nil until an order is known.
 	detector          detector
 	exchange          exchangeState
 	lastActive        time.Time // When this node was last active, to detect a freeze.
@@ -128,7 +133,7 @@
 	nextPush          time.Time
 	nextSeed          int  // Position in the seeds, which are tried round-robin.
 	viewStale         bool // True if the table changed since the last view.
-	versionPushesLeft int  // Remaining pushes of the version to random members.
+	versionPushesLeft int  // Remaining pushes of the version and the evacuation to random members.
 }
 
 // New returns a gossiper that handles datagrams immediately and starts probing and
--- a/internal/fleet/gossiper/messenger.go
+++ b/internal/fleet/gossiper/messenger.go
@@ -16,7 +16,8 @@
 	pushInterval = 200 * time.Millisecond
 	// pushFanout is the number of members that each push is sent to.
 	pushFanout = 3
-	// versionPushes is how many times a new version is pushed to pushFanout members.
+	// versionPushes is how many times a new version or evacuation is pushed to pushFanout
+	// members.
 	versionPushes = 3
 )
 
@@ -26,6 +27,7 @@
 	msg.Sender = g.self.spec.ID
 	msg.TableDigest = g.table.digest
 	msg.Version = g.version
+	msg.Evacuation = g.evacuation
 	base := proto.Size(msg)
 	maxBytes := min(courier.MaxPayload, g.budget.pushAllowance()-courier.Overhead)
 	msg.Updates = append(msg.Updates, g.queue.take(maxBytes-base, g.table.liveCount)...)
@@ -84,6 +86,9 @@
 		return
 	}
 	g.metrics.receivedMessages.Inc(1)
+	if msg.GetReceiver() == "" || msg.GetReceiver() == g.cfg.Instance.ID {
+		g.observeEvacuation(msg.GetEvacuation())
+	}
 	newer := g.handleDatagram(from, msg, time.Now())
 	if newer != nil && g.cfg.OnVersion != nil {
 		g.cfg.OnVersion(from, newer)
--- a/internal/fleet/registrar/instance.go
+++ b/internal/fleet/registrar/instance.go
@@ -33,6 +33,9 @@
 	StateSuspect
 	// StateFailed means that it was suspect for the full suspicion timeout.
 	StateFailed
+	// StateEvacuated means that operators have evacuated the failure domain of the instance,
+	// which is sent no new requests. Only views contain it; it is never announced.
+	StateEvacuated
 )
 
 var stateNames = map[State]string{
@@ -43,6 +46,8 @@
 	StateLeft:     "left",
 	StateSuspect:  "suspect",
 	StateFailed:   "failed",
+
+	StateEvacuated: "evacuated",
 }
 
 // String returns the name of the state, or "unknown".
--- a/internal/fleet/registrar/view.go
+++ b/internal/fleet/registrar/view.go
@@ -6,6 +6,8 @@
 type View struct {
 	byID      map[string]*Instance
 	byService map[string][]*Instance
+	// evacuation is set by WithEvacuation.
+	evacuation *Evacuation
 }
 
 // NewView returns a view of the given instances. If several have the same ID, it contains
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -108,6 +108,7 @@
 		Transport:       voter.NewConnectTransport(c.client),
 		Digest:          compiler.Digest,
 		OnVersion:       c.offerVersion,
+		OnEvacuation:    c.gossiper.SetEvacuation,
 		Log:             logger.Part(base, "voter"),
 		Scope:           c.metrics.Scope().SubScope("voter"),
 	})
@@ -119,7 +120,7 @@
 		return fmt.Errorf("read the ledger: %w", err)
 	}
 	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(c.client), c.otherControlAddresses, base)
-	c.controller = controller.New(c.voter, documentChecker{}, c.ledger)
+	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newFleetDomains(c.gossiper.View))
 	return nil
 }
 
--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -29,6 +29,9 @@
 	startAllowance int
 	// onView is called with each new view of the fleet.
 	onView func(*registrar.View)
+	// onEvacuation is called with newer evacuated failure domains of other processes. It is
+	// nil in a process without an upstream.
+	onEvacuation func(*controlwire.Evacuation)
 	// controlAddresses, compile and publish are passed to the distributor. They are nil
 	// in a process that puts no version in force.
 	controlAddresses func() []netip.AddrPort
@@ -96,10 +99,11 @@
 			view.Store(v)
 			cfg.onView(v)
 		},
-		OnVersion: m.distributor.ObserveVersion,
-		Logger:    base,
-		Scope:     scope.SubScope("gossiper"),
-		Random:    newRandom(),
+		OnVersion:    m.distributor.ObserveVersion,
+		OnEvacuation: cfg.onEvacuation,
+		Logger:       base,
+		Scope:        scope.SubScope("gossiper"),
+		Random:       newRandom(),
 	})
 	m.gossiper = g
 	return m, nil
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -90,8 +90,12 @@
 	upstreamSlots        atomic.Int64 // Slots by the heartbeats; 0 if none named any.
 	loadRequestedAt      atomic.Int64 // Last request for the own load, in nanoseconds since the Unix epoch.
 	missingOverlayLogged atomic.Bool  // Whether the missing overlay of the site was logged.
-	leaving              atomic.Bool
-	tomb                 tomb.Tomb
+	evacuation           evacuationState
+	// onEvacuationEnded is called when the evacuation of the own failure domain has ended; the
+	// upstream may be cold then. It may be nil.
+	onEvacuationEnded func()
+	leaving           atomic.Bool
+	tomb              tomb.Tomb
 }
 
 // NewNode assembles a node from its settings. It binds the UDP socket of the peer address.
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -60,6 +60,7 @@
 		instance:         n.instanceSpec(),
 		seeds:            n.settings.Seeds(),
 		onView:           n.setView,
+		onEvacuation:     n.setEvacuation,
 		controlAddresses: n.controlAddresses,
 		compile:          n.compile,
 		publish:          n.publish,
@@ -155,6 +156,7 @@
 		CrashWatcher:    n.newCrashWatcher(base),
 		Quarantine:      n.quarantiner,
 		Snapshots:       n.snapshots,
+		Evacuated:       n.upstreamEvacuated,
 		Scope:           n.metrics.Scope().SubScope("server"),
 		Log:             logger.Part(base, "server"),
 	})
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -152,8 +152,8 @@
 	n.forwarder.SetMaxSavedRetries(n.settings.RetryAllowance() / headroomDivisor / max(view.Len(), 1))
 }
 
-// setView applies a new view of the fleet.
-func (n *Node) setView(view *registrar.View) {
+// publishView passes a view of the fleet to the parts that use it.
+func (n *Node) publishView(view *registrar.View) {
 	n.deduplicator.Observe(view.Service(n.settings.Service()), n.keyRetention())
 	n.snapshots.SetView(view)
 	n.updateMaxSavedRetries(view)
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -54,6 +54,7 @@
 // pick creates an attempt at an untried instance. It returns nil if no instance is left, or if
 // the request must not be sent any more.
 func (c *call) pick(cause classifier.Reason) *attempt {
+	c.followEvacuation()
 	instances := c.candidates()
 	if c.quarantined != nil {
 		return nil
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -191,7 +191,7 @@
 		return c.callerRefusal(c.quarantined, retrier.Decision{})
 	}
 	if last == nil {
-		last = refuser.New(classifier.NotRun, classifier.ReasonNoInstance)
+		last = refuser.New(classifier.NotRun, unavailableReason(c.route.instances))
 		if c.forwarder.startingUp() {
 			last = last.WithRetryAfter(startupRetryAfter)
 		}
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -25,7 +25,7 @@
 	home := deduplicator.Home(c.route.instances, key, c.route.spec.KeyRetention, time.Now())
 	switch {
 	case home == nil:
-		return nil, withUnknownOutcome(refuser.New(classifier.NotRun, classifier.ReasonNoInstance))
+		return nil, withUnknownOutcome(refuser.New(classifier.NotRun, unavailableReason(c.route.instances)))
 	case home.ID() == c.forwarder.cfg.Instance:
 		return c.serveAsHome(key)
 	case c.r.Header.Get(classifier.HeaderKeyHome) != "":
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -45,8 +45,10 @@
 	// priority is the service's, replaced by the route's and that by the organisation's.
 	priority  compiler.Priority
 	instances []*registrar.Instance
-	timeout   time.Duration
-	depth     int // The number of services in the chain of calls, including this one.
+	// evacuation is that of the view from which the instances are.
+	evacuation *registrar.Evacuation
+	timeout    time.Duration
+	depth      int // The number of services in the chain of calls, including this one.
 }
 
 // matchRoute matches a request to a service and validates the headers that limit it.
@@ -94,6 +96,7 @@
 		service:            service,
 		spec:               spec,
 		instances:          snapshot.View().Service(spec.Name),
+		evacuation:         snapshot.View().Evacuation(),
 		timeout:            timeout,
 		depth:              depth + 1,
 		name:               matched.Name(),
--- a/internal/request/server/config.go
+++ b/internal/request/server/config.go
@@ -137,6 +137,9 @@
 	Quarantine   Quarantine
 	// UpstreamTracker is nil if the upstream sends no heartbeats.
 	UpstreamTracker UpstreamTracker
+	// Evacuated reports whether operators have evacuated the failure domain of the instance; nil
+	// if they never do.
+	Evacuated func() bool
 	// Notices is nil if no notices are exchanged.
 	Notices Notices
 	Scope   tally.Scope
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -52,6 +52,9 @@
 // admitAndSend waits for a slot, sends req to the upstream and returns the response. It
 // checks the upstream again after the wait, as it may have changed.
 func (s *Server) admitAndSend(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
+	if refusal := s.evacuationRefusal(); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := s.setUpstreamID(req); refusal != nil {
 		return nil, refusal
 	}
@@ -65,7 +68,9 @@
 		return nil, refusal
 	}
 	setUpstreamHeaders(ctx, req)
-	refusal = s.setUpstreamID(req)
+	if refusal = s.evacuationRefusal(); refusal == nil {
+		refusal = s.setUpstreamID(req)
+	}
 	if refusal == nil {
 		refusal = tracked.start()
 	}
--- a/internal/version/compiler/compile.go
+++ b/internal/version/compiler/compile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/banyanscale/banyanscale/internal/version/parser"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
@@ -83,5 +84,17 @@
 	return &Owner{name: name, idleRate: rate, micros: micros, currency: currency}, nil
 }
 
+// NamesFailureDomain reports whether an overlay names the failure domain.
+func NamesFailureDomain(doc *controlwire.Document, domain string) bool {
+	for _, l := range newLayers(doc) {
+		list, _ := l.value(kindSite, keyFailureDomains)
+		// A list that cannot be parsed is not in an accepted document.
+		if names, err := parser.List(list); err == nil && slices.Contains(names, domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sites returns the names of the sites that have an overlay, sorted.
 func Sites(doc *controlwire.Document) []string { return newChecker(doc).siteNames() }
--- a/internal/wire/controlwire/controlwireconnect/control.connect.go
+++ b/internal/wire/controlwire/controlwireconnect/control.connect.go
@@ -43,6 +43,12 @@
 	ControlFetchProcedure = "/banyanscale.control.Control/Fetch"
 	// ControlHistoryProcedure is the fully-qualified name of the Control's History RPC.
 	ControlHistoryProcedure = "/banyanscale.control.Control/History"
+	// ControlStartEvacuationProcedure is the fully-qualified name of the Control's StartEvacuation RPC.
+	ControlStartEvacuationProcedure = "/banyanscale.control.Control/StartEvacuation"
+	// ControlEndEvacuationProcedure is the fully-qualified name of the Control's EndEvacuation RPC.
+	ControlEndEvacuationProcedure = "/banyanscale.control.Control/EndEvacuation"
+	// ControlReadEvacuationProcedure is the fully-qualified name of the Control's ReadEvacuation RPC.
+	ControlReadEvacuationProcedure = "/banyanscale.control.Control/ReadEvacuation"
 	// ControlStatusProcedure is the fully-qualified name of the Control's Status RPC.
 	ControlStatusProcedure = "/banyanscale.control.Control/Status"
 	// ControlReportUsageProcedure is the fully-qualified name of the Control's ReportUsage RPC.
@@ -62,6 +68,13 @@
 	Fetch(context.Context, *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error)
 	// History returns the latest changes, newest first.
 	History(context.Context, *connect.Request[controlwire.HistoryRequest]) (*connect.Response[controlwire.HistoryResponse], error)
+	// StartEvacuation orders that nothing more be sent to the upstreams of a failure
+	// domain. It returns after a majority of voters has synced the order to disk.
+	StartEvacuation(context.Context, *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error)
+	// EndEvacuation withdraws that order.
+	EndEvacuation(context.Context, *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error)
+	// ReadEvacuation returns the evacuated failure domains, read from a majority.
+	ReadEvacuation(context.Context, *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error)
 	// Status returns the voters' state as known to the responding control instance.
 	Status(context.Context, *connect.Request[controlwire.StatusRequest]) (*connect.Response[controlwire.StatusResponse], error)
 	// ReportUsage merges counters into the owners' ledger; the maximum of each value wins.
@@ -105,6 +118,24 @@
 			connect.WithSchema(controlMethods.ByName("History")),
 			connect.WithClientOptions(opts...),
 		),
+		startEvacuation: connect.NewClient[controlwire.EvacuationRequest, controlwire.EvacuationResponse](
+			httpClient,
+			baseURL+ControlStartEvacuationProcedure,
+			connect.WithSchema(controlMethods.ByName("StartEvacuation")),
+			connect.WithClientOptions(opts...),
+		),
+		endEvacuation: connect.NewClient[controlwire.EvacuationRequest, controlwire.EvacuationResponse](
+			httpClient,
+			baseURL+ControlEndEvacuationProcedure,
+			connect.WithSchema(controlMethods.ByName("EndEvacuation")),
+			connect.WithClientOptions(opts...),
+		),
+		readEvacuation: connect.NewClient[controlwire.ReadEvacuationRequest, controlwire.EvacuationResponse](
+			httpClient,
+			baseURL+ControlReadEvacuationProcedure,
+			connect.WithSchema(controlMethods.ByName("ReadEvacuation")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[controlwire.StatusRequest, controlwire.StatusResponse](
 			httpClient,
 			baseURL+ControlStatusProcedure,
@@ -128,13 +159,16 @@
 
 // controlClient implements ControlClient.
 type controlClient struct {
-	submit      *connect.Client[controlwire.SubmitRequest, controlwire.SubmitResponse]
-	current     *connect.Client[controlwire.CurrentRequest, controlwire.CurrentResponse]
-	fetch       *connect.Client[controlwire.FetchRequest, controlwire.FetchResponse]
-	history     *connect.Client[controlwire.HistoryRequest, controlwire.HistoryResponse]
-	status      *connect.Client[controlwire.StatusRequest, controlwire.StatusResponse]
-	reportUsage *connect.Client[controlwire.ReportUsageRequest, controlwire.ReportUsageResponse]
-	usage       *connect.Client[controlwire.UsageRequest, controlwire.UsageResponse]
+	submit          *connect.Client[controlwire.SubmitRequest, controlwire.SubmitResponse]
+	current         *connect.Client[controlwire.CurrentRequest, controlwire.CurrentResponse]
+	fetch           *connect.Client[controlwire.FetchRequest, controlwire.FetchResponse]
+	history         *connect.Client[controlwire.HistoryRequest, controlwire.HistoryResponse]
+	startEvacuation *connect.Client[controlwire.EvacuationRequest, controlwire.EvacuationResponse]
+	endEvacuation   *connect.Client[controlwire.EvacuationRequest, controlwire.EvacuationResponse]
+	readEvacuation  *connect.Client[controlwire.ReadEvacuationRequest, controlwire.EvacuationResponse]
+	status          *connect.Client[controlwire.StatusRequest, controlwire.StatusResponse]
+	reportUsage     *connect.Client[controlwire.ReportUsageRequest, controlwire.ReportUsageResponse]
+	usage           *connect.Client[controlwire.UsageRequest, controlwire.UsageResponse]
 }
 
 // Submit calls banyanscale.control.Control.Submit.
@@ -157,6 +191,21 @@
 	return c.history.CallUnary(ctx, req)
 }
 
+// StartEvacuation calls banyanscale.control.Control.StartEvacuation.
+func (c *controlClient) StartEvacuation(ctx context.Context, req *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+	return c.startEvacuation.CallUnary(ctx, req)
+}
+
+// EndEvacuation calls banyanscale.control.Control.EndEvacuation.
+func (c *controlClient) EndEvacuation(ctx context.Context, req *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+	return c.endEvacuation.CallUnary(ctx, req)
+}
+
+// ReadEvacuation calls banyanscale.control.Control.ReadEvacuation.
+func (c *controlClient) ReadEvacuation(ctx context.Context, req *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+	return c.readEvacuation.CallUnary(ctx, req)
+}
+
 // Status calls banyanscale.control.Control.Status.
 func (c *controlClient) Status(ctx context.Context, req *connect.Request[controlwire.StatusRequest]) (*connect.Response[controlwire.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -183,6 +232,13 @@
 	Fetch(context.Context, *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error)
 	// History returns the latest changes, newest first.
 	History(context.Context, *connect.Request[controlwire.HistoryRequest]) (*connect.Response[controlwire.HistoryResponse], error)
+	// StartEvacuation orders that nothing more be sent to the upstreams of a failure
+	// domain. It returns after a majority of voters has synced the order to disk.
+	StartEvacuation(context.Context, *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error)
+	// EndEvacuation withdraws that order.
+	EndEvacuation(context.Context, *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error)
+	// ReadEvacuation returns the evacuated failure domains, read from a majority.
+	ReadEvacuation(context.Context, *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error)
 	// Status returns the voters' state as known to the responding control instance.
 	Status(context.Context, *connect.Request[controlwire.StatusRequest]) (*connect.Response[controlwire.StatusResponse], error)
 	// ReportUsage merges counters into the owners' ledger; the maximum of each value wins.
@@ -222,6 +278,24 @@
 		connect.WithSchema(controlMethods.ByName("History")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlStartEvacuationHandler := connect.NewUnaryHandler(
+		ControlStartEvacuationProcedure,
+		svc.StartEvacuation,
+		connect.WithSchema(controlMethods.ByName("StartEvacuation")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlEndEvacuationHandler := connect.NewUnaryHandler(
+		ControlEndEvacuationProcedure,
+		svc.EndEvacuation,
+		connect.WithSchema(controlMethods.ByName("EndEvacuation")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlReadEvacuationHandler := connect.NewUnaryHandler(
+		ControlReadEvacuationProcedure,
+		svc.ReadEvacuation,
+		connect.WithSchema(controlMethods.ByName("ReadEvacuation")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlStatusHandler := connect.NewUnaryHandler(
 		ControlStatusProcedure,
 		svc.Status,
@@ -250,6 +324,12 @@
 			controlFetchHandler.ServeHTTP(w, r)
 		case ControlHistoryProcedure:
 			controlHistoryHandler.ServeHTTP(w, r)
+		case ControlStartEvacuationProcedure:
+			controlStartEvacuationHandler.ServeHTTP(w, r)
+		case ControlEndEvacuationProcedure:
+			controlEndEvacuationHandler.ServeHTTP(w, r)
+		case ControlReadEvacuationProcedure:
+			controlReadEvacuationHandler.ServeHTTP(w, r)
 		case ControlStatusProcedure:
 			controlStatusHandler.ServeHTTP(w, r)
 		case ControlReportUsageProcedure:
@@ -281,6 +361,18 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("banyanscale.control.Control.History is not implemented"))
 }
 
+func (UnimplementedControlHandler) StartEvacuation(context.Context, *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("banyanscale.control.Control.StartEvacuation is not implemented"))
+}
+
+func (UnimplementedControlHandler) EndEvacuation(context.Context, *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("banyanscale.control.Control.EndEvacuation is not implemented"))
+}
+
+func (UnimplementedControlHandler) ReadEvacuation(context.Context, *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("banyanscale.control.Control.ReadEvacuation is not implemented"))
+}
+
 func (UnimplementedControlHandler) Status(context.Context, *connect.Request[controlwire.StatusRequest]) (*connect.Response[controlwire.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("banyanscale.control.Control.Status is not implemented"))
 }
