--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -60,9 +60,12 @@
 	tb.Helper()
 	httpAddress, peerAddress := freeAddress(tb), freeAddress(tb)
 	path := filepath.Join(tb.TempDir(), id+".ini")
-	text := fmt.Sprintf("[node]\ninstance = %s\nservice = %s\nowner = o\nsite = s\nregion = r\nfailure-domain = d\n"+
+	text := fmt.Sprintf("[node]\ninstance = %s\nservice = %s\nowner = o\nsite = s\nregion = r\n"+
 		"http-address = %s\npeer-address = %s\nupstream-address = %s\nslots = 1024\nconnections = 1024\nseeds = 127.0.0.1:1\n",
 		id, service, httpAddress, peerAddress, upstream) + strings.Join(settingLines, "\n")
+	if !strings.Contains(text, "failure-domain") {
+		text += "\nfailure-domain = d"
+	}
 	assert.NilError(tb, os.WriteFile(path, []byte(text), 0o600))
 	settings, err := configurer.LoadNode(path)
 	assert.NilError(tb, err)
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -47,8 +47,8 @@
 	excluded       []string
 	firstAttemptAt time.Time
 	// attempts counts the attempts so far. unsentAttempts counts those of them that failed
-	// before they reached an upstream and don't count towards the attempt limit. It stays 0
-	// if MaxUnsentAttempts is 0.
+	// before they reached an upstream and don't count towards the attempt limit. If
+	// MaxUnsentAttempts is 0, only those in evacuated failure domains don't.
 	attempts, unsentAttempts int
 	// mayHaveRun reports whether an earlier attempt may have run.
 	mayHaveRun bool
@@ -165,9 +165,11 @@
 		if failure.Outcome != classifier.NotRun {
 			c.mayHaveRun = true
 		}
-		decision := retrier.Decide(failure, c.retryState())
+		state := c.retryState()
+		evacuated := c.handleEvacuated(a, &state)
+		decision := retrier.Decide(failure, state)
 		c.recordDenial(decision)
-		if failure.Unsent && c.forwarder.cfg.MaxUnsentAttempts > 0 {
+		if failure.Unsent && (c.forwarder.cfg.MaxUnsentAttempts > 0 || evacuated) {
 			c.unsentAttempts++
 		}
 		if !decision.Retry() {
