--- a/internal/agreement/controller/controller.go
+++ b/internal/agreement/controller/controller.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	c := controller.New(v, checker, ledger, domains)
+//	c := controller.New(v, checker, ledger, fleet)
 //	path, handler := c.Handler()
 //	mux.Handle(path, handler)
 //
@@ -68,14 +68,14 @@
 	voter          Voter
 	checker        Checker
 	ledger         Ledger
-	domains        DomainChecker // Nil if every failure domain is accepted.
+	fleet          Fleet // Nil if it is not known; every failure domain is then accepted.
 	versionReports *versionReports
 	cache          responseCache
 }
 
 // New returns a controller.
-func New(v Voter, checker Checker, ledger Ledger, domains DomainChecker) *Controller {
-	return &Controller{voter: v, checker: checker, ledger: ledger, domains: domains, versionReports: newVersionReports()}
+func New(v Voter, checker Checker, ledger Ledger, fleet Fleet) *Controller {
+	return &Controller{voter: v, checker: checker, ledger: ledger, fleet: fleet, versionReports: newVersionReports()}
 }
 
 // Handler returns the HTTP handler of the service and its path.
--- a/internal/agreement/controller/evacuation.go
+++ b/internal/agreement/controller/evacuation.go
@@ -16,11 +16,14 @@
 // of an order. Nothing has changed.
 var ErrUnknownDomain = errors.New("no instance and no site names this failure domain")
 
-// DomainChecker knows the failure domains of the fleet.
-type DomainChecker interface {
+// Fleet is what the control instance knows of the fleet.
+type Fleet interface {
 	// Unknown reports whether the fleet certainly has no such failure domain, as far as its
 	// members and the document tell.
 	Unknown(domain string, doc *controlwire.Document) bool
+	// Capacity returns the capacity of each service if the given failure domains are
+	// evacuated.
+	Capacity(evacuated []string) []*controlwire.ServiceCapacity
 }
 
 // EvacuationOrder orders that a failure domain be evacuated, or that its evacuation end.
@@ -44,10 +47,10 @@
 // evacuated already is known.
 func (c *Controller) unknownDomain(domain string) bool {
 	state := c.voter.Local()
-	if c.domains == nil || state == nil || slices.Contains(state.Evacuation().GetFailureDomains(), domain) {
+	if c.fleet == nil || state == nil || slices.Contains(state.Evacuation().GetFailureDomains(), domain) {
 		return false
 	}
-	return c.domains.Unknown(domain, state.Version().GetDocument())
+	return c.fleet.Unknown(domain, state.Version().GetDocument())
 }
 
 // StartEvacuation implements controlwireconnect.ControlHandler.
@@ -73,7 +76,7 @@
 }
 
 // ReadEvacuation implements controlwireconnect.ControlHandler.
-func (c *Controller) ReadEvacuation(ctx context.Context, _ *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+func (c *Controller) ReadEvacuation(ctx context.Context, req *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
 	state, err := c.voter.Current(ctx)
 	if errors.Is(err, voter.ErrStale) {
 		return nil, staleError(c.voter.Status())
@@ -81,5 +84,9 @@
 	if err != nil {
 		return nil, connect.NewError(codeOf(err), err)
 	}
-	return connect.NewResponse(&controlwire.EvacuationResponse{Evacuation: state.Evacuation()}), nil
+	resp := &controlwire.EvacuationResponse{Evacuation: state.Evacuation()}
+	if c.fleet != nil {
+		resp.Capacity = c.fleet.Capacity(slices.Concat(state.Evacuation().GetFailureDomains(), req.Msg.GetAssumed()))
+	}
+	return connect.NewResponse(resp), nil
 }
--- a/internal/agreement/voter/status.go
+++ b/internal/agreement/voter/status.go
@@ -25,6 +25,7 @@
 		return status
 	}
 	status.Version = state.number()
+	status.Evacuation = state.Evacuation()
 	status.Voting = isFullVoter(state.membership(), p.GetIdentity()) && !p.GetFailed()
 	for _, member := range state.membership().GetVoters() {
 		voterStatus := lastPoll.memberStatus(member)
--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -112,6 +112,21 @@
 	return callWithFailover(ctx, c, &controlwire.StatusRequest{}, controlwireconnect.ControlClient.Status)
 }
 
+// StartEvacuation orders that a failure domain be evacuated. A resent order has the same result.
+func (c *failoverClient) StartEvacuation(ctx context.Context, req *controlwire.EvacuationRequest) (*controlwire.EvacuationResponse, error) {
+	return callWithFailover(ctx, c, req, controlwireconnect.ControlClient.StartEvacuation)
+}
+
+// EndEvacuation orders that the evacuation of a failure domain end.
+func (c *failoverClient) EndEvacuation(ctx context.Context, req *controlwire.EvacuationRequest) (*controlwire.EvacuationResponse, error) {
+	return callWithFailover(ctx, c, req, controlwireconnect.ControlClient.EndEvacuation)
+}
+
+// ReadEvacuation returns the evacuated failure domains and the capacity of the services.
+func (c *failoverClient) ReadEvacuation(ctx context.Context, req *controlwire.ReadEvacuationRequest) (*controlwire.EvacuationResponse, error) {
+	return callWithFailover(ctx, c, req, controlwireconnect.ControlClient.ReadEvacuation)
+}
+
 // callWithFailover calls the control instances in turn until one responds or
 // rejects the request as invalid, as all others would.
 func callWithFailover[Req, Resp any](
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"sort"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -48,6 +49,9 @@
 		return fmt.Errorf("decode the node's response: %w", err)
 	}
 	fmt.Fprintf(env.stdout, "%s at %s: %s, version %d, %d in flight, %s\n", s.Instance, s.Site, s.State, s.Version, s.InFlight, s.Load)
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintf(env.stdout, "evacuated: %s\n", strings.Join(s.Evacuated, ", "))
+	}
 	t := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tSERVICE\tFAILURE DOMAIN\tSTATE")
 	for _, in := range s.Instances {
@@ -67,6 +71,7 @@
 		return err
 	}
 	merged := make(map[string]*controlwire.InForce)
+	var evacuation *controlwire.Evacuation
 	responded := 0
 	for _, address := range addresses {
 		client := newFailoverClient([]netip.AddrPort{address}, flags.timeout)
@@ -78,10 +83,16 @@
 		responded++
 		printVoter(env.stdout, address, resp)
 		mergeInForce(merged, resp.GetInForce())
+		if resp.GetEvacuation().GetRevision() > evacuation.GetRevision() {
+			evacuation = resp.GetEvacuation()
+		}
 	}
 	if responded == 0 {
 		return errNoEffect
 	}
+	if evacuation != nil {
+		printEvacuation(env.stdout, evacuation)
+	}
 	return printInForce(env.stdout, merged, time.Now())
 }
 
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -120,7 +120,7 @@
 		return fmt.Errorf("read the ledger: %w", err)
 	}
 	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(c.client), c.otherControlAddresses, base)
-	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newFleetDomains(c.gossiper.View))
+	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newKnownFleet(c.gossiper.View))
 	return nil
 }
 
--- a/internal/process/launcher/pages.go
+++ b/internal/process/launcher/pages.go
@@ -18,6 +18,7 @@
 	Site      string           `json:"site"`
 	InFlight  int              `json:"in-flight"`
 	Load      string           `json:"load"`
+	Evacuated []string         `json:"evacuated,omitempty"`
 	Instances []InstanceStatus `json:"instances"`
 }
 
@@ -38,6 +39,8 @@
 		Site:     n.settings.Site(),
 		InFlight: n.server.InFlight(),
 		Load:     n.admitter.Load().String(),
+
+		Evacuated: snapshot.View().Evacuation().Domains(),
 	}
 	if cfg := snapshot.Configuration(); cfg != nil {
 		status.Version = cfg.Number()
