--- a/internal/process/launcher/node_evacuation_test.go
+++ b/internal/process/launcher/node_evacuation_test.go
@@ -98,6 +98,23 @@
 	})
 }
 
+// TestRestartedNodeWaitsForOthers checks that a node that restarts in an evacuated failure domain
+// serves callers by the upstreams elsewhere, also before it knows those.
+func TestRestartedNodeWaitsForOthers(t *testing.T) {
+	runEvacuatedFleet(t, 6, func(t *testing.T, f *evacuatedFleet) {
+		ordered := f.order("oax-istmo")
+		time.Sleep(evacuationBound)
+		for range 5 {
+			f.restart(t, 1)
+			for f.nodes[1].snapshots.Snapshot().View().Evacuation() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, f.send(1, http.MethodPost, "").StatusCode, http.StatusOK)
+		}
+		f.assertEmpty(t, "oax-istmo", ordered.Add(evacuationBound), time.Now())
+	})
+}
+
 func TestEvacuationOfAllIsRefusedAtOnce(t *testing.T) {
 	for _, key := range []string{"", "k-1"} {
 		t.Run("key "+key, func(t *testing.T) {
--- a/internal/request/forwarder/evacuation.go
+++ b/internal/request/forwarder/evacuation.go
@@ -38,6 +38,11 @@
 	return true
 }
 
+// allEvacuated reports whether all instances are in evacuated failure domains, or there are none.
+func allEvacuated(instances []*registrar.Instance) bool {
+	return !slices.ContainsFunc(instances, func(in *registrar.Instance) bool { return in.State() != registrar.StateEvacuated })
+}
+
 // unavailableReason returns why none of the instances is routable, or none is known.
 func unavailableReason(instances []*registrar.Instance) classifier.Reason {
 	for _, in := range instances {
--- a/internal/request/forwarder/startup.go
+++ b/internal/request/forwarder/startup.go
@@ -41,14 +41,14 @@
 }
 
 // awaitInstance waits for an instance of the service if the node has just started and knows
-// none. It reports whether there is one now.
+// none outside evacuated failure domains. It reports whether there is one now.
 func (c *call) awaitInstance() bool {
 	f := c.forwarder
-	if len(c.route.instances) > 0 || !f.startingUp() {
+	if !allEvacuated(c.route.instances) || !f.startingUp() {
 		return false
 	}
 	deadline, _ := c.ctx.Deadline()
-	known := func(s *publisher.Snapshot) bool { return len(s.View().Service(c.route.spec.Name)) > 0 }
+	known := func(s *publisher.Snapshot) bool { return !allEvacuated(s.View().Service(c.route.spec.Name)) }
 	if !f.awaitSnapshot(c.ctx, time.Until(deadline), known) {
 		return false
 	}
