feat: a cold upstream gets no more requests than its cold rate

Cause: a cold upstream bears few requests a second and crashes above; only its concurrency was ramped. Change: coldlimiter beside the advertised rate limit in the admitter; statements from heartbeats and health responses, doubts after restarts, broken connections, pauses; no ramp beside the rate.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -57,7 +57,10 @@
 	Address netip.AddrPort
 	// OnChange is called for each change of the upstream, in order. It must not block.
 	OnChange func(Change)
-	Log      zerolog.Logger
+	// OnHeartbeat is called for each heartbeat that is recorded, after OnChange; nil for
+	// none. It must not block.
+	OnHeartbeat func(Heartbeat)
+	Log         zerolog.Logger
 }
 
 // Change is a change of the upstream's state.
@@ -118,6 +121,9 @@
 	}
 	next := incarnation{id: h.ID, startedAt: h.StartedAt, sequence: h.Sequence, draining: h.Draining || sameIncarnation && e.current.draining}
 	e.setCurrent(next, h)
+	if e.cfg.OnHeartbeat != nil {
+		e.cfg.OnHeartbeat(h)
+	}
 	return nil
 }
 
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -17,6 +17,7 @@
 	"github.com/banyanscale/banyanscale/internal/measurement/watcher"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
+	"github.com/banyanscale/banyanscale/internal/request/coldlimiter"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/picker"
 	"github.com/banyanscale/banyanscale/internal/request/ratelimiter"
@@ -209,6 +210,7 @@
 	gauger      *gauger.Gauger     // Nil if the upstream sends no heartbeats.
 	enroller    *enroller.Enroller // Nil if the upstream sends no heartbeats.
 	rateLimiter *ratelimiter.Limiter
+	coldLimiter *coldlimiter.Limiter
 }
 
 // DoLimited implements server.Requester.
@@ -218,6 +220,7 @@
 	sentAt := time.Now()
 	id := req.Header.Get(classifier.HeaderUpstream)
 	resp, err := r.Requester.DoLimited(ctx, addr, req, limits)
+	observeBrokenConnection(r.coldLimiter, err)
 	if err != nil {
 		return nil, err // A *requester.Error, which the server reads.
 	}
@@ -228,6 +231,7 @@
 		r.enroller.RecordDraining(id, time.Time{})
 	}
 	if r.isCurrent(id) {
+		observeColdStatement(r.coldLimiter, resp.Header, sentAt)
 		r.rateLimiter.Observe(ratelimiter.Response{
 			Limit:        resp.Header.Get(classifier.HeaderRateLimit),
 			SentAt:       sentAt,
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -26,6 +26,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
+	"github.com/banyanscale/banyanscale/internal/request/coldlimiter"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
@@ -70,6 +71,7 @@
 	samplePool           *sampler.Pool
 	admitter             *admitter.Admitter
 	rateLimiter          *ratelimiter.Limiter
+	coldLimiter          *coldlimiter.Limiter
 	noticeBoard          *noticer.Board
 	server               *server.Server
 	forwarder            *forwarder.Forwarder
@@ -149,6 +151,7 @@
 	} else {
 		n.gauger.Start()
 		n.tomb.Go(n.identifyUpstream)
+		n.tomb.Go(n.resolveColdDoubts)
 	}
 	n.reporter.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -147,6 +147,7 @@
 			gauger:      n.gauger,
 			enroller:    n.enroller,
 			rateLimiter: n.rateLimiter,
+			coldLimiter: n.coldLimiter,
 		},
 		UpstreamTracker: n.upstreamTracker(),
 		Notices:         upstreamNotices{n.enroller, n.rateLimiter, logger.Part(base, "server")},
@@ -168,6 +169,7 @@
 		Scope: n.metrics.Scope().SubScope("server"),
 		Log:   logger.Part(base, "ratelimiter"),
 	})
+	n.coldLimiter = n.newColdLimiter(base)
 	n.linkPacer = pacer.New(s.LinkBytesPerSecond())
 	n.admitter = admitter.New(admitter.Config{
 		Slots:               orDefault(s.Slots(), spec.Slots),
@@ -178,6 +180,7 @@
 		Slowdown:            n.slowdown,
 		LinkWait:            n.linkPacer.EstimatedWait,
 		RateLimiter:         n.rateLimiter,
+		ColdLimiter:         n.coldLimiter,
 		Observer:            n.meter,
 	})
 }
@@ -253,6 +256,7 @@
 			if c.Replaced {
 				n.gauger.Reset()
 				n.rateLimiter.Reset()
+				n.coldLimiter.Replace()
 			}
 			n.upstreamColdStart.Store(int64(c.ColdRemaining))
 			if c.Slots > 0 {
@@ -261,7 +265,8 @@
 			}
 			n.announcer.SetAvailable(c.Available)
 		},
-		Log: logger.Part(base, "enroller"),
+		OnHeartbeat: func(h enroller.Heartbeat) { n.coldLimiter.ObserveHeartbeat(h.ColdRemaining) },
+		Log:         logger.Part(base, "enroller"),
 	})
 }
 
--- /dev/null
+++ b/internal/process/launcher/node_cold.go
@@ -0,0 +1,104 @@
+package launcher
+
+import (
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/request/coldlimiter"
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/pkg/classifier"
+)
+
+// firstColdReadDelay and maxColdReadDelay bound the time between two reads of the health
+// endpoint of an upstream in doubt. The time doubles with each read.
+const (
+	firstColdReadDelay = 50 * time.Millisecond
+	maxColdReadDelay   = time.Second
+)
+
+// newColdLimiter returns the limiter of the rate at which the node's own upstream gets requests
+// while it is cold.
+func (n *Node) newColdLimiter(base zerolog.Logger) *coldlimiter.Limiter {
+	return coldlimiter.New(coldlimiter.Config{
+		Stating: n.settings.UpstreamHeartbeats(),
+		Scope:   n.metrics.Scope().SubScope("server"),
+		Log:     logger.Part(base, "coldlimiter"),
+	})
+}
+
+// concurrencyRamp returns the time in which the concurrency of a new upstream rises to its
+// slots. A cold rate takes its place.
+func concurrencyRamp(spec compiler.ServiceSpec) time.Duration {
+	if spec.ColdRate > 0 {
+		return 0
+	}
+	return spec.ColdStart
+}
+
+// DoubtUpstream makes the own upstream count as cold until it says otherwise, since it may have
+// restarted while its failure domain was evacuated.
+func (n *Node) DoubtUpstream() { n.coldLimiter.Doubt(coldlimiter.CauseReturned) }
+
+// resolveColdDoubts reads the health endpoint when the upstream has come into doubt, until it
+// has said whether it is cold.
+func (n *Node) resolveColdDoubts() error {
+	for {
+		select {
+		case <-n.tomb.Dying():
+			return nil
+		case <-n.coldLimiter.Doubts():
+		}
+		for delay := firstColdReadDelay; n.coldLimiter.InDoubt(); delay = min(2*delay, maxColdReadDelay) {
+			if n.healthPath() != "" {
+				n.gauger.ReadOnce()
+			}
+			if !n.coldLimiter.InDoubt() {
+				break
+			}
+			select {
+			case <-n.tomb.Dying():
+				return nil
+			case <-time.After(delay):
+			}
+		}
+	}
+}
+
+// observeColdHealth records what a response of the health endpoint says of the upstream's cold
+// start.
+func (n *Node) observeColdHealth(resp *http.Response, sentAt time.Time) {
+	if observeColdStatement(n.coldLimiter, resp.Header, sentAt) || resp.StatusCode != http.StatusOK {
+		return
+	}
+	n.coldLimiter.ObserveResponse(coldlimiter.Response{Implied: true, SentAt: sentAt})
+}
+
+// observeColdStatement records the remaining time of the upstream's cold start that the header
+// of a response names. It reports whether there is one; a malformed one counts as none.
+func observeColdStatement(l *coldlimiter.Limiter, h http.Header, sentAt time.Time) bool {
+	ms, err := strconv.ParseUint(h.Get(classifier.HeaderColdMS), 10, 31)
+	if err != nil {
+		return false
+	}
+	l.ObserveResponse(coldlimiter.Response{Remaining: time.Duration(ms) * time.Millisecond, SentAt: sentAt})
+	return true
+}
+
+// observeBrokenConnection records a failed exchange that a restart of the upstream may have
+// caused. An idle connection that was closed, or an exchange that timed out, shows nothing.
+func observeBrokenConnection(l *coldlimiter.Limiter, err error) {
+	var failed *requester.Error
+	if !errors.As(err, &failed) {
+		return
+	}
+	if errors.Is(failed, syscall.ECONNREFUSED) || failed.Reason() == classifier.ReasonReset {
+		l.Doubt(coldlimiter.CauseBrokenConnection)
+	}
+}
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -88,7 +88,9 @@
 	if err != nil {
 		return false, gauger.Report{}, fmt.Errorf("create the health request: %w", err)
 	}
+	sentAt := time.Now()
 	resp, err := r.DoLimited(ctx, n.settings.UpstreamAddress(), req, requester.Limits{})
+	observeBrokenConnection(n.coldLimiter, err)
 	if err != nil {
 		return false, gauger.Report{}, fmt.Errorf("request the health endpoint: %w", err)
 	}
@@ -98,12 +100,12 @@
 	}
 	// A report that cannot be parsed counts as none.
 	report, _ := gauger.ParseReport(resp.Header.Get(classifier.HeaderUpstreamLoad))
-	n.observeHealthHeader(resp)
+	n.observeHealthHeader(resp, sentAt)
 	return resp.StatusCode < http.StatusInternalServerError, report, nil
 }
 
 // observeHealthHeader records what the header of a health response says of the upstream.
-func (n *Node) observeHealthHeader(resp *http.Response) {
+func (n *Node) observeHealthHeader(resp *http.Response, sentAt time.Time) {
 	id := resp.Header.Get(classifier.HeaderUpstream)
 	if id == "" {
 		return
@@ -115,6 +117,7 @@
 		n.enroller.Identify(id)
 	}
 	if n.enroller.Matches(id, time.Time{}) {
+		n.observeColdHealth(resp, sentAt)
 		n.rateLimiter.Observe(ratelimiter.Response{Limit: resp.Header.Get(classifier.HeaderRateLimit), Inconclusive: true})
 	}
 }
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -121,7 +121,8 @@
 	spec := s.Spec()
 	slots := orDefault(n.settings.Slots(), orDefault(int(n.upstreamSlots.Load()), spec.Slots))
 	connections := orDefault(n.settings.Connections(), spec.Connections)
-	n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
+	n.coldLimiter.Configure(spec.ColdRate, spec.ColdStart)
+	n.admitter.Update(slots, connections, spec.QueueLength, concurrencyRamp(spec))
 	n.gossiper.SetCapacity(slots, connections)
 }
 
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -36,10 +36,10 @@
 
 // Admitter is the admission control of one upstream. It is safe for concurrent use.
 type Admitter struct {
-	observer    Observer
-	rateLimiter RateLimiter
-	slowdown    func(now time.Time) sampler.Slowdown
-	linkWait    func() time.Duration
+	observer   Observer
+	rateLimits rateLimiters
+	slowdown   func(now time.Time) sampler.Slowdown
+	linkWait   func() time.Duration
 
 	mu           sync.Mutex // Guards all below.
 	limiter      *limiter
@@ -59,17 +59,14 @@
 func New(cfg Config) *Admitter {
 	now := time.Now()
 	a := &Admitter{
-		observer:    cfg.Observer,
-		rateLimiter: cfg.RateLimiter,
-		slowdown:    cfg.Slowdown,
-		linkWait:    cfg.LinkWait,
-		limiter:     newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
-		queue:       queue{capacity: cfg.QueueLength},
-		lastChange:  now,
-		created:     now,
-	}
-	if a.rateLimiter == nil {
-		a.rateLimiter = noRateLimit{}
+		observer:   cfg.Observer,
+		rateLimits: newRateLimiters(cfg.RateLimiter, cfg.ColdLimiter),
+		slowdown:   cfg.Slowdown,
+		linkWait:   cfg.LinkWait,
+		limiter:    newLimiter(cfg.Slots, cfg.Connections, cfg.ColdStart, now),
+		queue:      queue{capacity: cfg.QueueLength},
+		lastChange: now,
+		created:    now,
 	}
 	a.limiter.ignoresLatency = cfg.LimitIgnoresLatency
 	a.limiter.slowdown = cfg.Slowdown
@@ -146,7 +143,7 @@
 		Latency:         a.latency(now),
 		WarmPercent:     a.limiter.warmPercent(now),
 		FailurePercent:  a.failurePercent(now),
-		Rate:            a.rateLimiter.Report(now),
+		Rate:            a.rateLimits.report(now),
 	})
 }
 
@@ -234,7 +231,7 @@
 
 // start records that a request starts to run.
 func (a *Admitter) start(req Request, now time.Time) run {
-	a.rateLimiter.Take(now)
+	a.rateLimits.take(now)
 	a.rateReserve.starts++
 	a.inFlight++
 	a.startOffsetSum += now.Sub(a.created)
@@ -351,11 +348,11 @@
 // rateRefusal returns a refusal if the rate limit does not let n requests start now, since
 // another instance may take them at once. Its RetryAfter is the time until it does.
 func (a *Admitter) rateRefusal(n int, now time.Time) *Refusal {
-	wait := a.rateLimiter.Wait(n, now)
+	wait, reason := a.rateLimits.wait(n, now)
 	if wait == 0 {
 		return nil
 	}
-	return &Refusal{reason: classifier.ReasonRateLimit, retryAfter: wait}
+	return &Refusal{reason: reason, retryAfter: wait}
 }
 
 func (a *Admitter) refuseWaiter(w *waiter, reason classifier.Reason, now time.Time) {
--- a/internal/request/admitter/config.go
+++ b/internal/request/admitter/config.go
@@ -46,6 +46,8 @@
 	LinkWait func() time.Duration
 	// RateLimiter limits the rate at which requests start; nil for no limit.
 	RateLimiter RateLimiter
+	// ColdLimiter limits that rate while the upstream is cold; nil for no limit.
+	ColdLimiter RateLimiter
 	// Observer receives changes of the requests in flight; nil for none.
 	Observer Observer
 }
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -48,6 +48,9 @@
 	// HeaderRateLimit holds the requests a second, a decimal number, that an upstream
 	// accepts from all nodes together, on its responses for as long as that holds.
 	HeaderRateLimit = "Banyanscale-Rate-Limit"
+	// HeaderColdMS holds for how many more milliseconds an upstream is cold, on its
+	// responses. A healthy response of its health endpoint without it says that it is warm.
+	HeaderColdMS = "Banyanscale-Cold-Ms"
 	// HeaderUpstream holds the id of the upstream that a request is for, on requests to
 	// an upstream that announces its id. On its health responses it is its own id.
 	HeaderUpstream = "Banyanscale-Upstream"
