--- a/internal/request/coldlimiter/bucket.go
+++ b/internal/request/coldlimiter/bucket.go
@@ -31,8 +31,8 @@
 
 // reset fills the bucket, but for requests that have started within the last window. The debt
 // is at most what one window fills.
-func (b *bucket) reset(started int, now time.Time) {
-	b.tokens = max(b.burst()-float64(started), -b.perSecond*window.Seconds())
+func (b *bucket) reset(started float64, now time.Time) {
+	b.tokens = max(b.burst()-started, -b.perSecond*window.Seconds())
 	b.filledAt = now
 }
 
--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -291,7 +291,11 @@
 	if warmAt := l.belief.warmAt.Add(-transferMargin); warmAt.After(since) {
 		since = warmAt
 	}
-	l.bucket.reset(l.starts.since(since), now)
+	started := float64(l.starts.since(since))
+	if l.belief.cause == CauseNodeStarted {
+		started = l.bucket.burst() // What a previous process sent is unknown.
+	}
+	l.bucket.reset(started, now)
 	l.rateGauge.Update(l.perSecond)
 	l.periods.Inc(1)
 	l.logBegin(now)
