--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -151,7 +151,7 @@
 	} else {
 		n.gauger.Start()
 		n.tomb.Go(n.identifyUpstream)
-		n.tomb.Go(n.resolveColdDoubts)
+		n.tomb.Go(n.readColdStart)
 	}
 	n.reporter.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
--- a/internal/process/launcher/node_cold.go
+++ b/internal/process/launcher/node_cold.go
@@ -46,22 +46,16 @@
 // restarted while its failure domain was evacuated.
 func (n *Node) DoubtUpstream() { n.coldLimiter.Doubt(coldlimiter.CauseReturned) }
 
-// resolveColdDoubts reads the health endpoint when the upstream has come into doubt, until it
-// has said whether it is cold.
-func (n *Node) resolveColdDoubts() error {
+// readColdStart reads the health endpoint when the cold limiter requests that. While the
+// upstream is in doubt it repeats the read.
+func (n *Node) readColdStart() error {
 	for {
 		select {
 		case <-n.tomb.Dying():
 			return nil
-		case <-n.coldLimiter.Doubts():
+		case <-n.coldLimiter.Requests():
 		}
-		for delay := firstColdReadDelay; n.coldLimiter.InDoubt(); delay = min(2*delay, maxColdReadDelay) {
-			if n.healthPath() != "" {
-				n.gauger.ReadOnce()
-			}
-			if !n.coldLimiter.InDoubt() {
-				break
-			}
+		for delay := firstColdReadDelay; n.readHealthOnce() && n.coldLimiter.InDoubt(); delay = min(2*delay, maxColdReadDelay) {
 			select {
 			case <-n.tomb.Dying():
 				return nil
@@ -71,6 +65,15 @@
 	}
 }
 
+// readHealthOnce reads the health endpoint. It reports whether there is one.
+func (n *Node) readHealthOnce() bool {
+	if n.healthPath() == "" {
+		return false
+	}
+	n.gauger.ReadOnce()
+	return true
+}
+
 // observeColdHealth records what a response of the health endpoint says of the upstream's cold
 // start.
 func (n *Node) observeColdHealth(resp *http.Response, sentAt time.Time) {
--- a/internal/request/coldlimiter/belief.go
+++ b/internal/request/coldlimiter/belief.go
@@ -10,6 +10,8 @@
 	coldUntil  time.Time // By the statements.
 	statedAt   time.Time // When the last statement was made, as far as that is known.
 	warmAt     time.Time // When a response last showed that the upstream was warm.
+	// respondedAt is when the request was sent whose response said something last.
+	respondedAt time.Time
 }
 
 // cold reports whether the upstream counts as cold.
@@ -56,6 +58,7 @@
 	}
 	b.doubtSince = time.Time{}
 	b.statedAt = r.SentAt
+	b.respondedAt = r.SentAt
 	if !r.Implied {
 		b.coldUntil = time.Time{}
 	}
--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -7,6 +7,7 @@
 //	l.ObserveHeartbeat(remaining)                            // for each heartbeat
 //	l.ObserveResponse(coldlimiter.Response{SentAt: sentAt})  // for each read of its health
 //	l.Doubt(coldlimiter.CauseBrokenConnection)               // it may have restarted
+//	<-l.Requests()                                           // read its health now
 //	if wait := l.Wait(1, time.Now()); wait == 0 {
 //		l.Take(time.Now())
 //		// Send the request.
@@ -15,7 +16,8 @@
 // A cold upstream has just started and bears only a few requests a second until it has warmed
 // up. It may become cold again without announcing it, so that it counts as warm only for a short
 // time after it said so. When it may have restarted, it is in doubt, and counts as cold until it
-// says otherwise. Whoever receives from Doubts should then read its health endpoint.
+// says otherwise. What it says is requested when it comes into doubt, and now and then while
+// requests are sent.
 //
 // The node beside an upstream sends all requests to it, so that one limiter there holds the
 // rate for all nodes together. See docs/design/cold-upstreams.md.
@@ -37,6 +39,10 @@
 	// statementMaxAge is how long the upstream counts as warm after it last said so. It is
 	// longer than the time between two heartbeats.
 	statementMaxAge = 2 * time.Second
+	// refreshAge is the age of the last response about its cold start at which another is
+	// requested if requests are sent, so that the window holds for an upstream that turned cold
+	// unannounced.
+	refreshAge = 300 * time.Millisecond
 	// heartbeatMaxDelay is the time that a heartbeat may spend on its way, for instance while
 	// this process is paused.
 	heartbeatMaxDelay = 3 * time.Second
@@ -93,7 +99,7 @@
 	logLimiter *logger.Limiter
 	rateGauge  tally.Gauge // Requests a second; 0 without a limit.
 	periods    tally.Counter
-	doubts     chan struct{}
+	requests   chan struct{}
 
 	mu        sync.Mutex // Guards the fields below.
 	perSecond float64    // 0 if the service has no cold rate.
@@ -103,7 +109,9 @@
 	bucket    bucket
 	limited   bool // Whether the limit is in force.
 	limitedAt time.Time
-	logged    Cause // Of the last line that the limit began.
+	// requestedAt is when the last statement was requested.
+	requestedAt time.Time
+	logged      Cause // Of the last line that the limit began.
 }
 
 // New returns a limiter without a rate, whose upstream is in doubt.
@@ -113,7 +121,7 @@
 		logLimiter: logger.NewLimiter(logLinesPerSecond),
 		rateGauge:  cfg.Scope.Gauge("cold_rate_limit"),
 		periods:    cfg.Scope.Counter("cold_periods"),
-		doubts:     make(chan struct{}, 1),
+		requests:   make(chan struct{}, 1),
 		belief:     belief{cause: CauseNodeStarted, doubtSince: time.Now()},
 	}
 }
@@ -134,7 +142,7 @@
 	}
 	l.update(now)
 	if l.belief.inDoubt() {
-		l.requestStatement()
+		l.requestStatement(now)
 	}
 }
 
@@ -146,7 +154,7 @@
 	now := time.Now()
 	l.belief.doubt(cause, now)
 	l.update(now)
-	l.requestStatement()
+	l.requestStatement(now)
 }
 
 // Replace records that another incarnation of the upstream has started. What the previous one
@@ -159,11 +167,12 @@
 	l.belief.doubt(CauseReplaced, now)
 	l.starts = recentStarts{}
 	l.update(now)
-	l.requestStatement()
+	l.requestStatement(now)
 }
 
-// Doubts returns the channel that receives when the upstream has come into doubt.
-func (l *Limiter) Doubts() <-chan struct{} { return l.doubts }
+// Requests returns the channel that receives when the upstream's health should be read. While
+// InDoubt, it should be read again if that fails.
+func (l *Limiter) Requests() <-chan struct{} { return l.requests }
 
 // InDoubt reports whether the service has a cold rate and only a statement of the upstream can
 // show that it is warm.
@@ -222,6 +231,9 @@
 	if l.limited {
 		l.bucket.take(now)
 	}
+	if l.cfg.Stating && now.Sub(l.belief.respondedAt) > refreshAge && now.Sub(l.requestedAt) > refreshAge {
+		l.requestStatement(now)
+	}
 }
 
 // Wait returns the time until n requests may start, or 0 if they may start now.
@@ -267,7 +279,7 @@
 	}
 	if l.cfg.Stating && l.belief.expired(now) {
 		l.belief.doubt(CauseNoStatement, now)
-		l.requestStatement()
+		l.requestStatement(now)
 	}
 	if !l.cfg.Stating {
 		l.belief.endDoubtAfter(l.coldStart, now)
@@ -324,10 +336,11 @@
 	return l.logLimiter.Limit(l.cfg.Log.Info())
 }
 
-// requestStatement signals that the health endpoint should be read.
-func (l *Limiter) requestStatement() {
+// requestStatement requests a read of the upstream's health. The mutex must be held.
+func (l *Limiter) requestStatement(now time.Time) {
+	l.requestedAt = now
 	select {
-	case l.doubts <- struct{}{}:
+	case l.requests <- struct{}{}:
 	default: // A signal is pending.
 	}
 }
