--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -48,6 +48,9 @@
 		return fmt.Errorf("decode the node's response: %w", err)
 	}
 	fmt.Fprintf(env.stdout, "%s at %s: %s, version %d, %d in flight, %s\n", s.Instance, s.Site, s.State, s.Version, s.InFlight, s.Load)
+	if s.Cold != "" {
+		fmt.Fprintf(env.stdout, "upstream counts as cold: %s\n", s.Cold)
+	}
 	t := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tSERVICE\tFAILURE DOMAIN\tSTATE")
 	for _, in := range s.Instances {
--- a/internal/process/launcher/pages.go
+++ b/internal/process/launcher/pages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"goji.io/pat"
@@ -18,6 +19,7 @@
 	Site      string           `json:"site"`
 	InFlight  int              `json:"in-flight"`
 	Load      string           `json:"load"`
+	Cold      string           `json:"cold,omitempty"` // Why the own upstream counts as cold.
 	Instances []InstanceStatus `json:"instances"`
 }
 
@@ -38,6 +40,7 @@
 		Site:     n.settings.Site(),
 		InFlight: n.server.InFlight(),
 		Load:     n.admitter.Load().String(),
+		Cold:     n.coldLimiter.Status(time.Now()).String(),
 	}
 	if cfg := snapshot.Configuration(); cfg != nil {
 		status.Version = cfg.Number()
--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -247,16 +247,6 @@
 	return l.bucket.wait(n, now)
 }
 
-// Status describes whether and why the upstream counts as cold.
-type Status struct {
-	// Cold reports whether the limit is in force.
-	Cold bool
-	// Cause is why.
-	Cause Cause
-	// Remaining is the stated rest of the cold start; 0 if it is unknown.
-	Remaining time.Duration
-}
-
 // Status returns the status at now.
 func (l *Limiter) Status(now time.Time) Status {
 	l.mu.Lock()
