--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -52,6 +52,9 @@
 	if len(s.Evacuated) > 0 {
 		fmt.Fprintf(env.stdout, "evacuated: %s\n", strings.Join(s.Evacuated, ", "))
 	}
+	if s.Cold != "" {
+		fmt.Fprintf(env.stdout, "upstream counts as cold: %s\n", s.Cold)
+	}
 	t := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tSERVICE\tFAILURE DOMAIN\tSTATE")
 	for _, in := range s.Instances {
--- a/internal/process/launcher/pages.go
+++ b/internal/process/launcher/pages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"goji.io/pat"
@@ -19,6 +20,7 @@
 	InFlight  int              `json:"in-flight"`
 	Load      string           `json:"load"`
 	Evacuated []string         `json:"evacuated,omitempty"`
+	Cold      string           `json:"cold,omitempty"` // Why the own upstream counts as cold.
 	Instances []InstanceStatus `json:"instances"`
 }
 
@@ -41,6 +43,7 @@
 		Load:     n.admitter.Load().String(),
 
 		Evacuated: snapshot.View().Evacuation().Domains(),
+		Cold:      n.coldLimiter.Status(time.Now()).String(),
 	}
 	if cfg := snapshot.Configuration(); cfg != nil {
 		status.Version = cfg.Number()
