--- a/internal/connection/courier/courier.go
+++ b/internal/connection/courier/courier.go
@@ -42,10 +42,16 @@
 	KindProbeResponse
 	// KindCrash marks a message about requests that were in flight when upstreams crashed.
 	KindCrash
+	// KindElection marks a message of an election among control instances.
+	KindElection
+	// KindQuotaAsk marks a message of a node to the instance that grants quotas, and
+	// KindQuotaAnswer one to a node.
+	KindQuotaAsk
+	KindQuotaAnswer
 )
 
 const (
-	kindCount = int(KindCrash) + 1 // Includes the unused 0.
+	kindCount = int(KindQuotaAnswer) + 1 // Includes the unused 0.
 	// MaxPayload is the largest payload of a datagram, in bytes. It fits the path MTU
 	// of common networks.
 	MaxPayload = 1200
