--- a/internal/agreement/elector/elector_test.go
+++ b/internal/agreement/elector/elector_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -15,17 +14,17 @@
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
-	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/testbed/switcher"
 )
 
 // group is a number of control instances over a network that loses, delays and doubles
 // datagrams.
 type group struct {
-	start time.Time
+	start   time.Time
+	network *switcher.Switcher
+	random  *rand.Rand
 
 	mu         sync.Mutex // Guards the fields below.
-	random     *rand.Rand
-	loss       float64
 	electorate map[netip.AddrPort]Electorate
 	accepted   map[netip.AddrPort]uint64
 	instances  map[netip.AddrPort]*instance
@@ -34,55 +33,7 @@
 // instance is one process. A frozen one handles what has reached it when it wakes.
 type instance struct {
 	*Elector
-	handler courier.Handler
-	cut     bool
-	frozen  bool
-	waiting []func()
-}
-
-// endpoint implements Transport for one instance.
-type endpoint struct {
-	group *group
-	self  netip.AddrPort
-}
-
-func (e endpoint) Handle(_ courier.Kind, h courier.Handler) {
-	e.group.mu.Lock()
-	defer e.group.mu.Unlock()
-	e.group.instances[e.self].handler = h
-}
-
-func (e endpoint) Send(_ courier.Kind, to netip.AddrPort, payload []byte) error {
-	g := e.group
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.instances[e.self].cut || g.instances[to] == nil || g.instances[to].cut || g.random.Float64() < g.loss {
-		return nil
-	}
-	copies := 1
-	if g.random.Float64() < g.loss {
-		copies = 2
-	}
-	for range copies {
-		payload := slices.Clone(payload)
-		delay := time.Millisecond + time.Duration(g.random.ExpFloat64()*float64(3*time.Millisecond))
-		time.AfterFunc(delay, func() { g.deliver(e.self, to, payload) })
-	}
-	return nil
-}
-
-func (g *group) deliver(from, to netip.AddrPort, payload []byte) {
-	g.mu.Lock()
-	in := g.instances[to]
-	handler := in.handler
-	if in.frozen {
-		in.waiting = append(in.waiting, func() { in.handler(from, payload) })
-		handler = nil
-	}
-	g.mu.Unlock()
-	if handler != nil {
-		handler(from, payload)
-	}
+	frozen bool
 }
 
 func address(i int) netip.AddrPort {
@@ -102,7 +53,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := &group{
-			start: time.Now(), random: rand.New(rand.NewPCG(1, seed)),
+			start: time.Now(), network: switcher.New(seed), random: rand.New(rand.NewPCG(1, seed)),
 			electorate: make(map[netip.AddrPort]Electorate), accepted: make(map[netip.AddrPort]uint64), instances: make(map[netip.AddrPort]*instance),
 		}
 		var all []int
@@ -124,10 +75,6 @@
 
 func (g *group) startInstance(i int) {
 	self := address(i)
-	g.mu.Lock()
-	g.instances[self] = &instance{}
-	seed := g.random.Uint64()
-	g.mu.Unlock()
 	e := New(Config{
 		Self:   self,
 		Needed: func() bool { return true },
@@ -142,14 +89,12 @@
 			return g.accepted[self]
 		},
 		OnElected: func(uint64) {},
-		Transport: endpoint{g, self},
+		Transport: g.network.Endpoint(self),
 		Now:       func() time.Duration { return time.Since(g.start) },
-		Random:    rand.New(rand.NewPCG(2, seed)),
+		Random:    rand.New(rand.NewPCG(2, g.random.Uint64())),
 		Scope:     tally.NoopScope, Log: zerolog.Nop(),
 	})
-	g.mu.Lock()
-	g.instances[self].Elector = e
-	g.mu.Unlock()
+	g.instances[self] = &instance{Elector: e}
 	e.Start()
 }
 
@@ -160,30 +105,25 @@
 }
 
 func (g *group) setCut(i int, cut bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.instances[address(i)].cut = cut
+	side := 0
+	if cut {
+		side = i + 1
+	}
+	g.network.SetSide(address(i), side)
 }
 
-// freeze stops an instance, or lets it go on with what it had.
+// freeze stops an instance, and wake lets it go on with what it had.
 func (g *group) freeze(i int) {
 	in := g.instances[address(i)]
 	_ = in.Stop()
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	g.network.Freeze(address(i))
 	in.frozen = true
 }
 
 func (g *group) wake(i int) {
-	g.mu.Lock()
 	in := g.instances[address(i)]
 	in.frozen = false
-	waiting := in.waiting
-	in.waiting = nil
-	g.mu.Unlock()
-	for _, handle := range waiting {
-		handle()
-	}
+	g.network.Wake(address(i))
 	in.tomb = tomb.Tomb{}
 	in.Start()
 }
@@ -312,11 +252,9 @@
 	for seed := range uint64(30) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			runGroup(t, seed, 5, 0, func(t *testing.T, g *group) {
-				g.loss = 0.1
+				g.network.SetLoss(0.1)
 				for range 20 {
-					g.mu.Lock()
 					i, kind, length := g.random.IntN(5), g.random.IntN(3), time.Duration(g.random.Int64N(int64(3*time.Second)))
-					g.mu.Unlock()
 					switch kind {
 					case 0:
 						g.stopInstance(i)
--- /dev/null
+++ b/internal/agreement/grantor/grantor.go
@@ -0,0 +1,322 @@
+// Package grantor decides how the requests of organisations are shared by the entry nodes, so
+// that a quota holds over all of them.
+//
+// # Usage
+//
+//	g := grantor.New(grantor.Config{Window: window, Overage: 0.1, Slack: 20, Limit: limit})
+//	g.Begin(tenure, members, now)     // once elected
+//	answer, ok := g.Ask(from, ask, now)
+//	g.Tick(now)                       // a few times a second
+//
+// A Grantor keeps one token bucket per organisation with traffic. It is made for a load of many
+// times the limits that comes through nodes in changing shares, and for nodes that fall silent
+// with leases in hand. See docs/design/quotas.md. It uses no network, and the caller serializes
+// the calls. Server connects it to the network.
+package grantor
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// RenewInterval is the longest time between two asks of a node that holds leases, if it may
+	// ask as often.
+	RenewInterval = 150 * time.Millisecond
+	// silentIntervals is the number of such times after which a node counts as silent.
+	silentIntervals = 2
+	// minInterval is the shortest time between two asks of a node, and asksPerSecond the number
+	// of asks of all nodes that the interval allows.
+	minInterval   = 20 * time.Millisecond
+	asksPerSecond = 5000
+	// leaseWindows is the length of leases in windows.
+	leaseWindows = 2
+	// validityShare is the part of the overage that the validity of tokens takes, levelShare
+	// that by which a bucket may exceed the burst, and slackShare the part of the slack for it
+	// and for what a new grantor grants before it knows all leases. The rest is for what silent
+	// nodes spend before they are noticed.
+	validityShare = 0.5
+	levelShare    = 0.2
+	slackShare    = 0.25
+	// leasableShare is the part of the rate that is leased at most, so that something is left
+	// for nodes without a lease.
+	leasableShare = 0.95
+	// minLease is the least rate that is leased, in requests a second.
+	minLease = 0.01
+	// maxWait is the longest time until there is room that is told.
+	maxWait = 10 * time.Second
+)
+
+// Limit is the quota of an organisation.
+type Limit struct{ Rate, Burst float64 }
+
+// Config holds what a deployment allows, and the limits.
+type Config struct {
+	// Window is the time over which requests are counted, Overage the part of a limit by which
+	// it may be exceeded, and Slack the number of requests by which besides.
+	Window         time.Duration
+	Overage, Slack float64
+	// Limit returns the limit of an organisation and whether it has one.
+	Limit func(OrganisationID) (Limit, bool)
+}
+
+// Lease returns the length of leases.
+func (c Config) Lease() time.Duration { return leaseWindows * c.Window }
+
+// validity returns how long tokens are valid.
+func (c Config) validity() time.Duration {
+	return time.Duration(validityShare * c.Overage * float64(c.Window))
+}
+
+// Grantor holds what one tenure has granted.
+type Grantor struct {
+	cfg     Config
+	tenure  uint64
+	begunAt time.Duration
+	// expected holds the nodes that may have leases of earlier tenures. It is nil once all are
+	// known.
+	expected   map[netip.AddrPort]bool
+	completeAt time.Duration // When all leases became known; 0 before.
+	nodes      map[netip.AddrPort]*node
+	pools      map[OrganisationID]*pool
+}
+
+// node is what is known of one node.
+type node struct {
+	start, formerStart uint64
+	seq                uint32
+	answer             Answer // The last one.
+	heardAt            time.Duration
+	silent             bool
+	leases             map[OrganisationID]*lease
+}
+
+// lease is a part of an organisation's rate that a node may hold.
+type lease struct {
+	rate float64 // The most that the node may hold.
+	wish float64
+}
+
+// New returns a grantor that has not begun.
+func New(cfg Config) *Grantor { return &Grantor{cfg: cfg} }
+
+// Begin begins a tenure. The given nodes may hold leases of earlier ones.
+func (g *Grantor) Begin(tenure uint64, nodes []netip.AddrPort, now time.Duration) {
+	g.tenure, g.begunAt, g.completeAt = tenure, now, 0
+	g.expected = make(map[netip.AddrPort]bool, len(nodes))
+	for _, a := range nodes {
+		g.expected[a] = true
+	}
+	g.nodes = make(map[netip.AddrPort]*node)
+	g.pools = make(map[OrganisationID]*pool)
+	g.checkComplete(now)
+}
+
+// Tenure returns the id of the tenure.
+func (g *Grantor) Tenure() uint64 { return g.tenure }
+
+// Unreported returns the nodes that have not reported their leases yet.
+func (g *Grantor) Unreported() []netip.AddrPort {
+	var list []netip.AddrPort
+	for a := range g.expected {
+		list = append(list, a)
+	}
+	return list
+}
+
+// Ask answers a node. It returns false for an ask that is older than the last one.
+func (g *Grantor) Ask(from netip.AddrPort, ask Ask, now time.Duration) (Answer, bool) {
+	n := g.nodes[from]
+	if n != nil && (ask.Start == n.formerStart || ask.Start == n.start && ask.Seq < n.seq) {
+		return Answer{}, false
+	}
+	if n != nil && ask.Start == n.start && ask.Seq == n.seq {
+		return n.answer, true
+	}
+	n = g.heard(from, ask, now)
+	n.answer = Answer{
+		Seq: ask.Seq, Tenure: g.tenure,
+		Interval: g.interval(), Validity: g.cfg.validity(), Lease: g.cfg.Lease(),
+	}
+	for _, r := range ask.Records {
+		n.answer.Grants = append(n.answer.Grants, g.grant(n, r, now))
+	}
+	if ask.Complete && ask.Tenure == g.tenure && g.expected != nil {
+		delete(g.expected, from)
+		g.checkComplete(now)
+	}
+	return n.answer, true
+}
+
+// heard returns the node that an ask is from, which is not silent any more.
+func (g *Grantor) heard(from netip.AddrPort, ask Ask, now time.Duration) *node {
+	n := g.nodes[from]
+	if n == nil {
+		n = &node{start: ask.Start, leases: make(map[OrganisationID]*lease)}
+		g.nodes[from] = n
+	}
+	if n.start != ask.Start {
+		g.free(n, now) // The process that held them has ended.
+		n.formerStart, n.start = n.start, ask.Start
+	}
+	if n.silent {
+		g.refund(n, now)
+	}
+	n.seq, n.heardAt = ask.Seq, now
+	return n
+}
+
+// interval returns the shortest time between two asks of a node.
+func (g *Grantor) interval() time.Duration {
+	return max(minInterval, time.Duration(len(g.nodes))*time.Second/asksPerSecond)
+}
+
+// silentAfter returns the time after which a node that holds leases counts as silent.
+func (g *Grantor) silentAfter() time.Duration {
+	return silentIntervals * max(RenewInterval, g.interval())
+}
+
+// grant decides on one record of an ask.
+func (g *Grantor) grant(n *node, r AskRecord, now time.Duration) Grant {
+	limit, limited := g.cfg.Limit(r.Organisation)
+	if !limited {
+		return Grant{Organisation: r.Organisation, Wait: g.cfg.Window}
+	}
+	p := g.pool(r.Organisation, limit, now)
+	p.advance(now, g.accrual(p))
+	p.add(float64(r.Returned - r.Spent))
+	rate := g.lease(n, p, r)
+	tokens := p.take(r.Wanted)
+	granted := Grant{Organisation: r.Organisation, Tokens: tokens, Rate: rate}
+	if tokens < r.Wanted {
+		granted.Wait = p.wait(g.accrual(p))
+	}
+	return granted
+}
+
+// pool returns the pool of an organisation, with its limit as it is now.
+func (g *Grantor) pool(id OrganisationID, limit Limit, now time.Duration) *pool {
+	p := g.pools[id]
+	if p == nil {
+		p = &pool{at: now}
+		g.pools[id] = p
+		p.setLimit(limit, g.cfg)
+		if g.completeAt > 0 {
+			p.add(limit.Rate * (now - g.completeAt).Seconds())
+		}
+		return p
+	}
+	if p.limit != limit {
+		p.advance(now, g.accrual(p))
+		p.setLimit(limit, g.cfg)
+	}
+	return p
+}
+
+// accrual returns the tokens a second that a pool gets: the rate without what silent nodes may
+// spend. Before all leases are known, it is what the nodes that were heard from hold, since they
+// ask now instead of spending it, and a small allowance.
+func (g *Grantor) accrual(p *pool) float64 {
+	if g.completeAt > 0 {
+		return max(p.limit.Rate-p.silent, 0)
+	}
+	allowance := slackShare * g.cfg.Slack / g.cfg.Window.Seconds()
+	return min(max(p.leased-p.silent, 0)+allowance, p.limit.Rate)
+}
+
+// lease decides which rate a node may hold, and returns it. What it holds already counts until
+// the node has reported that it holds less.
+func (g *Grantor) lease(n *node, p *pool, r AskRecord) float64 {
+	l := n.leases[r.Organisation]
+	if l == nil {
+		l = &lease{}
+	}
+	p.leased -= l.rate
+	p.wished += r.Wish - l.wish
+	share := r.Wish
+	if leasable := leasableShare * p.limit.Rate; p.wished > leasable {
+		share *= leasable / p.wished
+	}
+	granted := min(share, max(leasableShare*p.limit.Rate-p.leased, 0))
+	if g.completeAt == 0 {
+		granted = min(granted, r.Held)
+	}
+	if granted < minLease {
+		granted = 0
+	}
+	l.rate, l.wish = max(granted, r.Held), r.Wish
+	p.leased += l.rate
+	if l.rate == 0 && l.wish == 0 {
+		delete(n.leases, r.Organisation)
+	} else {
+		n.leases[r.Organisation] = l
+	}
+	return granted
+}
+
+// Tick takes account of time: nodes that fell silent, leases that ended, unused pools.
+func (g *Grantor) Tick(now time.Duration) {
+	for a, n := range g.nodes {
+		switch {
+		case now-n.heardAt >= g.cfg.Lease():
+			g.free(n, now)
+			delete(g.nodes, a)
+		case !n.silent && now-n.heardAt >= g.silentAfter():
+			g.silence(n, now)
+		}
+	}
+	g.checkComplete(now)
+	for id, p := range g.pools {
+		if p.advance(now, g.accrual(p)); p.idle() && g.completeAt > 0 {
+			delete(g.pools, id)
+		}
+	}
+}
+
+// silence makes the pools pay for what a node may spend, from when it was heard last.
+func (g *Grantor) silence(n *node, now time.Duration) {
+	n.silent = true
+	for id, l := range n.leases {
+		p := g.pools[id]
+		p.advance(now, g.accrual(p))
+		p.add(-l.rate * (now - n.heardAt).Seconds())
+		p.silent += l.rate
+	}
+}
+
+// refund gives the pools back what they paid for a silent node, which reports what it spent.
+func (g *Grantor) refund(n *node, now time.Duration) {
+	n.silent = false
+	for id, l := range n.leases {
+		p := g.pools[id]
+		p.advance(now, g.accrual(p))
+		p.silent -= l.rate
+		p.add(l.rate * (now - n.heardAt).Seconds())
+	}
+}
+
+// free ends the leases of a node.
+func (g *Grantor) free(n *node, now time.Duration) {
+	for id, l := range n.leases {
+		p := g.pools[id]
+		p.advance(now, g.accrual(p))
+		p.leased -= l.rate
+		p.wished -= l.wish
+		if n.silent {
+			p.silent -= l.rate
+		}
+	}
+	n.silent = false
+	clear(n.leases)
+}
+
+// checkComplete checks whether all leases of earlier tenures are known or have ended.
+func (g *Grantor) checkComplete(now time.Duration) {
+	if g.completeAt > 0 || len(g.expected) > 0 && now-g.begunAt < g.cfg.Lease() {
+		return
+	}
+	for _, p := range g.pools {
+		p.advance(now, g.accrual(p))
+	}
+	g.expected, g.completeAt = nil, now
+}
--- a/internal/agreement/voter/electorate.go
+++ b/internal/agreement/voter/electorate.go
@@ -25,7 +25,7 @@
 		return Electorate{}
 	}
 	m := state.membership()
-	return Electorate{epoch: m.GetEpoch(), voters: memberAddresses(m.GetVoters()), previous: memberAddresses(m.GetPrevious())}
+	return Electorate{epoch: m.GetEpoch(), voters: addressesOf(m.GetVoters()), previous: addressesOf(m.GetPrevious())}
 }
 
 // AcceptedEpoch returns the epoch of the newest membership that this instance has accepted, be
@@ -38,7 +38,7 @@
 	return state.membership().GetEpoch()
 }
 
-func memberAddresses(members []*voterwire.Member) []string {
+func addressesOf(members []*voterwire.Member) []string {
 	list := make([]string, len(members))
 	for i, member := range members {
 		list[i] = member.GetAddress()
--- /dev/null
+++ b/internal/fleet/quotakeeper/account.go
@@ -0,0 +1,161 @@
+package quotakeeper
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/banyanscale/banyanscale/internal/agreement/grantor"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
+)
+
+const (
+	// demandTime is the time constant of the estimate of demand.
+	demandTime = time.Second
+	// leaseHeadroom is the wanted lease in proportion to demand.
+	leaseHeadroom = 1.25
+	// leaseBurst is the time whose part of the lease may be taken at once.
+	leaseBurst = 250 * time.Millisecond
+	// minWish is the least demand in requests a second for which a lease is wanted.
+	minWish = 0.02
+	// backOffAhead is the time whose demand is asked for if there was no room.
+	backOffAhead = maxBackOff
+)
+
+// Ticket is what was taken for a request.
+type Ticket struct {
+	validUntil time.Duration // 0 if nothing was taken.
+	leased     bool
+}
+
+// Taken reports whether the request may run.
+func (t Ticket) Taken() bool { return t.validUntil != 0 }
+
+// waiter is a request that waits for an answer.
+type waiter struct{ done chan Ticket }
+
+// account is what this node knows of the quota of one organisation.
+type account struct {
+	id     grantor.OrganisationID
+	name   string
+	limit  float64 // The rate that this node's configuration allows.
+	own    ownLimit
+	tokens tokens
+	// waiters are the requests that wait, oldest first.
+	waiters []*waiter
+	// asked is the number of tokens that the ask under way wants.
+	asked int
+	// pending is the record in the ask under way, or nil.
+	pending *grantor.AskRecord
+	// returned and spent are not reported yet; spent is from the lease.
+	returned, spent int
+	// rate is the lease's, and reported the tenure in which it was last reported.
+	rate     float64
+	reported uint64
+	// leaseLevel is what may be taken from the lease, at leaseAt.
+	leaseLevel float64
+	leaseAt    time.Duration
+	// refusedUntil is when to ask again after there was no room, and roomAt when there may be.
+	refusedUntil, roomAt time.Duration
+	// arrivals counts the requests since the last review, and demand is their rate.
+	arrivals   int
+	demandRate float64
+	reviewedAt time.Duration
+	usedAt     time.Duration
+	// taken and refused count requests since the start, for operators.
+	taken, refused int64
+}
+
+// observe counts a request.
+func (a *account) observe(o *compiler.Organisation, now time.Duration) {
+	a.arrivals++
+	a.usedAt = now
+	if a.reviewedAt == 0 {
+		a.reviewedAt = now
+	}
+	a.limit = o.Rate()
+	a.own.set(o.Rate(), o.Burst(), now)
+}
+
+// ticket counts a request that may run.
+func (a *account) ticket(t Ticket) Ticket {
+	a.taken++
+	a.own.take()
+	return t
+}
+
+// review updates the estimate of demand.
+func (a *account) review(now time.Duration) {
+	passed := now - a.reviewedAt
+	if passed <= 0 {
+		return
+	}
+	weight := math.Exp(-passed.Seconds() / demandTime.Seconds())
+	a.demandRate = a.demandRate*weight + float64(a.arrivals)/passed.Seconds()*(1-weight)
+	a.arrivals, a.reviewedAt = 0, now
+}
+
+// wish returns the rate that this node wants to lease.
+func (a *account) wish() float64 {
+	if a.demandRate < minWish {
+		return 0
+	}
+	return min(a.demandRate*leaseHeadroom, a.limit)
+}
+
+// missing returns how many tokens are wanted, for the requests that wait and for those of the
+// given time.
+func (a *account) missing(ahead time.Duration) int {
+	return max(len(a.waiters)+int(a.demandRate*ahead.Seconds())-a.tokens.count()-a.asked, 0)
+}
+
+// removeWaiter removes a request that waits no longer.
+func (a *account) removeWaiter(w *waiter) {
+	a.waiters = slices.DeleteFunc(a.waiters, func(other *waiter) bool { return other == w })
+}
+
+// serveWaiters decides on the waiting requests with the tokens at hand.
+func (a *account) serveWaiters(take func() Ticket) {
+	for len(a.waiters) > 0 {
+		ticket := take()
+		if !ticket.Taken() {
+			return
+		}
+		a.waiters[0].done <- ticket
+		a.waiters = a.waiters[1:]
+	}
+}
+
+// refuseWaiters refuses the waiting requests.
+func (a *account) refuseWaiters() {
+	for _, w := range a.waiters {
+		w.done <- Ticket{}
+	}
+	a.waiters = nil
+}
+
+// takeLeased takes a request from the lease, of which nothing is left from before the last answer,
+// the ask of which was sent at sentAt. Its rate never exceeds the limit that this node knows.
+func (a *account) takeLeased(sentAt, now time.Duration) bool {
+	if a.leaseAt < sentAt {
+		a.leaseLevel, a.leaseAt = 0, sentAt
+	}
+	rate := min(a.rate, a.limit)
+	most := max(1, rate*leaseBurst.Seconds())
+	a.leaseLevel = min(a.leaseLevel+rate*(now-a.leaseAt).Seconds(), most)
+	a.leaseAt = now
+	if a.leaseLevel < 1 {
+		return false
+	}
+	a.leaseLevel--
+	a.spent++
+	return true
+}
+
+// idle reports whether the account may be forgotten.
+func (a *account) idle(now time.Duration) bool {
+	return now-a.usedAt >= idleAfter && a.rate == 0 && a.spent == 0 && a.returned == 0 && len(a.waiters) == 0 && a.tokens.count() == 0
+}
+
+// inAsk reports whether the ask under way has a record of the account.
+func (a *account) inAsk() bool { return a.pending != nil }
