--- a/internal/fleet/quotakeeper/fleet_test.go
+++ b/internal/fleet/quotakeeper/fleet_test.go
@@ -34,21 +34,16 @@
 	start    time.Time
 	network  *switcher.Switcher
 	random   *rand.Rand
-	nodes    []*node
 	controls []*control
+	// frozenControl is the index of a frozen control instance.
+	frozenControl int
 
 	mu     sync.Mutex // Guards the fields below.
+	nodes  []*Keeper
 	limits map[grantor.OrganisationID]grantor.Limit
 	ran    map[string][]time.Duration // When requests ran, by organisation.
 }
 
-// node is an entry node.
-type node struct {
-	*Keeper
-	frozen bool
-	ended  bool
-}
-
 // control is a control instance.
 type control struct {
 	elector *elector.Elector
@@ -87,7 +82,7 @@
 			f.setLimit(o)
 		}
 		f.controls = make([]*control, controls)
-		f.nodes = make([]*node, size)
+		f.nodes = make([]*Keeper, size)
 		for i := range f.controls {
 			f.startControl(i)
 		}
@@ -167,14 +162,23 @@
 		},
 		Transport: f.network.Endpoint(nodeAddress(i)), Now: f.now, Random: f.newRandom(), Scope: tally.NoopScope, Log: zerolog.Nop(),
 	})
-	f.nodes[i] = &node{Keeper: k}
 	k.Start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[i] = k
+}
+
+// node returns the process of a node.
+func (f *fleet) node(i int) *Keeper {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[i]
 }
 
 func (f *fleet) stop(t *testing.T) {
 	t.Helper()
-	for _, n := range f.nodes {
-		assert.Check(t, n.Stop())
+	for i := range f.nodes {
+		assert.Check(t, f.node(i).Stop())
 	}
 	for i := range f.controls {
 		f.stopControl(t, i)
@@ -197,7 +201,7 @@
 // send sends a request of an organisation to a node, which runs it if there is room.
 func (f *fleet) send(o *compiler.Organisation, n int) {
 	go func() {
-		if ticket, _ := f.nodes[n].Take(f.context(), o); ticket.Taken() {
+		if ticket, _ := f.node(n).Take(f.context(), o); ticket.Taken() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.ran[o.Name()] = append(f.ran[o.Name()], f.now())
