feat: retries and hedges are taken from the quota

Cause: an attempt beside or after one that may have run is one more request that runs. Change: the forwarder takes it without waiting, or does not send it; tickets tell what was taken. Measure: go test ./internal/request/forwarder.

--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -28,6 +28,9 @@
 	leased     bool
 }
 
+// NewTicket returns a ticket that may be given back until the given time.
+func NewTicket(validUntil time.Duration) Ticket { return Ticket{validUntil: validUntil} }
+
 // Taken reports whether the request may run.
 func (t Ticket) Taken() bool { return t.validUntil != 0 }
 
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/fleet/quotakeeper"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
@@ -55,8 +56,8 @@
 	// fingerprint recognizes the request if it has crashed upstreams; nil if there is no
 	// quarantine, or if the body is streamed.
 	fingerprint *fingerprinter.Request
-	// quotaTaken reports whether a request was taken from the quota of the organisation.
-	quotaTaken bool
+	// quotaTicket is what was taken from the quota of the organisation.
+	quotaTicket quotakeeper.Ticket
 	// quarantined is the refusal of a request that must not be sent any more, or nil.
 	quarantined *refuser.Refusal
 }
@@ -170,7 +171,7 @@
 		if failure.Unsent && c.forwarder.cfg.MaxUnsentAttempts > 0 {
 			c.unsentAttempts++
 		}
-		if !decision.Retry() {
+		if !decision.Retry() || failure.Outcome != classifier.NotRun && !c.takeFurtherQuota() {
 			if a.resp != nil {
 				c.markRetried(a.resp, decision)
 				return a.resp, nil
--- a/internal/request/forwarder/config.go
+++ b/internal/request/forwarder/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/quotakeeper"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
@@ -123,10 +124,13 @@
 // Quota limits the requests of organisations over all nodes together.
 type Quota interface {
 	// Take takes a request from the quota of an organisation. It may wait for a short time to
-	// learn whether there is room. If there is none, it returns false and the time until there is.
-	Take(ctx context.Context, o *compiler.Organisation) (taken bool, retryAfter time.Duration)
+	// learn whether there is room. If there is none, the ticket is not taken, and the time until
+	// there is room is returned.
+	Take(ctx context.Context, o *compiler.Organisation) (ticket quotakeeper.Ticket, retryAfter time.Duration)
+	// TakeNow is like Take, but does not wait.
+	TakeNow(o *compiler.Organisation) quotakeeper.Ticket
 	// Return gives back a request that was taken and has not run.
-	Return(o *compiler.Organisation)
+	Return(o *compiler.Organisation, ticket quotakeeper.Ticket)
 }
 
 // SnapshotSource returns the configuration in force and the view of the fleet.
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -68,7 +68,7 @@
 	})
 }
 
-// startHedge starts a second attempt if the attempt limit and the retry budget allow it,
+// startHedge starts a second attempt if the attempt limit, the retry budget and the quota allow it,
 // and the instance has no rate limit. On an explicit route, the instance must also have
 // spare capacity.
 func (h *hedger) startHedge() {
@@ -89,6 +89,10 @@
 		c.forwarder.retryDenials.Inc(classifier.ReasonRetryBudget)
 		return
 	}
+	if !c.takeFurtherQuota() {
+		c.undoPick()
+		return
+	}
 	c.forwarder.retries.Inc(classifier.ReasonHedge)
 	h.start(a)
 }
--- a/internal/request/forwarder/organisation.go
+++ b/internal/request/forwarder/organisation.go
@@ -43,22 +43,40 @@
 
 // takeQuota takes a request from the quota of its organisation.
 func (c *call) takeQuota() *refuser.Refusal {
-	organisation := c.route.organisation
-	if c.forwarder.cfg.Quota == nil || organisation == nil || !organisation.Limited() {
+	if !c.hasQuota() {
 		return nil
 	}
-	taken, retryAfter := c.forwarder.cfg.Quota.Take(c.ctx, organisation)
-	if !taken {
+	ticket, retryAfter := c.forwarder.cfg.Quota.Take(c.ctx, c.route.organisation)
+	if !ticket.Taken() {
 		return refuser.New(classifier.NotRun, classifier.ReasonQuota).WithRetryAfter(retryAfter)
 	}
-	c.quotaTaken = true
+	c.quotaTicket = ticket
 	return nil
 }
 
+// hasQuota reports whether the request counts against a quota.
+func (c *call) hasQuota() bool {
+	organisation := c.route.organisation
+	return c.forwarder.cfg.Quota != nil && organisation != nil && organisation.Limited()
+}
+
+// takeFurtherQuota takes one more request for an attempt beside one that may run, or after it. It
+// returns false if there is no room without waiting, and the attempt must not be sent.
+func (c *call) takeFurtherQuota() bool {
+	if !c.hasQuota() {
+		return true
+	}
+	taken := c.forwarder.cfg.Quota.TakeNow(c.route.organisation).Taken()
+	if !taken {
+		c.forwarder.retryDenials.Inc(classifier.ReasonQuota)
+	}
+	return taken
+}
+
 // returnQuota gives back what takeQuota took for a request that has not run.
 func (c *call) returnQuota(refusal *refuser.Refusal) {
-	if c.quotaTaken && refusal.Outcome() == classifier.NotRun {
-		c.forwarder.cfg.Quota.Return(c.route.organisation)
+	if c.quotaTicket.Taken() && refusal.Outcome() == classifier.NotRun {
+		c.forwarder.cfg.Quota.Return(c.route.organisation, c.quotaTicket)
 	}
 }
 
--- a/internal/request/forwarder/organisation_test.go
+++ b/internal/request/forwarder/organisation_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/banyanscale/banyanscale/internal/fleet/quotakeeper"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -40,15 +41,19 @@
 // fakeQuota has room for a number of requests.
 type fakeQuota struct{ left int }
 
-func (q *fakeQuota) Take(context.Context, *compiler.Organisation) (bool, time.Duration) {
+func (q *fakeQuota) Take(_ context.Context, o *compiler.Organisation) (quotakeeper.Ticket, time.Duration) {
+	return q.TakeNow(o), time.Second
+}
+
+func (q *fakeQuota) TakeNow(*compiler.Organisation) quotakeeper.Ticket {
 	if q.left == 0 {
-		return false, time.Second
+		return quotakeeper.Ticket{}
 	}
 	q.left--
-	return true, 0
+	return quotakeeper.NewTicket(time.Minute)
 }
 
-func (q *fakeQuota) Return(*compiler.Organisation) { q.left++ }
+func (q *fakeQuota) Return(*compiler.Organisation, quotakeeper.Ticket) { q.left++ }
 
 // organisationFleet returns a fleet with organisationsBase, and the headers of the last request
 // that reached an upstream.
@@ -149,3 +154,32 @@
 		assert.Equal(t, q.left, 1)
 	})
 }
+
+// failingHandler answers the first run of a request with an error of the server, and others well.
+func failingHandler(w http.ResponseWriter, _ *http.Request, run int64) {
+	if run == 1 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// A retry after an attempt that may have run counts as a further request.
+func TestRetriesAreTakenFromTheQuota(t *testing.T) {
+	for name, tc := range map[string]struct{ left, status, runs, leftAfter int }{
+		"room":    {3, http.StatusOK, 2, 1},
+		"no room": {1, http.StatusServiceUnavailable, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := &fakeQuota{left: tc.left}
+			f, _ := organisationFleet(t, q)
+			f.upstreamHandler = failingHandler
+			f.run(t, func(t *testing.T) {
+				status, _ := f.request(t, "/", "X-Key", "k1")
+				assert.Equal(t, status, tc.status)
+				assert.Equal(t, int(f.runs.Load()), tc.runs)
+				assert.Equal(t, q.left, tc.leftAfter)
+			})
+		})
+	}
+}
