feat: quotas wired in nodes and control instances

Cause: quotas were decided but not kept by the processes. Change: nodes spend, voters elect, the elected grants the limits of the newest configuration that it knows to be chosen; settings quota-window, quota-overage, quota-slack.

--- a/internal/agreement/grantor/server.go
+++ b/internal/agreement/grantor/server.go
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// Elected begins the tenure at once.
+func (s *Server) Elected() { s.tick() }
+
 func (s *Server) run() error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/process/configurer/control.go
+++ b/internal/process/configurer/control.go
@@ -3,13 +3,28 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/version/parser"
 )
 
+// What quotas allow if the settings say nothing, and the most that they may say. A shorter window
+// than the least one would leave no time for messages between processes.
+const (
+	defaultQuotaWindow  = 5 * time.Second
+	defaultQuotaOverage = 0.1
+	defaultQuotaSlack   = 20.0
+	minQuotaWindow      = time.Second
+	maxQuotaWindow      = 30 * time.Second
+	maxQuotaOverage     = 1
+	maxQuotaSlack       = 1_000_000
+)
+
 // Control holds the settings of a control instance. It is immutable.
 type Control struct {
 	instance, site, region, failureDomain string
@@ -17,6 +32,8 @@
 	dataFolder                            string
 	voters, seeds                         []netip.AddrPort
 	toleratedLosses                       int
+	quotaWindow                           time.Duration
+	quotaOverage, quotaSlack              float64
 	logLevel                              zerolog.Level
 }
 
@@ -45,6 +62,9 @@
 		voters:          parser.Optional(r, "voters", nil, parser.Addresses),
 		seeds:           parser.Optional(r, keySeeds, nil, parser.Addresses),
 		toleratedLosses: parser.Optional(r, "tolerated-losses", 0, func(value string) (int, error) { return parser.Int(value, 0, compiler.MaxVoters/2) }),
+		quotaWindow:     parser.Optional(r, "quota-window", defaultQuotaWindow, parseQuotaWindow),
+		quotaOverage:    parser.Optional(r, "quota-overage", defaultQuotaOverage, numberUpTo(maxQuotaOverage)),
+		quotaSlack:      parser.Optional(r, "quota-slack", defaultQuotaSlack, numberUpTo(maxQuotaSlack)),
 		logLevel:        parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	if len(c.voters) == 0 && len(c.seeds) == 0 {
@@ -84,5 +104,29 @@
 // leave the voters as the settings and the configuration name them.
 func (c *Control) ToleratedLosses() int { return c.toleratedLosses }
 
+// QuotaWindow returns the time over which the requests of an organisation are counted.
+func (c *Control) QuotaWindow() time.Duration { return c.quotaWindow }
+
+// QuotaOverage returns the part of what a quota allows in a window by which it may be exceeded.
+func (c *Control) QuotaOverage() float64 { return c.quotaOverage }
+
+// QuotaSlack returns the number of requests by which a quota may be exceeded in a window besides.
+func (c *Control) QuotaSlack() float64 { return c.quotaSlack }
+
 // LogLevel returns the lowest level that is logged.
 func (c *Control) LogLevel() zerolog.Level { return c.logLevel }
+
+func parseQuotaWindow(value string) (time.Duration, error) {
+	return parser.Duration(value, minQuotaWindow, maxQuotaWindow)
+}
+
+// numberUpTo returns a parser of numbers from 0 to limit.
+func numberUpTo(limit float64) func(string) (float64, error) {
+	return func(value string) (float64, error) {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(n >= 0 && n <= limit) {
+			return 0, errors.Errorf("%q is not a number from 0 to %g", value, limit)
+		}
+		return n, nil
+	}
+}
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -19,6 +19,7 @@
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
+	"github.com/banyanscale/banyanscale/internal/process/timekeeper"
 	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
@@ -52,6 +53,7 @@
 	controller  *controller.Controller
 	ledger      *accountant.Ledger
 	replicator  *accountant.Replicator
+	quota       *controlQuota
 	tomb        tomb.Tomb
 }
 
@@ -120,6 +122,10 @@
 	}
 	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(c.client), c.otherControlAddresses, base)
 	c.controller = controller.New(c.voter, documentChecker{}, c.ledger)
+	c.quota = newControlQuota(controlQuotaConfig{
+		settings: c.settings, voters: c.voter, transport: c.courier, view: c.gossiper.View,
+		now: timekeeper.Now, scope: c.metrics.Scope(), log: base,
+	})
 	return nil
 }
 
@@ -135,6 +141,7 @@
 	c.voter.Start()
 	c.ledger.Start()
 	c.replicator.Start()
+	c.quota.start()
 	c.log.Info().Stringer("peer", c.settings.PeerAddress()).Msg("Started.")
 	select {
 	case <-ctx.Done():
@@ -143,7 +150,7 @@
 	c.log.Info().Msg("Stopping.")
 	c.gossiper.Leave(context.Background())
 	c.tomb.Kill(nil)
-	err = firstError(peerListener.closer(context.Background()), c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.disseminator.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
+	err = firstError(peerListener.closer(context.Background()), c.quota.stop, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.disseminator.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
 	if err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
@@ -179,8 +186,9 @@
 	return slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == c.settings.PeerAddress() })
 }
 
-// offerVersion offers a version that the voters accepted to the fleet.
+// offerVersion offers a version that the voters accepted to the fleet, and takes its quotas.
 func (c *Control) offerVersion(version *controlwire.Version) {
+	c.quota.offerVersion(c.settings.Site(), version, c.log)
 	if err := c.distributor.Offer(version); err != nil {
 		c.log.Error().Err(err).Msg("Failed to offer an accepted version to the fleet.")
 	}
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -18,6 +18,7 @@
 	"github.com/banyanscale/banyanscale/internal/connection/pacer"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
+	"github.com/banyanscale/banyanscale/internal/fleet/quotakeeper"
 	"github.com/banyanscale/banyanscale/internal/measurement/gauger"
 	"github.com/banyanscale/banyanscale/internal/measurement/prober"
 	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
@@ -75,6 +76,7 @@
 	forwarder            *forwarder.Forwarder
 	explainer            *explainer.Explainer
 	deduplicator         *deduplicator.Deduplicator
+	quotaKeeper          *quotakeeper.Keeper
 	watcher              *watcher.Watcher
 	enroller             *enroller.Enroller // Nil if the upstream sends no heartbeats.
 	gauger               *gauger.Gauger     // Nil if the upstream sends no heartbeats.
@@ -151,6 +153,7 @@
 		n.tomb.Go(n.identifyUpstream)
 	}
 	n.reporter.Start()
+	n.quotaKeeper.Start()
 	n.tomb.Go(func() error { return n.prober.Run(n.tomb.Dying()) })
 	n.log.Info().Stringer("http", n.settings.HTTPAddress()).Stringer("peer", n.settings.PeerAddress()).Msg("Started.")
 	select {
@@ -187,7 +190,7 @@
 	n.handOverKeys(ctx)
 	n.gossiper.Leave(closeCtx)
 	n.tomb.Kill(nil)
-	stopFuncs := []func() error{n.reporter.Stop, n.distributor.Stop, n.disseminator.Stop, n.gossiper.Stop, peerListener.closer(closeCtx), n.courier.Stop}
+	stopFuncs := []func() error{n.reporter.Stop, n.quotaKeeper.Stop, n.distributor.Stop, n.disseminator.Stop, n.gossiper.Stop, peerListener.closer(closeCtx), n.courier.Stop}
 	for _, l := range platformListeners {
 		stopFuncs = append(stopFuncs, l.listener.closer(closeCtx))
 	}
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -21,6 +21,7 @@
 	"github.com/banyanscale/banyanscale/internal/process/announcer"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
+	"github.com/banyanscale/banyanscale/internal/process/timekeeper"
 	"github.com/banyanscale/banyanscale/internal/request/admitter"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
@@ -95,6 +96,7 @@
 	if err != nil {
 		return fmt.Errorf("create the picker: %w", err)
 	}
+	n.assembleQuota(base, n.courier, timekeeper.Now)
 	n.assembleForwarder(base, instancePicker, newRequester(maxConnectionsPerNode))
 	return nil
 }
@@ -125,6 +127,7 @@
 		Keys:              n.deduplicator,
 		Notices:           n.noticeBoard,
 		Quarantine:        n.quarantiner,
+		Quota:             n.quotaKeeper,
 		Headers:           n.dialect.Headers,
 		MaxUnsentAttempts: n.unsentAttemptLimit(),
 		Explainer:         n.explainer,
--- a/internal/version/compiler/organisation.go
+++ b/internal/version/compiler/organisation.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"iter"
+	"maps"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -86,6 +88,14 @@
 	return o.byName[name]
 }
 
+// All returns all organisations, in no order.
+func (o *Organisations) All() iter.Seq[*Organisation] {
+	if o == nil {
+		return func(func(*Organisation) bool) {}
+	}
+	return maps.Values(o.byName)
+}
+
 // newOrganisations returns the organisations with the given settings.
 func newOrganisations(specs []OrganisationSpec) *Organisations {
 	if len(specs) == 0 {
