--- a/internal/agreement/voter/electorate.go
+++ b/internal/agreement/voter/electorate.go
@@ -8,6 +8,11 @@
 	voters, previous []string
 }
 
+// NewElectorate returns a membership without a replacement under way.
+func NewElectorate(epoch uint64, voters []string) Electorate {
+	return Electorate{epoch: epoch, voters: voters}
+}
+
 // Epoch returns a number that rises with each membership.
 func (e Electorate) Epoch() uint64 { return e.epoch }
 
