fix: a mass crash and one crash after it quarantine no other request

Cause: after all upstreams ended at one moment nothing can respond and clear a request; with one crash before and one of the instance of its trial, by chance, just after the restart, that made three moments. Change: if several upstreams ended at one of the moments, two of the moments must be crashes while the request ran apart. Test: failed before, in quarantiner.

--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -83,19 +83,47 @@
 	return n
 }
 
-// moments is like Streak, but upstreams that end at the same moment count once: they may have
-// another cause in common, such as power.
-func (e *Evidence) moments() int {
-	n := 0
+// moments describes the crashes since the request last ran to its end, with those of the same moment
+// as one: such upstreams may have another cause in common, such as power.
+type moments struct {
+	total int
+	// apart counts the moments at which the request ran apart.
+	apart int
+	// shared reports whether several upstreams ended at one of the moments.
+	shared bool
+}
+
+func (e *Evidence) moments() moments {
+	m := moments{}
 	var last time.Time
+	lastApart := false
 	for _, c := range e.Crashes {
-		if c.Survived || n > 0 && last.Sub(c.At) < sameMoment {
+		if c.Survived {
 			continue
 		}
-		n++
-		last = c.At
+		if m.total > 0 && last.Sub(c.At) < sameMoment {
+			m.shared = true
+		} else {
+			m.total++
+			last, lastApart = c.At, false
+		}
+		if c.Apart && !lastApart {
+			m.apart++
+			lastApart = true
+		}
 	}
-	return n
+	return m
+}
+
+// surplus returns the number of moments beyond those that put the request in quarantine; it is
+// negative if there are too few. A service whose upstreams all ended has no response that would clear
+// a request meanwhile, so that a crash during its first run after that may be by chance.
+func (m moments) surplus() int {
+	apartNeeded := 1
+	if m.shared {
+		apartNeeded = 2
+	}
+	return min(m.total-trialAfter, m.apart-apartNeeded)
 }
 
 // Newest returns the time of the last crash, or the zero time if there is none.
@@ -108,12 +136,10 @@
 
 // HeldUntil returns when the quarantine ends, or the zero time if there is none.
 func (e *Evidence) HeldUntil() time.Time {
-	ranApart := slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.Apart && !c.Survived })
-	moments := e.moments()
-	switch {
-	case !ranApart || moments < trialAfter:
+	switch surplus := e.moments().surplus(); {
+	case surplus < 0:
 		return time.Time{}
-	case moments == trialAfter:
+	case surplus == 0:
 		return e.Newest().Add(firstHold)
 	default:
 		return e.Newest().Add(evidencePeriod)
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -233,6 +233,24 @@
 	})
 }
 
+// TestCrashOfTheFirstRunAfterAllUpstreamsEndedQuarantinesNothing guards against a quarantine of a request that was in flight at one upstream that ended, then at several that ended at the same moment, and runs on trial at one that ends once more.
+func TestCrashOfTheFirstRunAfterAllUpstreamsEndedQuarantinesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(4)
+		assert.Equal(t, nodes[0].run("/a", true), classifier.ReasonNone)
+		time.Sleep(200 * time.Millisecond)
+		for i, n := range nodes[1:] {
+			n.Crashed(crashwatcher.Crash{ID: crashwatcher.CrashID(i), At: time.Now()}, fingerprint("/a"))
+		}
+		time.Sleep(3 * time.Second) // No upstream can respond.
+		assert.Equal(t, nodes[0].run("/a", true), classifier.ReasonNone)
+		assert.Equal(t, nodes[0].run("/a", true), classifier.ReasonNone)
+		refusal := nodes[1].Refusal(request("/a")) // Two runs apart were enough.
+		assert.Assert(t, refusal != nil)
+		assert.Assert(t, refusal.RetryAfter() <= time.Minute, "%v", refusal.RetryAfter())
+	})
+}
+
 func TestOneResponseEndsSuspicion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := newNodes(2)
