fix: requests with large bodies are told apart by the whole body

Cause: of a streamed body the first 4 KiB and the length counted, so that harmless uploads cleared one that crashes upstreams, and were refused for it. Change: the digest of the first 1 MiB, computed while it streams; read on after a crash; held in at most 8 MiB a node while there is evidence, also at the entry node, which so finds the instance of a trial.

--- a/internal/connection/requester/request_body.go
+++ b/internal/connection/requester/request_body.go
@@ -23,8 +23,16 @@
 	Buffered()
 }
 
-// buffered reports whether reading body never blocks.
+// maxWriteFirst is the size in bytes of bodies in memory that are written before the response is
+// read. A longer one may fill the buffers of a server that responds before it has read it.
+const maxWriteFirst = 32 << 10
+
+// buffered reports whether body can be written before the response is read: reading it never
+// blocks, and it is not long.
 func buffered(body io.ReadCloser) bool {
+	if b, ok := body.(*BytesBody); ok {
+		return b.Size() <= maxWriteFirst
+	}
 	_, ok := body.(Buffered)
 	return ok
 }
--- a/internal/process/launcher/crashing_fleet_test.go
+++ b/internal/process/launcher/crashing_fleet_test.go
@@ -42,7 +42,7 @@
 	// arrivalsAllowed the number of arrivals at upstreams that may follow after knownPeriod.
 	knownCrashes    = 3
 	arrivalsAllowed = 3
-	// crashMarker is part of the path or at the start of the body of crashing requests.
+	// crashMarker is part of the path or the body of crashing requests.
 	crashMarker = "crash-it"
 )
 
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, requester.NewError(classifier.Unknown, classifier.ReasonCanceled, err)
 	}
-	if !u.fleet.harmless.Load() && (strings.Contains(req.URL.Path, crashMarker) || bytes.HasPrefix(body, []byte(crashMarker))) {
+	if !u.fleet.harmless.Load() && (strings.Contains(req.URL.Path, crashMarker) || bytes.Contains(body, []byte(crashMarker))) {
 		u.fleet.recordArrival()
 		time.AfterFunc(crashDelay, func() { u.crash(ended) })
 	}
--- a/internal/process/launcher/crashing_request_test.go
+++ b/internal/process/launcher/crashing_request_test.go
@@ -57,6 +57,37 @@
 	}
 }
 
+// upload returns a request of the given size whose body begins like that of others and ends with the given text.
+func upload(size int, chunked bool, end string) callerRequest {
+	return callerRequest{method: http.MethodPost, target: "/", body: strings.Repeat("x", size-len(end)) + end, chunked: chunked}
+}
+
+// TestUploadsBesideCrashingOneAreServed guards against uploads of one caller, path and length that are taken for one that crashes upstreams since their bodies differ only at the end, and against that one being cleared by them.
+func TestUploadsBesideCrashingOneAreServed(t *testing.T) {
+	for name, size := range map[string]int{"3 KB": 3000, "64 KiB": 64 << 10, "360 KB": 360_000} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", name, chunked), func(t *testing.T) {
+				runCrashingFleet(t, 16, func(t *testing.T, f *crashingFleet) {
+					harmless := func(random *rand.Rand) callerRequest {
+						return upload(size, chunked, fmt.Sprintf("%08x", random.Uint32()))
+					}
+					serve := func(seed uint64, length time.Duration) (uploads map[int]int) {
+						var wg sync.WaitGroup
+						wg.Go(func() { uploads = f.sendAtRandomNodes(seed, 20, length, harmless) })
+						wg.Go(func() { f.sendBeside(upload(size, chunked, crashMarker), seed+1, length) })
+						wg.Wait()
+						return uploads
+					}
+					serve(1, 12*time.Second) // The fleet learns of the crashing request, and all upstreams restart.
+					uploads := serve(4, 20*time.Second)
+					assert.Assert(t, f.lateArrivals(t) <= arrivalsAllowed, "%d arrivals, %d crashes", f.lateArrivals(t), len(f.crashes))
+					assertOnlyOK(t, uploads)
+				})
+			})
+		}
+	}
+}
+
 // TestFleetLearnsOfCrashingRequestInTime guards against a request that goes on to crash upstreams whose nodes have not learned of it: for loss, a cut or a restart, or in a large fleet.
 func TestFleetLearnsOfCrashingRequestInTime(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/request/crashwatcher/crashwatcher.go
+++ b/internal/request/crashwatcher/crashwatcher.go
@@ -38,6 +38,9 @@
 	// response, and no other has responded since. After LingerPeriod it is silentCheckDelay.
 	lingerCheckDelay = 500 * time.Millisecond
 	silentCheckDelay = 5 * time.Second
+	// maxReadOn is how long the rest of the body of a request in flight in a crash is read, so that
+	// the request is recognized. The fleet learns of the crash only after that.
+	maxReadOn = 1500 * time.Millisecond
 	// maxLingering bounds the requests that are remembered for that.
 	maxLingering = 64
 	// logLinesPerSecond limits the log lines about requests in flight in a crash.
@@ -125,18 +128,26 @@
 }
 
 // broken handles a run whose connection broke. If the upstream has ended, the run was in flight
-// in that crash.
+// in that crash. The rest of its body may still arrive.
 func (w *Watcher) broken(run *Run) {
+	if crash, ok := w.crashOf(run); ok {
+		run.request.ReadOn(maxReadOn)
+		w.report(crash, run)
+	}
+}
+
+// crashOf returns the crash in which a run was in flight whose connection broke.
+func (w *Watcher) crashOf(run *Run) (Crash, bool) {
 	brokenAt := time.Now()
 	w.checkMu.Lock()
 	defer w.checkMu.Unlock()
 	if crash := w.lastCrash(); crash.At.After(run.startedAt) {
-		w.report(crash, run) // The run was sent to the process that ended then.
-		return
+		return crash, true // The run was sent to the process that ended then.
 	}
 	if !w.runningSince.After(brokenAt) && w.ended() {
-		w.report(w.newCrash(), run)
+		return w.newCrash(), true
 	}
+	return Crash{}, false
 }
 
 // ended checks whether the upstream has ended. checkMu must be held.
--- a/internal/request/crashwatcher/crashwatcher_test.go
+++ b/internal/request/crashwatcher/crashwatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/fingerprinter"
 )
@@ -126,6 +128,43 @@
 	})
 }
 
+// TestRestOfBodyIsReadAfterCrash guards against a request that nobody recognizes since it crashes its upstream before that has read the body, and against other runs that wait for that body.
+func TestRestOfBodyIsReadAfterCrash(t *testing.T) {
+	run(t, func(t *testing.T, w *watched) {
+		src, sender := io.Pipe()
+		req := httptest.NewRequest(http.MethodPost, "http://vitrina.example/", src)
+		crashing := w.Start("", fingerprinter.New(req))
+		go func() {
+			_, err := io.WriteString(sender, "first ")
+			assert.Check(t, err)
+			time.Sleep(time.Second)
+			_, err = io.WriteString(sender, "second")
+			assert.Check(t, err)
+			assert.Check(t, sender.Close())
+		}()
+		_, err := io.ReadFull(req.Body, make([]byte, 6))
+		assert.NilError(t, err)
+		w.ended.Store(true)
+		var wg sync.WaitGroup
+		wg.Go(func() { crashing.End(crashwatcher.Broken) })
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		w.Start("", request("/a")).End(crashwatcher.Broken)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		wg.Wait()
+		whole := httptest.NewRequest(http.MethodPost, "http://vitrina.example/", nil)
+		whole.Body = requester.NewBytesBody([]byte("first second"))
+		want, _ := fingerprinter.New(whole).Fingerprint()
+		recognized := 0
+		for _, list := range w.inFlight {
+			if slices.Contains(list, want) {
+				recognized++
+			}
+		}
+		assert.Equal(t, recognized, 1)
+	})
+}
+
 // TestBrokenConnectionIsNoCrash guards against suspects where an upstream only closes connections.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	run(t, func(t *testing.T, w *watched) {
--- a/internal/request/fingerprinter/request.go
+++ b/internal/request/fingerprinter/request.go
@@ -4,30 +4,40 @@
 // # Usage
 //
 //	r := fingerprinter.New(req) // May replace req.Body.
-//	if suspects.HasHead(r.Head()) {
-//		err := r.ReadStart() // Reads the start of a streamed body.
+//	if suspects.MayHold(r) {
+//		err := r.Buffer(take) // Reads a streamed body into memory.
 //	}
 //	fingerprint, ok := r.Fingerprint()
 //
 // Two requests are equal if they have the same method, host, path, query, credentials and body.
-// Of a body that is not held in memory only the length and the first StartSize bytes count.
-// Fingerprints are digests, so that logs and messages hold no part of a request.
+// Of a body only the first CountedSize bytes count. Fingerprints are digests, so that logs and
+// messages hold no part of a request.
 package fingerprinter
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 )
 
-// StartSize is the number of bytes of a streamed body that count.
-const StartSize = 4 << 10
+// Sizes in bytes.
+const (
+	// CountedSize is the number of bytes of a body that count.
+	CountedSize = 1 << 20
+	// firstBuffer is the first part of a body of unknown length that Buffer holds.
+	firstBuffer = 16 << 10
+	// dropBuffer is how much is read at once if it is dropped.
+	dropBuffer = 16 << 10
+)
+
+// ErrNoMemory means that there is no memory to hold a body.
+var ErrNoMemory = errors.New("no memory for the body")
 
 // Request is a request whose fingerprint may be needed later. Its methods are safe for
 // concurrent use with reads of the body.
@@ -37,14 +47,17 @@
 
 	headOnce sync.Once
 	head     Head
+	// inMemory returns the fingerprint of a request whose body is held in memory.
+	inMemory func() (Fingerprint, bool)
 }
 
 // New returns req as a Request. It replaces a body that is not held in memory by one that
-// keeps its start.
+// computes its digest while it is read.
 func New(req *http.Request) *Request {
 	r := &Request{req: req}
+	r.inMemory = sync.OnceValues(r.fingerprintInMemory)
 	if _, inMemory := req.Body.(*requester.BytesBody); !inMemory && req.Body != nil && req.Body != http.NoBody {
-		r.stream = &streamedBody{ReadCloser: req.Body}
+		r.stream = newStreamedBody(req.Body)
 		req.Body = r.stream
 	}
 	return r
@@ -59,42 +72,62 @@
 // Fingerprint returns the fingerprint. It returns false if too little of a streamed body has
 // been read.
 func (r *Request) Fingerprint() (Fingerprint, bool) {
-	body, length, ok := r.bodyStart()
-	if !ok {
-		return Fingerprint{}, false
+	if r.stream != nil {
+		sum, ok := r.stream.sum(r.req.ContentLength)
+		return newFingerprint(r.Head(), sum), ok
 	}
-	sum := sha256.New()
-	sum.Write(binary.AppendVarint(nil, length))
-	sum.Write(body)
-	return newFingerprint(r.Head(), sum.Sum(nil)), true
+	return r.inMemory()
 }
 
 // Streamed reports whether the body is not held in memory.
 func (r *Request) Streamed() bool { return r.stream != nil }
 
-// ReadStart reads as much of a streamed body as Fingerprint needs. It must be called before
-// the body is read otherwise.
-func (r *Request) ReadStart() error {
+// Buffer reads as much of a streamed body as Fingerprint needs into memory. It must be called
+// before the body is read otherwise. It calls take before it holds n more bytes, and returns
+// ErrNoMemory if that returns false.
+func (r *Request) Buffer(take func(n int) bool) error {
 	if r.stream == nil {
 		return nil
 	}
-	return r.stream.readStart()
+	return r.stream.buffer(r.req.ContentLength, take)
 }
 
-// bodyStart returns the part of the body that counts and the length of the body, -1 if that
-// is unknown.
-func (r *Request) bodyStart() (start []byte, length int64, ok bool) {
-	if r.stream != nil {
-		start, ok = r.stream.startSoFar()
-		return start, r.req.ContentLength, ok
+// ReadOn reads as much of a streamed body as Fingerprint needs, for at most the given time, and
+// drops it. It is for a request that will not be sent any more.
+func (r *Request) ReadOn(timeout time.Duration) {
+	if r.stream == nil {
+		return
+	}
+	if _, ok := r.Fingerprint(); ok {
+		return
 	}
-	body, inMemory := r.req.Body.(*requester.BytesBody)
-	if !inMemory {
-		return nil, 0, true
+	ended := make(chan error, 1)
+	go func() { ended <- r.stream.readOn() }()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-ended: // If it failed, Fingerprint returns false.
+	case <-timer.C:
 	}
-	start = make([]byte, body.Size())
-	if _, err := body.ReadAt(start, 0); err != nil && !errors.Is(err, io.EOF) {
-		return nil, 0, false
+}
+
+// Held returns the whole body if Buffer has read all of it and nothing else has read it since. It
+// must not be modified.
+func (r *Request) Held() ([]byte, bool) {
+	if r.stream == nil {
+		return nil, false
+	}
+	return r.stream.held()
+}
+
+func (r *Request) fingerprintInMemory() (Fingerprint, bool) {
+	counted := []byte(nil)
+	if body, ok := r.req.Body.(*requester.BytesBody); ok {
+		counted = make([]byte, min(body.Size(), CountedSize))
+		if _, err := body.ReadAt(counted, 0); err != nil && !errors.Is(err, io.EOF) {
+			return Fingerprint{}, false
+		}
 	}
-	return start, body.Size(), true
+	sum := sha256.Sum256(counted)
+	return newFingerprint(r.Head(), sum[:]), true
 }
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -39,6 +39,8 @@
 	idempotent  bool // Copy of route.idempotent.
 	// body is the buffered request body, if it is small and of known length.
 	body []byte
+	// held is another request body that recognizeStream has read completely.
+	held []byte
 	// stream is the request body if it is not buffered.
 	stream *streamedBody
 	// header holds the end-to-end headers common to all attempts.
@@ -53,7 +55,7 @@
 	// mayHaveRun reports whether an earlier attempt may have run.
 	mayHaveRun bool
 	// fingerprint recognizes the request if it has crashed upstreams; nil if there is no
-	// quarantine, or if the body is streamed.
+	// quarantine, or if the body is not known.
 	fingerprint *fingerprinter.Request
 	// quotaTaken reports whether a request was taken from the quota of the organisation.
 	quotaTaken bool
@@ -106,9 +108,9 @@
 		return refuser.New(classifier.NotRun, classifier.ReasonCanceled)
 	}
 	if body == nil {
-		// The deadline stays: the start of the body may be read before anything is sent.
+		// The deadline stays: a caller that stalls must not hold a slot after it.
 		c.stream = &streamedBody{src: c.r.Body}
-		return nil
+		return c.recognizeStream()
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	c.body = body
@@ -119,8 +121,8 @@
 // not be sent any more, and sets quarantined.
 func (c *call) candidates() []*registrar.Instance {
 	quarantine := c.forwarder.cfg.Quarantine
-	if quarantine == nil || quarantine.Empty() || c.stream != nil {
-		return c.route.instances // The node beside the upstream recognizes a streamed body.
+	if quarantine == nil || quarantine.Empty() || c.stream != nil && c.fingerprint == nil {
+		return c.route.instances // The node beside the upstream may know more of a streamed body.
 	}
 	if c.fingerprint == nil {
 		c.fingerprint = fingerprinter.New(c.request(nil))
@@ -254,6 +256,8 @@
 	switch {
 	case c.body != nil:
 		req.Body = requester.NewBytesBody(c.body)
+	case c.held != nil:
+		req.Body = requester.NewBytesBody(c.held)
 	case c.stream != nil:
 		req.Body = c.stream.view()
 	default:
--- a/internal/request/forwarder/config.go
+++ b/internal/request/forwarder/config.go
@@ -116,6 +116,11 @@
 	Empty() bool
 	// Refusal returns the refusal of a request that must not run, or nil.
 	Refusal(r *fingerprinter.Request) *refuser.Refusal
+	// MayHold reports whether the body of a request must be known before it is sent.
+	MayHold(r *fingerprinter.Request) bool
+	// Buffer reads the body of a request into memory, which is free again once ctx is done. It
+	// returns a *refuser.Refusal if there is no memory.
+	Buffer(ctx context.Context, r *fingerprinter.Request) error
 	// Trial returns the trial of a request that runs at one instance only, if it is one.
 	Trial(r *fingerprinter.Request) (quarantiner.Trial, bool)
 }
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -5,7 +5,7 @@
 //
 //	q := quarantiner.New(quarantiner.Config{RunsTrial: runsTrial, OnChange: spread, ...})
 //	w := crashwatcher.New(crashwatcher.Config{Observer: q, ...})
-//	err := q.Check(r)            // Before the request waits for a slot.
+//	err := q.Check(ctx, r)       // Before the request waits for a slot.
 //	release, err := q.Start(r)   // Before it is sent to the own upstream.
 //	...
 //	release()
@@ -31,11 +31,13 @@
 package quarantiner
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -65,6 +67,9 @@
 	cfg         Config
 	entryGauge  tally.Gauge
 	quarantined tally.Gauge
+	// unbuffered counts the requests that were refused since there was no memory for their bodies.
+	unbuffered tally.Counter
+	memory     memory
 	// entries is the size of the table. It is read without the mutex.
 	entries atomic.Int64
 
@@ -83,6 +88,8 @@
 		cfg:         cfg,
 		entryGauge:  cfg.Scope.Gauge("crash_evidence"),
 		quarantined: cfg.Scope.Gauge("quarantined_requests"),
+		unbuffered:  cfg.Scope.Counter("bodies_without_memory"),
+		memory:      memory{free: maxBuffered},
 		table:       newTable(),
 		inFlight:    make(map[*fingerprinter.Request]struct{}),
 	}
@@ -92,7 +99,7 @@
 func (q *Quarantiner) Empty() bool { return q.entries.Load() == 0 }
 
 // Refusal returns the refusal of a request in quarantine, or nil for any other. It does not read
-// the body: a request with a streamed body is refused by the node beside the upstream.
+// the body: it returns nil for a request whose body is not known.
 func (q *Quarantiner) Refusal(r *fingerprinter.Request) *refuser.Refusal {
 	f, ok := q.knownFingerprint(r)
 	if !ok {
@@ -108,7 +115,7 @@
 }
 
 // Trial returns the trial of a request that runs at one instance of its service only. It returns
-// false for any other request, and for one with a streamed body.
+// false for any other request, and for one whose body is not known.
 func (q *Quarantiner) Trial(r *fingerprinter.Request) (Trial, bool) {
 	f, ok := q.knownFingerprint(r)
 	if !ok {
@@ -123,16 +130,56 @@
 	return q.table.entries[f].trial(now), true
 }
 
-// Check returns a *refuser.Refusal if the request must not run now. If the evidence is about a
-// request that differs at most by its body, it reads the start of a streamed body, and returns
-// another error if that fails.
-func (q *Quarantiner) Check(r *fingerprinter.Request) error {
+// MayHold reports whether the body of a request must be known before it is sent: there is a request
+// that must not run like any other, and that differs from it at most by its body.
+func (q *Quarantiner) MayHold(r *fingerprinter.Request) bool {
 	if !q.hasHead(r) {
-		return nil
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for f, e := range q.table.entries {
+		if f.Head() == r.Head() && e.Standing(now) != Clear {
+			return true
+		}
 	}
-	if err := r.ReadStart(); err != nil {
+	return false
+}
+
+// Buffer reads the body of a request into memory, which is free again once ctx is done. It returns a
+// *refuser.Refusal if there is no memory, and another error if the body cannot be read.
+func (q *Quarantiner) Buffer(ctx context.Context, r *fingerprinter.Request) error {
+	taken := 0
+	err := r.Buffer(func(n int) bool {
+		if !q.memory.take(n) {
+			return false
+		}
+		taken += n
+		return true
+	})
+	context.AfterFunc(ctx, func() { q.memory.give(taken) })
+	if errors.Is(err, fingerprinter.ErrNoMemory) {
+		q.unbuffered.Inc(1)
+		return refuser.New(classifier.NotRun, classifier.ReasonSuspected).WithRetryAfter(suspectedRetryAfter)
+	}
+	if err != nil {
 		return fmt.Errorf("recognize the request: %w", err)
 	}
+	return nil
+}
+
+// Check returns a *refuser.Refusal if the request must not run now. If MayHold is true, it reads a
+// streamed body like Buffer, and returns another error if that fails.
+func (q *Quarantiner) Check(ctx context.Context, r *fingerprinter.Request) error {
+	if r.Streamed() && q.MayHold(r) {
+		if err := q.Buffer(ctx, r); err != nil {
+			return err
+		}
+	}
+	if !q.hasHead(r) {
+		return nil
+	}
 	f, ok := r.Fingerprint()
 	if !ok {
 		return nil
@@ -241,7 +288,7 @@
 }
 
 // knownFingerprint returns the fingerprint of a request if there may be evidence against it. It
-// returns false if there is none, or if too little of a streamed body has been read.
+// returns false if there is none, or if a streamed body has not been read.
 func (q *Quarantiner) knownFingerprint(r *fingerprinter.Request) (fingerprinter.Fingerprint, bool) {
 	if !q.hasHead(r) {
 		return fingerprinter.Fingerprint{}, false
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -1,10 +1,13 @@
 package quarantiner_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,7 +79,7 @@
 	releases := make([]func(), len(paths))
 	for i, path := range paths {
 		r := request(path)
-		err := n.Check(r)
+		err := n.Check(context.Background(), r)
 		if err == nil {
 			releases[i], err = n.Start(r)
 		}
@@ -357,3 +360,38 @@
 		assert.Equal(t, nodes[0].Digest(), uint64(0))
 	})
 }
+
+// upload returns a request with a streamed body.
+func upload(body string) *fingerprinter.Request {
+	r := httptest.NewRequest(http.MethodPost, "http://vitrina.example/upload", io.NopCloser(strings.NewReader(body)))
+	r.ContentLength = int64(len(body))
+	return fingerprinter.New(r)
+}
+
+// TestUploadsAreHeldInBoundedMemory guards against bodies that are held in memory without need, without bound, or for longer than their requests.
+func TestUploadsAreHeldInBoundedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, fitting = 1 << 20, 8
+		n := newNodes(1)[0]
+		body := strings.Repeat("x", size)
+		sent := upload(body)
+		assert.NilError(t, sent.Buffer(func(int) bool { return true }))
+		f, _ := sent.Fingerprint()
+		n.Crashed(crashwatcher.Crash{ID: 1, At: time.Now()}, f)
+		assert.Assert(t, !n.MayHold(upload(body)), "one crash holds nothing")
+		n.Crashed(crashwatcher.Crash{ID: 2, At: time.Now()}, f)
+		assert.Assert(t, n.MayHold(upload(body)))
+		for range 3 {
+			ctx, cancel := context.WithCancel(t.Context())
+			for range fitting {
+				assert.NilError(t, n.Check(ctx, upload(body)))
+			}
+			var refusal *refuser.Refusal
+			assert.Assert(t, errors.As(n.Check(ctx, upload(body)), &refusal))
+			assert.Equal(t, refusal.Reason(), classifier.ReasonSuspected)
+			assert.Equal(t, refusal.Outcome(), classifier.NotRun)
+			cancel()
+			synctest.Wait()
+		}
+	})
+}
--- a/internal/request/server/config.go
+++ b/internal/request/server/config.go
@@ -109,8 +109,9 @@
 // Quarantine keeps requests that crash upstreams from running. It returns a *refuser.Refusal for a
 // request that must not run now.
 type Quarantine interface {
-	// Check may read the start of the body, and returns another error if that fails.
-	Check(r *fingerprinter.Request) error
+	// Check may read the body into memory, which is free again once ctx is done. It returns another
+	// error if the body cannot be read.
+	Check(ctx context.Context, r *fingerprinter.Request) error
 	// Start records that a request is about to be sent, until release is called. Check must have
 	// been called before.
 	Start(r *fingerprinter.Request) (release func(), err error)
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -55,7 +55,7 @@
 	if refusal := s.setUpstreamID(req); refusal != nil {
 		return nil, refusal
 	}
-	tracked, refusal := s.newTrackedRun(req)
+	tracked, refusal := s.newTrackedRun(ctx, req)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -167,6 +167,8 @@
 	}
 	if body != nil {
 		req.Body = requester.NewBytesBody(body)
+	} else if r.ContentLength != 0 {
+		limitReads(ctx, w)
 	}
 	resp, err := s.Exchange(ctx, req)
 	if err != nil {
@@ -177,6 +179,14 @@
 	s.respond(w, r, resp)
 }
 
+// limitReads ends reads of a streamed body at the deadline of ctx. Otherwise a sender that stalls
+// would hold what the request holds.
+func limitReads(ctx context.Context, w http.ResponseWriter) {
+	deadline, _ := ctx.Deadline()
+	// A writer without deadlines has no connection that could stall.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	h := w.Header()
 	for _, name := range [...]string{classifier.HeaderOutcome, classifier.HeaderInstance, classifier.HeaderRetried, classifier.HeaderWork} {
--- a/internal/request/server/tracked_run.go
+++ b/internal/request/server/tracked_run.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -27,7 +28,7 @@
 
 // newTrackedRun returns a run that has not started, or a refusal if the request must not run
 // now. It may replace the body of req by one that reads the same.
-func (s *Server) newTrackedRun(req *http.Request) (*trackedRun, *refuser.Refusal) {
+func (s *Server) newTrackedRun(ctx context.Context, req *http.Request) (*trackedRun, *refuser.Refusal) {
 	r := &trackedRun{server: s, id: req.Header.Get(classifier.HeaderRequestID)}
 	if s.cfg.CrashWatcher == nil {
 		return r, nil
@@ -36,7 +37,7 @@
 	if s.cfg.Quarantine == nil {
 		return r, nil
 	}
-	if err := s.cfg.Quarantine.Check(r.request); err != nil {
+	if err := s.cfg.Quarantine.Check(ctx, r.request); err != nil {
 		return nil, quarantineRefusal(err)
 	}
 	return r, nil
@@ -75,8 +76,8 @@
 	})
 }
 
-// quarantineRefusal converts an error of the quarantine. Nothing has been sent yet; the start of
-// the body cannot be read if its sender is gone.
+// quarantineRefusal converts an error of the quarantine. Nothing has been sent yet; the body cannot
+// be read if its sender is gone.
 func quarantineRefusal(err error) *refuser.Refusal {
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) {
