feat: overload of a service by what costs callers least

Cause: beyond capacity requests waited in order of goals until all were late or refused after a wait. Change: with overload = least-cost the serving node plans its waiting requests over its slots, by the rule of Moore and Hodgson within a priority, refuses at once what cannot be in time, and weighs organisations by what is usual for them. The default is unchanged.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -158,6 +158,7 @@
 		Retried:         req.Retried,
 		PreferLocal:     req.PreferLocal,
 		Organisation:    req.Organisation,
+		Nested:          req.Nested,
 	})
 	if err != nil {
 		if isCapacityRefusal(err) {
@@ -175,7 +176,8 @@
 		return false
 	}
 	switch refusal.Reason() {
-	case classifier.ReasonQueueFull, classifier.ReasonQueueSlow, classifier.ReasonPreempted, classifier.ReasonDeadline:
+	case classifier.ReasonQueueFull, classifier.ReasonQueueSlow, classifier.ReasonPreempted, classifier.ReasonDeadline,
+		classifier.ReasonGoal, classifier.ReasonDisplaced, classifier.ReasonOverShare:
 		return true
 	}
 	return false
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -174,6 +174,7 @@
 		Connections:         orDefault(s.Connections(), spec.Connections),
 		QueueLength:         spec.QueueLength,
 		ColdStart:           spec.ColdStart,
+		Overload:            spec.Overload,
 		LimitIgnoresLatency: s.UpstreamHeartbeats(),
 		Slowdown:            n.slowdown,
 		LinkWait:            n.linkPacer.EstimatedWait,
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -121,6 +121,7 @@
 	spec := s.Spec()
 	slots := orDefault(n.settings.Slots(), orDefault(int(n.upstreamSlots.Load()), spec.Slots))
 	connections := orDefault(n.settings.Connections(), spec.Connections)
+	n.admitter.SetOverload(spec.Overload)
 	n.admitter.Update(slots, connections, spec.QueueLength, spec.ColdStart)
 	n.gossiper.SetCapacity(slots, connections)
 }
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -44,6 +44,7 @@
 	mu           sync.Mutex // Guards all below.
 	limiter      *limiter
 	queue        queue
+	leastCost    *leastCost // Nil unless it decides.
 	healthReport healthReport
 	rateReserve  rateReserve
 	inFlight     int
@@ -73,6 +74,7 @@
 	}
 	a.limiter.ignoresLatency = cfg.LimitIgnoresLatency
 	a.limiter.slowdown = cfg.Slowdown
+	a.SetOverload(cfg.Overload)
 	return a
 }
 
@@ -165,8 +167,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.dispatch(now)
-	a.prune(now)
+	a.review(now)
 	a.notify(now)
 }
 
@@ -181,9 +182,18 @@
 	for a.queue.len() > queueLength {
 		a.refuseWaiter(a.queue.last(), classifier.ReasonQueueFull, now)
 	}
+	a.review(now)
+	a.notify(now)
+}
+
+// review starts and refuses waiting requests after a change.
+func (a *Admitter) review(now time.Time) {
+	if a.leastCost != nil {
+		a.reviewLeastCost(now)
+		return
+	}
 	a.dispatch(now)
 	a.prune(now)
-	a.notify(now)
 }
 
 // admitOrQueue starts, queues or refuses a request. The waiter and the refusal
@@ -194,6 +204,9 @@
 	if a.leaving {
 		return nil, run{}, a.newRefusal(classifier.ReasonLeaving, now)
 	}
+	if a.leastCost != nil {
+		req = a.arrive(req, now)
+	}
 	if refusal := a.rateRefusal(a.queue.len()+1+a.rateReserve.forHigher(req.Priority, now), now); refusal != nil {
 		return nil, run{}, refusal
 	}
@@ -204,6 +217,10 @@
 		return nil, a.start(req, now), nil
 	}
 	req.arrivedLate = a.missesGoal(req, now)
+	if a.leastCost != nil {
+		w, refusal := a.queueLeastCost(req, now)
+		return w, run{}, refusal
+	}
 	pos := a.queue.position(req)
 	if reason := a.refusalReason(req, pos, pos.scaled(marginFor(req)), now); reason != classifier.ReasonNone {
 		a.prune(now)
@@ -239,6 +256,9 @@
 	a.inFlight++
 	a.startOffsetSum += now.Sub(a.created)
 	a.queue.recordStart(req.Priority)
+	if a.leastCost != nil {
+		a.recordLeastCostStart(req, now)
+	}
 	a.lastChange = now
 	a.notify(now)
 	return run{startedAt: now, expectedWork: req.ExpectedWork, inFlight: a.inFlight, slownessPercent: a.slowdownAt(now).SlownessPercent}
@@ -262,10 +282,12 @@
 		if unslowed, ok := r.unslowedLatency(result.Latency); ok {
 			a.limiter.contention.observe(r.inFlight, a.limiter.maxLimit(), unslowed, r.expectedWork, now)
 		}
+		if a.leastCost != nil {
+			a.leastCost.occupancy.observe(now.Sub(r.startedAt), sampler.SlowedDuration(r.expectedWork, r.slownessPercent))
+		}
 		a.healthReport.lastSuccess = now
 	}
-	a.dispatch(now)
-	a.prune(now)
+	a.review(now)
 	a.notify(now)
 }
 
@@ -275,7 +297,11 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	a.removeInFlight(startedAt)
-	a.dispatch(now)
+	if a.leastCost != nil {
+		a.reviewLeastCost(now)
+	} else {
+		a.dispatch(now)
+	}
 	a.notify(now)
 }
 
@@ -283,6 +309,9 @@
 func (a *Admitter) removeInFlight(startedAt time.Time) {
 	a.inFlight--
 	a.startOffsetSum -= startedAt.Sub(a.created)
+	if a.leastCost != nil {
+		a.leastCost.occupancy.end(startedAt)
+	}
 }
 
 // dispatch starts waiting requests while slots are free.
--- a/internal/request/admitter/config.go
+++ b/internal/request/admitter/config.go
@@ -44,6 +44,8 @@
 	// LinkWait returns how long a large response waits for the network link; nil if
 	// that is unknown.
 	LinkWait func() time.Duration
+	// Overload is what decides which requests wait or are refused beyond capacity.
+	Overload compiler.Overload
 	// RateLimiter limits the rate at which requests start; nil for no limit.
 	RateLimiter RateLimiter
 	// Observer receives changes of the requests in flight; nil for none.
@@ -72,6 +74,10 @@
 	PreferLocal bool
 	// Organisation is the name of the caller's organisation; empty if it has none.
 	Organisation string
+	// Nested means that a running request made the call and waits for the response.
+	Nested bool
 	// arrivedLate means that the latency goal could no longer be met on arrival.
 	arrivedLate bool
+	// goalOnArrival is the time until the latency goal on arrival, 0 if that is unknown or past.
+	goalOnArrival time.Duration
 }
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -21,9 +21,11 @@
 type waiter struct {
 	req     Request
 	element *list.Element
-	arrival uint64        // Sequence number of arrival.
-	run     run           // Set when the request starts.
-	settled chan *Refusal // Receives the refusal, or nil if the request starts.
+	arrival uint64 // Sequence number of arrival.
+	run     run    // Set when the request starts.
+	// leastCost means that the request waits by a plan, which is checked for its goal, too.
+	leastCost bool
+	settled   chan *Refusal // Receives the refusal, or nil if the request starts.
 }
 
 func newWaiter(req Request) *waiter {
@@ -54,8 +56,11 @@
 }
 
 // nextCheck returns the time until the next check of the deadline: half of the
-// remaining time.
+// remaining time. A request that waits by a plan is also checked before its latency goal.
 func (w *waiter) nextCheck(now time.Time) time.Duration {
+	if goal := w.req.LatencyGoalTime.Sub(now); w.leastCost && goal > 0 {
+		return max(goal/2, minCheckInterval)
+	}
 	if w.req.Deadline.IsZero() {
 		return maxCheckInterval
 	}
@@ -67,6 +72,10 @@
 func (a *Admitter) refuseIfDeadlineMissed(w *waiter, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.leastCost != nil {
+		a.reviewLeastCost(now)
+		return
+	}
 	a.dispatch(now)
 	if w.element != nil && a.missesDeadline(w.req, position{}, now) {
 		a.refuseWaiter(w, classifier.ReasonDeadline, now)
--- a/internal/request/server/config.go
+++ b/internal/request/server/config.go
@@ -52,6 +52,8 @@
 	Retried bool
 	// Organisation is the name of the caller's organisation; empty if it has none.
 	Organisation string
+	// Nested reports whether a running request made the call.
+	Nested bool
 	// PreferLocal reports whether a wait at this instance is better than an attempt at one
 	// in another failure domain.
 	PreferLocal bool
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -22,6 +22,9 @@
 // greater, also when compared as strings.
 const firstAttempt = "1"
 
+// firstDepth is the HeaderDepth value of a request that no other request made.
+const firstDepth = "1"
+
 // nodeHeaderPrefix is the common prefix of the headers that nodes set.
 const nodeHeaderPrefix = "Banyanscale-"
 
@@ -134,6 +137,7 @@
 		Retried:         req.Header.Get(classifier.HeaderHop) > firstAttempt,
 		PreferLocal:     req.Header.Get(classifier.HeaderStay) != "",
 		Organisation:    req.Header.Get(classifier.HeaderOrganisation),
+		Nested:          isNested(req.Header),
 	})
 	if err != nil {
 		return nil, admissionRefusal(err)
@@ -142,6 +146,12 @@
 	return permit, nil
 }
 
+// isNested reports whether a running request made the call: it is not the first in its chain.
+func isNested(h http.Header) bool {
+	depth := h.Get(classifier.HeaderDepth)
+	return depth != "" && depth != firstDepth
+}
+
 // latencyGoalTime returns the latency-goal time of a request, or the zero time if the
 // request names none.
 func latencyGoalTime(h http.Header) time.Time {
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -43,6 +43,9 @@
 	// QueueLength is the maximum number of requests that wait for a slot of one
 	// instance.
 	QueueLength int
+	// Overload is what decides which requests wait or are refused beyond the capacity of an
+	// instance.
+	Overload Overload
 	// Priority is the highest priority that a request of the service may have, and
 	// its default.
 	Priority Priority
--- a/internal/version/compiler/setting.go
+++ b/internal/version/compiler/setting.go
@@ -53,6 +53,7 @@
 	intSetting("slots", 1, MaxSlots, func(s *ServiceSpec) *int { return &s.Slots }),
 	intSetting("connections", 1, MaxConnections, func(s *ServiceSpec) *int { return &s.Connections }),
 	intSetting("queue-length", 0, 10_000, func(s *ServiceSpec) *int { return &s.QueueLength }),
+	{key: "overload", set: setOverload, get: getOverload},
 	{key: "priority", set: setPriority, get: func(s *ServiceSpec) string { return s.Priority.String() }},
 	{key: "repeatable-methods", set: setMethods, get: getMethods},
 	percentSetting("retry-percent", func(s *ServiceSpec) *int { return &s.RetryPercent }),
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -33,6 +33,15 @@
 	// ReasonPreempted means that a request of higher priority displaced the request
 	// from the queue.
 	ReasonPreempted Reason = "preempted"
+	// ReasonGoal means that the request could not be served within its latency goal by this
+	// instance, or too late to wait for.
+	ReasonGoal Reason = "goal-unmet"
+	// ReasonDisplaced means that the request gave its place to another one of its priority that
+	// needs less work.
+	ReasonDisplaced Reason = "displaced"
+	// ReasonOverShare means that the request gave its place to another one because its
+	// organisation has more than its share.
+	ReasonOverShare Reason = "over-share"
 	// ReasonDeadline means that the request could not complete in its remaining time.
 	ReasonDeadline Reason = "deadline-unmet"
 	// ReasonTimeout means that the deadline passed while the request was running.
