--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -159,6 +159,7 @@
 		Retried:         req.Retried,
 		PreferLocal:     req.PreferLocal,
 		Organisation:    req.Organisation,
+		Nested:          req.Nested,
 	})
 	if err != nil {
 		if isCapacityRefusal(err) {
@@ -176,7 +177,8 @@
 		return false
 	}
 	switch refusal.Reason() {
-	case classifier.ReasonQueueFull, classifier.ReasonQueueSlow, classifier.ReasonPreempted, classifier.ReasonDeadline:
+	case classifier.ReasonQueueFull, classifier.ReasonQueueSlow, classifier.ReasonPreempted, classifier.ReasonDeadline,
+		classifier.ReasonGoal, classifier.ReasonDisplaced, classifier.ReasonOverShare:
 		return true
 	}
 	return false
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -123,6 +123,7 @@
 	connections := orDefault(n.settings.Connections(), spec.Connections)
 	n.coldLimiter.Configure(spec.ColdRate, spec.ColdStart)
 	n.admitter.Update(slots, connections, spec.QueueLength, concurrencyRamp(spec))
+	n.admitter.SetOverload(spec.Overload)
 	n.gossiper.SetCapacity(slots, connections)
 }
 
--- a/internal/process/launcher/quota_fleet_test.go
+++ b/internal/process/launcher/quota_fleet_test.go
@@ -130,7 +130,7 @@
 	t.Helper()
 	n.snapshots.SetView(view)
 	n.assembleAdmitter(zerolog.Nop(), n.service().Spec())
-	n.assembleServer(zerolog.Nop(), countingUpstream{f})
+	n.assembleServer(zerolog.Nop(), quotaUpstream{f})
 	n.assembleQuota(zerolog.Nop(), f.network.Endpoint(n.settings.PeerAddress()), f.now)
 	instancePicker, err := n.newPicker()
 	assert.NilError(t, err)
@@ -163,11 +163,11 @@
 	}
 }
 
-// countingUpstream runs each request at once and notes its organisation.
-type countingUpstream struct{ fleet *quotaFleet }
+// quotaUpstream runs each request at once and notes its organisation.
+type quotaUpstream struct{ fleet *quotaFleet }
 
 // DoLimited implements server.Requester.
-func (u countingUpstream) DoLimited(_ context.Context, _ netip.AddrPort, req *http.Request, _ requester.Limits) (*http.Response, error) {
+func (u quotaUpstream) DoLimited(_ context.Context, _ netip.AddrPort, req *http.Request, _ requester.Limits) (*http.Response, error) {
 	f := u.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
