feat: a starting node reads the evacuated failure domains with its first version

The node beside an evacuated upstream had a version in force before gossip told it of the evacuation.

--- a/internal/agreement/controller/controller.go
+++ b/internal/agreement/controller/controller.go
@@ -121,13 +121,17 @@
 		return nil, connect.NewError(codeOf(err), err)
 	}
 	if !req.Msg.GetPacked() {
-		return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version()}), nil
+		return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version(), Evacuation: state.Evacuation()}), nil
 	}
-	resp, err := c.cache.currentResponse(state.Version())
+	cached, err := c.cache.currentResponse(state.Version())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(resp), nil
+	return connect.NewResponse(&controlwire.CurrentResponse{
+		Version:    cached.GetVersion(),
+		Packed:     cached.GetPacked(),
+		Evacuation: state.Evacuation(),
+	}), nil
 }
 
 // Fetch implements controlwireconnect.ControlHandler.
--- a/internal/fleet/distributor/client.go
+++ b/internal/fleet/distributor/client.go
@@ -29,10 +29,16 @@
 }
 
 // httpClient implements Client over HTTP.
-type httpClient struct{ client connect.HTTPClient }
+type httpClient struct {
+	client       connect.HTTPClient
+	onEvacuation func(*controlwire.Evacuation)
+}
 
-// NewClient returns a Client that uses the given HTTP client.
-func NewClient(client connect.HTTPClient) Client { return &httpClient{client: client} }
+// NewClient returns a Client that uses the given HTTP client. If Current reads evacuated failure
+// domains, it passes them to onEvacuation before it returns the version.
+func NewClient(client connect.HTTPClient, onEvacuation func(*controlwire.Evacuation)) Client {
+	return &httpClient{client: client, onEvacuation: onEvacuation}
+}
 
 func (c *httpClient) controlClient(to netip.AddrPort) controlwireconnect.ControlClient {
 	return controlwireconnect.NewControlClient(c.client, "http://"+to.String(),
@@ -56,6 +62,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("read newest version: %w", err)
 	}
+	if evacuation := resp.Msg.GetEvacuation(); evacuation != nil {
+		c.onEvacuation(evacuation)
+	}
 	if resp.Msg.GetPacked() == nil {
 		return resp.Msg.GetVersion(), nil
 	}
--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -5,7 +5,7 @@
 //
 //	d := distributor.New(distributor.Config{
 //		ControlAddresses: func() []netip.AddrPort { return controls },
-//		Client:           distributor.NewClient(http.DefaultClient),
+//		Client:           distributor.NewClient(http.DefaultClient, g.ObserveEvacuation),
 //		Compile:          compileForSite, // compiler.Compile for the site of this process
 //		Digest:           compiler.Digest,
 //		Diff:             compiler.Diff,
--- a/internal/fleet/gossiper/evacuation.go
+++ b/internal/fleet/gossiper/evacuation.go
@@ -26,9 +26,9 @@
 	g.adoptEvacuation(evacuation)
 }
 
-// observeEvacuation adopts the evacuated failure domains of another process if they are
+// ObserveEvacuation adopts the evacuated failure domains of another process if they are
 // newer, and passes them to OnEvacuation.
-func (g *Gossiper) observeEvacuation(evacuation *controlwire.Evacuation) {
+func (g *Gossiper) ObserveEvacuation(evacuation *controlwire.Evacuation) {
 	if evacuation == nil {
 		return
 	}
--- a/internal/fleet/gossiper/evacuation_test.go
+++ b/internal/fleet/gossiper/evacuation_test.go
@@ -105,7 +105,7 @@
 				fl.nodes[0].SetEvacuation(newEvacuation(1, "a"))
 				fl.awaitEvacuation(fl.nodes, 1)
 				fl.nodes[1].SetEvacuation(evacuation)
-				fl.nodes[1].observeEvacuation(evacuation)
+				fl.nodes[1].ObserveEvacuation(evacuation)
 				time.Sleep(time.Second)
 				assert.Equal(t, fl.nodes[1].evacuationRevision(), uint64(1))
 			})
--- a/internal/fleet/gossiper/exchanger.go
+++ b/internal/fleet/gossiper/exchanger.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.observeEvacuation(resp.GetEvacuation())
+	g.ObserveEvacuation(resp.GetEvacuation())
 	reconcileReq := g.applyCompareResponse(resp)
 	if len(reconcileReq.GetWanted())+len(reconcileReq.GetRecords()) > 0 {
 		reconcileResp, err := g.cfg.Client.Reconcile(ctx, peer, reconcileReq)
--- a/internal/fleet/gossiper/messenger.go
+++ b/internal/fleet/gossiper/messenger.go
@@ -87,7 +87,7 @@
 	}
 	g.metrics.receivedMessages.Inc(1)
 	if msg.GetReceiver() == "" || msg.GetReceiver() == g.cfg.Instance.ID {
-		g.observeEvacuation(msg.GetEvacuation())
+		g.ObserveEvacuation(msg.GetEvacuation())
 	}
 	newer := g.handleDatagram(from, msg, time.Now())
 	if newer != nil && g.cfg.OnVersion != nil {
--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -78,7 +78,7 @@
 	var g *gossiper.Gossiper
 	m.distributor = distributor.New(distributor.Config{
 		ControlAddresses: cfg.controlAddresses,
-		Client:           distributor.NewClient(m.client),
+		Client:           distributor.NewClient(m.client, func(e *controlwire.Evacuation) { g.ObserveEvacuation(e) }),
 		Compile:          cfg.compile,
 		Digest:           compiler.Digest,
 		Diff:             compiler.Diff,
--- /dev/null
+++ b/internal/process/launcher/known_fleet_test.go
@@ -0,0 +1,61 @@
+package launcher
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+)
+
+// newDomainView returns a view with one instance of vitrina in each of the states, each with 6
+// slots in a failure domain named after its state.
+func newDomainView(states ...registrar.State) *registrar.View {
+	var instances []*registrar.Instance
+	for _, state := range states {
+		instances = append(instances, registrar.NewInstance(registrar.Spec{
+			ID: "vitrina-" + state.String(), Service: "vitrina", State: state, FailureDomain: state.String(), Slots: 6,
+		}))
+	}
+	return registrar.NewView(instances)
+}
+
+func TestUnknownFailureDomains(t *testing.T) {
+	overlay := &controlwire.Document{Entries: []*controlwire.Entry{
+		{Layer: "oaxaca", Section: "site", Key: "failure-domains", Value: "oax-centro, oax-istmo"},
+	}}
+	for name, tc := range map[string]struct {
+		view    *registrar.View
+		upFor   time.Duration
+		domain  string
+		unknown bool
+	}{
+		"ready member":            {newDomainView(registrar.StateReady), time.Hour, "ready", false},
+		"failed member":           {newDomainView(registrar.StateReady, registrar.StateFailed), time.Hour, "failed", false},
+		"overlay":                 {newDomainView(registrar.StateReady), time.Hour, "oax-istmo", false},
+		"typing error":            {newDomainView(registrar.StateReady), time.Hour, "oax-itsmo", true},
+		"typing error at a start": {newDomainView(registrar.StateReady), time.Second, "oax-itsmo", false},
+		"no node known":           {newDomainView(), time.Hour, "oax-itsmo", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newKnownFleet(func() *registrar.View { return tc.view })
+				time.Sleep(tc.upFor)
+				assert.Equal(t, f.Unknown(tc.domain, overlay), tc.unknown)
+			})
+		})
+	}
+}
+
+func TestCapacityLeavesOutWhatAcceptsNothing(t *testing.T) {
+	view := newDomainView(registrar.StateReady, registrar.StateWarming, registrar.StateLeaving, registrar.StateFailed)
+	f := newKnownFleet(func() *registrar.View { return view })
+	all := f.Capacity(nil)
+	assert.Equal(t, len(all), 1)
+	assert.Equal(t, all[0].GetSlots(), uint32(12))
+	assert.Equal(t, all[0].GetRemainingSlots(), uint32(12))
+	assert.Equal(t, f.Capacity([]string{"ready", "failed"})[0].GetRemainingSlots(), uint32(6))
+}
