--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -52,6 +52,7 @@
 	controller  *controller.Controller
 	ledger      *accountant.Ledger
 	replicator  *accountant.Replicator
+	seenDomains *seenDomains
 	tomb        tomb.Tomb
 }
 
@@ -78,11 +79,16 @@
 }
 
 func (c *Control) assemble(base zerolog.Logger) error {
+	journal, err := c.store.OpenJournal(domainJournal)
+	if err != nil {
+		return fmt.Errorf("open the journal of failure domains: %w", err)
+	}
+	c.seenDomains = newSeenDomains(journal, c.log)
 	member, err := newFleetMember(fleetMemberConfig{
 		startAllowance: controlStartAllowance,
 		instance:       c.instanceSpec(),
 		seeds:          append(c.settings.Seeds(), c.settings.Voters()...),
-		onView:         func(*registrar.View) {},
+		onView:         c.seenDomains.Observe,
 	}, base, c.metrics.Scope())
 	if err != nil {
 		return fmt.Errorf("join the fleet: %w", err)
@@ -120,7 +126,7 @@
 		return fmt.Errorf("read the ledger: %w", err)
 	}
 	c.replicator = accountant.NewReplicator(c.ledger, accountant.NewReader(c.client), c.otherControlAddresses, base)
-	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newKnownFleet(c.gossiper.View))
+	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newKnownFleet(c.gossiper.View, c.seenDomains))
 	return nil
 }
 
--- a/internal/process/launcher/evacuated_fleet_test.go
+++ b/internal/process/launcher/evacuated_fleet_test.go
@@ -36,13 +36,15 @@
 	evacuationBound = 5 * time.Second
 	// evacuationSettling is the time that a fleet has to know itself before a test begins.
 	evacuationSettling = 12 * time.Second
+	// emptiedDomain is the failure domain that the tests evacuate.
+	emptiedDomain = "oax-istmo"
 	// shortKeyRetention is the retention of idempotency keys in these tests.
 	shortKeyRetention = 5 * time.Second
 )
 
 var (
 	errCutOff          = errors.New("cut off")
-	evacuationDomains  = []string{"oax-centro", "oax-istmo", "oax-costa"}
+	evacuationDomains  = []string{"oax-centro", emptiedDomain, "oax-costa"}
 	controlPeerAddress = netip.MustParseAddrPort("192.0.2.1:7000")
 )
 
@@ -340,11 +342,11 @@
 	return n
 }
 
-// assertEmpty asserts that nothing arrived in a failure domain.
-func (f *evacuatedFleet) assertEmpty(t *testing.T, domain string, from, to time.Time) {
+// assertEmpty asserts that nothing arrived in emptiedDomain.
+func (f *evacuatedFleet) assertEmpty(t *testing.T, from, to time.Time) {
 	t.Helper()
-	n := f.arrivals(domain, from, to)
-	assert.Assert(t, n == 0, "%d requests arrived in %s", n, domain)
+	n := f.arrivals(emptiedDomain, from, to)
+	assert.Assert(t, n == 0, "%d requests arrived", n)
 }
 
 // assertUsed asserts that requests arrived in a failure domain.
--- a/internal/process/launcher/known_fleet.go
+++ b/internal/process/launcher/known_fleet.go
@@ -17,26 +17,21 @@
 // knownFleet implements controller.Fleet with the members that gossip lists.
 type knownFleet struct {
 	view      func() *registrar.View
+	seen      *seenDomains
 	startedAt time.Time
 }
 
-func newKnownFleet(view func() *registrar.View) knownFleet {
-	return knownFleet{view: view, startedAt: time.Now()}
+func newKnownFleet(view func() *registrar.View, seen *seenDomains) knownFleet {
+	return knownFleet{view: view, seen: seen, startedAt: time.Now()}
 }
 
-// Unknown implements controller.Fleet. Members that have failed count too. It reports false if this instance cannot tell:
-// it started recently, or it knows no node.
+// Unknown implements controller.Fleet. It reports false if this instance cannot tell: it started
+// recently, or it knows no node.
 func (f knownFleet) Unknown(domain string, doc *controlwire.Document) bool {
-	if time.Since(f.startedAt) < domainLearningPeriod {
+	if time.Since(f.startedAt) < domainLearningPeriod || f.seen.Has(domain) {
 		return false
 	}
-	knowsNode := false
-	for _, in := range f.view().Instances() {
-		if in.FailureDomain() == domain {
-			return false
-		}
-		knowsNode = knowsNode || in.Service() != ""
-	}
+	knowsNode := slices.ContainsFunc(f.view().Instances(), func(in *registrar.Instance) bool { return in.Service() != "" })
 	return knowsNode && !compiler.NamesFailureDomain(doc, domain)
 }
 
--- a/internal/process/launcher/known_fleet_test.go
+++ b/internal/process/launcher/known_fleet_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
@@ -23,6 +24,23 @@
 	return registrar.NewView(instances)
 }
 
+// memoryJournal is a recordAppender in memory.
+type memoryJournal struct{ records [][]byte }
+
+func (j *memoryJournal) Records() [][]byte { return j.records }
+
+func (j *memoryJournal) AppendUnsynced(records ...[]byte) error {
+	j.records = append(j.records, records...)
+	return nil
+}
+
+// seenIn returns the failure domains of a view, after a restart.
+func seenIn(view *registrar.View) *seenDomains {
+	journal := &memoryJournal{}
+	newSeenDomains(journal, zerolog.Nop()).Observe(view)
+	return newSeenDomains(journal, zerolog.Nop())
+}
+
 func TestUnknownFailureDomains(t *testing.T) {
 	overlay := &controlwire.Document{Entries: []*controlwire.Entry{
 		{Layer: "oaxaca", Section: "site", Key: "failure-domains", Value: "oax-centro, oax-istmo"},
@@ -34,7 +52,7 @@
 		unknown bool
 	}{
 		"ready member":            {newDomainView(registrar.StateReady), time.Hour, "ready", false},
-		"failed member":           {newDomainView(registrar.StateReady, registrar.StateFailed), time.Hour, "failed", false},
+		"seen before a restart":   {newDomainView(registrar.StateReady), time.Hour, "failed", false},
 		"overlay":                 {newDomainView(registrar.StateReady), time.Hour, "oax-istmo", false},
 		"typing error":            {newDomainView(registrar.StateReady), time.Hour, "oax-itsmo", true},
 		"typing error at a start": {newDomainView(registrar.StateReady), time.Second, "oax-itsmo", false},
@@ -42,7 +60,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newKnownFleet(func() *registrar.View { return tc.view })
+				f := newKnownFleet(func() *registrar.View { return tc.view }, seenIn(newDomainView(registrar.StateReady, registrar.StateFailed)))
 				time.Sleep(tc.upFor)
 				assert.Equal(t, f.Unknown(tc.domain, overlay), tc.unknown)
 			})
@@ -52,7 +70,7 @@
 
 func TestCapacityLeavesOutWhatAcceptsNothing(t *testing.T) {
 	view := newDomainView(registrar.StateReady, registrar.StateWarming, registrar.StateLeaving, registrar.StateFailed)
-	f := newKnownFleet(func() *registrar.View { return view })
+	f := newKnownFleet(func() *registrar.View { return view }, seenIn(view))
 	all := f.Capacity(nil)
 	assert.Equal(t, len(all), 1)
 	assert.Equal(t, all[0].GetSlots(), uint32(12))
--- a/internal/process/launcher/node_evacuation_test.go
+++ b/internal/process/launcher/node_evacuation_test.go
@@ -70,14 +70,14 @@
 				if tc.event != nil {
 					wg.Go(func() { tc.event(t, f) })
 				}
-				ordered := f.order("oax-istmo")
+				ordered := f.order(emptiedDomain)
 				time.Sleep(20 * time.Second)
 				ended := f.order()
-				f.assertEmpty(t, "oax-istmo", ordered.Add(tc.notInTouch+evacuationBound), ended)
+				f.assertEmpty(t, ordered.Add(tc.notInTouch+evacuationBound), ended)
 				f.assertUsed(t, "oax-costa", ordered.Add(evacuationBound), ended)
 				wg.Wait()
 				time.Sleep(2 * evacuationBound)
-				f.assertUsed(t, "oax-istmo", ended.Add(evacuationBound), time.Now())
+				f.assertUsed(t, emptiedDomain, ended.Add(evacuationBound), time.Now())
 				assertOnlyOK(t, stop())
 			})
 		})
@@ -89,12 +89,12 @@
 func TestNodeThatDoesNotKnowIsRefused(t *testing.T) {
 	runEvacuatedFleet(t, 3, func(t *testing.T, f *evacuatedFleet) {
 		f.setCutOff(0, true)
-		ordered := f.order("oax-istmo")
+		ordered := f.order(emptiedDomain)
 		time.Sleep(time.Second)
 		for range 30 {
 			assert.Equal(t, f.send(0, http.MethodPost, "").StatusCode, http.StatusOK)
 		}
-		f.assertEmpty(t, "oax-istmo", ordered.Add(time.Second), time.Now())
+		f.assertEmpty(t, ordered.Add(time.Second), time.Now())
 	})
 }
 
@@ -102,7 +102,7 @@
 // serves callers by the upstreams elsewhere, also before it knows those.
 func TestRestartedNodeWaitsForOthers(t *testing.T) {
 	runEvacuatedFleet(t, 6, func(t *testing.T, f *evacuatedFleet) {
-		ordered := f.order("oax-istmo")
+		ordered := f.order(emptiedDomain)
 		time.Sleep(evacuationBound)
 		for range 5 {
 			f.restart(t, 1)
@@ -111,7 +111,7 @@
 			}
 			assert.Equal(t, f.send(1, http.MethodPost, "").StatusCode, http.StatusOK)
 		}
-		f.assertEmpty(t, "oax-istmo", ordered.Add(evacuationBound), time.Now())
+		f.assertEmpty(t, ordered.Add(evacuationBound), time.Now())
 	})
 }
 
@@ -142,9 +142,9 @@
 			wg.Go(func() { assert.Check(t, f.send(1, http.MethodPost, "").StatusCode == http.StatusOK) })
 		}
 		time.Sleep(100 * time.Millisecond)
-		f.order("oax-istmo")
+		f.order(emptiedDomain)
 		wg.Wait()
-		f.assertUsed(t, "oax-istmo", time.Now().Add(-2*time.Second), time.Now())
+		f.assertUsed(t, emptiedDomain, time.Now().Add(-2*time.Second), time.Now())
 	})
 }
 
@@ -179,7 +179,7 @@
 		for i := range 20 {
 			assert.Equal(t, f.send(i%6, http.MethodPost, fmt.Sprintf("before-%d", i)).StatusCode, http.StatusOK)
 		}
-		ordered := f.order("oax-istmo")
+		ordered := f.order(emptiedDomain)
 		time.Sleep(time.Second)
 		sent := len(f.allArrivals())
 		for i := range 20 {
@@ -189,7 +189,7 @@
 		for i := range 20 {
 			assert.Equal(t, f.send(i%6, http.MethodPost, fmt.Sprintf("after-%d", i)).StatusCode, http.StatusOK)
 		}
-		f.assertEmpty(t, "oax-istmo", ordered.Add(time.Second), time.Now())
+		f.assertEmpty(t, ordered.Add(time.Second), time.Now())
 	})
 }
 
@@ -208,12 +208,12 @@
 // not evacuated, and that the nodes agree on it.
 func TestTrialsLeaveEvacuatedInstancesOut(t *testing.T) {
 	runEvacuatedFleet(t, 6, func(t *testing.T, f *evacuatedFleet) {
-		f.order("oax-istmo")
+		f.order(emptiedDomain)
 		time.Sleep(evacuationBound)
 		for period := range uint64(50) {
 			trial := quarantiner.Trial{Period: period}
 			chosen := trial.Choose(f.nodes[0].snapshots.Snapshot().View().Service("vitrina"))
-			assert.Assert(t, chosen.FailureDomain() != "oax-istmo")
+			assert.Assert(t, chosen.FailureDomain() != emptiedDomain)
 			for _, n := range f.nodes {
 				assert.Equal(t, n.runsTrial(trial), n.settings.Instance() == chosen.ID())
 			}
