--- a/internal/cmd/standin.go
+++ b/internal/cmd/standin.go
@@ -26,6 +26,7 @@
 	c.Flag("service-time", "Mean service time of a request.").Default("2ms").DurationVar(&spec.ServiceTime)
 	c.Flag("cold-start", "Time after the start until the service time is normal.").Default("0s").DurationVar(&spec.ColdStart)
 	c.Flag("cold-factor", "Factor of the service time at the start.").Default("5").Float64Var(&spec.ColdFactor)
+	c.Flag("cold-rate", "Requests a second above which it crashes during that time; 0 for none.").Default("0").Float64Var(&spec.ColdRate)
 	c.Flag("noise-period", "Mean time between slowdowns; 0s for none.").Default("0s").DurationVar(&spec.NoisePeriod)
 	c.Flag("noise-length", "Duration of a slowdown.").Default("20ms").DurationVar(&spec.NoiseLength)
 	c.Flag("noise-factor", "Factor of the service time during a slowdown.").Default("8").Float64Var(&spec.NoiseFactor)
@@ -50,6 +51,7 @@
 		case <-env.ctx.Done():
 			return nil
 		}
+		e.Restart()
 	}
 }
 
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -275,7 +275,7 @@
 	n.watcher = watcher.New(watcher.Config{
 		Upstream: n.settings.UpstreamAddress(),
 		Dialer:   &net.Dialer{},
-		OnChange: n.announcer.SetAvailable,
+		OnChange: n.observeAvailability,
 	})
 	n.healthReader = watcher.NewHealthReader(watcher.HealthConfig{
 		Upstream:  n.settings.UpstreamAddress(),
--- a/internal/process/launcher/node_cold.go
+++ b/internal/process/launcher/node_cold.go
@@ -16,11 +16,13 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// firstColdReadDelay and maxColdReadDelay bound the time between two reads of the health
-// endpoint of an upstream in doubt. The time doubles with each read.
 const (
+	// firstColdReadDelay and maxColdReadDelay bound the time between two reads of the health
+	// endpoint of an upstream in doubt. The time doubles with each read.
 	firstColdReadDelay = 50 * time.Millisecond
 	maxColdReadDelay   = time.Second
+	// maxColdMilliseconds is the longest cold start that a response may name.
+	maxColdMilliseconds = 3_600_000
 )
 
 // newColdLimiter returns the limiter of the rate at which the node's own upstream gets requests
@@ -33,6 +35,13 @@
 	})
 }
 
+// observeAvailability records whether the upstream accepts requests. One that does so again may
+// have restarted.
+func (n *Node) observeAvailability(available bool) {
+	n.coldLimiter.Doubt(coldlimiter.CauseBrokenConnection)
+	n.announcer.SetAvailable(available)
+}
+
 // concurrencyRamp returns the time in which the concurrency of a new upstream rises to its
 // slots. A cold rate takes its place.
 func concurrencyRamp(spec compiler.ServiceSpec) time.Duration {
@@ -77,21 +86,20 @@
 // observeColdHealth records what a response of the health endpoint says of the upstream's cold
 // start.
 func (n *Node) observeColdHealth(resp *http.Response, sentAt time.Time) {
-	if observeColdStatement(n.coldLimiter, resp.Header, sentAt) || resp.StatusCode != http.StatusOK {
+	if resp.Header.Get(classifier.HeaderColdMS) == "" && resp.StatusCode == http.StatusOK {
+		n.coldLimiter.ObserveResponse(coldlimiter.Response{Implied: true, SentAt: sentAt})
 		return
 	}
-	n.coldLimiter.ObserveResponse(coldlimiter.Response{Implied: true, SentAt: sentAt})
+	observeColdStatement(n.coldLimiter, resp.Header, sentAt)
 }
 
-// observeColdStatement records the remaining time of the upstream's cold start that the header
-// of a response names. It reports whether there is one; a malformed one counts as none.
-func observeColdStatement(l *coldlimiter.Limiter, h http.Header, sentAt time.Time) bool {
-	ms, err := strconv.ParseUint(h.Get(classifier.HeaderColdMS), 10, 31)
-	if err != nil {
-		return false
+// observeColdStatement records the remaining time of the upstream's cold start if the header of
+// a response names it. It ignores one that cannot be parsed.
+func observeColdStatement(l *coldlimiter.Limiter, h http.Header, sentAt time.Time) {
+	ms, err := strconv.ParseFloat(h.Get(classifier.HeaderColdMS), 64)
+	if err == nil && ms >= 0 && ms <= maxColdMilliseconds {
+		l.ObserveResponse(coldlimiter.Response{Remaining: time.Duration(ms * float64(time.Millisecond)), SentAt: sentAt})
 	}
-	l.ObserveResponse(coldlimiter.Response{Remaining: time.Duration(ms) * time.Millisecond, SentAt: sentAt})
-	return true
 }
 
 // observeBrokenConnection records a failed exchange that a restart of the upstream may have
--- a/internal/process/launcher/node_cold_test.go
+++ b/internal/process/launcher/node_cold_test.go
@@ -81,7 +81,7 @@
 		"warm":                     {healthEndpoint{id: "i-1", status: http.StatusOK, coldMS: "0"}, ""},
 		"warm without the header":  {healthEndpoint{id: "i-1", status: http.StatusOK}, ""},
 		"unhealthy":                {healthEndpoint{id: "i-1", status: http.StatusServiceUnavailable}, coldlimiter.CauseNodeStarted},
-		"malformed":                {healthEndpoint{id: "i-1", status: http.StatusServiceUnavailable, coldMS: "-1"}, coldlimiter.CauseNodeStarted},
+		"malformed":                {healthEndpoint{id: "i-1", status: http.StatusOK, coldMS: "-1"}, coldlimiter.CauseNodeStarted},
 		"another upstream":         {healthEndpoint{id: "i-2", status: http.StatusOK, coldMS: "0"}, coldlimiter.CauseNodeStarted},
 		"the endpoint is not read": {healthEndpoint{id: "i-1", err: requester.NewError(classifier.NotRun, classifier.ReasonTimeout, context.DeadlineExceeded)}, coldlimiter.CauseNodeStarted},
 	} {
--- a/internal/testbed/emulator/behavior.go
+++ b/internal/testbed/emulator/behavior.go
@@ -25,6 +25,9 @@
 	behaviorDrain behaviorKind = "drain"
 	// behaviorLimit advertises a rate limit in each response: the factor, in requests a second.
 	behaviorLimit behaviorKind = "limit"
+	// behaviorCold makes the upstream cold: it takes longer, says so in each response, and
+	// crashes well above the factor, in requests a second.
+	behaviorCold behaviorKind = "cold"
 	// behaviorLieUnhealthy serves requests, but the health endpoint reports unavailable.
 	behaviorLieUnhealthy behaviorKind = "lie-unhealthy"
 	// behaviorStallHealth serves requests, but the health endpoint never responds.
@@ -34,7 +37,7 @@
 var behaviorKinds = map[behaviorKind]bool{
 	behaviorNormal: true, behaviorSlow: true, behaviorFailFast: true, behaviorShed: true,
 	behaviorFailAfterWork: true, behaviorTruncate: true, behaviorStall: true,
-	behaviorFreeze: true, behaviorLie: true, behaviorDrain: true, behaviorLimit: true,
+	behaviorFreeze: true, behaviorLie: true, behaviorDrain: true, behaviorLimit: true, behaviorCold: true,
 	behaviorLieUnhealthy: true, behaviorStallHealth: true,
 }
 
@@ -44,7 +47,7 @@
 // behavior is a kind of misbehavior that is in effect for a time.
 type behavior struct {
 	kind   behaviorKind
-	factor float64 // Multiplies the service time of behaviorSlow; the limit of behaviorLimit.
+	factor float64 // Multiplies the service time of behaviorSlow; the rate of behaviorLimit and behaviorCold.
 	since  time.Time
 	until  time.Time // Zero: no end.
 }
--- a/internal/testbed/emulator/emulator.go
+++ b/internal/testbed/emulator/emulator.go
@@ -11,7 +11,8 @@
 // requests were executed more than once:
 //
 //	GET  /-/standin/executions       totals, the ids executed more than once, and the requests
-//	                                 beyond the rate limit that the emulator advertised
+//	                                 beyond the rate limit that the emulator advertised, or
+//	                                 beyond what it bears while it is cold
 //	POST /-/standin/executions       counts of the ids in the body, one per line
 //	POST /-/standin/behavior         sets a behavior: kind=slow&factor=10&for=500ms
 //	GET  /-/standin/load             the load endpoint, which lags and may report a false load
@@ -61,6 +62,9 @@
 	// linearly to 1.
 	ColdStart  time.Duration
 	ColdFactor float64
+	// ColdRate is the number of requests a second that the upstream bears during that time,
+	// which it then states in its responses; 0 for no limit. It crashes well above it.
+	ColdRate float64
 	// NoisePeriod is the mean time between slowdowns caused by co-located
 	// processes; 0 for none.
 	NoisePeriod time.Duration
@@ -80,7 +84,7 @@
 // Emulator is one emulated upstream.
 type Emulator struct {
 	spec         Spec
-	started      time.Time
+	started      atomic.Pointer[time.Time]
 	slots        chan struct{}
 	active       atomic.Int64
 	rngMu        sync.Mutex
@@ -89,6 +93,7 @@
 	behavior     atomic.Pointer[behavior]
 	executions   *executionCounter
 	limitMonitor limitMonitor
+	coldMonitor  coldMonitor
 	reportedLoad laggedGauge
 	// crashed receives a token for each crash.
 	crashed chan struct{}
@@ -98,7 +103,6 @@
 func New(spec Spec) *Emulator {
 	e := &Emulator{
 		spec:         spec,
-		started:      time.Now(),
 		slots:        make(chan struct{}, spec.Slots),
 		rng:          rand.New(rand.NewPCG(spec.Seed, 1)),
 		noise:        noise{period: spec.NoisePeriod, length: spec.NoiseLength, rng: rand.New(rand.NewPCG(spec.Seed, 2))},
@@ -107,9 +111,16 @@
 		crashed:      make(chan struct{}, 1),
 	}
 	e.behavior.Store(&behavior{})
+	e.Restart()
 	return e
 }
 
+// Restart records that the upstream starts now, so that its cold start begins again.
+func (e *Emulator) Restart() {
+	now := time.Now()
+	e.started.Store(&now)
+}
+
 // Handler returns the HTTP interface of the emulated upstream.
 func (e *Emulator) Handler() http.Handler {
 	mux := goji.NewMux()
@@ -126,6 +137,11 @@
 	now := time.Now()
 	b := e.behavior.Load().current(now)
 	e.limitMonitor.observe(b, now)
+	if e.coldMonitor.observe(e.coldStart(b, now), now) {
+		e.crash()
+		<-r.Context().Done() // The server is closed.
+		return
+	}
 	switch b.kind {
 	case behaviorFailFast:
 		http.Error(w, "internal error", http.StatusInternalServerError)
@@ -196,10 +212,13 @@
 	if slowed {
 		d *= e.spec.NoiseFactor
 	}
-	if age := now.Sub(e.started); age < e.spec.ColdStart {
+	if age := now.Sub(*e.started.Load()); age < e.spec.ColdStart {
 		remaining := 1 - float64(age)/float64(e.spec.ColdStart)
 		d *= 1 + (e.spec.ColdFactor-1)*remaining
 	}
+	if b.kind == behaviorCold {
+		d *= e.spec.ColdFactor
+	}
 	if b.kind == behaviorSlow {
 		d *= b.factor
 	}
@@ -208,6 +227,7 @@
 
 func (e *Emulator) respond(w http.ResponseWriter, r *http.Request, b behavior, body []byte) {
 	w.Header().Set("Standin-Instance", e.spec.ID)
+	e.stateCold(w.Header(), b)
 	switch b.kind {
 	case behaviorDrain:
 		w.Header().Set(classifier.HeaderDraining, "1")
@@ -230,6 +250,7 @@
 func (e *Emulator) serveExecutions(w http.ResponseWriter, _ *http.Request) {
 	report := e.executions.report()
 	report.OverLimit = e.limitMonitor.overLimit()
+	report.OverCold = e.coldMonitor.overBound()
 	writeJSON(w, report)
 }
 
@@ -261,6 +282,7 @@
 }
 
 func (e *Emulator) serveHealth(w http.ResponseWriter, r *http.Request) {
+	e.stateCold(w.Header(), e.behavior.Load().current(time.Now()))
 	if e.behavior.Load().current(time.Now()).kind == behaviorStallHealth {
 		<-r.Context().Done()
 		return
--- a/internal/testbed/emulator/execution_counter.go
+++ b/internal/testbed/emulator/execution_counter.go
@@ -14,6 +14,8 @@
 	// OverLimit is the number of requests that arrived beyond the rate limit; see
 	// limitMonitor.
 	OverLimit int `json:"over-limit,omitempty"`
+	// OverCold is the number of requests beyond what a cold upstream bears; see coldMonitor.
+	OverCold int `json:"over-cold,omitempty"`
 	// Crashes is the number of requests that would each have crashed the upstream alone.
 	Crashes int `json:"crashes,omitempty"`
 }
--- a/internal/testbed/generator/auditor.go
+++ b/internal/testbed/generator/auditor.go
@@ -88,12 +88,14 @@
 		var report struct {
 			Total     int `json:"total"`
 			OverLimit int `json:"over-limit"`
+			OverCold  int `json:"over-cold"`
 		}
 		if err := a.call(ctx, http.MethodGet, url+"/-/standin/executions", http.NoBody, &report); err != nil {
 			return fmt.Errorf("%s: %w", url, err)
 		}
 		r.Executions += report.Total
 		r.OverLimit += report.OverLimit
+		r.OverCold += report.OverCold
 	}
 	return nil
 }
--- a/internal/testbed/generator/result.go
+++ b/internal/testbed/generator/result.go
@@ -59,6 +59,8 @@
 	FalseNotRun int `json:"false-not-run"`
 	// OverLimit counts requests to stand-ins beyond the rate limits that these advertised.
 	OverLimit int `json:"over-limit"`
+	// OverCold counts requests that crashed stand-ins because these were cold.
+	OverCold int `json:"over-cold,omitempty"`
 	// NotRun counts requests with the outcome "not-run".
 	NotRun int `json:"not-run"`
 }
@@ -66,7 +68,7 @@
 // Passed reports whether no request was executed more often than allowed, and no
 // response was foreign or truncated.
 func (r *Result) Passed() bool {
-	violations := r.RanMoreThanOnce + r.FalseNotRun + r.OverLimit
+	violations := r.RanMoreThanOnce + r.FalseNotRun + r.OverLimit + r.OverCold
 	for _, m := range r.Mixes {
 		violations += m.Foreign + m.Truncated
 	}
