--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -220,7 +220,7 @@
 	sentAt := time.Now()
 	id := req.Header.Get(classifier.HeaderUpstream)
 	resp, err := r.Requester.DoLimited(ctx, addr, req, limits)
-	observeBrokenConnection(r.coldLimiter, err)
+	observeBrokenConnection(r.coldLimiter, err, r.enroller != nil)
 	if err != nil {
 		return nil, err // A *requester.Error, which the server reads.
 	}
--- a/internal/process/launcher/node_cold.go
+++ b/internal/process/launcher/node_cold.go
@@ -103,13 +103,15 @@
 }
 
 // observeBrokenConnection records a failed exchange that a restart of the upstream may have
-// caused. An idle connection that was closed, or an exchange that timed out, shows nothing.
-func observeBrokenConnection(l *coldlimiter.Limiter, err error) {
+// caused. An idle connection that was closed, or an exchange that timed out, shows nothing. A
+// reset seldom is a restart: it counts only if the upstream can be asked.
+func observeBrokenConnection(l *coldlimiter.Limiter, err error, canBeAsked bool) {
 	var failed *requester.Error
 	if !errors.As(err, &failed) {
 		return
 	}
-	if errors.Is(failed, syscall.ECONNREFUSED) || failed.Reason() == classifier.ReasonReset {
+	reset := failed.Reason() == classifier.ReasonReset
+	if errors.Is(failed, syscall.ECONNREFUSED) || reset && canBeAsked {
 		l.Doubt(coldlimiter.CauseBrokenConnection)
 	}
 }
--- a/internal/process/launcher/node_cold_test.go
+++ b/internal/process/launcher/node_cold_test.go
@@ -15,8 +15,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/enroller"
 	"github.com/banyanscale/banyanscale/internal/request/coldlimiter"
+	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -169,6 +171,36 @@
 	})
 }
 
+// TestColdInstanceCountsAsRateLimited checks what keeps hedges from an instance that is cold.
+func TestColdInstanceCountsAsRateLimited(t *testing.T) {
+	runCold(t, func(t *testing.T, n *Node, e *healthEndpoint) {
+		instances := []*registrar.Instance{readyInstance(n)}
+		n.snapshots.SetView(registrar.NewView(instances))
+		instancePicker, err := n.newPicker()
+		assert.NilError(t, err)
+		adapter := pickerAdapter{instancePicker, n.observeOwnLoad, "d"}
+		query := forwarder.Query{Service: n.service(), Instances: instances}
+		for _, coldMS := range []string{"1000", "0"} {
+			e.coldMS = coldMS
+			e.read(n)
+			time.Sleep(time.Millisecond)
+			query.Now = time.Now()
+			choice, ok := adapter.Pick(query)
+			assert.Assert(t, ok)
+			assert.Equal(t, choice.RateLimited, coldMS != "0")
+		}
+	})
+}
+
+// TestResetOfUpstreamThatCannotBeAskedIsNoDoubt guards against upstreams without heartbeats that lose their capacity for a cold start by each reset.
+func TestResetOfUpstreamThatCannotBeAskedIsNoDoubt(t *testing.T) {
+	runCold(t, func(t *testing.T, n *Node, e *healthEndpoint) {
+		e.read(n)
+		observeBrokenConnection(n.coldLimiter, requester.NewError(classifier.Unknown, classifier.ReasonReset, syscall.ECONNRESET), false)
+		assertColdCause(t, n, "")
+	})
+}
+
 // TestReturnOfFailureDomainIsADoubt checks the call for the end of an evacuation.
 func TestReturnOfFailureDomainIsADoubt(t *testing.T) {
 	runCold(t, func(t *testing.T, n *Node, e *healthEndpoint) {
--- a/internal/process/launcher/node_upstream.go
+++ b/internal/process/launcher/node_upstream.go
@@ -90,7 +90,7 @@
 	}
 	sentAt := time.Now()
 	resp, err := r.DoLimited(ctx, n.settings.UpstreamAddress(), req, requester.Limits{})
-	observeBrokenConnection(n.coldLimiter, err)
+	observeBrokenConnection(n.coldLimiter, err, true)
 	if err != nil {
 		return false, gauger.Report{}, fmt.Errorf("request the health endpoint: %w", err)
 	}
--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -326,8 +326,12 @@
 	return l.logLimiter.Limit(l.cfg.Log.Info())
 }
 
-// requestStatement requests a read of the upstream's health. The mutex must be held.
+// requestStatement requests a read of the upstream's health if the service has a cold rate. The
+// mutex must be held.
 func (l *Limiter) requestStatement(now time.Time) {
+	if l.perSecond == 0 {
+		return
+	}
 	l.requestedAt = now
 	select {
 	case l.requests <- struct{}{}:
