test: decisions of the grantor and of the keeper

Cause: each guarantee needs a test that fails without it. The run of real processes showed that a new grantor let buckets pay what had been spent before its tenure. Change: tests of grants, leases, reports, late answers, suspensions; that fault is mended; a node with some demand holds a token ahead.

--- a/internal/agreement/grantor/grantor.go
+++ b/internal/agreement/grantor/grantor.go
@@ -184,7 +184,7 @@
 	}
 	p := g.pool(r.Organisation, limit, now)
 	p.advance(now, g.accrual(p))
-	p.add(float64(r.Returned - r.Spent))
+	p.add(float64(r.Returned - g.charged(n, r)))
 	rate := g.lease(n, p, r)
 	tokens := p.take(r.Wanted)
 	granted := Grant{Organisation: r.Organisation, Tokens: tokens, Rate: rate}
@@ -194,6 +194,15 @@
 	return granted
 }
 
+// charged returns how many of the requests that a node took from its lease the pool has to pay. It
+// does not pay for those of an earlier tenure, since nothing has accrued for that lease yet.
+func (g *Grantor) charged(n *node, r AskRecord) int {
+	if n.leases[r.Organisation] == nil && g.completeAt == 0 {
+		return 0
+	}
+	return r.Spent
+}
+
 // pool returns the pool of an organisation, with its limit as it is now.
 func (g *Grantor) pool(id OrganisationID, limit Limit, now time.Duration) *pool {
 	p := g.pools[id]
--- a/internal/connection/courier/courier.go
+++ b/internal/connection/courier/courier.go
@@ -44,9 +44,9 @@
 	KindCrash
 	// KindElection marks a message of an election among control instances.
 	KindElection
-	// KindQuotaAsk marks a message of a node to the instance that grants quotas, and
-	// KindQuotaAnswer one to a node.
+	// KindQuotaAsk marks a message of a node to the instance that grants quotas.
 	KindQuotaAsk
+	// KindQuotaAnswer marks a message to a node about quotas.
 	KindQuotaAnswer
 )
 
--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -107,9 +107,13 @@
 }
 
 // missing returns how many tokens are wanted, for the requests that wait and for those of the
-// given time.
-func (a *account) missing(ahead time.Duration) int {
-	return max(len(a.waiters)+int(a.demandRate*ahead.Seconds())-a.tokens.count()-a.asked, 0)
+// given time. One is wanted in any case if it will probably be used while it is valid.
+func (a *account) missing(ahead, validity time.Duration) int {
+	next := int(a.demandRate * ahead.Seconds())
+	if next == 0 && a.demandRate*validity.Seconds() >= 1 {
+		next = 1
+	}
+	return max(len(a.waiters)+next-a.tokens.count()-a.asked, 0)
 }
 
 // removeWaiter removes a request that waits no longer.
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -158,7 +158,7 @@
 	}
 	if now >= a.refusedUntil {
 		a.asked = 0
-		a.asked = a.missing(ahead)
+		a.asked = a.missing(ahead, k.contact.validity)
 	}
 	record := grantor.AskRecord{
 		Organisation: a.id, Wanted: a.asked, Returned: a.returned, Spent: a.spent, Wish: a.wish(),
--- /dev/null
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -0,0 +1,224 @@
+package quotakeeper
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/agreement/grantor"
+	"github.com/banyanscale/banyanscale/internal/connection/courier"
+)
+
+// manualGrantor answers the asks of one keeper as a test tells it. Its clock may be set forward,
+// as after a suspension of the machine, in which timers stand still.
+type manualGrantor struct {
+	*Keeper
+	start     time.Time
+	suspended time.Duration
+	handler   courier.Handler
+	// respond returns the grants for an ask, and when to answer; nil for no answer.
+	respond func(a grantor.Ask) ([]grantor.Grant, time.Duration)
+	asks    []grantor.Ask
+}
+
+// Handle implements Transport.
+func (m *manualGrantor) Handle(_ courier.Kind, h courier.Handler) { m.handler = h }
+
+// Send implements Transport.
+func (m *manualGrantor) Send(_ courier.Kind, to netip.AddrPort, payload []byte) error {
+	ask, err := grantor.DecodeAsk(payload)
+	if err != nil {
+		return err
+	}
+	m.asks = append(m.asks, ask)
+	grants, delay := m.respond(ask)
+	if grants == nil {
+		return nil
+	}
+	answer := grantor.Answer{
+		Seq: ask.Seq, Tenure: 1, Interval: 20 * time.Millisecond, Validity: 250 * time.Millisecond, Lease: 10 * time.Second, Grants: grants,
+	}
+	time.AfterFunc(delay, func() { m.handler(to, answer.Encode()) })
+	return nil
+}
+
+func (m *manualGrantor) now() time.Duration { return time.Since(m.start) + time.Hour + m.suspended }
+
+// grantAll grants what is wanted and leases of the wanted rate.
+func grantAll(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+	grants := []grantor.Grant{}
+	for _, r := range a.Records {
+		grants = append(grants, grantor.Grant{Organisation: r.Organisation, Tokens: r.Wanted, Rate: r.Wish})
+	}
+	return grants, time.Millisecond
+}
+
+func silent(grantor.Ask) ([]grantor.Grant, time.Duration) { return nil, 0 }
+
+// runKeeper runs a test in fake time of a keeper alone.
+func runKeeper(t *testing.T, test func(t *testing.T, m *manualGrantor)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		m := &manualGrantor{start: time.Now(), respond: grantAll}
+		m.Keeper = New(Config{
+			Controls:  func() []netip.AddrPort { return []netip.AddrPort{controlAddress(0)} },
+			Transport: m, Now: m.now, Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop(),
+		})
+		m.Start()
+		test(t, m)
+		assert.NilError(t, m.Stop())
+		time.Sleep(time.Second) // Answers on their way.
+	})
+}
+
+// takeFor takes requests at a rate for some time and returns how many were taken.
+func (m *manualGrantor) takeFor(t *testing.T, perSecond int, length time.Duration) int {
+	t.Helper()
+	taken := 0
+	for range int(length.Seconds() * float64(perSecond)) {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		if ticket, _ := m.Take(t.Context(), organisation(t, "grande", 100, 0)); ticket.Taken() {
+			taken++
+		}
+	}
+	return taken
+}
+
+func TestSilentGrantorIsReplacedByTheLease(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		assert.Equal(t, m.takeFor(t, 40, 3*time.Second), 120)
+		m.respond = silent
+		taken := m.takeFor(t, 40, 9*time.Second)
+		assert.Assert(t, taken > 9*40*9/10, "%d taken", taken)
+		taken = m.takeFor(t, 40, 5*time.Second)
+		assert.Assert(t, taken < 2*40, "%d taken after the lease had ended", taken)
+	})
+}
+
+// Leases and tokens must have ended when a machine wakes that was suspended, though timers have
+// not noticed.
+func TestNothingIsSpentAfterASuspension(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		assert.Equal(t, m.takeFor(t, 40, 3*time.Second), 120)
+		m.respond = silent
+		m.suspended += 11 * time.Second
+		o := organisation(t, "grande", 100, 0)
+		for range 20 {
+			assert.Assert(t, !m.TakeNow(o).Taken())
+		}
+	})
+}
+
+// An answer that comes late may be of a tenure that has ended.
+func TestLateAnswerIsIgnored(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+			grants, _ := grantAll(a)
+			return grants, 2 * abandonAfter
+		}
+		assert.Equal(t, m.takeFor(t, 40, 2*time.Second), 0)
+	})
+}
+
+func TestAskIsRepeatedUntilAnswered(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+			if len(m.asks) < 3 {
+				return nil, 0
+			}
+			return grantAll(a)
+		}
+		ticket, _ := m.Take(t.Context(), organisation(t, "grande", 100, 0))
+		assert.Assert(t, ticket.Taken())
+		assert.DeepEqual(t, m.asks[0], m.asks[2])
+	})
+}
+
+func TestRequestIsRefusedAtOnceIfThereIsNoRoom(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+			grants, delay := grantAll(a)
+			for i := range grants {
+				grants[i].Tokens, grants[i].Wait = 0, 3*time.Second
+			}
+			return grants, delay
+		}
+		begin := time.Now()
+		o := organisation(t, "grande", 100, 0)
+		for range 10 {
+			ticket, retryAfter := m.Take(t.Context(), o)
+			assert.Assert(t, !ticket.Taken())
+			assert.Assert(t, retryAfter > 2*time.Second)
+		}
+		assert.Assert(t, time.Since(begin) < 10*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, len(m.asks) < 12, "%d asks", len(m.asks))
+	})
+}
+
+func TestReturnedTokenIsSpentAgainWhileItIsValid(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		o := organisation(t, "grande", 100, 0)
+		ticket, _ := m.Take(t.Context(), o)
+		assert.Assert(t, ticket.Taken())
+		m.respond = silent
+		assert.Assert(t, !m.TakeNow(o).Taken())
+		m.Return(o, ticket)
+		assert.Assert(t, m.TakeNow(o).Taken())
+		time.Sleep(time.Second)
+		m.Return(o, ticket)
+		assert.Assert(t, !m.TakeNow(o).Taken(), "a token was spent after its end")
+	})
+}
+
+func TestUnusedTokensAreReturned(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		taken := m.takeFor(t, 90, 2*time.Second)
+		time.Sleep(8 * time.Second) // Until demand has fallen and what was held has ended.
+		wanted, returned := 0, 0
+		for i, a := range m.asks {
+			for _, r := range a.Records {
+				if i == 0 || a.Seq != m.asks[i-1].Seq {
+					wanted, returned = wanted+r.Wanted, returned+r.Returned
+				}
+			}
+		}
+		assert.Equal(t, taken, 180)
+		assert.Equal(t, wanted-returned, taken)
+	})
+}
+
+// A node that was told of a lower limit keeps it, whatever the grantor grants.
+func TestOwnLimitHolds(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		taken := 0
+		lower := organisation(t, "grande", 10, 0)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if ticket, _ := m.Take(t.Context(), lower); ticket.Taken() {
+				taken++
+			}
+		}
+		assert.Assert(t, taken <= 10*10+ownSlack+3, "%d taken", taken)
+	})
+}
+
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		for i := range 50 {
+			_, _ = m.Take(t.Context(), organisation(t, "org-"+strconv.Itoa(i), 100, 0))
+		}
+		time.Sleep(time.Minute)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		assert.Equal(t, len(m.accounts), 0)
+		assert.Equal(t, len(m.due), 0)
+	})
+}
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -310,7 +310,7 @@
 	return k.contact.known && now < k.contact.sentAt+k.contact.lease
 }
 
-// demand lets the next ask ask for an account.
+// demand puts an account into the next ask.
 func (k *Keeper) demand(a *account) {
 	k.due[a] = true
 	k.wakeUp()
@@ -318,7 +318,7 @@
 
 // prefetch asks for more tokens before they are used up.
 func (k *Keeper) prefetch(a *account, now time.Duration) {
-	if now >= a.refusedUntil && a.missing(k.horizon()) > 0 {
+	if now >= a.refusedUntil && a.missing(k.horizon(), k.contact.validity) > 0 {
 		k.demand(a)
 	}
 }
