feat: API keys are not displayed

Cause: config diff, config history, dry runs and the effective settings showed API keys. Change: they show short digests; the files for the next edit keep the keys.

--- a/internal/version/compiler/effect.go
+++ b/internal/version/compiler/effect.go
@@ -19,7 +19,8 @@
 )
 
 // Effect is one difference between two documents in the effective settings of a
-// site, that is, the defaults overridden by the base and by the site's overlay.
+// site, that is, the defaults overridden by the base and by the site's overlay. Its values have
+// no API keys, but digests of them.
 type Effect struct{ scope, section, key, before, after string }
 
 // Scope returns "site NAME", ScopeWithoutOverlay or ScopeEverywhere.
@@ -124,6 +125,7 @@
 		if e.before == e.after || len(effects) > 0 && e.key == "" && effects[len(effects)-1].section == e.section {
 			continue
 		}
+		e.before, e.after = displayValue(id.key, e.before), displayValue(id.key, e.after)
 		effects = append(effects, e)
 	}
 	return effects
--- a/internal/version/compiler/format.go
+++ b/internal/version/compiler/format.go
@@ -71,7 +71,7 @@
 
 // FormatEffective formats all settings in force at a site, defaults included, like a
 // base file. The result is for display: it may have a section [site], so that Parse
-// would not accept it.
+// would not accept it, and it has no API keys.
 func FormatEffective(doc *controlwire.Document, site string) []byte {
 	c := newChecker(doc)
 	m := c.effectiveEntries(site)
@@ -80,16 +80,16 @@
 	}
 	doc = &controlwire.Document{}
 	for _, id := range sortedIDs(m) {
-		doc.Entries = append(doc.Entries, newEntry(id, m[id]))
+		doc.Entries = append(doc.Entries, newEntry(id, displayValue(id.key, m[id])))
 	}
 	return Format(doc)[0].Data
 }
 
-// FormatChange formats a change as one line.
+// FormatChange formats a change as one line, without API keys.
 func FormatChange(change *controlwire.EntryChange) string {
 	id := idOf(change.GetEntry())
 	if change.GetRemoved() {
 		return fmt.Sprintf("%s: %s removed", describeLocation(id), id.key)
 	}
-	return fmt.Sprintf("%s: %s = %s", describeLocation(id), id.key, change.GetEntry().GetValue())
+	return fmt.Sprintf("%s: %s = %s", describeLocation(id), id.key, displayValue(id.key, change.GetEntry().GetValue()))
 }
