feat: uploads are sent only once they are admitted, and paced on the link

Cause: a streamed body that the serving node took before it refused could not be tried elsewhere; 360 KB went out at once before short messages; the serving node read on a refused body until the deadline if its sender held it back. Change: Expect: 100-continue between nodes on routes of kind upload, a failure before the 100 is not-run; request bodies take turns on the link; the choice counts the time that the own link needs.

--- a/internal/connection/pacer/pacer.go
+++ b/internal/connection/pacer/pacer.go
@@ -1,5 +1,5 @@
-// Package pacer limits how many large responses share the link of an instance, and
-// sends them no faster than the link carries them.
+// Package pacer limits how many large bodies, of responses and of requests to other instances,
+// share the link of an instance, and sends them no faster than the link carries them.
 //
 // # Usage
 //
@@ -7,10 +7,10 @@
 //	paced := p.Begin(ctx, size, body)  // waits for a turn
 //	defer paced.Close()                // ends the turn
 //	_, err := io.Copy(w, paced)        // reads at the rate of the link
-//	wait := p.EstimatedWait()          // estimated wait of the next large response
+//	wait := p.EstimatedWait()          // estimated wait of the next large body
 //
 // It is meant for load that saturates the link of an instance before all of the
-// instance's slots are in use. Large responses that share the link all arrive late, and
+// instance's slots are in use. Large bodies that share the link all arrive late, and
 // bytes written before the link can carry them delay every small message queued behind
 // them.
 package pacer
@@ -23,7 +23,7 @@
 )
 
 const (
-	// maxConcurrent is the number of large responses sent at the same time: one
+	// maxConcurrent is the number of large bodies sent at the same time: one
 	// saturates the link, and a second uses the gaps of the first.
 	maxConcurrent = 2
 	// maxTurnWait is the longest wait for a turn. Without it a stalled reader would
@@ -32,19 +32,19 @@
 	// chunkSize is the largest number of bytes read, and so written to the link, at
 	// once.
 	chunkSize = 8 << 10
-	// linkShare is the share of the link used for large responses. The rest is left
+	// linkShare is the share of the link used for large bodies. The rest is left
 	// for small messages and packet headers.
 	linkShare = 0.9
 )
 
-// Pacer schedules large responses on one link. It is safe for concurrent use.
+// Pacer schedules large bodies on one link. It is safe for concurrent use.
 type Pacer struct {
-	bytesPerSecond float64 // For large responses; 0 if unknown.
+	bytesPerSecond float64 // For large bodies; 0 if unknown.
 	turns          chan struct{}
 
 	mu         sync.Mutex // Guards the fields below.
 	linkFreeAt time.Time  // When the link has sent all reserved bytes.
-	backlog    int        // Unsent bytes of large responses, waiting or in transfer.
+	backlog    int        // Unsent bytes of large bodies, waiting or in transfer.
 }
 
 // New returns a pacer for a link with the given capacity. With 0 it limits
@@ -53,7 +53,7 @@
 	return &Pacer{bytesPerSecond: linkShare * bytesPerSecond, turns: make(chan struct{}, maxConcurrent)}
 }
 
-// Begin waits until a large response of the given size has its turn, but no longer
+// Begin waits until a large body of the given size has its turn, but no longer
 // than maxTurnWait or until ctx is done. It returns a body that is read no faster
 // than the link sends it. Closing that body ends the turn.
 func (p *Pacer) Begin(ctx context.Context, size int, body io.ReadCloser) io.ReadCloser {
@@ -70,15 +70,19 @@
 	return paced
 }
 
-// EstimatedWait returns the estimated wait of a large response that arrives now, or
+// EstimatedWait returns the estimated wait of a large body that arrives now, or
 // 0 if the capacity of the link is unknown. It does not block.
-func (p *Pacer) EstimatedWait() time.Duration {
+func (p *Pacer) EstimatedWait() time.Duration { return p.EstimatedTime(0) }
+
+// EstimatedTime returns the estimated time until a body of the given size that is sent now has been
+// sent, or 0 if the capacity of the link is unknown. It does not block.
+func (p *Pacer) EstimatedTime(size int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.bytesPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(p.backlog) / p.bytesPerSecond * float64(time.Second))
+	return time.Duration(float64(p.backlog+size) / p.bytesPerSecond * float64(time.Second))
 }
 
 // addBacklog adds n bytes, which may be negative, to the backlog.
@@ -103,7 +107,7 @@
 	return start.Sub(now)
 }
 
-// pacedBody is the body of a large response, read at the rate of the link.
+// pacedBody is a large body, read at the rate of the link.
 type pacedBody struct {
 	io.ReadCloser
 	pacer     *Pacer
--- a/internal/connection/requester/connection.go
+++ b/internal/connection/requester/connection.go
@@ -98,6 +98,16 @@
 	return n, err
 }
 
+// restartReceive lets the wait for the response begin after a 100 response: the stall timeout must
+// not count while the request body is sent.
+func (c *connection) restartReceive() error {
+	c.received = 0
+	if c.stallTimeout == 0 {
+		return nil
+	}
+	return errors.Wrap(c.netConn.SetReadDeadline(time.Time{}), "clear read deadline")
+}
+
 // clearDeadlines removes the deadlines that the stall timeout has set, and reports
 // whether the connection can be reused.
 func (c *connection) clearDeadlines() bool {
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -40,6 +40,8 @@
 	// sender writes a streamed request while the response is read. It is nil if the
 	// request is not streamed.
 	sender *tomb.Tomb
+	// runsWithBody is Limits.RunsWithBody, for a request that expects a 100 response.
+	runsWithBody bool
 }
 
 func newExchange(ctx context.Context, c *connection, req *http.Request, cfg *Config) *exchange {
@@ -74,6 +76,9 @@
 	}
 	req := *e.req
 	e.body = newRequestBody(e.req)
+	if e.runsWithBody {
+		e.body.continueTimeout = 0
+	}
 	req.Body = e.body
 	e.sender = &tomb.Tomb{}
 	e.sender.Go(func() error { return e.write(&req) })
@@ -125,6 +130,9 @@
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusContinue && e.body != nil {
+			if err := e.conn.restartReceive(); err != nil {
+				return nil, err
+			}
 			e.body.signalContinue()
 		}
 	}
@@ -194,7 +202,7 @@
 func (e *exchange) fail(reason classifier.Reason, cause error) *Error {
 	e.abandon()
 	outcome := classifier.Unknown
-	if !e.conn.sent.Load() {
+	if !e.conn.sent.Load() || e.runsWithBody && e.body != nil && !e.body.begun() {
 		outcome = classifier.NotRun
 	}
 	return NewError(outcome, contextReason(e.ctx, outcome, reason), cause)
--- a/internal/connection/requester/pool.go
+++ b/internal/connection/requester/pool.go
@@ -73,6 +73,10 @@
 type Limits struct {
 	// StallTimeout replaces the pool's stall timeout unless it is 0.
 	StallTimeout time.Duration
+	// RunsWithBody declares that the server runs a request with "Expect: 100-continue" only once
+	// it has received a part of the body. The body is sent only after a 100 response, however long
+	// that takes, and a failure before that is not-run.
+	RunsWithBody bool
 }
 
 // Pool keeps connections to any number of addresses. It is safe for concurrent use.
@@ -130,7 +134,9 @@
 		stallTimeout = p.cfg.StallTimeout
 	}
 	c.beginExchange(stallTimeout)
-	return newExchange(ctx, c, req, &p.cfg).run()
+	e := newExchange(ctx, c, req, &p.cfg)
+	e.runsWithBody = limits.RunsWithBody && expectsContinue(req)
+	return e.run()
 }
 
 // acquire returns an idle connection or opens one.
--- a/internal/connection/requester/pool_test.go
+++ b/internal/connection/requester/pool_test.go
@@ -392,3 +392,88 @@
 		})
 	})
 }
+
+// TestBodyIsSentOnlyWhenAskedFor guards against a body that is used up at a server that runs nothing, and against a request that is said not to have run after a part of its body was sent.
+func TestBodyIsSentOnlyWhenAskedFor(t *testing.T) {
+	const size, wait = 100_000, 3 * time.Second
+	const continued = "HTTP/1.1 100 Continue\r\n\r\n"
+	receiveHead := func(conn net.Conn) *bufio.Reader {
+		r := bufio.NewReader(conn)
+		_, err := http.ReadRequest(r)
+		assert.Check(t, err)
+		time.Sleep(wait)
+		return r
+	}
+	for name, tc := range map[string]struct {
+		script  peerScript
+		unread  bool // Whether the body was left unread.
+		outcome classifier.Outcome
+	}{
+		"server closes before it asks": {func(conn net.Conn, _ *atomic.Int64) { receiveHead(conn) }, true, classifier.NotRun},
+		"server closes after it asked": {func(conn net.Conn, _ *atomic.Int64) {
+			r := receiveHead(conn)
+			fmt.Fprint(conn, continued)
+			_, _ = r.Discard(10)
+		}, false, classifier.Unknown},
+		"server asks and responds late": {func(conn net.Conn, _ *atomic.Int64) {
+			r := receiveHead(conn)
+			fmt.Fprint(conn, continued)
+			_, _ = r.Discard(size)
+			time.Sleep(wait) // Longer than the stall timeout.
+			fmt.Fprint(conn, completeResponse)
+		}, false, classifier.Done},
+		"server responds without asking": {func(conn net.Conn, _ *atomic.Int64) {
+			receiveHead(conn)
+			fmt.Fprint(conn, completeResponse)
+		}, true, classifier.Done},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &dialer{scripts: []peerScript{tc.script}}
+			withPool(t, requester.Config{Dialer: d}, func(t *testing.T, pool *requester.Pool) {
+				body := strings.NewReader(strings.Repeat("x", size))
+				req, err := http.NewRequest(http.MethodPost, "http://almacen.example/", io.NopCloser(body))
+				assert.NilError(t, err)
+				req.ContentLength = size
+				req.Header.Set("Expect", "100-continue")
+				resp, err := pool.DoLimited(t.Context(), addr, req, requester.Limits{StallTimeout: time.Second, RunsWithBody: true})
+				if tc.outcome == classifier.Done {
+					assert.NilError(t, err)
+					_, err = io.Copy(io.Discard, resp.Body)
+					assert.NilError(t, err)
+				} else {
+					var failure *requester.Error
+					assert.Assert(t, errors.As(err, &failure), "%v", err)
+					assert.Equal(t, failure.Outcome(), tc.outcome)
+				}
+				synctest.Wait()
+				assert.Equal(t, body.Len() == size, tc.unread)
+			})
+		})
+	}
+}
+
+// TestConnectionWithUnsentBodyIsNotReused guards against a later request whose bytes a server takes for the rest of a body that it reads only after its response.
+func TestConnectionWithUnsentBodyIsNotReused(t *testing.T) {
+	var received []byte
+	d := &dialer{scripts: []peerScript{func(conn net.Conn, _ *atomic.Int64) {
+		r := bufio.NewReader(conn)
+		_, err := http.ReadRequest(r)
+		assert.Check(t, err)
+		fmt.Fprint(conn, completeResponse)
+		time.Sleep(time.Second)
+		received, _ = io.ReadAll(r) // Until the connection is closed.
+	}, respondAlways(completeResponse)}}
+	withPool(t, requester.Config{Dialer: d}, func(t *testing.T, pool *requester.Pool) {
+		req, err := http.NewRequest(http.MethodPost, "http://almacen.example/", io.NopCloser(strings.NewReader(strings.Repeat("x", 360_000))))
+		assert.NilError(t, err)
+		req.ContentLength = 360_000
+		for _, r := range []*http.Request{req, newRequest(http.MethodPost, "other"), newRequest(http.MethodGet, "")} {
+			body, err := doExchange(t.Context(), pool, r)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "ok")
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, strings.Trim(string(received), "x"), "")
+		assert.Equal(t, d.dials.Load(), int64(2))
+	})
+}
--- a/internal/connection/requester/request_body.go
+++ b/internal/connection/requester/request_body.go
@@ -60,14 +60,18 @@
 type requestBody struct {
 	io.ReadCloser
 	expectsContinue bool
+	continueTimeout time.Duration // 0 for no limit.
 	flush           func() error
 	reads           int
 	readFailed      atomic.Bool // The body could not be read; the caller probably disconnected.
 
 	continued    chan struct{} // Closed when the 100 response arrives.
 	continueOnce sync.Once
-	aborted      chan struct{} // Closed when the exchange is abandoned.
-	abortOnce    sync.Once
+
+	mu      sync.Mutex
+	isBegun bool          // The body has been or is being read.
+	isEnded bool          // abort was called.
+	aborted chan struct{} // Closed when the exchange is abandoned.
 }
 
 func hasBody(req *http.Request) bool {
@@ -81,6 +85,7 @@
 func newRequestBody(req *http.Request) *requestBody {
 	return &requestBody{
 		ReadCloser:      req.Body,
+		continueTimeout: continueTimeout,
 		expectsContinue: expectsContinue(req),
 		continued:       make(chan struct{}),
 		aborted:         make(chan struct{}),
@@ -101,6 +106,9 @@
 			return 0, err
 		}
 	}
+	if !b.begin() {
+		return 0, errExchangeEnded
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.readFailed.Store(true)
@@ -111,12 +119,16 @@
 // waitForContinue returns once the body may be sent, or with errExchangeEnded if the
 // exchange is abandoned first.
 func (b *requestBody) waitForContinue() error {
-	timer := time.NewTimer(continueTimeout)
-	defer timer.Stop()
+	var timeout <-chan time.Time
+	if b.continueTimeout > 0 {
+		timer := time.NewTimer(b.continueTimeout)
+		defer timer.Stop()
+		timeout = timer.C
+	}
 	select {
 	case <-b.continued:
 		return nil
-	case <-timer.C:
+	case <-timeout:
 		return nil
 	case <-b.aborted:
 		return errExchangeEnded
@@ -125,7 +137,30 @@
 
 func (b *requestBody) signalContinue() { b.continueOnce.Do(func() { close(b.continued) }) }
 
-func (b *requestBody) abort() { b.abortOnce.Do(func() { close(b.aborted) }) }
+// begin records that the body is read. It returns false if the exchange was abandoned before.
+func (b *requestBody) begin() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isBegun = b.isBegun || !b.isEnded
+	return !b.isEnded
+}
+
+// begun reports whether the body has been read. It does not change after abort.
+func (b *requestBody) begun() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isBegun
+}
+
+// abort ends the wait for the 100 response and keeps the body from being read any more.
+func (b *requestBody) abort() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isEnded {
+		b.isEnded = true
+		close(b.aborted)
+	}
+}
 
 // opaqueWriter hides the type and the ReadFrom method of a bufio.Writer. Given a
 // *bufio.Writer, net/http flushes the head of a request before it reads the body;
--- a/internal/connection/responder/disconnect_watcher.go
+++ b/internal/connection/responder/disconnect_watcher.go
@@ -1,14 +1,8 @@
 package responder
 
 import (
-	"io"
-	"math"
-	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // pastDeadline is a read deadline that interrupts a blocked read immediately.
@@ -102,31 +96,3 @@
 		r.cancel()
 	}
 }
-
-// requestBody is the body of a request. It arms the watcher at its end.
-type requestBody struct {
-	io.ReadCloser
-	watcher   *disconnectWatcher
-	remaining atomic.Int64 // Bytes not yet read, counted from MaxInt64 if the length is unknown.
-	ended     atomic.Bool
-}
-
-func newRequestBody(req *http.Request, w *disconnectWatcher) *requestBody {
-	b := &requestBody{ReadCloser: req.Body, watcher: w}
-	b.remaining.Store(math.MaxInt64)
-	if req.ContentLength > 0 {
-		b.remaining.Store(req.ContentLength)
-	}
-	return b
-}
-
-// Read reads the body and detects its end. If the length is known, the end is the last
-// byte, since the handler may not read on to io.EOF.
-func (b *requestBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if b.remaining.Add(-int64(n)) == 0 || errors.Is(err, io.EOF) {
-		b.ended.Store(true)
-		b.watcher.arm()
-	}
-	return n, err
-}
--- a/internal/connection/responder/responder.go
+++ b/internal/connection/responder/responder.go
@@ -28,6 +28,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -199,12 +200,16 @@
 		r.watcher.arm()
 	} else {
 		w.reqBody = newRequestBody(req, r.watcher)
+		if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+			w.reqBody.sendContinue = w.sendContinue
+			w.reqBody.awaited.Store(true)
+		}
 		req.Body = w.reqBody
 	}
 	r.handler.ServeHTTP(w, req)
 	r.watcher.endRequest()
 	err := w.finish()
-	if w.reqBody != nil && !w.reqBody.ended.Load() {
+	if w.reqBody != nil && !w.reqBody.ended.Load() && !w.reqBody.awaited.Load() {
 		r.discardBody(w.reqBody)
 	}
 	return err == nil && r.ctx.Err() == nil && !w.closesConnection()
--- a/internal/connection/responder/responder_test.go
+++ b/internal/connection/responder/responder_test.go
@@ -217,3 +217,38 @@
 		})
 	}
 }
+
+// TestBodyIsAskedForWhenRead checks that a client that awaits a 100 response gets it once the handler reads the body, and otherwise only the response, at once.
+func TestBodyIsAskedForWhenRead(t *testing.T) {
+	const body = "twelve litres"
+	for _, read := range []bool{true, false} {
+		t.Run(fmt.Sprintf("handler reads body %v", read), func(t *testing.T) {
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Second)
+				if read {
+					_, _ = io.Copy(w, r.Body)
+				}
+			}
+			withConnection(t, handler, func(t *testing.T, _ *testServer, c net.Conn, r *bufio.Reader) {
+				sendRequest(c, simpleRequest)
+				receiveResponse(t, r, "GET")
+				began := time.Now()
+				sendRequest(c, fmt.Sprintf("POST /pedidos HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body)))
+				resp, got := receiveResponse(t, r, "POST")
+				if read {
+					assert.Equal(t, resp.StatusCode, http.StatusContinue)
+					sendRequest(c, body)
+					resp, got = receiveResponse(t, r, "POST")
+					assert.Equal(t, got, body)
+				}
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				assert.Equal(t, resp.Close, !read)
+				if !read {
+					_, err := r.ReadByte()
+					assert.ErrorIs(t, err, io.EOF)
+					assert.Equal(t, time.Since(began), time.Second)
+				}
+			})
+		})
+	}
+}
--- a/internal/connection/responder/response_writer.go
+++ b/internal/connection/responder/response_writer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +14,10 @@
 // the body ends within it, the response gets a Content-Length instead of chunks.
 const maxBuffered = 2 << 10
 
-var errLengthMismatch = errors.New("response body does not match its Content-Length")
+var (
+	errResponseBegun  = errors.New("the response has begun before the request body was asked for")
+	errLengthMismatch = errors.New("response body does not match its Content-Length")
+)
 
 // responseWriter is the http.ResponseWriter of one request. It writes the head when the
 // status is set if the response has no body, a Content-Length or trailers. Otherwise it
@@ -24,9 +28,10 @@
 	reqBody       *requestBody // Nil if the request has no body.
 	header        http.Header
 	status        int
-	headWritten   bool
-	noBody        bool   // The response has no body; what the handler writes is dropped.
-	buffered      []byte // The part of the body written before the head.
+	headMu        sync.Mutex // Held while a 100 response is written, which any reader of the body may do.
+	headWritten   bool       // Only the handler changes it.
+	noBody        bool       // The response has no body; what the handler writes is dropped.
+	buffered      []byte     // The part of the body written before the head.
 	chunked       bool
 	contentLength int64 // The value of Content-Length, or -1.
 	written       int64 // Bytes of the body passed to writeBody.
@@ -90,11 +95,27 @@
 	return errors.Wrap(rw.responder.conn.SetReadDeadline(t), "set read deadline")
 }
 
+// sendContinue asks the client for the body of the request. Once the head of the response is
+// written, it fails: the client would take the 100 response for a part of that.
+func (rw *responseWriter) sendContinue() error {
+	rw.headMu.Lock()
+	defer rw.headMu.Unlock()
+	if rw.headWritten {
+		return errResponseBegun
+	}
+	if _, err := rw.responder.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return errors.Wrap(err, "write 100 response")
+	}
+	return errors.Wrap(rw.responder.writer.Flush(), "flush 100 response")
+}
+
 // writeHead writes the head and the buffered part of the body. A body without a
 // Content-Length is sent in chunks. Errors are ignored here: the bufio.Writer returns
 // them from Flush.
 func (rw *responseWriter) writeHead() {
+	rw.headMu.Lock()
 	rw.headWritten = true
+	rw.headMu.Unlock()
 	if rw.reqBody != nil && !rw.reqBody.ended.Load() {
 		rw.header["Connection"] = []string{"close"}
 	}
--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -43,6 +43,8 @@
 		ExpectedWork:  q.ExpectedWork,
 		TimeToGoal:    q.TimeToGoal,
 		LargeResponse: q.LargeResponse,
+		LargeRequest:  q.LargeRequest,
+		SendTime:      q.SendTime,
 		Now:           q.Now,
 	})
 	if !ok {
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -125,6 +125,7 @@
 		Keys:              n.deduplicator,
 		Notices:           n.noticeBoard,
 		Quarantine:        n.quarantiner,
+		Link:              n.linkPacer,
 		Headers:           n.dialect.Headers,
 		MaxUnsentAttempts: n.unsentAttemptLimit(),
 		Explainer:         n.explainer,
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -67,6 +67,8 @@
 		ExpectedWork:  c.forwarder.workEstimates.expected(&c.route),
 		TimeToGoal:    c.timeToGoal(a.start),
 		LargeResponse: c.route.largeResponse,
+		LargeRequest:  c.uploads(),
+		SendTime:      c.sendTime(),
 		Now:           a.start,
 	})
 	if !ok {
@@ -160,7 +162,7 @@
 	if c.route.latencyGoal > 0 {
 		req.Header[classifier.HeaderDue] = []string{strconv.FormatInt(c.timeToGoal(time.Now()).Milliseconds(), 10)}
 	}
-	if c.route.largeResponse && a.choice.SameFailureDomain {
+	if (c.route.largeResponse || c.uploads()) && a.choice.SameFailureDomain {
 		req.Header[classifier.HeaderStay] = preferLocalValue
 	}
 	resp, refusal := c.deliver(ctx, a.choice.Instance, req)
@@ -185,8 +187,13 @@
 		return resp, nil
 	}
 	f.presentNotice(in, req)
+	limits := requester.Limits{StallTimeout: c.route.spec.StallTimeout}
+	if c.uploads() {
+		c.prepareUpload(ctx, req)
+		limits.RunsWithBody = true
+	}
 	sentAt := time.Now()
-	resp, err := f.cfg.Requester.DoLimited(ctx, in.HTTP(), req, requester.Limits{StallTimeout: c.route.spec.StallTimeout})
+	resp, err := f.cfg.Requester.DoLimited(ctx, in.HTTP(), req, limits)
 	if err != nil {
 		return nil, refuser.FromError(err)
 	}
--- a/internal/request/forwarder/config.go
+++ b/internal/request/forwarder/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -33,7 +34,11 @@
 	TimeToGoal time.Duration
 	// LargeResponse reports whether the route's responses are large.
 	LargeResponse bool
-	Now           time.Time
+	// LargeRequest reports whether the request has a large body, and SendTime how long it takes
+	// until the link of this node has sent it to another one; 0 if that is unknown.
+	LargeRequest bool
+	SendTime     time.Duration
+	Now          time.Time
 }
 
 // Choice is the picked instance and the reasons for the pick.
@@ -134,6 +139,15 @@
 	Return(o *compiler.Organisation)
 }
 
+// Link schedules large bodies on the network link of the instance.
+type Link interface {
+	// Begin waits until a body of the given size may be sent and returns it, to be closed.
+	Begin(ctx context.Context, size int, body io.ReadCloser) io.ReadCloser
+	// EstimatedTime returns the estimated time until a body of the given size that is sent now
+	// has been sent; 0 if that is unknown.
+	EstimatedTime(size int) time.Duration
+}
+
 // SnapshotSource returns the configuration in force and the view of the fleet.
 type SnapshotSource interface {
 	Snapshot() *publisher.Snapshot
@@ -151,8 +165,8 @@
 	Organisation string
 }
 
-// Config holds the dependencies of a Forwarder. Only Local, Keys, Notices, Quarantine, Quota and
-// Headers are optional.
+// Config holds the dependencies of a Forwarder. Only Local, Keys, Notices, Quarantine, Quota,
+// Link and Headers are optional.
 type Config struct {
 	// Instance is the id of this node's instance.
 	Instance  string
@@ -170,6 +184,8 @@
 	Quarantine Quarantine
 	// Quota is nil if organisations have no quotas.
 	Quota Quota
+	// Link is nil if large request bodies are not scheduled.
+	Link Link
 	// Headers are the headers of callers that identify their organisations.
 	Headers OrganisationHeaders
 	// MaxUnsentAttempts is the number of attempts per request that may fail before they
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -68,6 +68,10 @@
 	// quota and headers are those of the entry node.
 	quota   forwarder.Quota
 	headers forwarder.OrganisationHeaders
+	// link schedules the large request bodies of the entry node, if not nil.
+	link forwarder.Link
+	// unreadBody lets upstreams respond before they have read the body.
+	unreadBody bool
 
 	runs            atomic.Int64
 	retriedRequests atomic.Int64
@@ -117,6 +121,7 @@
 		if f.keys != nil {
 			cfg.Keys = f.keys
 		}
+		cfg.Link = f.link
 		if f.localUpstream {
 			cfg.Instance = "almacen-1"
 			cfg.Local = f.servers[0]
@@ -134,6 +139,7 @@
 			for _, c := range f.closers {
 				c.Close()
 			}
+			time.Sleep(time.Second) // net/http closes some connections 500 ms later.
 		}()
 		test(t)
 	})
@@ -150,6 +156,10 @@
 	f.listen(nodeAddress, s)
 	f.listen(upstreamAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		run := f.runs.Add(1)
+		if f.unreadBody {
+			f.upstreamHandler(w, r, run)
+			return
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err == nil {
 			f.upstreamHandler(w, r, run)
 		}
--- a/internal/request/forwarder/route.go
+++ b/internal/request/forwarder/route.go
@@ -35,6 +35,8 @@
 	firstAttemptAt time.Time
 	// largeResponse reports whether the route's responses are large.
 	largeResponse bool
+	// largeRequest reports whether the route's requests have large bodies.
+	largeRequest bool
 	// explicit reports whether the configuration defines the route. Other routes are derived
 	// from their service. An explicit route sets the priority instead of the caller.
 	explicit bool
@@ -102,6 +104,7 @@
 		explicit:           matched.Explicit(),
 		latencyGoal:        matched.LatencyGoal(),
 		largeResponse:      matched.LargeResponses(),
+		largeRequest:       matched.LargeRequests(),
 	}, nil
 }
 
--- a/internal/request/picker/leastexpectedfinish.go
+++ b/internal/request/picker/leastexpectedfinish.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// refreshTimeout bounds each wait for load samples. refreshTimeoutLarge applies if a
-	// large response is expected: such responses may saturate the links of the instances
-	// that serve them.
+	// refreshTimeout bounds each wait for load samples. refreshTimeoutLarge applies to large
+	// requests and responses, which may saturate the links of the instances.
 	refreshTimeout      = 8 * time.Millisecond
 	refreshTimeoutLarge = 20 * time.Millisecond
 	// maxReuseAge is the maximum age of a sample that is used without a refresh.
@@ -24,11 +23,11 @@
 	localRounds = 2
 	// localGoalShare is the share of the latency goal within which a local candidate
 	// without spare capacity must be expected to respond. Otherwise other failure
-	// domains are considered. localGoalShareLarge applies to a large response.
+	// domains are considered. localGoalShareLarge applies to a large request or response.
 	localGoalShare      = 0.5
 	localGoalShareLarge = 0.7
 	// crossDomainShare is the share of the latency goal by which a candidate in another
-	// failure domain must be faster, and crossDomainShareLarge that for a large response:
+	// failure domain must be faster, and crossDomainShareLarge that for a large request or response:
 	// traffic between failure domains is billed by the byte and competes with other
 	// traffic for the links between them.
 	crossDomainShare      = 0.05
@@ -116,7 +115,7 @@
 	}
 	if len(stale) > 0 && p.picker.refresher != nil {
 		timeout := refreshTimeout
-		if s.LargeResponse {
+		if s.large() {
 			timeout = refreshTimeoutLarge
 		}
 		p.picker.refresher.Refresh(&s.spec, stale, timeout)
@@ -172,7 +171,7 @@
 		return candidate.expected <= goal
 	}
 	share := localGoalShare
-	if s.LargeResponse {
+	if s.large() {
 		share = localGoalShareLarge
 	}
 	return candidate.expected <= time.Duration(share*float64(goal))
@@ -195,7 +194,7 @@
 		return roundTrip
 	}
 	share := crossDomainShare
-	if s.LargeResponse {
+	if s.large() {
 		share = crossDomainShareLarge
 	}
 	return roundTrip + time.Duration(share*float64(p.timeToGoal(candidate.reading, s)))
@@ -210,6 +209,19 @@
 	return max(reading.Load().Latency(), assumedLatency)
 }
 
+// linkTime returns how long large bodies take or wait on the links of this node and of another one
+// with the given load.
+func (p *leastExpectedFinish) linkTime(load sampler.Load, s *pickState) time.Duration {
+	total := time.Duration(0)
+	if s.LargeRequest {
+		total += s.SendTime
+	}
+	if s.LargeResponse {
+		total += load.LinkWait()
+	}
+	return total
+}
+
 // score sets the candidate's score and the reason for it.
 func (p *leastExpectedFinish) score(candidate *Candidate, s *pickState) {
 	reading := candidate.reading
@@ -229,8 +241,8 @@
 	candidate.reason = ReasonCold
 	candidate.expected = reading.Slowdown(s.Now).TimeToFinish(work, s.Now) + time.Duration(contention*float64(work)) +
 		p.networkCost(candidate, s) + failureCost(reading.FailureRate())
-	if s.LargeResponse && candidate.instance.ID() != p.picker.self {
-		candidate.expected += load.LinkWait()
+	if candidate.instance.ID() != p.picker.self {
+		candidate.expected += p.linkTime(load, s)
 	}
 	if occupancy >= limit {
 		candidate.reason = ReasonHot
--- a/internal/request/picker/leastexpectedfinish_test.go
+++ b/internal/request/picker/leastexpectedfinish_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// TestUploadStaysAtOwnInstanceIfTheLinkIsSlow guards against an upload that is sent to another node over a link that takes longer for it than the own upstream does.
+func TestUploadStaysAtOwnInstanceIfTheLinkIsSlow(t *testing.T) {
+	slowed := sampler.LoadSpec{SlownessPercent: 300}
+	sc := scenario{loads: map[string]sampler.LoadSpec{"a-1": slowed, "a-2": {}, "b-1": {}, "b-2": {}}}
+	for sendTime, want := range map[time.Duration]string{0: "a-2", 500 * time.Millisecond: "a-1"} {
+		_, p, query := sc.newPicker(t)
+		query.LargeRequest, query.SendTime = true, sendTime
+		choice, ok := p.Pick(query)
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Instance().ID(), want, "%v", sendTime)
+	}
+}
+
 // TestFullInstancesAreNotRefreshedAgain checks that the next attempt of a request refreshes
 // no instances that were full 10 ms before, while it refreshes those with free slots.
 func TestFullInstancesAreNotRefreshedAgain(t *testing.T) {
--- a/internal/request/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -96,10 +96,17 @@
 	ExpectedWork, TimeToGoal time.Duration
 	// LargeResponse reports whether the response is expected to be large.
 	LargeResponse bool
+	// LargeRequest reports whether the request has a large body, and SendTime how long it takes
+	// until the link of this node has sent it to another one; 0 if that is unknown.
+	LargeRequest bool
+	SendTime     time.Duration
 	// Now is the time of the choice.
 	Now time.Time
 }
 
+// large reports whether the request or its response is large.
+func (q *Query) large() bool { return q.LargeRequest || q.LargeResponse }
+
 // pickState holds a query, the settings of its service and the buffers of one Pick.
 type pickState struct {
 	Query
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -169,6 +170,8 @@
 		req.Body = requester.NewBytesBody(body)
 	} else if r.ContentLength != 0 {
 		limitReads(ctx, w)
+		// Closing the body would read the rest, which the sender may hold back until it is asked.
+		req.Body = io.NopCloser(r.Body)
 	}
 	resp, err := s.Exchange(ctx, req)
 	if err != nil {
