--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -129,6 +129,7 @@
 		Notices:           n.noticeBoard,
 		Quarantine:        n.quarantiner,
 		Quota:             n.quotaKeeper,
+		Link:              n.linkPacer,
 		Headers:           n.dialect.Headers,
 		MaxUnsentAttempts: n.unsentAttemptLimit(),
 		Explainer:         n.explainer,
