--- a/internal/request/admitter/least_cost.go
+++ b/internal/request/admitter/least_cost.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
@@ -8,8 +9,18 @@
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// minLateShare is the least share of starts that late requests of a class count on.
-const minLateShare = 0.03
+const (
+	// overShareCost multiplies the cost of requests of an organisation above its share, so that
+	// they are left out before those of others that need more work.
+	overShareCost = 4
+	// demandPeriod is the time over which the demand of requests in time is averaged.
+	demandPeriod = 2 * time.Second
+	// spareShare is the share of the room that requests in time leave which late requests count
+	// on, since those that return compete for it, too.
+	spareShare = 0.5
+	// minLateShare is the least share of the slots that late requests count on.
+	minLateShare = 0.03
+)
 
 // leastCost decides which requests wait, run or are refused by what that costs callers. It
 // answers a load beyond the capacity of the slots.
@@ -17,8 +28,8 @@
 	planner   planner
 	occupancy occupancy
 	accounts  accounts
-	// lateShares are the moving shares of late requests in the starts of each class.
-	lateShares [compiler.PriorityHigh + 1]float64
+	// demand is the work in seconds that each class asked for in time in demandPeriod.
+	demand     [compiler.PriorityHigh + 1]decayingSum
 	overtaking [compiler.PriorityHigh + 1]overtaking
 
 	// The last plan, made at plannedAt: the candidates of all classes, and when a further
@@ -50,7 +61,11 @@
 		req.LatencyGoalTime = req.Deadline
 	}
 	req.goalOnArrival = max(req.LatencyGoalTime.Sub(now), 0)
-	a.leastCost.accounts.ask(req, a.accountedWork(req, now), now)
+	work := a.accountedWork(req, now)
+	a.leastCost.accounts.ask(req, work, now)
+	if !req.Retried && !a.missesGoal(req, now) {
+		a.leastCost.demand[classOf(req.Priority)].add(work.Seconds(), now, demandPeriod)
+	}
 	return req
 }
 
@@ -118,25 +133,29 @@
 			w := e.Value.(*waiter)
 			l.candidates[class] = append(l.candidates[class], a.candidate(w, slowdown, now))
 			c := &l.candidates[class][len(l.candidates[class])-1]
-			c.entering = w == newWaiter
+			if w == newWaiter {
+				c.entering = true
+			}
 			l.accounts.wait(w.req, c.work, now)
 		}
 	}
+	if newWaiter != nil {
+		found = l.find(newWaiter)
+		found.excess = max(l.accounts.excess(newWaiter.req, found.work, now), 1)
+	}
 	for class := len(l.candidates) - 1; class >= 0; class-- {
 		pace := a.pace(class, now)
 		l.rooms[class] = l.planner.plan(l.candidates[class], pace)
 	}
-	if newWaiter != nil {
-		class := l.candidates[classOf(newWaiter.req.Priority)]
-		for i := range class {
-			if class[i].waiter == newWaiter {
-				found = &class[i]
-			}
-		}
-	}
 	return found
 }
 
+// find returns the candidate of a waiter.
+func (l *leastCost) find(w *waiter) *candidate {
+	class := l.candidates[classOf(w.req.Priority)]
+	return &class[slices.IndexFunc(class, func(c candidate) bool { return c.waiter == w })]
+}
+
 // candidate returns the candidate of a waiting request.
 func (a *Admitter) candidate(w *waiter, slowdown sampler.Slowdown, now time.Time) candidate {
 	c := candidate{waiter: w, goal: never, deadline: never, share: 1}
@@ -164,9 +183,10 @@
 // pace returns how fast the slots serve a class.
 func (a *Admitter) pace(class int, now time.Time) pace {
 	l := a.leastCost
+	open := l.occupancy.open(now)
 	p := pace{
-		share:     a.queue.shareUpTo(compiler.Priority(class)) * l.occupancy.open(now),
-		lateShare: max(l.lateShares[class], minLateShare),
+		share:     a.queue.shareUpTo(compiler.Priority(class)) * open,
+		lateShare: max(spareShare*(open-a.demandShare(class, now)), minLateShare),
 		turn:      never,
 	}
 	if class < len(l.candidates)-1 {
@@ -175,6 +195,16 @@
 	return p
 }
 
+// demandShare returns the share of the slots that requests in time of a class and of higher
+// ones need.
+func (a *Admitter) demandShare(class int, now time.Time) float64 {
+	demand := 0.0
+	for higher := class; higher < len(a.leastCost.demand); higher++ {
+		demand += a.leastCost.demand[higher].value(now, demandPeriod)
+	}
+	return demand / (demandPeriod.Seconds() * float64(a.limiter.limit(now)))
+}
+
 // cost returns what a candidate costs others: its work, weighted by the excess of its
 // organisation. A call of a running request costs nothing: leaving it out would waste the
 // work of all that wait for it.
@@ -182,7 +212,12 @@
 	if c.waiter.req.Nested {
 		return 0
 	}
-	return c.work.Seconds() * l.accounts.excess(c.waiter.req, c.work, now)
+	cost := c.work.Seconds()
+	excess := l.accounts.excess(c.waiter.req, c.work, now)
+	if excess > 1 {
+		return overShareCost * excess * cost
+	}
+	return excess * cost
 }
 
 // entryReason returns why a new request must not wait, or ReasonNone.
@@ -334,12 +369,6 @@
 // recordLeastCostStart records that a request starts.
 func (a *Admitter) recordLeastCostStart(req Request, now time.Time) {
 	l := a.leastCost
-	late := 0.0
-	if a.missesGoal(req, now) {
-		late = 1
-	}
-	share := &l.lateShares[classOf(req.Priority)]
-	*share += shareWeight * (late - *share)
 	if req.goalOnArrival > 0 {
 		l.overtaking[classOf(req.Priority)].record(req.goalOnArrival, a.accountedWork(req, now))
 	}
--- a/internal/request/admitter/load_test.go
+++ b/internal/request/admitter/load_test.go
@@ -28,6 +28,8 @@
 	rate func(at time.Duration) float64
 	// organisation returns the caller's organisation; nil for none.
 	organisation func(r *rand.Rand, at time.Duration) string
+	// anonymous hides the organisation from the admitter.
+	anonymous bool
 	// atOnce makes refused callers repeat at once and five times, rather than after
 	// Retry-After and twice.
 	atOnce bool
@@ -36,6 +38,7 @@
 // load is an open load on the nodes of one service.
 type load struct {
 	nodes, slots int
+	seeds        uint64 // 1 if unset.
 	length       time.Duration
 	callers      []callers
 	// down returns whether the upstreams serve nothing; nil for never.
@@ -43,6 +46,8 @@
 	// uneven slows the upstreams fivefold in a quarter of the intervals of 150 ms, and by a half
 	// with more than three quarters of the slots in use.
 	uneven bool
+	// countedFrom is the time of the first attempts from which callers are counted.
+	countedFrom time.Duration
 }
 
 const (
@@ -57,6 +62,7 @@
 
 // played is the result of a load.
 type played struct {
+	countedFrom    time.Duration
 	mu             sync.Mutex
 	byCallers      map[string]*answered
 	byOrganisation map[string]*answered
@@ -79,6 +85,9 @@
 func (p *played) count(c callers, organisation string, at time.Duration, field func(*answered) *int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if at < p.countedFrom {
+		return
+	}
 	second := int(at / time.Second)
 	for len(p.bySecond) <= second {
 		p.bySecond = append(p.bySecond, answered{})
@@ -115,7 +124,15 @@
 // play plays a load in fake time and returns what callers got.
 func (l load) play(t *testing.T, overload compiler.Overload) *played {
 	t.Helper()
-	p := &played{byCallers: map[string]*answered{}, byOrganisation: map[string]*answered{}}
+	p := &played{countedFrom: l.countedFrom, byCallers: map[string]*answered{}, byOrganisation: map[string]*answered{}}
+	for seed := range max(l.seeds, 1) {
+		l.playSeed(t, overload, seed, p)
+	}
+	return p
+}
+
+func (l load) playSeed(t *testing.T, overload compiler.Overload, seed uint64, p *played) {
+	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		begin := time.Now()
 		nodes := make([]*playedNode, l.nodes)
@@ -123,7 +140,7 @@
 			nodes[i] = newPlayedNode(l, overload, i, begin)
 		}
 		for i, c := range l.callers {
-			r := rand.New(rand.NewPCG(uint64(i), 11))
+			r := rand.New(rand.NewPCG(uint64(i), seed))
 			go func() {
 				for time.Since(begin) < l.length {
 					at := time.Since(begin)
@@ -139,7 +156,6 @@
 		}
 		time.Sleep(l.length + time.Minute)
 	})
-	return p
 }
 
 // call plays one caller, who returns after refusals.
@@ -151,6 +167,9 @@
 		Priority: c.priority, ExpectedWork: c.work, Organisation: organisation,
 		LatencyGoalTime: first.Add(c.goal), Deadline: first.Add(c.deadline),
 	}
+	if c.anonymous {
+		req.Organisation = ""
+	}
 	returns := 2
 	if c.atOnce {
 		returns = 5
--- a/internal/request/admitter/organisation_account.go
+++ b/internal/request/admitter/organisation_account.go
@@ -8,17 +8,19 @@
 const (
 	// recentPeriod is the time over which work counts as recent.
 	recentPeriod = 10 * time.Second
-	// usualPeriod is the time over which what an organisation asks becomes usual for it.
-	usualPeriod = 2 * time.Minute
+	// usualRisePeriod is the time in which what is usual for an organisation may double, and
+	// usualFallPeriod the time constant with which it falls. A rise that lasts becomes usual.
+	usualRisePeriod = time.Minute
+	usualFallPeriod = 2 * time.Minute
 	// freeRequests is the number of requests of recentPeriod that never put an organisation
 	// above its share, since so few say nothing about what is usual for it.
 	freeRequests = 2
 	// excessTolerance is how many times its share an organisation may get before it is left
 	// out for that.
-	excessTolerance = 1.25
+	excessTolerance = 1.5
 	// protectedShare is the share of the mean of all below which the rate at which an
 	// organisation is served protects its requests. Callers are promised a quarter.
-	protectedShare = 0.4
+	protectedShare = 0.33
 	// minExcess is the least excess of a protected organisation.
 	minExcess = 0.01
 	// maxAccounts bounds the number of accounts.
@@ -42,16 +44,39 @@
 
 // account holds what an organisation asks and gets, as work in seconds.
 type account struct {
-	usual    decayingSum // What it asked in usualPeriod.
-	asked    decayingSum // What it asked in recentPeriod.
-	started  decayingSum // What it started in recentPeriod.
-	lastUsed time.Time
+	asked   decayingSum // In recentPeriod.
+	started decayingSum // In recentPeriod.
+	// usual is what it usually asks in recentPeriod, at usualAt.
+	usual             float64
+	usualAt, firstAsk time.Time
+	lastUsed          time.Time
 	// waiting is what waits in the plan with the given number, excess the excess of the
 	// organisation there, or 0 before it is known.
 	waiting, excess float64
 	plan            uint64
 }
 
+// ask records work that was asked, and returns by how much the usual work changed.
+func (a *account) ask(work float64, began, now time.Time) float64 {
+	a.asked.add(work, now, recentPeriod)
+	if a.firstAsk.IsZero() {
+		a.firstAsk, a.usualAt = now, now
+	}
+	before, passed := a.usual, now.Sub(a.usualAt)
+	a.usualAt = now
+	asked := a.asked.sum
+	switch {
+	case now.Sub(a.firstAsk) < recentPeriod: // Nothing is usual yet.
+		seen := max(now.Sub(began), time.Second)
+		a.usual = asked / (1 - math.Exp(-float64(seen)/float64(recentPeriod)))
+	case asked > a.usual:
+		a.usual = min(asked, a.usual*math.Exp2(float64(passed)/float64(usualRisePeriod)))
+	default:
+		a.usual += (asked - a.usual) * (1 - math.Exp(-float64(passed)/float64(usualFallPeriod)))
+	}
+	return a.usual - before
+}
+
 // accounts divide the slots between organisations. They answer a load in which one asks for many
 // times its usual work, beyond capacity: it pays for its own excess. They hold back no
 // room: the share of an idle organisation is free for the others.
@@ -91,6 +116,7 @@
 			oldest = name
 		}
 	}
+	s.all.usual -= s.byName[oldest].usual
 	delete(s.byName, oldest)
 }
 
@@ -101,10 +127,8 @@
 	if a == nil || req.Retried {
 		return
 	}
-	for _, a := range []*account{a, &s.all} {
-		a.usual.add(work.Seconds(), now, usualPeriod)
-		a.asked.add(work.Seconds(), now, recentPeriod)
-	}
+	s.all.asked.add(work.Seconds(), now, recentPeriod)
+	s.all.usual += a.ask(work.Seconds(), s.began, now)
 }
 
 // start records that a request with the given work started.
@@ -154,7 +178,7 @@
 	if served, mean := a.servedShare(now), s.all.servedShare(now); served < protectedShare*mean {
 		return max(served/mean, minExcess)
 	}
-	excess := s.load(a, least, now) / s.load(&s.all, least, now)
+	excess := a.load(least, now) / s.all.load(least, now)
 	if excess <= excessTolerance {
 		return 1
 	}
@@ -170,12 +194,7 @@
 	return min(a.started.value(now, recentPeriod)/asked, 1)
 }
 
-// load returns the recent and waiting work of an account over what is usual for it in that
-// time, at least the given work.
-func (s *accounts) load(a *account, least float64, now time.Time) float64 {
-	age := max(now.Sub(s.began), time.Millisecond)
-	observed := float64(usualPeriod) * (1 - math.Exp(-float64(age)/float64(usualPeriod)))
-	recent := float64(recentPeriod) * (1 - math.Exp(-float64(age)/float64(recentPeriod)))
-	usual := max(a.usual.value(now, usualPeriod)*recent/observed, least)
-	return (a.started.value(now, recentPeriod) + a.waiting) / usual
+// load returns the recent and waiting work over what is usual, at least the given work.
+func (a *account) load(least float64, now time.Time) float64 {
+	return (a.started.value(now, recentPeriod) + a.waiting) / max(a.usual, least)
 }
--- a/internal/request/admitter/planner.go
+++ b/internal/request/admitter/planner.go
@@ -27,7 +27,7 @@
 	stayMargin  = 0.9
 	// displaceRatio is how many times more a request must cost than another one to be left out for
 	// it, since a refusal after a wait costs its caller more than one at once.
-	displaceRatio = 1.25
+	displaceRatio = 2
 )
 
 // candidate is one waiting request of a plan. All times are counted from now.
@@ -42,6 +42,8 @@
 	// share is the part of the slots of its class that requests which have yet to arrive leave
 	// to it.
 	share float64
+	// excess is how many times its share the organisation of an entering request has, at least 1.
+	excess float64
 	// entering means that the request is new and does not wait yet.
 	entering bool
 	// lateByOthers means that the request was left out for another one.
@@ -55,15 +57,15 @@
 // margin returns the factor for the expected wait of the request.
 func (c *candidate) margin() float64 {
 	if c.entering {
-		return entryMargin
+		return entryMargin * c.excess
 	}
 	return stayMargin
 }
 
 // pace is how fast the slots that become free serve the requests of one class.
 type pace struct {
-	// share is the share of the free slots that the class gets, lateShare the share of late
-	// requests in these.
+	// share is the share of the slots that the class gets, lateShare the one that its late
+	// requests get.
 	share, lateShare float64
 	// turn is the longest time from one start of the class to the next, never if unbounded.
 	turn time.Duration
@@ -121,7 +123,7 @@
 	}
 	inTime := time.Duration(float64(p.free[0]) / pace.share)
 	p.planLate(class, pace)
-	return room{inTime: inTime, late: time.Duration(float64(p.free[0]) / (pace.share * pace.lateShare))}
+	return room{inTime: inTime, late: time.Duration(float64(p.free[0]) / min(pace.share, pace.lateShare))}
 }
 
 // fits reports whether c, started after all that are in time, meets its goal.
@@ -173,7 +175,7 @@
 	for n, i := range p.late {
 		c := &class[i]
 		c.order = len(p.inTime) + n
-		c.start = p.startAt(c, pace.share*pace.lateShare, pace.turn, c.order+1)
+		c.start = p.startAt(c, min(pace.share, pace.lateShare), pace.turn, c.order+1)
 		if c.start+c.work > c.deadline {
 			c.verdict, c.start = verdictHopeless, never
 			continue
