--- a/internal/process/launcher/evacuated_fleet_test.go
+++ b/internal/process/launcher/evacuated_fleet_test.go
@@ -76,13 +76,13 @@
 	return conn, nil
 }
 
-// arrivalsBetween returns how many requests arrived between two times.
+// arrivalsBetween returns how many requests arrived from one time to another, both included.
 func (u *countingUpstream) arrivalsBetween(from, to time.Time) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	n := 0
 	for _, at := range u.arrivals {
-		if at.After(from) && at.Before(to) {
+		if !at.Before(from) && !at.After(to) {
 			n++
 		}
 	}
--- a/internal/process/launcher/node_evacuation_test.go
+++ b/internal/process/launcher/node_evacuation_test.go
@@ -84,16 +84,29 @@
 	}
 }
 
+// sendAtOnce sends requests to one node at the same moment and asserts that all are served.
+func (f *evacuatedFleet) sendAtOnce(t *testing.T, entry, count int) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range count {
+		wg.Go(func() { assert.Check(t, f.send(entry, http.MethodPost, "").StatusCode == http.StatusOK) })
+	}
+	wg.Wait()
+}
+
 // TestNodeThatDoesNotKnowIsRefused checks that the nodes beside the evacuated upstreams refuse
 // the requests of a node that has not learned of the order, which tries others.
 func TestNodeThatDoesNotKnowIsRefused(t *testing.T) {
 	runEvacuatedFleet(t, 3, func(t *testing.T, f *evacuatedFleet) {
+		f.order(evacuationDomains[0]) // So that the node does not prefer its own upstream.
+		time.Sleep(time.Second)
 		f.setCutOff(0, true)
-		ordered := f.order(emptiedDomain)
+		began := time.Now()
+		f.sendAtOnce(t, 0, 300)
+		f.assertUsed(t, emptiedDomain, began, time.Now())
+		ordered := f.order(evacuationDomains[0], emptiedDomain)
 		time.Sleep(time.Second)
-		for range 30 {
-			assert.Equal(t, f.send(0, http.MethodPost, "").StatusCode, http.StatusOK)
-		}
+		f.sendAtOnce(t, 0, 300)
 		f.assertEmpty(t, ordered.Add(time.Second), time.Now())
 	})
 }
