fix: a request that was being admitted when its node was paused heeds the doubt

Cause: admission reads the clock before it waits for its lock, and passes that time on. Change: coldlimiter uses the present time.

--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -208,6 +208,7 @@
 func (l *Limiter) Report(now time.Time) sampler.RateLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now = present(now)
 	l.update(now)
 	if !l.limited {
 		return sampler.RateLimit{}
@@ -224,6 +225,7 @@
 func (l *Limiter) Take(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now = present(now)
 	if l.perSecond == 0 {
 		return
 	}
@@ -240,6 +242,7 @@
 func (l *Limiter) Wait(n int, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now = present(now)
 	l.update(now)
 	if !l.limited {
 		return 0
@@ -326,6 +329,14 @@
 	return l.logLimiter.Limit(l.cfg.Log.Info())
 }
 
+// present returns the present time. The caller may have been paused since it read the clock.
+func present(now time.Time) time.Time {
+	if t := time.Now(); t.After(now) {
+		return t
+	}
+	return now
+}
+
 // requestStatement requests a read of the upstream's health if the service has a cold rate. The
 // mutex must be held.
 func (l *Limiter) requestStatement(now time.Time) {
--- a/internal/request/coldlimiter/coldlimiter_test.go
+++ b/internal/request/coldlimiter/coldlimiter_test.go
@@ -155,6 +155,19 @@
 	}
 }
 
+// TestPauseAfterTheClockWasReadIsADoubt guards against requests that were being admitted when the node was frozen.
+func TestPauseAfterTheClockWasReadIsADoubt(t *testing.T) {
+	run(t, func(t *testing.T, l *Limiter) {
+		before := time.Now()
+		time.Sleep(8 * time.Second)
+		n := 0
+		for ; n < unlimited && l.Wait(1, before) == 0; n++ {
+			l.Take(before)
+		}
+		assert.Equal(t, n, minBurst)
+	})
+}
+
 func TestPauseFillsOnlyTheBurst(t *testing.T) {
 	run(t, func(t *testing.T, l *Limiter) {
 		l.ObserveHeartbeat(time.Minute)
