feat: banyanscale quota and metrics of organisations

Cause: operators have to see who grants, what is left and who is refused. Change: a page at nodes and control instances, a command, counters of the 20 first organisations with demand and of all others together.

--- a/internal/agreement/grantor/server.go
+++ b/internal/agreement/grantor/server.go
@@ -217,4 +217,17 @@
 	}
 }
 
+// Status returns what this instance grants.
+func (s *Server) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holder, _ := s.cfg.Elector.Holder()
+	if !s.begin(s.cfg.Now()) {
+		return Status{Grantor: holder}
+	}
+	status := s.grantor.Status()
+	status.Grantor, status.Grants = holder, true
+	return status
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -49,6 +49,7 @@
 	statusCmd,
 	explainCmd,
 	quarantineCmd,
+	quotaCmd,
 	standInCmd,
 	proxyCmd,
 	loadCmd,
--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -67,6 +67,8 @@
 	usedAt     time.Duration
 	// taken and refused count requests since the start, for operators.
 	taken, refused int64
+	// flushedTaken and flushedRefused are the parts of them that metrics have.
+	flushedTaken, flushedRefused int64
 }
 
 // observe counts a request.
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -83,6 +83,7 @@
 // review updates the estimates of demand, and forgets what is idle.
 func (k *Keeper) review(now time.Duration) {
 	k.reviewAt = now + reviewInterval
+	k.flushMetrics()
 	for id, a := range k.accounts {
 		a.tokens.expire(now)
 		a.review(now)
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -107,6 +107,9 @@
 	contact  contact
 	reviewAt time.Duration
 	outage   bool // Whether an outage was logged.
+	// named holds the metrics of single organisations, and others those of the rest.
+	named  map[string]organisationMetrics
+	others organisationMetrics
 }
 
 // contact is what the last answer said.
@@ -144,6 +147,8 @@
 		accounts: make(map[grantor.OrganisationID]*account),
 		due:      make(map[*account]bool),
 		contact:  contact{interval: defaultInterval},
+		named:    make(map[string]organisationMetrics),
+		others:   newOrganisationMetrics(cfg.Scope, otherOrganisations),
 	}
 	k.ask.lastAt = -time.Hour
 	cfg.Transport.Handle(courier.KindQuotaAnswer, k.receive)
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -165,6 +165,7 @@
 	mountService(mux, c.gossiper.Handler)
 	mux.Handle(pat.Get("/metrics"), c.metrics.Handler())
 	c.mountQuarantine(mux)
+	c.quota.mount(mux)
 	if c.addHandlers != nil {
 		c.addHandlers(c, mux)
 	}
--- a/internal/process/launcher/control_quota.go
+++ b/internal/process/launcher/control_quota.go
@@ -38,6 +38,7 @@
 // send nothing while the configuration has no organisation with a quota.
 type controlQuota struct {
 	limits  atomic.Pointer[quotaLimits]
+	names   atomic.Pointer[map[grantor.OrganisationID]string]
 	elector *elector.Elector
 	server  *grantor.Server
 }
@@ -48,6 +49,7 @@
 func newControlQuota(cfg controlQuotaConfig) *controlQuota {
 	q := &controlQuota{}
 	q.limits.Store(&quotaLimits{})
+	q.names.Store(&map[grantor.OrganisationID]string{})
 	q.elector = elector.New(elector.Config{
 		Self:          cfg.settings.PeerAddress(),
 		Needed:        func() bool { return len(*q.limits.Load()) > 0 },
@@ -96,12 +98,13 @@
 
 // setLimits sets the limits of the organisations of a newer configuration.
 func (q *controlQuota) setLimits(organisations *compiler.Organisations) {
-	limits := make(quotaLimits)
+	limits, names := make(quotaLimits), make(map[grantor.OrganisationID]string)
 	for o := range organisations.All() {
-		if o.Limited() {
-			limits[grantor.IDOf(o.Name())] = grantor.Limit{Rate: o.Rate(), Burst: o.Burst()}
+		if id := grantor.IDOf(o.Name()); o.Limited() {
+			limits[id], names[id] = grantor.Limit{Rate: o.Rate(), Burst: o.Burst()}, o.Name()
 		}
 	}
+	q.names.Store(&names)
 	q.limits.Store(&limits)
 }
 
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -293,5 +293,6 @@
 	mux.HandleFunc(pat.Get("/explain/:id"), n.serveExplain)
 	mux.HandleFunc(pat.Get("/status"), n.serveStatus)
 	n.mountQuarantine(mux)
+	n.mountQuota(mux)
 	return mux
 }
