--- a/internal/agreement/elector/elector.go
+++ b/internal/agreement/elector/elector.go
@@ -175,10 +175,15 @@
 	return e.tenure, e.cfg.Now() < e.validUntil
 }
 
-// Holder returns the address of the instance that this voter takes as the holder.
+// Holder returns the address of the instance that this voter takes as the holder. An instance
+// that does not vote returns a voter.
 func (e *Elector) Holder() (netip.AddrPort, bool) {
+	electorate := e.cfg.Electorate()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(electorate.Voters) > 0 && !electorate.contains(e.cfg.Self) {
+		return electorate.Voters[e.cfg.Random.IntN(len(electorate.Voters))], true
+	}
 	return e.promise.holder(e.cfg.Now())
 }
 
--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -16,8 +16,9 @@
 	leaseHeadroom = 1.25
 	// leaseBurst is the time whose part of the lease may be taken at once.
 	leaseBurst = 250 * time.Millisecond
-	// minWish is the least demand in requests a second for which a lease is wanted.
-	minWish = 0.02
+	// minLeasedDemand is the least demand in requests a second for which a lease is wanted: one that
+	// serves a request in the time in which a grantor is replaced.
+	minLeasedDemand = 0.4
 	// backOffAhead is the time whose demand is asked for if there was no room.
 	backOffAhead = maxBackOff
 )
@@ -102,7 +103,7 @@
 
 // wish returns the rate that this node wants to lease.
 func (a *account) wish() float64 {
-	if a.demandRate < minWish {
+	if a.demandRate < minLeasedDemand {
 		return 0
 	}
 	return min(a.demandRate*leaseHeadroom, a.limit)
--- a/internal/fleet/quotakeeper/answering.go
+++ b/internal/fleet/quotakeeper/answering.go
@@ -90,14 +90,18 @@
 		return
 	}
 	k.grantor = m.Grantor
-	if !m.Grantor.IsValid() || k.ask.redirects >= maxRedirects {
+	if k.ask.redirects >= maxRedirects {
 		k.grantor = netip.AddrPort{}
-		k.ask.to = k.target() // Asked at the next time to send.
+	}
+	to := k.target()
+	if !to.IsValid() {
 		return
 	}
-	k.ask.redirects++
-	k.ask.to = m.Grantor
-	k.transmit(now)
+	k.ask.to = to
+	if k.ask.redirects < maxRedirects { // Else it is asked at the next time to send.
+		k.ask.redirects++
+		k.transmit(now)
+	}
 }
 
 // greeted reports the leases to a new grantor.
--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +22,7 @@
 type manualGrantor struct {
 	*Keeper
 	start     time.Time
-	suspended time.Duration
+	suspended atomic.Int64 // Nanoseconds.
 	handler   courier.Handler
 	// respond returns the grants for an ask, and when to answer; nil for no answer.
 	respond func(a grantor.Ask) ([]grantor.Grant, time.Duration)
@@ -49,7 +50,7 @@
 	return nil
 }
 
-func (m *manualGrantor) now() time.Duration { return time.Since(m.start) + time.Hour + m.suspended }
+func (m *manualGrantor) now() time.Duration { return time.Since(m.start) + time.Hour + time.Duration(m.suspended.Load()) }
 
 // grantAll grants what is wanted and leases of the wanted rate.
 func grantAll(a grantor.Ask) ([]grantor.Grant, time.Duration) {
@@ -108,7 +109,7 @@
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
 		assert.Equal(t, m.takeFor(t, 40, 3*time.Second), 120)
 		m.respond = silent
-		m.suspended += 11 * time.Second
+		m.suspended.Add(int64(11 * time.Second))
 		o := organisation(t, "grande", 100, 0)
 		for range 20 {
 			assert.Assert(t, !m.TakeNow(o).Taken())
@@ -127,6 +128,19 @@
 	})
 }
 
+func TestAnswerAfterASuspensionIsIgnored(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		o := organisation(t, "grande", 100, 0)
+		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+			time.AfterFunc(time.Millisecond, func() { m.suspended.Add(int64(time.Second)) })
+			return []grantor.Grant{{Organisation: a.Records[0].Organisation, Tokens: 9, Rate: 9}}, 2 * time.Millisecond
+		}
+		ticket, _ := m.Take(t.Context(), o)
+		assert.Assert(t, !ticket.Taken())
+		assert.Equal(t, m.Status().Organisations[0].Lease, 0.0)
+	})
+}
+
 func TestAskIsRepeatedUntilAnswered(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
 		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -44,7 +44,7 @@
 	minResend    = 30 * time.Millisecond
 	abandonAfter = 150 * time.Millisecond
 	// maxRedirects is the number of redirects that one ask follows.
-	maxRedirects = 3
+	maxRedirects = 5
 	// defaultInterval is the shortest time between two asks until an answer names one, and
 	// maxUrgentInterval that between two asks for which requests wait.
 	defaultInterval   = 20 * time.Millisecond
