--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -56,6 +56,9 @@
 	// rate is the lease's, and reported the tenure in which it was last reported.
 	rate     float64
 	reported uint64
+	// reportedRate is what was reported last. A lease that was given up counts at the grantor until
+	// that is reported.
+	reportedRate float64
 	// leaseLevel is what may be taken from the lease, at leaseAt.
 	leaseLevel float64
 	leaseAt    time.Duration
@@ -164,7 +167,7 @@
 
 // idle reports whether the account may be forgotten.
 func (a *account) idle(now time.Duration) bool {
-	return now-a.usedAt >= idleAfter && a.rate == 0 && a.spent == 0 && a.returned == 0 && len(a.waiters) == 0 && a.tokens.count() == 0
+	return now-a.usedAt >= idleAfter && a.rate == 0 && a.reportedRate == 0 && a.spent == 0 && a.returned == 0 && len(a.waiters) == 0 && a.tokens.count() == 0
 }
 
 // inAsk reports whether the ask under way has a record of the account.
--- a/internal/fleet/quotakeeper/answering.go
+++ b/internal/fleet/quotakeeper/answering.go
@@ -58,9 +58,13 @@
 // granted takes what was granted for one organisation.
 func (k *Keeper) granted(a *account, g grantor.Grant, tenure uint64, now time.Duration) {
 	wanted := a.pending.Wanted
+	a.reportedRate = a.pending.Held
 	a.asked, a.pending = 0, nil
 	k.setRate(a, g.Rate)
 	a.reported = tenure
+	if a.rate < a.reportedRate {
+		k.due[a] = true
+	}
 	a.tokens.add(g.Tokens, k.ask.firstAt+k.contact.validity)
 	a.serveWaiters(func() Ticket { return k.spend(a, now) })
 	if g.Tokens >= wanted {
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -92,7 +92,7 @@
 			delete(k.due, a)
 			continue
 		}
-		if a.wish() > 0 || a.rate > 0 || a.tokens.ended > 0 {
+		if a.wish() > 0 || a.rate > 0 || a.reportedRate > 0 || a.tokens.ended > 0 {
 			k.due[a] = true
 		}
 	}
--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -50,7 +50,9 @@
 	return nil
 }
 
-func (m *manualGrantor) now() time.Duration { return time.Since(m.start) + time.Hour + time.Duration(m.suspended.Load()) }
+func (m *manualGrantor) now() time.Duration {
+	return time.Since(m.start) + time.Hour + time.Duration(m.suspended.Load())
+}
 
 // grantAll grants what is wanted and leases of the wanted rate.
 func grantAll(a grantor.Ask) ([]grantor.Grant, time.Duration) {
@@ -224,6 +226,16 @@
 	})
 }
 
+// The grantor counts a lease until it hears that the node does not hold it any more.
+func TestGivenUpLeaseIsReported(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		m.takeFor(t, 40, 3*time.Second)
+		time.Sleep(20 * time.Second)
+		records := m.asks[len(m.asks)-1].Records
+		assert.Assert(t, len(records) == 1 && records[0].Held == 0 && records[0].Wish == 0, "%v", records)
+	})
+}
+
 func TestIdleAccountsAreForgotten(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
 		for i := range 50 {
