--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -52,6 +52,7 @@
 	evacuateStartCmd,
 	evacuateEndCmd,
 	evacuateStatusCmd,
+	quotaCmd,
 	standInCmd,
 	proxyCmd,
 	loadCmd,
--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -16,8 +16,9 @@
 	leaseHeadroom = 1.25
 	// leaseBurst is the time whose part of the lease may be taken at once.
 	leaseBurst = 250 * time.Millisecond
-	// minWish is the least demand in requests a second for which a lease is wanted.
-	minWish = 0.02
+	// minLeasedDemand is the least demand in requests a second for which a lease is wanted: one that
+	// serves a request in the time in which a grantor is replaced.
+	minLeasedDemand = 0.4
 	// backOffAhead is the time whose demand is asked for if there was no room.
 	backOffAhead = maxBackOff
 )
@@ -55,6 +56,9 @@
 	// rate is the lease's, and reported the tenure in which it was last reported.
 	rate     float64
 	reported uint64
+	// reportedRate is what was reported last. A lease that was given up counts at the grantor until
+	// that is reported.
+	reportedRate float64
 	// leaseLevel is what may be taken from the lease, at leaseAt.
 	leaseLevel float64
 	leaseAt    time.Duration
@@ -67,6 +71,8 @@
 	usedAt     time.Duration
 	// taken and refused count requests since the start, for operators.
 	taken, refused int64
+	// flushedTaken and flushedRefused are the parts of them that metrics have.
+	flushedTaken, flushedRefused int64
 }
 
 // observe counts a request.
@@ -100,7 +106,7 @@
 
 // wish returns the rate that this node wants to lease.
 func (a *account) wish() float64 {
-	if a.demandRate < minWish {
+	if a.demandRate < minLeasedDemand {
 		return 0
 	}
 	return min(a.demandRate*leaseHeadroom, a.limit)
@@ -161,7 +167,7 @@
 
 // idle reports whether the account may be forgotten.
 func (a *account) idle(now time.Duration) bool {
-	return now-a.usedAt >= idleAfter && a.rate == 0 && a.spent == 0 && a.returned == 0 && len(a.waiters) == 0 && a.tokens.count() == 0
+	return now-a.usedAt >= idleAfter && a.rate == 0 && a.reportedRate == 0 && a.spent == 0 && a.returned == 0 && len(a.waiters) == 0 && a.tokens.count() == 0
 }
 
 // inAsk reports whether the ask under way has a record of the account.
--- a/internal/fleet/quotakeeper/answering.go
+++ b/internal/fleet/quotakeeper/answering.go
@@ -58,9 +58,13 @@
 // granted takes what was granted for one organisation.
 func (k *Keeper) granted(a *account, g grantor.Grant, tenure uint64, now time.Duration) {
 	wanted := a.pending.Wanted
+	a.reportedRate = a.pending.Held
 	a.asked, a.pending = 0, nil
 	k.setRate(a, g.Rate)
 	a.reported = tenure
+	if a.rate < a.reportedRate {
+		k.due[a] = true
+	}
 	a.tokens.add(g.Tokens, k.ask.firstAt+k.contact.validity)
 	a.serveWaiters(func() Ticket { return k.spend(a, now) })
 	if g.Tokens >= wanted {
@@ -90,14 +94,18 @@
 		return
 	}
 	k.grantor = m.Grantor
-	if !m.Grantor.IsValid() || k.ask.redirects >= maxRedirects {
+	if k.ask.redirects >= maxRedirects {
 		k.grantor = netip.AddrPort{}
-		k.ask.to = k.target() // Asked at the next time to send.
+	}
+	to := k.target()
+	if !to.IsValid() {
 		return
 	}
-	k.ask.redirects++
-	k.ask.to = m.Grantor
-	k.transmit(now)
+	k.ask.to = to
+	if k.ask.redirects < maxRedirects { // Else it is asked at the next time to send.
+		k.ask.redirects++
+		k.transmit(now)
+	}
 }
 
 // greeted reports the leases to a new grantor.
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -83,6 +83,7 @@
 // review updates the estimates of demand, and forgets what is idle.
 func (k *Keeper) review(now time.Duration) {
 	k.reviewAt = now + reviewInterval
+	k.flushMetrics()
 	for id, a := range k.accounts {
 		a.tokens.expire(now)
 		a.review(now)
@@ -91,7 +92,7 @@
 			delete(k.due, a)
 			continue
 		}
-		if a.wish() > 0 || a.rate > 0 || a.tokens.ended > 0 {
+		if a.wish() > 0 || a.rate > 0 || a.reportedRate > 0 || a.tokens.ended > 0 {
 			k.due[a] = true
 		}
 	}
