--- a/internal/request/admitter/least_cost.go
+++ b/internal/request/admitter/least_cost.go
@@ -51,6 +51,7 @@
 	a.leastCost = nil
 	if enabled {
 		a.leastCost = &leastCost{}
+		a.leastCost.planner.cost = a.leastCost.cost
 	}
 }
 
@@ -73,6 +74,7 @@
 func (a *Admitter) queueLeastCost(req Request, now time.Time) (*waiter, *Refusal) {
 	w := newWaiter(req)
 	w.leastCost = true
+	w.account = a.leastCost.accounts.account(req.Organisation, now)
 	a.queue.push(w)
 	c := a.plan(w, now)
 	reason := a.entryReason(c, now)
@@ -123,7 +125,6 @@
 		l.free = append(l.free, a.slotTime(now))
 	}
 	l.planner.reset(l.free, a.limiter.limit(now))
-	l.planner.cost = func(c *candidate) float64 { return l.cost(c, now) }
 	l.accounts.beginPlan()
 	slowdown := a.slowdownAt(now)
 	var found *candidate
@@ -136,12 +137,12 @@
 			if w == newWaiter {
 				c.entering = true
 			}
-			l.accounts.wait(w.req, c.work, now)
+			l.accounts.wait(w.account, c.work)
 		}
 	}
 	if newWaiter != nil {
 		found = l.find(newWaiter)
-		found.excess = max(l.accounts.excess(newWaiter.req, found.work, now), 1)
+		found.excess = max(l.accounts.excess(newWaiter.account, found.work, now), 1)
 	}
 	for class := len(l.candidates) - 1; class >= 0; class-- {
 		pace := a.pace(class, now)
@@ -208,12 +209,12 @@
 // cost returns what a candidate costs others: its work, weighted by the excess of its
 // organisation. A call of a running request costs nothing: leaving it out would waste the
 // work of all that wait for it.
-func (l *leastCost) cost(c *candidate, now time.Time) float64 {
+func (l *leastCost) cost(c *candidate) float64 {
 	if c.waiter.req.Nested {
 		return 0
 	}
 	cost := c.work.Seconds()
-	excess := l.accounts.excess(c.waiter.req, c.work, now)
+	excess := l.accounts.excess(c.waiter.account, c.work, l.plannedAt)
 	if excess > 1 {
 		return overShareCost * excess * cost
 	}
@@ -264,7 +265,7 @@
 	if !c.lateByOthers {
 		return own
 	}
-	if a.leastCost.accounts.excess(c.waiter.req, c.work, now) > 1 {
+	if a.leastCost.accounts.excess(c.waiter.account, c.work, now) > 1 {
 		return classifier.ReasonOverShare
 	}
 	return classifier.ReasonDisplaced
--- a/internal/request/admitter/load_test.go
+++ b/internal/request/admitter/load_test.go
@@ -224,13 +224,13 @@
 // playedNode is one node with its upstream.
 type playedNode struct {
 	admitter *Admitter
-	load_    load
+	spec     load
 	begin    time.Time
 	upstream intervalUpstream
 }
 
 func newPlayedNode(l load, overload compiler.Overload, i int, begin time.Time) *playedNode {
-	n := &playedNode{load_: l, begin: begin}
+	n := &playedNode{spec: l, begin: begin}
 	cfg := Config{Slots: l.slots, Connections: 1100, QueueLength: 36, LimitIgnoresLatency: true, Overload: overload}
 	if l.uneven {
 		n.upstream = intervalUpstream{start: begin.Add(-time.Duration(i) * time.Hour), interval: 150 * time.Millisecond, slowShare: 0.25, slownessPercent: 500}
@@ -247,7 +247,7 @@
 
 // serve runs a request at the node, or returns why it was refused.
 func (n *playedNode) serve(req Request, r *rand.Rand) *Refusal {
-	if n.load_.down != nil && n.load_.down(time.Since(n.begin)) {
+	if n.spec.down != nil && n.spec.down(time.Since(n.begin)) {
 		return &Refusal{reason: classifier.ReasonConnect, retryAfter: time.Minute}
 	}
 	permit, err := n.admitter.Admit(context.Background(), req)
@@ -257,7 +257,7 @@
 	}
 	took := time.Duration(float64(req.ExpectedWork) * (0.8 + 0.4*r.Float64()))
 	if n.load_.uneven {
-		if n.admitter.InFlight() > n.load_.slots*3/4 {
+		if n.admitter.InFlight() > n.spec.slots*3/4 {
 			took = took * 3 / 2
 		}
 		took = sampler.SlowedDuration(took, n.upstream.slowdown(time.Now()).SlownessPercent)
--- a/internal/request/admitter/organisation_account.go
+++ b/internal/request/admitter/organisation_account.go
@@ -147,9 +147,9 @@
 	s.all.waiting = 0
 }
 
-// wait adds to the work that waits in the current plan.
-func (s *accounts) wait(req Request, work time.Duration, now time.Time) {
-	a := s.account(req.Organisation, now)
+// wait adds to the work of an organisation that waits in the current plan. The account is nil for
+// a request without one.
+func (s *accounts) wait(a *account, work time.Duration) {
 	if a == nil {
 		return
 	}
@@ -160,11 +160,10 @@
 	s.all.waiting += work.Seconds()
 }
 
-// excess returns how many times its share the organisation of a request in the current plan
-// has, 1 within tolerance. It is below 1 if the organisation is served so much less often
-// than all that it is protected.
-func (s *accounts) excess(req Request, work time.Duration, now time.Time) float64 {
-	a := s.byName[req.Organisation]
+// excess returns how many times its share an organisation in the current plan has, 1 within
+// tolerance. It is below 1 if the organisation is served so much less often than all that it is
+// protected. work is that of one of its requests.
+func (s *accounts) excess(a *account, work time.Duration, now time.Time) float64 {
 	if a == nil || a.plan != s.plan {
 		return 1
 	}
--- a/internal/request/admitter/overtaking.go
+++ b/internal/request/admitter/overtaking.go
@@ -20,30 +20,32 @@
 // those of higher classes do.
 type overtaking struct {
 	work [goalBuckets]float64 // Moving sums of started work in seconds, by time until the goal.
-	sum  float64
+	// left is the share of the work that is not in lower ranges, at least minOvertakenShare.
+	left [goalBuckets]float64
 }
 
 // record records that a request started, which had the given time until its goal on arrival.
 func (o *overtaking) record(goal, work time.Duration) {
+	sum := work.Seconds()
 	for i := range o.work {
 		o.work[i] -= overtakingWeight * o.work[i]
+		sum += o.work[i]
 	}
-	o.sum -= overtakingWeight * o.sum
 	o.work[goalBucket(goal)] += work.Seconds()
-	o.sum += work.Seconds()
+	before := 0.0
+	for i := range o.left {
+		o.left[i] = max(1-before/sum, minOvertakenShare)
+		before += o.work[i]
+	}
 }
 
 // shareLeft returns the share of the slots that is left for a request with the given time until
 // its goal by those with less than half of it.
 func (o *overtaking) shareLeft(goal time.Duration) float64 {
-	if o.sum == 0 {
-		return 1
-	}
-	before := 0.0
-	for _, work := range o.work[:goalBucket(goal/2)] {
-		before += work
+	if left := o.left[goalBucket(goal/2)]; left > 0 {
+		return left
 	}
-	return max(1-before/o.sum, minOvertakenShare)
+	return 1 // Nothing has started yet.
 }
 
 // goalBucket returns the index of the range of a time until a goal.
--- a/internal/request/admitter/planner.go
+++ b/internal/request/admitter/planner.go
@@ -21,6 +21,10 @@
 const (
 	// never is later than any goal or deadline.
 	never = 1 << 62
+	// maxExchanges is how many times a plan tries to leave out one request for another in each
+	// class. More are needed only if many requests become late at once, and then a later plan
+	// goes on.
+	maxExchanges = 4
 	// entryMargin multiplies the expected wait of a new request, and stayMargin that of a waiting
 	// one, so that a request that was let in is not put out by small errors of estimates.
 	entryMargin = 1.5
@@ -88,6 +92,7 @@
 	begin []time.Duration
 	// inTime and late hold the indices of the candidates with these verdicts, in order.
 	inTime, late []int
+	exchanges    int // Tried in the current class.
 }
 
 // reset sets when each slot becomes free. It takes the first of the slots if there are more
@@ -108,7 +113,7 @@
 // would start.
 func (p *planner) plan(class []candidate, pace pace) room {
 	p.begin = append(p.begin[:0], p.free...)
-	p.inTime, p.late = p.inTime[:0], p.late[:0]
+	p.inTime, p.late, p.exchanges = p.inTime[:0], p.late[:0], 0
 	for i := range class {
 		c := &class[i]
 		if c.delay+c.work > c.goal || !p.fits(c, pace) && !p.makeRoom(class, i, pace) {
@@ -135,32 +140,51 @@
 // makeRoom leaves out the request that costs most of those that are in time, if it costs much
 // more than candidate i and i meets its goal without it. It reports whether it did.
 func (p *planner) makeRoom(class []candidate, i int, pace pace) bool {
-	worst, greatest := -1, displaceRatio*p.cost(&class[i])
+	if p.exchanges++; p.exchanges > maxExchanges {
+		return false
+	}
+	worst, entering, greatest := -1, -1, displaceRatio*p.cost(&class[i])
 	for n, j := range p.inTime {
 		cost := p.cost(&class[j])
 		if class[j].entering { // It is left out unless it costs much less than those that wait.
+			entering = n
 			cost *= displaceRatio * displaceRatio
 		}
 		if cost > greatest {
 			worst, greatest = n, cost
 		}
 	}
-	if worst < 0 {
-		return false
+	if worst >= 0 {
+		left := p.inTime[worst]
+		if p.fitsWithout(worst, class, i, pace) {
+			class[left].lateByOthers = true
+			p.late = append(p.late, left)
+			return true
+		}
+		p.restore(worst, left, class, pace)
 	}
-	left := p.inTime[worst]
-	p.inTime = slices.Delete(p.inTime, worst, worst+1)
-	p.replay(class, pace)
-	if p.fits(&class[i], pace) {
-		class[left].lateByOthers = true
-		p.late = append(p.late, left)
-		return true
+	if entering >= 0 && entering != worst {
+		left := p.inTime[entering]
+		class[i].lateByOthers = p.fitsWithout(entering, class, i, pace)
+		p.restore(entering, left, class, pace)
 	}
-	p.inTime = slices.Insert(p.inTime, worst, left)
-	p.replay(class, pace)
 	return false
 }
 
+// fitsWithout takes the n-th of those in time out and reports whether candidate i then meets its
+// goal.
+func (p *planner) fitsWithout(n int, class []candidate, i int, pace pace) bool {
+	p.inTime = slices.Delete(p.inTime, n, n+1)
+	p.replay(class, pace)
+	return p.fits(&class[i], pace)
+}
+
+// restore puts back the n-th of those in time.
+func (p *planner) restore(n, index int, class []candidate, pace pace) {
+	p.inTime = slices.Insert(p.inTime, n, index)
+	p.replay(class, pace)
+}
+
 // replay takes the time of all that are in time from the slots, anew.
 func (p *planner) replay(class []candidate, pace pace) {
 	p.free = append(p.free[:0], p.begin...)
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -25,6 +25,7 @@
 	run     run    // Set when the request starts.
 	// leastCost means that the request waits by a plan, which is checked for its goal, too.
 	leastCost bool
+	account   *account      // Of its organisation; nil for none.
 	settled   chan *Refusal // Receives the refusal, or nil if the request starts.
 }
 
