--- a/internal/request/admitter/least_cost.go
+++ b/internal/request/admitter/least_cost.go
@@ -224,7 +224,7 @@
 // entryReason returns why a new request must not wait, or ReasonNone.
 func (a *Admitter) entryReason(c *candidate, now time.Time) classifier.Reason {
 	req := c.waiter.req
-	elsewhere := !req.Retried && !req.PreferLocal && !a.missesGoal(req, now)
+	elsewhere := a.mayBeInTimeElsewhere(req, now)
 	switch {
 	case c.verdict == verdictHopeless:
 		return classifier.ReasonDeadline
@@ -238,6 +238,11 @@
 	return classifier.ReasonNone
 }
 
+// mayBeInTimeElsewhere reports whether another instance may still meet the goal of a request.
+func (a *Admitter) mayBeInTimeElsewhere(req Request, now time.Time) bool {
+	return !req.Retried && !req.PreferLocal && !a.missesGoal(req, now)
+}
+
 // refuseByPlan refuses the waiting requests that the plan leaves out, as soon as that is
 // clear: those that would miss their deadline, and those that would miss their goal while
 // another instance may still meet it.
@@ -252,7 +257,7 @@
 			switch {
 			case c.verdict == verdictHopeless:
 				a.refuseCandidate(c, a.leftOutReason(c, classifier.ReasonDeadline, now), now)
-			case c.verdict == verdictLate && !req.Retried && !req.PreferLocal && !a.missesGoal(req, now):
+			case c.verdict == verdictLate && a.mayBeInTimeElsewhere(req, now):
 				a.refuseCandidate(c, a.leftOutReason(c, classifier.ReasonGoal, now), now)
 			}
 		}
--- a/internal/request/admitter/load_test.go
+++ b/internal/request/admitter/load_test.go
@@ -256,7 +256,7 @@
 		return refusal
 	}
 	took := time.Duration(float64(req.ExpectedWork) * (0.8 + 0.4*r.Float64()))
-	if n.load_.uneven {
+	if n.spec.uneven {
 		if n.admitter.InFlight() > n.spec.slots*3/4 {
 			took = took * 3 / 2
 		}
