--- a/internal/request/admitter/organisation_account_test.go
+++ b/internal/request/admitter/organisation_account_test.go
@@ -47,7 +47,7 @@
 // TestLoudOrganisationIsNotStarved checks that an organisation that is served much less often than
 // all is protected, although it asks for much more than usual.
 func TestLoudOrganisationIsNotStarved(t *testing.T) {
-	loud, quiet := playAccounts(40, 4)
+	loud, quiet := playAccounts(40, 2)
 	assert.Assert(t, loud < 1, "%v", loud)
 	assert.Equal(t, quiet, 1.0)
 }
