--- a/internal/request/coldlimiter/fleet_test.go
+++ b/internal/request/coldlimiter/fleet_test.go
@@ -423,3 +423,16 @@
 	})
 	f.assertServed(t, coldAt+int(coldStart/time.Second)+1, runSeconds, 0.99)
 }
+
+// TestFalseDoubtsCostLittle plays connections of warm upstreams that break ten times a second, under a load of 0.8.
+func TestFalseDoubtsCostLittle(t *testing.T) {
+	f := runFleet(t, 0.8, func(f *fleet) {
+		random := rand.New(rand.NewPCG(2, 1))
+		for time.Since(f.begin) < runSeconds*time.Second {
+			time.Sleep(100 * time.Millisecond)
+			_, limiter := f.instances[random.IntN(len(f.instances))].node()
+			limiter.Doubt(coldlimiter.CauseBrokenConnection)
+		}
+	})
+	f.assertServed(t, 0, runSeconds, 0.99)
+}
