fix: quotas after the replacement of a grantor, and a counter that ended processes

Limits below 50 a second are not leased any more, so that they are known at once; one node leases at most a tenth of a limit, so that what unreported nodes may hold has a bound; leases last one window instead of two; a grantor's own lease 1 s instead of 1.5 s.

--- a/internal/agreement/elector/elector.go
+++ b/internal/agreement/elector/elector.go
@@ -38,12 +38,12 @@
 const (
 	// leaseLength is the length of a lease by the clock of a voter, and leaseMargin the time
 	// by which the holder takes it as ended earlier.
-	leaseLength = 1500 * time.Millisecond
+	leaseLength = time.Second
 	leaseMargin = 100 * time.Millisecond
 	// tickInterval is the time between two looks at what is due.
 	tickInterval = 50 * time.Millisecond
 	// renewInterval is the time between two renewals.
-	renewInterval = 300 * time.Millisecond
+	renewInterval = 200 * time.Millisecond
 	// roundTimeout is the time after which a candidate without a majority gives up a round, and
 	// pause the longest random time until its next one.
 	roundTimeout = 150 * time.Millisecond
--- a/internal/agreement/grantor/grantor.go
+++ b/internal/agreement/grantor/grantor.go
@@ -30,7 +30,7 @@
 	minInterval   = 20 * time.Millisecond
 	asksPerSecond = 5000
 	// leaseWindows is the length of leases in windows.
-	leaseWindows = 2
+	leaseWindows = 1
 	// validityShare is the part of the overage that the validity of tokens takes, levelShare
 	// that by which a bucket may exceed the burst, and slackShare the part of the slack for it
 	// and for what a new grantor grants before it knows all leases. The rest is for what silent
@@ -43,6 +43,13 @@
 	leasableShare = 0.95
 	// minLease is the least rate that is leased, in requests a second.
 	minLease = 0.01
+	// minLeasableRate is the least limit of which parts are leased, in requests a second. A
+	// lower one is spread so thinly over nodes that leases would serve few requests, and
+	// without leases a new grantor knows at once what is left of it.
+	minLeasableRate = 50
+	// maxNodeShare is the part of the rate that one node may lease. It bounds what a node that
+	// has not reported its leases may spend.
+	maxNodeShare = 0.1
 	// maxWait is the longest time until there is room that is told.
 	maxWait = 10 * time.Second
 )
@@ -197,7 +204,7 @@
 // charged returns how many of the requests that a node took from its lease the pool has to pay. It
 // does not pay for those of an earlier tenure, since nothing has accrued for that lease yet.
 func (g *Grantor) charged(n *node, r AskRecord) int {
-	if n.leases[r.Organisation] == nil && g.completeAt == 0 {
+	if known, _ := g.leasesKnown(g.pools[r.Organisation]); n.leases[r.Organisation] == nil && !known {
 		return 0
 	}
 	return r.Spent
@@ -210,8 +217,8 @@
 		p = &pool{at: now}
 		g.pools[id] = p
 		p.setLimit(limit, g.cfg)
-		if g.completeAt > 0 {
-			p.add(limit.Rate * (now - g.completeAt).Seconds())
+		if known, at := g.leasesKnown(p); known {
+			p.add(limit.Rate * (now - at).Seconds())
 		}
 		return p
 	}
@@ -222,15 +229,27 @@
 	return p
 }
 
+// leasesKnown reports whether the leases of an organisation are known, and since when.
+func (g *Grantor) leasesKnown(p *pool) (known bool, since time.Duration) {
+	if p.limit.Rate < minLeasableRate {
+		return true, g.begunAt
+	}
+	return g.completeAt > 0, g.completeAt
+}
+
 // accrual returns the tokens a second that a pool gets: the rate without what silent nodes may
-// spend. Before all leases are known, it is what the nodes that were heard from hold, since they
-// ask now instead of spending it, and a small allowance.
+// spend, and what nodes may spend that have not reported their leases. At least it is what the
+// nodes that were heard from hold, since they ask now instead of spending it, and a small
+// allowance.
 func (g *Grantor) accrual(p *pool) float64 {
-	if g.completeAt > 0 {
+	if known, _ := g.leasesKnown(p); known {
 		return max(p.limit.Rate-p.silent, 0)
 	}
+	unreported := float64(len(g.expected)) * maxNodeShare * p.limit.Rate
+	unknown := min(unreported, max(leasableShare*p.limit.Rate-p.leased, 0))
 	allowance := slackShare * g.cfg.Slack / g.cfg.Window.Seconds()
-	return min(max(p.leased-p.silent, 0)+allowance, p.limit.Rate)
+	least := min(max(p.leased-p.silent, 0)+allowance, p.limit.Rate)
+	return max(p.limit.Rate-p.silent-unknown, least)
 }
 
 // lease decides which rate a node may hold, and returns it. What it holds already counts until
@@ -246,7 +265,10 @@
 	if leasable := leasableShare * p.limit.Rate; p.wished > leasable {
 		share *= leasable / p.wished
 	}
-	granted := min(share, max(leasableShare*p.limit.Rate-p.leased, 0))
+	granted := min(share, maxNodeShare*p.limit.Rate, max(leasableShare*p.limit.Rate-p.leased, 0))
+	if p.limit.Rate < minLeasableRate {
+		granted = 0
+	}
 	if g.completeAt == 0 {
 		granted = min(granted, r.Held)
 	}
--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -71,6 +71,8 @@
 	usedAt     time.Duration
 	// taken and refused count requests since the start, for operators.
 	taken, refused int64
+	// givenBack counts the taken requests that have not run.
+	givenBack int64
 	// flushedTaken and flushedRefused are the parts of them that metrics have.
 	flushedTaken, flushedRefused int64
 }
--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -248,3 +248,26 @@
 		assert.Equal(t, len(m.due), 0)
 	})
 }
+
+// growingCounter is a counter of a metric, which must not decrease.
+type growingCounter struct{ t *testing.T }
+
+func (c growingCounter) Inc(delta int64) { assert.Assert(c.t, delta >= 0, "the counter decreased by %d", -delta) }
+
+func TestReturnedRequestDecreasesNoCounter(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		o := organisation(t, "grande", 100, 0)
+		ticket, _ := m.Take(t.Context(), o)
+		counter := growingCounter{t}
+		m.named["grande"] = organisationMetrics{taken: counter, refused: counter}
+		flush := func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.flushMetrics()
+		}
+		flush()
+		m.Return(o, ticket)
+		flush()
+		assert.Equal(t, m.Status().Organisations[0].Taken, int64(0))
+	})
+}
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -253,7 +253,7 @@
 	}
 	a.tokens.add(1, ticket.validUntil)
 	a.own.level++
-	a.taken--
+	a.givenBack++
 }
 
 // account returns the account of an organisation, with its limit as this node knows it.
--- a/internal/fleet/quotakeeper/status.go
+++ b/internal/fleet/quotakeeper/status.go
@@ -55,7 +55,7 @@
 	for _, a := range k.byDemand() {
 		s.Organisations = append(s.Organisations, OrganisationStatus{
 			Name: a.name, Limit: a.limit, Lease: a.rate, Demand: a.demandRate,
-			Tokens: a.tokens.count(), Taken: a.taken, Refused: a.refused,
+			Tokens: a.tokens.count(), Taken: a.taken - a.givenBack, Refused: a.refused,
 		})
 	}
 	return s
--- a/internal/process/launcher/control_quota.go
+++ b/internal/process/launcher/control_quota.go
@@ -129,11 +129,11 @@
 	return list
 }
 
-// nodeAddressesIn returns the peer addresses of the nodes in a view.
+// nodeAddressesIn returns the peer addresses of the nodes in a view that may be running.
 func nodeAddressesIn(view *registrar.View) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, in := range view.Instances() {
-		if in.Service() != "" {
+		if in.Service() != "" && in.State() != registrar.StateLeft {
 			list = append(list, in.Peer())
 		}
 	}
