--- a/internal/process/launcher/evacuated_fleet_test.go
+++ b/internal/process/launcher/evacuated_fleet_test.go
@@ -24,7 +24,9 @@
 	"github.com/banyanscale/banyanscale/internal/fleet/gossiper"
 	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
+	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
+	"github.com/banyanscale/banyanscale/internal/request/noticer"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
@@ -92,7 +94,6 @@
 // evacuatedFleet is a service with nodes in three failure domains, and one control instance,
 // which exchange gossip.
 type evacuatedFleet struct {
-	nodes     []*Node
 	upstreams []*countingUpstream
 	control   *gossiper.Gossiper
 	datagrams *datagramNetwork
@@ -101,10 +102,9 @@
 	sent      atomic.Int64
 	revision  uint64
 
-	mu      sync.Mutex
-	running []http.Handler // The request handlers of the nodes, which a restart replaces.
-	peers   []*gossiper.Gossiper
-	cutOff  map[int]bool // Nodes that exchange no gossip.
+	mu     sync.Mutex
+	nodes  []*Node      // A restart replaces them.
+	cutOff map[int]bool // Nodes that exchange no gossip.
 }
 
 // runEvacuatedFleet runs a test in fake time with the given number of nodes.
@@ -112,7 +112,6 @@
 	t.Helper()
 	f := &evacuatedFleet{
 		byPeer: make(map[netip.AddrPort]int), byHTTP: make(map[netip.AddrPort]int), cutOff: make(map[int]bool),
-		running: make([]http.Handler, size), peers: make([]*gossiper.Gossiper, size),
 	}
 	for i := range size {
 		n := newTestNode(t, "vitrina-"+strconv.Itoa(i+1), "vitrina", netip.MustParseAddrPort("127.0.0.1:9"), "failure-domain = "+evacuationDomains[i%len(evacuationDomains)])
@@ -143,12 +142,27 @@
 	})
 }
 
-// start starts a node, which knows nothing of the fleet.
+// restarted returns a node with the settings of another one, which knows nothing of the fleet.
+func restarted(old *Node) *Node {
+	return &Node{
+		fleetMember: old.fleetMember,
+		settings:    old.settings,
+		log:         old.log,
+		metrics:     old.metrics,
+		snapshots:   publisher.New(),
+		samplePool:  sampler.New(sampler.Config{}),
+		noticeBoard: noticer.NewBoard(),
+		explainer:   old.explainer,
+		watcher:     old.watcher,
+		meter:       old.meter,
+		prober:      old.prober,
+	}
+}
+
+// start starts a node.
 func (f *evacuatedFleet) start(t *testing.T, i int) {
 	t.Helper()
-	n := f.nodes[i]
-	n.snapshots = publisher.New()
-	n.evacuation = evacuationState{}
+	n := restarted(f.node(i))
 	spec := n.instanceSpec()
 	spec.State = registrar.StateReady
 	g := f.newGossiper(spec, n.setView, n.setEvacuation)
@@ -167,24 +181,16 @@
 	instancePicker, err := n.newPicker()
 	assert.NilError(t, err)
 	n.assembleForwarder(zerolog.Nop(), instancePicker, f)
-	serving, entry := n.server, n.forwarder
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[i] = g
-	f.running[i] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(classifier.HeaderHop) != "" {
-			serving.ServeHTTP(w, r)
-			return
-		}
-		entry.ServeHTTP(w, r)
-	})
+	f.nodes[i] = n
 	g.Start()
 }
 
 // restart restarts a node.
 func (f *evacuatedFleet) restart(t *testing.T, i int) {
 	t.Helper()
-	assert.NilError(t, f.peer(i).Stop())
+	assert.NilError(t, f.node(i).gossiper.Stop())
 	time.Sleep(time.Second)
 	f.start(t, i)
 }
@@ -193,21 +199,15 @@
 	t.Helper()
 	assert.Check(t, f.control.Stop())
 	for i := range f.nodes {
-		assert.Check(t, f.peer(i).Stop())
+		assert.Check(t, f.node(i).gossiper.Stop())
 	}
 }
 
-func (f *evacuatedFleet) peer(i int) *gossiper.Gossiper {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peers[i]
-}
-
-// handler returns the request handler of a node.
-func (f *evacuatedFleet) handler(i int) http.Handler {
+// node returns a node as of its last start.
+func (f *evacuatedFleet) node(i int) *Node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.running[i]
+	return f.nodes[i]
 }
 
 // setCutOff cuts the gossip of a node off, or ends that.
@@ -215,7 +215,7 @@
 	f.mu.Lock()
 	f.cutOff[i] = cutOff
 	f.mu.Unlock()
-	f.datagrams.setCutOff(f.nodes[i].settings.PeerAddress(), cutOff)
+	f.datagrams.setCutOff(f.node(i).settings.PeerAddress(), cutOff)
 }
 
 func (f *evacuatedFleet) isCutOff(address netip.AddrPort) bool {
@@ -235,7 +235,7 @@
 // DoLimited implements forwarder.Requester: it passes a request to the node at addr.
 func (f *evacuatedFleet) DoLimited(ctx context.Context, addr netip.AddrPort, req *http.Request, _ requester.Limits) (*http.Response, error) {
 	w := httptest.NewRecorder()
-	f.handler(f.byHTTP[addr]).ServeHTTP(w, req.WithContext(ctx))
+	f.node(f.byHTTP[addr]).serveRequest(w, req.WithContext(ctx))
 	resp := w.Result()
 	if w.Body.Len() == 0 {
 		resp.Body = http.NoBody
@@ -245,7 +245,7 @@
 
 // Claim implements deduplicator.Client.
 func (f *evacuatedFleet) Claim(_ context.Context, peer netip.AddrPort, req deduplicator.ClaimRequest) (deduplicator.ClaimResponse, error) {
-	return f.nodes[f.byPeer[peer]].deduplicator.Claim(req, shortKeyRetention), nil
+	return f.node(f.byPeer[peer]).deduplicator.Claim(req, shortKeyRetention), nil
 }
 
 // Transfer implements deduplicator.Client.
@@ -267,7 +267,7 @@
 	if to == controlPeerAddress {
 		return c.fleet.control, nil
 	}
-	return c.fleet.peer(c.fleet.byPeer[to]), nil
+	return c.fleet.node(c.fleet.byPeer[to]).gossiper, nil
 }
 
 // Compare implements gossiper.Client.
@@ -297,7 +297,7 @@
 		r.Header.Set(classifier.HeaderIdempotencyKey, key)
 	}
 	w := httptest.NewRecorder()
-	f.handler(entry).ServeHTTP(w, r)
+	f.node(entry).serveRequest(w, r)
 	return w.Result()
 }
 
@@ -335,7 +335,7 @@
 func (f *evacuatedFleet) arrivals(domain string, from, to time.Time) int {
 	n := 0
 	for i, u := range f.upstreams {
-		if f.nodes[i].settings.FailureDomain() == domain {
+		if f.node(i).settings.FailureDomain() == domain {
 			n += u.arrivalsBetween(from, to)
 		}
 	}
--- a/internal/process/launcher/node_evacuation_test.go
+++ b/internal/process/launcher/node_evacuation_test.go
@@ -55,7 +55,7 @@
 		"a node there is cut off": {size: 12, event: cutOffDuring(4), notInTouch: cutOffPeriod},
 		"stale gossip": {size: 12, event: func(_ *testing.T, f *evacuatedFleet) {
 			for i := range 10 {
-				f.peer(i).SetEvacuation(&controlwire.Evacuation{Revision: 1})
+				f.node(i).gossiper.SetEvacuation(&controlwire.Evacuation{Revision: 1})
 				time.Sleep(time.Second)
 			}
 		}},
@@ -119,7 +119,7 @@
 		time.Sleep(evacuationBound)
 		for range 5 {
 			f.restart(t, 1)
-			for f.nodes[1].snapshots.Snapshot().View().Evacuation() == nil {
+			for f.node(1).snapshots.Snapshot().View().Evacuation() == nil {
 				time.Sleep(time.Millisecond)
 			}
 			assert.Equal(t, f.send(1, http.MethodPost, "").StatusCode, http.StatusOK)
@@ -225,7 +225,7 @@
 		time.Sleep(evacuationBound)
 		for period := range uint64(50) {
 			trial := quarantiner.Trial{Period: period}
-			chosen := trial.Choose(f.nodes[0].snapshots.Snapshot().View().Service("vitrina"))
+			chosen := trial.Choose(f.node(0).snapshots.Snapshot().View().Service("vitrina"))
 			assert.Assert(t, chosen.FailureDomain() != emptiedDomain)
 			for _, n := range f.nodes {
 				assert.Equal(t, n.runsTrial(trial), n.settings.Instance() == chosen.ID())
@@ -240,7 +240,7 @@
 	runEvacuatedFleet(t, 3, func(t *testing.T, f *evacuatedFleet) {
 		f.order("oax-centro")
 		time.Sleep(evacuationBound)
-		view := f.nodes[1].snapshots.Snapshot().View()
+		view := f.node(1).snapshots.Snapshot().View()
 		assert.Equal(t, view.Instance("vitrina-1").State(), registrar.StateEvacuated)
 		assert.Assert(t, slices.Equal(controlAddressesIn(view), []netip.AddrPort{controlPeerAddress}))
 	})
@@ -274,7 +274,7 @@
 			wg.Go(func() { assert.Check(t, f.send(0, http.MethodGet, "").StatusCode == http.StatusOK) })
 		}
 		time.Sleep(20 * time.Millisecond)
-		f.nodes[0].setEvacuation(&controlwire.Evacuation{Revision: 1, FailureDomains: evacuationDomains})
+		f.node(0).setEvacuation(&controlwire.Evacuation{Revision: 1, FailureDomains: evacuationDomains})
 		wg.Wait()
 		assert.Equal(t, len(f.allArrivals()), calls)
 	})
