--- a/internal/agreement/voter/evacuation_test.go
+++ b/internal/agreement/voter/evacuation_test.go
@@ -228,6 +228,25 @@
 	})
 }
 
+// TestEvacuationMovesToOtherVoters checks that voters at other addresses take the evacuation over
+// with the document.
+func TestEvacuationMovesToOtherVoters(t *testing.T) {
+	simulate(t, 50, 3, func(t *testing.T, c *cluster) {
+		assertOrdered(t, c.voter("v0"), "a", true, "a")
+		for _, address := range []string{"v3", "v4", "v5"} {
+			c.add(address)
+		}
+		time.Sleep(3 * time.Second)
+		assertAccepted(t, c.voter("v1"), replaceAllVoters(), 1)
+		time.Sleep(3 * time.Second)
+		for _, address := range c.initial {
+			c.crash(address)
+		}
+		assertEvacuated(t, c.voter("v4"), "a")
+		assertOrdered(t, c.voter("v5"), "a", false)
+	})
+}
+
 // TestTwoDisksLostAfterAcknowledgement checks that a group that tolerates two losses keeps an
 // order although two voters lose their disks right after its acknowledgement.
 func TestTwoDisksLostAfterAcknowledgement(t *testing.T) {
