--- a/internal/agreement/voter/evacuation_test.go
+++ b/internal/agreement/voter/evacuation_test.go
@@ -20,6 +20,9 @@
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
 
+// evacuationRepair is the time in which voters finish an order whose proposer was killed.
+const evacuationRepair = 5 * time.Second
+
 // assertOrdered orders an evacuation or its end and checks the resulting list.
 func assertOrdered(t testing.TB, v *voter.Voter, domain string, evacuated bool, want ...string) *controlwire.Evacuation {
 	t.Helper()
@@ -191,26 +194,31 @@
 	return err == nil
 }
 
-// TestKilledProposerLeavesOrderToOthers kills the proposing instance between accept and
-// acknowledgement.
+// TestKilledProposerLeavesOrderToOthers kills the proposing instance after a majority has
+// accepted the order and before it is acknowledged. The others finish it, also if it is not resent.
 func TestKilledProposerLeavesOrderToOthers(t *testing.T) {
 	simulate(t, 46, 3, func(t *testing.T, c *cluster) {
+		c.setConstantDelay()
 		c.setFilter(func(to string, req proto.Message) error {
 			if _, ok := req.(*voterwire.AcceptRequest); ok && to == "v2" {
 				return errUnreachable
 			}
 			return nil
 		})
-		v0 := c.voter("v0")
-		time.AfterFunc(1500*time.Microsecond, func() { killInstances("v0")(c) })
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_, _ = v0.SetEvacuated(ctx, "a", true)
+		acknowledged := make(chan error, 1)
+		go func(v0 *voter.Voter) {
+			_, err := v0.SetEvacuated(context.Background(), "a", true)
+			acknowledged <- err // Reaches nobody: the process has ended.
+		}(c.voter("v0"))
+		// Two messages for the promises and one for the acceptance have arrived, its response has not.
+		time.Sleep(3*c.maxDelay + c.maxDelay/2)
+		assert.Equal(t, len(acknowledged), 0)
+		killInstances("v0")(c)
 		c.setFilter(nil)
-		time.Sleep(4 * time.Second)
-		assertOrdered(t, c.voter("v1"), "a", true, "a")
-		time.Sleep(2 * time.Second)
+		time.Sleep(evacuationRepair)
+		assertReported(t, c, "v1", "a")
 		assertReported(t, c, "v2", "a")
+		assertOrdered(t, c.voter("v2"), "a", true, "a")
 	})
 }
 
