feat: no further instances are tried after two refusals for lack of room, at least cost

Cause: with too little room everywhere a request cost up to four messages and their time before it was refused. Change: an entry node gives up after two refusals for lack of room, where the service has overload = least-cost, but not for calls of running requests. Plans for the goal of one request are made every 20 ms at most.

--- a/internal/process/launcher/adapters.go
+++ b/internal/process/launcher/adapters.go
@@ -172,15 +172,7 @@
 // isCapacityRefusal reports whether a free slot would have prevented the refusal.
 func isCapacityRefusal(err error) bool {
 	var refusal *admitter.Refusal
-	if !errors.As(err, &refusal) {
-		return false
-	}
-	switch refusal.Reason() {
-	case classifier.ReasonQueueFull, classifier.ReasonQueueSlow, classifier.ReasonPreempted, classifier.ReasonDeadline,
-		classifier.ReasonGoal, classifier.ReasonDisplaced, classifier.ReasonOverShare:
-		return true
-	}
-	return false
+	return errors.As(err, &refusal) && refusal.Reason().LackOfRoom()
 }
 
 // Load implements server.Admitter.
--- a/internal/request/admitter/waiter.go
+++ b/internal/request/admitter/waiter.go
@@ -15,6 +15,9 @@
 	// of a waiting request is checked.
 	minCheckInterval = time.Millisecond
 	maxCheckInterval = time.Hour
+	// minGoalCheckInterval bounds the interval at which a plan is made for the goal of a
+	// waiting request alone. Arrivals and freed slots make one anyway.
+	minGoalCheckInterval = 20 * time.Millisecond
 )
 
 // waiter is a request in the queue. Its element is nil once it has left the queue.
@@ -60,7 +63,7 @@
 // remaining time. A request that waits by a plan is also checked before its latency goal.
 func (w *waiter) nextCheck(now time.Time) time.Duration {
 	if goal := w.req.LatencyGoalTime.Sub(now); w.leastCost && goal > 0 {
-		return max(goal/2, minCheckInterval)
+		return max(goal/2, minGoalCheckInterval)
 	}
 	if w.req.Deadline.IsZero() {
 		return maxCheckInterval
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -14,9 +14,14 @@
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// maxRoomRefusals is the number of instances without room after which a request is refused, where
+// the service is served at least cost. The second one keeps it if it can be served there at all.
+const maxRoomRefusals = 2
+
 // firstAttemptValue is the HeaderHop value of a first attempt. It is shared by all
 // requests and must not be modified.
 var firstAttemptValue = []string{"1"}
@@ -50,6 +55,8 @@
 	// before they reached an upstream and don't count towards the attempt limit. It stays 0
 	// if MaxUnsentAttempts is 0.
 	attempts, unsentAttempts int
+	// roomRefusals counts the attempts that were refused for lack of room.
+	roomRefusals int
 	// mayHaveRun reports whether an earlier attempt may have run.
 	mayHaveRun bool
 	// fingerprint recognizes the request if it has crashed upstreams; nil if there is no
@@ -165,6 +172,9 @@
 		if failure.Outcome != classifier.NotRun {
 			c.mayHaveRun = true
 		}
+		if failure.Unsent && failure.Reason.LackOfRoom() {
+			c.roomRefusals++
+		}
 		decision := retrier.Decide(failure, c.retryState())
 		c.recordDenial(decision)
 		if failure.Unsent && c.forwarder.cfg.MaxUnsentAttempts > 0 {
@@ -236,6 +246,9 @@
 	if c.ctx.Err() != nil {
 		maxAttempts, unsentLeft = attempts, 0 // The deadline passed or the caller is gone.
 	}
+	if c.lacksRoom() {
+		maxAttempts, unsentLeft = attempts, 0
+	}
 	return retrier.State{
 		Repeatable:         c.idempotent,
 		BodyConsumed:       c.stream != nil && c.stream.revoke(),
@@ -246,6 +259,13 @@
 	}
 }
 
+// lacksRoom reports whether enough instances had no room for the request. It answers a load beyond
+// the capacity of all instances, in which each further attempt costs messages and the caller's
+// time. Calls of running requests are tried further, since their refusal wastes that work.
+func (c *call) lacksRoom() bool {
+	return c.route.spec.Overload == compiler.OverloadLeastCost && c.route.depth == 1 && c.roomRefusals >= maxRoomRefusals
+}
+
 // request builds the request of one attempt. Its headers are a copy, with extra added.
 func (c *call) request(extra http.Header) *http.Request {
 	header := maps.Clone(c.header)
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -110,3 +110,12 @@
 	// request's key, or does not belong to the request's service.
 	ReasonWrongInstance Reason = "wrong-instance"
 )
+
+// LackOfRoom reports whether a free slot at the instance would have prevented the refusal.
+func (r Reason) LackOfRoom() bool {
+	switch r {
+	case ReasonQueueFull, ReasonQueueSlow, ReasonPreempted, ReasonDeadline, ReasonGoal, ReasonDisplaced, ReasonOverShare:
+		return true
+	}
+	return false
+}
