test: no data race in the test of hopeless work

Change: an atomic pointer, as in the test beside it; the checks are the same. Measure: go test -race -count=5 of these tests passes.

--- a/internal/request/admitter/start_delay_test.go
+++ b/internal/request/admitter/start_delay_test.go
@@ -171,12 +171,13 @@
 func TestHopelessWorkIsRefusedInTurn(t *testing.T) {
 	const ms = time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		slowdown := sampler.Slowdown{SlownessPercent: 100}
-		a := New(Config{Slots: 1, Connections: 100, QueueLength: 100, LimitIgnoresLatency: true, Slowdown: func(time.Time) sampler.Slowdown { return slowdown }})
+		var slowdown atomic.Pointer[sampler.Slowdown]
+		slowdown.Store(&sampler.Slowdown{SlownessPercent: 100})
+		a := New(Config{Slots: 1, Connections: 100, QueueLength: 100, LimitIgnoresLatency: true, Slowdown: func(time.Time) sampler.Slowdown { return *slowdown.Load() }})
 		running, err := a.Admit(context.Background(), Request{ExpectedWork: 30 * ms})
 		assert.NilError(t, err)
 		time.AfterFunc(30*ms, func() {
-			slowdown = sampler.Slowdown{SlownessPercent: 500}
+			slowdown.Store(&sampler.Slowdown{SlownessPercent: 500})
 			running.Done(Result{Latency: 30 * ms})
 		})
 		start := time.Now()
