--- a/internal/request/crashwatcher/crashwatcher_test.go
+++ b/internal/request/crashwatcher/crashwatcher_test.go
@@ -156,6 +156,7 @@
 		wg.Wait()
 		whole := httptest.NewRequest(http.MethodPost, "http://vitrina.example/", nil)
 		whole.Body = requester.NewBytesBody([]byte("first second"))
+		whole.ContentLength = -1
 		want, _ := fingerprinter.New(whole).Fingerprint()
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/request/fingerprinter/fingerprinter_test.go
+++ b/internal/request/fingerprinter/fingerprinter_test.go
@@ -92,6 +92,7 @@
 				assert.Assert(t, bytes.Equal(got, []byte(body)), "%d bytes", len(got))
 
 				sent := upload(body)
+				sent.ContentLength = length
 				after := fingerprinter.New(sent)
 				_, err = io.Copy(io.Discard, sent.Body)
 				assert.NilError(t, err)
@@ -100,6 +101,7 @@
 				assert.Assert(t, known)
 				assert.Equal(t, beforeSending, afterSending)
 				inMemory := upload("")
+				inMemory.ContentLength = length
 				inMemory.Body = requester.NewBytesBody([]byte(body))
 				assert.Equal(t, fingerprint(t, inMemory), afterSending)
 			})
--- a/internal/request/fingerprinter/request.go
+++ b/internal/request/fingerprinter/request.go
@@ -10,12 +10,13 @@
 //	fingerprint, ok := r.Fingerprint()
 //
 // Two requests are equal if they have the same method, host, path, query, credentials and body.
-// Of a body only the first CountedSize bytes count. Fingerprints are digests, so that logs and
+// Of a body the length, if the request names it, and the first CountedSize bytes count. Fingerprints are digests, so that logs and
 // messages hold no part of a request.
 package fingerprinter
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"io"
 	"net/http"
 	"sync"
@@ -57,7 +58,7 @@
 	r := &Request{req: req}
 	r.inMemory = sync.OnceValues(r.fingerprintInMemory)
 	if _, inMemory := req.Body.(*requester.BytesBody); !inMemory && req.Body != nil && req.Body != http.NoBody {
-		r.stream = newStreamedBody(req.Body)
+		r.stream = newStreamedBody(req.Body, req.ContentLength)
 		req.Body = r.stream
 	}
 	return r
@@ -73,7 +74,7 @@
 // been read.
 func (r *Request) Fingerprint() (Fingerprint, bool) {
 	if r.stream != nil {
-		sum, ok := r.stream.sum(r.req.ContentLength)
+		sum, ok := r.stream.sum()
 		return newFingerprint(r.Head(), sum), ok
 	}
 	return r.inMemory()
@@ -89,7 +90,7 @@
 	if r.stream == nil {
 		return nil
 	}
-	return r.stream.buffer(r.req.ContentLength, take)
+	return r.stream.buffer(take)
 }
 
 // ReadOn reads as much of a streamed body as Fingerprint needs, for at most the given time, and
@@ -124,12 +125,16 @@
 }
 
 func (r *Request) fingerprintInMemory() (Fingerprint, bool) {
-	counted := []byte(nil)
+	counted := binary.AppendVarint(nil, r.req.ContentLength)
+	if r.req.Body == nil || r.req.Body == http.NoBody {
+		counted = binary.AppendVarint(nil, 0)
+	}
 	if body, ok := r.req.Body.(*requester.BytesBody); ok {
-		counted = make([]byte, min(body.Size(), CountedSize))
-		if _, err := body.ReadAt(counted, 0); err != nil && !errors.Is(err, io.EOF) {
+		start := make([]byte, min(body.Size(), CountedSize))
+		if _, err := body.ReadAt(start, 0); err != nil && !errors.Is(err, io.EOF) {
 			return Fingerprint{}, false
 		}
+		counted = append(counted, start...)
 	}
 	sum := sha256.Sum256(counted)
 	return newFingerprint(r.Head(), sum[:]), true
--- a/internal/request/fingerprinter/streamed_body.go
+++ b/internal/request/fingerprinter/streamed_body.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"hash"
 	"io"
@@ -13,6 +14,7 @@
 // streamedBody is a request body that computes its digest while it is read.
 type streamedBody struct {
 	io.ReadCloser
+	length int64 // -1 if it is unknown.
 
 	readMu sync.Mutex // Held while the body is read, which may block.
 
@@ -23,8 +25,11 @@
 	ended   bool
 }
 
-func newStreamedBody(src io.ReadCloser) *streamedBody {
-	return &streamedBody{ReadCloser: src, digest: sha256.New()}
+// newStreamedBody returns the body src of the given length, which is -1 if it is unknown.
+func newStreamedBody(src io.ReadCloser, length int64) *streamedBody {
+	b := &streamedBody{ReadCloser: src, length: length, digest: sha256.New()}
+	b.digest.Write(binary.AppendVarint(nil, length)) // Never fails.
+	return b
 }
 
 // Read implements io.Reader.
@@ -62,12 +67,12 @@
 
 // buffer reads the part of the body that counts, which Read returns later. take must return true
 // before as many more bytes are held.
-func (b *streamedBody) buffer(length int64, take func(n int) bool) error {
+func (b *streamedBody) buffer(take func(n int) bool) error {
 	b.readMu.Lock()
 	defer b.readMu.Unlock()
 	size := firstBuffer
-	if length >= 0 {
-		size = int(min(length+1, CountedSize)) // One more byte, since the read of the end needs room.
+	if b.length >= 0 {
+		size = int(min(b.length+1, CountedSize)) // One more byte, since the read of the end needs room.
 	}
 	var held []byte
 	for !b.complete() {
@@ -117,11 +122,10 @@
 	return b.ended || b.counted == CountedSize
 }
 
-// sum returns the digest of the body, and whether all that counts has been read. The body may have
-// a known length, or -1.
-func (b *streamedBody) sum(length int64) ([]byte, bool) {
+// sum returns the digest of the body, and whether all that counts has been read.
+func (b *streamedBody) sum() ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	complete := b.ended || b.counted == CountedSize || int64(b.counted) == length
+	complete := b.ended || b.counted == CountedSize || int64(b.counted) == b.length
 	return b.digest.Sum(nil), complete
 }
--- a/internal/request/forwarder/upload_test.go
+++ b/internal/request/forwarder/upload_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -147,6 +148,25 @@
 	}
 }
 
+// TestUploadWhoseSenderLeavesEnds guards against an upload that goes on, or holds its slot, after its caller or the entry node has ended midway.
+func TestUploadWhoseSenderLeavesEnds(t *testing.T) {
+	f := newUploadFleet(t)
+	f.run(t, func(t *testing.T) {
+		src, sender := io.Pipe()
+		defer sender.Close() //nolint:errcheck // Never fails.
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		go io.WriteString(sender, strings.Repeat("x", 20_000)) //nolint:errcheck // Fails at the end of the test.
+		_, _, err := f.call(ctx, upload(src, uploadSize))
+		assert.Assert(t, err != nil)
+		time.Sleep(time.Second)
+		for _, s := range f.servers {
+			assert.Equal(t, s.InFlight(), 0)
+		}
+		assert.Equal(t, f.runs.Load(), int64(1))
+	})
+}
+
 // TestUploadsAreSentAtTheRateOfTheLink guards against short requests that wait on the link behind a whole upload.
 func TestUploadsAreSentAtTheRateOfTheLink(t *testing.T) {
 	f := newUploadFleet(t)
