--- a/internal/request/crashwatcher/crashwatcher_test.go
+++ b/internal/request/crashwatcher/crashwatcher_test.go
@@ -82,6 +82,8 @@
 // the crashes that have them.
 func (w *watched) assertCrashes(t *testing.T, crashes int, inFlight map[string]int) {
 	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	assert.Equal(t, len(w.inFlight), crashes)
 	for path, want := range inFlight {
 		got := 0
@@ -154,7 +156,10 @@
 		wg.Wait()
 		whole := httptest.NewRequest(http.MethodPost, "http://vitrina.example/", nil)
 		whole.Body = requester.NewBytesBody([]byte("first second"))
+		whole.ContentLength = -1
 		want, _ := fingerprinter.New(whole).Fingerprint()
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		recognized := 0
 		for _, list := range w.inFlight {
 			if slices.Contains(list, want) {
