fix: what a node sends for quotas is bounded

Change: leases by the usual demand, reported when they change; at most 8 KB/s; requests that wait go first.

--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -10,8 +10,14 @@
 )
 
 const (
-	// demandTime is the time constant of the estimate of demand.
+	// demandTime is the time constant of the estimate of demand for which tokens are asked, and
+	// usualTime that of the demand for which a lease is wanted. One request alone wants none.
 	demandTime = time.Second
+	usualTime  = 3 * time.Second
+	// wishTolerance is the part by which a wish may change before it is reported, and moreAfter the
+	// time after which one that was not met is reported again.
+	wishTolerance = 0.25
+	moreAfter     = time.Second
 	// leaseHeadroom is the wanted lease in proportion to demand.
 	leaseHeadroom = 1.25
 	// leaseBurst is the time whose part of the lease may be taken at once.
@@ -59,14 +65,18 @@
 	// reportedRate is what was reported last. A lease that was given up counts at the grantor until
 	// that is reported.
 	reportedRate float64
+	// reportedWish is the wish that was reported last, at reportedAt.
+	reportedWish float64
+	reportedAt   time.Duration
 	// leaseLevel is what may be taken from the lease, at leaseAt.
 	leaseLevel float64
 	leaseAt    time.Duration
 	// refusedUntil is when to ask again after there was no room, and roomAt when there may be.
 	refusedUntil, roomAt time.Duration
-	// arrivals counts the requests since the last review, and demand is their rate.
+	// arrivals counts the requests since the last review, and the rates are theirs.
 	arrivals   int
 	demandRate float64
+	usualRate  float64
 	reviewedAt time.Duration
 	usedAt     time.Duration
 	// taken and refused count requests since the start, for operators.
@@ -99,17 +109,32 @@
 	if passed <= 0 {
 		return
 	}
-	weight := math.Exp(-passed.Seconds() / demandTime.Seconds())
-	a.demandRate = a.demandRate*weight + float64(a.arrivals)/passed.Seconds()*(1-weight)
+	rate := float64(a.arrivals) / passed.Seconds()
+	a.demandRate = smooth(a.demandRate, rate, passed, demandTime)
+	a.usualRate = smooth(a.usualRate, rate, passed, usualTime)
 	a.arrivals, a.reviewedAt = 0, now
 }
 
+// smooth returns the new value of an estimate with the given time constant.
+func smooth(estimate, sample float64, passed, constant time.Duration) float64 {
+	weight := math.Exp(-passed.Seconds() / constant.Seconds())
+	return estimate*weight + sample*(1-weight)
+}
+
 // wish returns the rate that this node wants to lease.
 func (a *account) wish() float64 {
-	if a.demandRate < minLeasedDemand {
+	if a.usualRate < minLeasedDemand {
 		return 0
 	}
-	return min(a.demandRate*leaseHeadroom, a.limit)
+	return min(a.usualRate*leaseHeadroom, a.limit)
+}
+
+// leaseDue reports whether the grantor should hear of the lease.
+func (a *account) leaseDue(now time.Duration) bool {
+	wish := a.wish()
+	changed := math.Abs(wish-a.reportedWish) > wishTolerance*max(wish, a.reportedWish)
+	unmet := wish > a.rate*(1+wishTolerance) && now-a.reportedAt >= moreAfter
+	return changed || unmet || a.rate != a.reportedRate
 }
 
 // missing returns how many tokens are wanted, for the requests that wait and for those of the
--- a/internal/fleet/quotakeeper/answering.go
+++ b/internal/fleet/quotakeeper/answering.go
@@ -58,7 +58,7 @@
 // granted takes what was granted for one organisation.
 func (k *Keeper) granted(a *account, g grantor.Grant, tenure uint64, now time.Duration) {
 	wanted := a.pending.Wanted
-	a.reportedRate = a.pending.Held
+	a.reportedRate, a.reportedWish, a.reportedAt = a.pending.Held, a.pending.Wish, now
 	a.asked, a.pending = 0, nil
 	k.setRate(a, g.Rate)
 	a.reported = tenure
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -8,6 +8,13 @@
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
 )
 
+// bytesPerSecond bounds what a node sends for quotas, and burstTime is the time whose bytes may be
+// sent at once.
+const (
+	bytesPerSecond = 8000
+	burstTime      = 2 * time.Second
+)
+
 // idleInterval is the time between two looks for something to do while there is no account.
 const idleInterval = time.Hour
 
@@ -72,10 +79,11 @@
 
 // sendAt returns when the next ask may be sent.
 func (k *Keeper) sendAt() time.Duration {
+	interval := k.contact.interval
 	if k.urgent {
-		return k.ask.lastAt + min(k.contact.interval, maxUrgentInterval)
+		interval = min(interval, maxUrgentInterval)
 	}
-	return k.ask.lastAt + k.contact.interval
+	return max(k.ask.lastAt+interval, k.paidUntil-burstTime)
 }
 
 func (k *Keeper) resendAfter() time.Duration { return max(minResend, 2*k.contact.roundTrip) }
@@ -92,7 +100,7 @@
 			delete(k.due, a)
 			continue
 		}
-		if a.wish() > 0 || a.rate > 0 || a.reportedRate > 0 || a.tokens.ended > 0 {
+		if a.leaseDue(now) || a.tokens.ended > 0 {
 			k.due[a] = true
 		}
 	}
@@ -115,12 +123,8 @@
 	k.ask.message = grantor.Ask{Seq: k.ask.seq, Start: k.start, Tenure: k.tenure}
 	k.ask.accounts = k.ask.accounts[:0]
 	k.addUnreported(now)
-	for a := range k.due {
-		if len(k.ask.accounts) >= grantor.MaxRecords {
-			break
-		}
-		k.addRecord(a, now)
-	}
+	k.addDue(now, func(a *account) bool { return len(a.waiters) > 0 })
+	k.addDue(now, func(*account) bool { return true })
 	k.ask.message.Complete = k.complete || k.allReported()
 	k.transmit(now)
 }
@@ -137,6 +141,18 @@
 	}
 }
 
+// addDue adds the accounts that are due and meet a condition, as far as there is room.
+func (k *Keeper) addDue(now time.Duration, condition func(*account) bool) {
+	for a := range k.due {
+		if len(k.ask.accounts) >= grantor.MaxRecords {
+			return
+		}
+		if condition(a) {
+			k.addRecord(a, now)
+		}
+	}
+}
+
 // allReported reports whether the ask completes the report of leases.
 func (k *Keeper) allReported() bool {
 	for _, a := range k.accounts {
@@ -199,8 +215,10 @@
 func (k *Keeper) transmit(now time.Duration) {
 	k.ask.lastAt = now
 	payload := k.ask.message.Encode()
+	size := len(payload) + courier.Overhead
+	k.paidUntil = max(k.paidUntil, now) + time.Duration(size)*time.Second/bytesPerSecond
 	k.metrics.asks.Inc(1)
-	k.metrics.sentBytes.Inc(int64(len(payload) + courier.Overhead))
+	k.metrics.sentBytes.Inc(int64(size))
 	if err := k.cfg.Transport.Send(courier.KindQuotaAsk, k.ask.to, payload); err != nil {
 		k.cfg.Log.Debug().Err(err).Stringer("to", k.ask.to).Msg("Message not sent.")
 	}
--- a/internal/fleet/quotakeeper/fleet_test.go
+++ b/internal/fleet/quotakeeper/fleet_test.go
@@ -230,7 +230,7 @@
 // play sends requests for some time and returns when each was sent.
 func (f *fleet) play(l load, length time.Duration) []time.Duration {
 	const step = time.Millisecond
-	random := f.newRandom()
+	random := rand.New(rand.NewPCG(11, uint64(l.organisation.Rate())))
 	begin := time.Now()
 	var sent []time.Duration
 	for at := time.Duration(0); at < length; at = time.Since(begin) {
--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -3,7 +3,9 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,6 +17,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/agreement/grantor"
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
 // manualGrantor answers the asks of one keeper as a test tells it. Its clock may be set forward,
@@ -24,9 +27,12 @@
 	start     time.Time
 	suspended atomic.Int64 // Nanoseconds.
 	handler   courier.Handler
+
+	guard sync.Mutex // Guards the fields below.
 	// respond returns the grants for an ask, and when to answer; nil for no answer.
 	respond func(a grantor.Ask) ([]grantor.Grant, time.Duration)
 	asks    []grantor.Ask
+	bytes   int
 }
 
 // Handle implements Transport.
@@ -38,7 +44,10 @@
 	if err != nil {
 		return err
 	}
+	m.guard.Lock()
+	defer m.guard.Unlock()
 	m.asks = append(m.asks, ask)
+	m.bytes += len(payload) + courier.Overhead
 	grants, delay := m.respond(ask)
 	if grants == nil {
 		return nil
@@ -50,6 +59,19 @@
 	return nil
 }
 
+func (m *manualGrantor) setRespond(respond func(grantor.Ask) ([]grantor.Grant, time.Duration)) {
+	m.guard.Lock()
+	defer m.guard.Unlock()
+	m.respond = respond
+}
+
+// sent returns the asks so far.
+func (m *manualGrantor) sent() []grantor.Ask {
+	m.guard.Lock()
+	defer m.guard.Unlock()
+	return slices.Clone(m.asks)
+}
+
 func (m *manualGrantor) now() time.Duration {
 	return time.Since(m.start) + time.Hour + time.Duration(m.suspended.Load())
 }
@@ -96,8 +118,8 @@
 
 func TestSilentGrantorIsReplacedByTheLease(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
-		assert.Equal(t, m.takeFor(t, 40, 3*time.Second), 120)
-		m.respond = silent
+		assert.Equal(t, m.takeFor(t, 40, 8*time.Second), 320) // Until the demand counts as usual.
+		m.setRespond(silent)
 		taken := m.takeFor(t, 40, 9*time.Second)
 		assert.Assert(t, taken > 9*40*9/10, "%d taken", taken)
 		taken = m.takeFor(t, 40, 5*time.Second)
@@ -110,7 +132,7 @@
 func TestNothingIsSpentAfterASuspension(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
 		assert.Equal(t, m.takeFor(t, 40, 3*time.Second), 120)
-		m.respond = silent
+		m.setRespond(silent)
 		m.suspended.Add(int64(11 * time.Second))
 		o := organisation(t, "grande", 100, 0)
 		for range 20 {
@@ -122,10 +144,10 @@
 // An answer that comes late may be of a tenure that has ended.
 func TestLateAnswerIsIgnored(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
-		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+		m.setRespond(func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
 			grants, _ := grantAll(a)
 			return grants, 2 * abandonAfter
-		}
+		})
 		assert.Equal(t, m.takeFor(t, 40, 2*time.Second), 0)
 	})
 }
@@ -133,10 +155,10 @@
 func TestAnswerAfterASuspensionIsIgnored(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
 		o := organisation(t, "grande", 100, 0)
-		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+		m.setRespond(func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
 			time.AfterFunc(time.Millisecond, func() { m.suspended.Add(int64(time.Second)) })
 			return []grantor.Grant{{Organisation: a.Records[0].Organisation, Tokens: 9, Rate: 9}}, 2 * time.Millisecond
-		}
+		})
 		ticket, _ := m.Take(t.Context(), o)
 		assert.Assert(t, !ticket.Taken())
 		assert.Equal(t, m.Status().Organisations[0].Lease, 0.0)
@@ -145,27 +167,28 @@
 
 func TestAskIsRepeatedUntilAnswered(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
-		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+		m.setRespond(func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
 			if len(m.asks) < 3 {
 				return nil, 0
 			}
 			return grantAll(a)
-		}
+		})
 		ticket, _ := m.Take(t.Context(), organisation(t, "grande", 100, 0))
 		assert.Assert(t, ticket.Taken())
-		assert.DeepEqual(t, m.asks[0], m.asks[2])
+		asks := m.sent()
+		assert.DeepEqual(t, asks[0], asks[2])
 	})
 }
 
 func TestRequestIsRefusedAtOnceIfThereIsNoRoom(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
-		m.respond = func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
+		m.setRespond(func(a grantor.Ask) ([]grantor.Grant, time.Duration) {
 			grants, delay := grantAll(a)
 			for i := range grants {
 				grants[i].Tokens, grants[i].Wait = 0, 3*time.Second
 			}
 			return grants, delay
-		}
+		})
 		begin := time.Now()
 		o := organisation(t, "grande", 100, 0)
 		for range 10 {
@@ -175,7 +198,7 @@
 		}
 		assert.Assert(t, time.Since(begin) < 10*time.Millisecond)
 		time.Sleep(500 * time.Millisecond)
-		assert.Assert(t, len(m.asks) < 12, "%d asks", len(m.asks))
+		assert.Assert(t, len(m.sent()) < 12, "%d asks", len(m.sent()))
 	})
 }
 
@@ -184,7 +207,7 @@
 		o := organisation(t, "grande", 100, 0)
 		ticket, _ := m.Take(t.Context(), o)
 		assert.Assert(t, ticket.Taken())
-		m.respond = silent
+		m.setRespond(silent)
 		assert.Assert(t, !m.TakeNow(o).Taken())
 		m.Return(o, ticket)
 		assert.Assert(t, m.TakeNow(o).Taken())
@@ -199,9 +222,10 @@
 		taken := m.takeFor(t, 90, 2*time.Second)
 		time.Sleep(8 * time.Second) // Until demand has fallen and what was held has ended.
 		wanted, returned := 0, 0
-		for i, a := range m.asks {
+		asks := m.sent()
+		for i, a := range asks {
 			for _, r := range a.Records {
-				if i == 0 || a.Seq != m.asks[i-1].Seq {
+				if i == 0 || a.Seq != asks[i-1].Seq {
 					wanted, returned = wanted+r.Wanted, returned+r.Returned
 				}
 			}
@@ -226,12 +250,55 @@
 	})
 }
 
+// What a node sends stays bounded with 10,000 organisations that all have requests.
+func TestBytesAreBounded(t *testing.T) {
+	const length = 20 * time.Second
+	organisations := manyOrganisations(t, 10_000)
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		random := rand.New(rand.NewPCG(1, 3))
+		taken, sent := 0, 0
+		for begin := time.Now(); time.Since(begin) < length; sent++ {
+			o := organisations[random.IntN(len(organisations))]
+			go func() {
+				ticket, _ := m.Take(t.Context(), o)
+				m.guard.Lock()
+				defer m.guard.Unlock()
+				if ticket.Taken() {
+					taken++
+				}
+			}()
+			time.Sleep(7 * time.Millisecond)
+		}
+		time.Sleep(maxWait)
+		m.guard.Lock()
+		defer m.guard.Unlock()
+		t.Logf("%d bytes, %d asks, %d of %d taken", m.bytes, len(m.asks), taken, sent)
+		assert.Assert(t, float64(m.bytes) <= bytesPerSecond*(length+burstTime).Seconds(), "%d bytes", m.bytes)
+		assert.Assert(t, taken >= sent*99/100, "%d of %d taken", taken, sent)
+	})
+}
+
+// manyOrganisations returns organisations with quotas.
+func manyOrganisations(t *testing.T, count int) []*compiler.Organisation {
+	t.Helper()
+	text := "[owner tienda]\nidle-rate = 0\ncurrency = MXN\n[service almacen]\nowner = tienda\nhosts = none\n"
+	for i := range count {
+		text += "[organisation org-" + strconv.Itoa(i) + "]\nrate = 100\n"
+	}
+	doc, err := compiler.Parse([]compiler.Source{{Name: "base.ini", Data: []byte(text)}})
+	assert.NilError(t, err)
+	cfg, err := compiler.Compile(doc, "oaxaca", 1)
+	assert.NilError(t, err)
+	return slices.Collect(cfg.Organisations().All())
+}
+
 // The grantor counts a lease until it hears that the node does not hold it any more.
 func TestGivenUpLeaseIsReported(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
 		m.takeFor(t, 40, 3*time.Second)
 		time.Sleep(20 * time.Second)
-		records := m.asks[len(m.asks)-1].Records
+		asks := m.sent()
+		records := asks[len(asks)-1].Records
 		assert.Assert(t, len(records) == 1 && records[0].Held == 0 && records[0].Wish == 0, "%v", records)
 	})
 }
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -106,7 +106,9 @@
 	ask      pendingAsk
 	contact  contact
 	reviewAt time.Duration
-	outage   bool // Whether an outage was logged.
+	// paidUntil is the time for which the bytes sent so far suffice.
+	paidUntil time.Duration
+	outage    bool // Whether an outage was logged.
 	// named holds the metrics of single organisations, and others those of the rest.
 	named  map[string]organisationMetrics
 	others organisationMetrics
