--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -82,6 +82,7 @@
 	n.meter = accountant.NewMeter(n.gossiper.Self(), time.Now())
 	n.assembleGauger(base)
 	n.assembleAdmitter(base, spec)
+	n.onEvacuationEnded = n.DoubtUpstream
 	n.assembleLoadReporting(base)
 	n.assembleEnroller(base)
 	n.assembleWatchers()
