fix: an order whose operator has left is not proposed again

An instance that was paused between the phases of an order found its ballot outdated and proposed the order again, after a later order had been acknowledged (TestFrozenProposerDoesNotUndoLaterOrder).

--- a/internal/agreement/voter/evacuation.go
+++ b/internal/agreement/voter/evacuation.go
@@ -52,16 +52,16 @@
 	err       error           // The outcome of the last call of decide.
 }
 
-// decide is the transitionFunc of the order. An order that was not proposed while its
-// operator was connected is dropped: a paused instance may find it only after later orders.
+// decide is the transitionFunc of the order. An order whose operator has disconnected is not
+// proposed, nor proposed again: a paused instance may get that far only after later orders.
 func (o *evacuationOrder) decide(base *State) *voterwire.Transition {
 	o.err = nil
 	current := base.Evacuation()
 	if slices.Contains(current.GetFailureDomains(), o.domain) == o.evacuated {
 		return nil
 	}
-	if !o.proposed && o.caller.Err() != nil {
-		o.err = ErrAbandoned
+	if o.caller.Err() != nil {
+		o.err = o.abandonedError()
 		return nil
 	}
 	domains := o.apply(current.GetFailureDomains())
@@ -75,6 +75,15 @@
 	}
 }
 
+// abandonedError returns the error of an order that is dropped. One that was proposed before may
+// still be accepted, if a voter has it.
+func (o *evacuationOrder) abandonedError() error {
+	if o.proposed {
+		return ErrOutcomeUnknown
+	}
+	return ErrAbandoned
+}
+
 // apply returns the sorted list with the domain added or removed.
 func (o *evacuationOrder) apply(domains []string) []string {
 	domains = slices.DeleteFunc(slices.Clone(domains), func(d string) bool { return d == o.domain })
@@ -119,7 +128,8 @@
 	if held, _ := v.acceptor.newestState(); held != nil && !v.hasRequiredVoters(held) {
 		return nil, fmt.Errorf("%w: %d of %d", ErrTooFewVoters, len(held.membership().GetVoters()), v.requiredVoters())
 	}
-	// The proposal continues if the operator disconnects, so that it does not stay undecided.
+	// An attempt that has begun continues if the operator disconnects, so that it does not stay
+	// undecided.
 	ctx, cancel := withDetachedTimeout(ctx, operationTimeout)
 	defer cancel()
 	p := &proposal{transition: order.decide}
--- a/internal/agreement/voter/evacuation_test.go
+++ b/internal/agreement/voter/evacuation_test.go
@@ -145,6 +145,36 @@
 	})
 }
 
+// TestFrozenProposerDoesNotUndoLaterOrder checks that an instance that was paused while it proposed
+// an order does not propose it again after a later one, if its operator has disconnected.
+func TestFrozenProposerDoesNotUndoLaterOrder(t *testing.T) {
+	simulate(t, 51, 3, func(t *testing.T, c *cluster) {
+		v0 := c.voter("v0")
+		// v0 freezes after the promises and before the accept requests arrive.
+		c.setFilter(func(_ string, req proto.Message) error {
+			if _, ok := req.(*voterwire.AcceptRequest); ok && c.instances["v0"].frozen == nil {
+				c.instances["v0"].frozen = make(chan struct{})
+			}
+			return nil
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		done := make(chan error, 1)
+		go func() {
+			_, err := v0.SetEvacuated(ctx, "a", true)
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		c.setFilter(nil)
+		cancel()
+		assertOrdered(t, c.voter("v1"), "a", true, "a")
+		assertOrdered(t, c.voter("v1"), "a", false)
+		c.unfreeze("v0")
+		assert.ErrorIs(t, <-done, voter.ErrOutcomeUnknown)
+		time.Sleep(evacuationRepair)
+		assertEvacuated(t, c.voter("v2"))
+	})
+}
+
 // TestOrderInFaults begins every fault at every step of an order. The order is resent to
 // another instance then, which acknowledges it, and it stays in force.
 func TestOrderInFaults(t *testing.T) {
