refactor: control instances read only the organisations of a version

Cause: they compiled each version for its quotas, also where there are none. Change: compiler.CompileOrganisations.

--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -189,7 +189,7 @@
 
 // offerVersion offers a version that the voters accepted to the fleet, and takes its quotas.
 func (c *Control) offerVersion(version *controlwire.Version) {
-	c.quota.offerVersion(c.settings.Site(), version, c.log)
+	c.quota.offerVersion(version, c.log)
 	if err := c.distributor.Offer(version); err != nil {
 		c.log.Error().Err(err).Msg("Failed to offer an accepted version to the fleet.")
 	}
--- a/internal/process/launcher/control_quota.go
+++ b/internal/process/launcher/control_quota.go
@@ -87,13 +87,13 @@
 func (q *controlQuota) stop() error { return firstError(q.elector.Stop, q.server.Stop) }
 
 // offerVersion takes the quotas of a version that the voters accepted.
-func (q *controlQuota) offerVersion(site string, version *controlwire.Version, log zerolog.Logger) {
-	cfg, err := compiler.Compile(version.GetDocument(), site, version.GetDigest().GetNumber())
+func (q *controlQuota) offerVersion(version *controlwire.Version, log zerolog.Logger) {
+	organisations, err := compiler.CompileOrganisations(version.GetDocument())
 	if err != nil {
 		log.Error().Err(err).Uint64("version", version.GetDigest().GetNumber()).Msg("Failed to compile an accepted version for its quotas.")
 		return
 	}
-	q.setLimits(cfg.Organisations())
+	q.setLimits(organisations)
 }
 
 // setLimits sets the limits of the organisations of a newer configuration.
--- a/internal/version/compiler/organisation_builder.go
+++ b/internal/version/compiler/organisation_builder.go
@@ -1,6 +1,7 @@
 package compiler
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -61,3 +62,26 @@
 	}
 	return newOrganisations(specs)
 }
+
+// CompileOrganisations returns only the organisations of a valid document, or nil if there are none.
+// Control instances need no more of a document with many services and routes.
+func CompileOrganisations(doc *controlwire.Document) (*Organisations, error) {
+	builders := make(map[string]*organisationBuilder)
+	for _, e := range doc.GetEntries() {
+		name, is := strings.CutPrefix(e.GetSection(), kindOrganisation+" ")
+		if !is || e.GetLayer() != baseLayer {
+			continue
+		}
+		if builders[name] == nil {
+			builders[name] = newOrganisationBuilder(name)
+		}
+		if err := builders[name].set(e); err != nil {
+			return nil, fmt.Errorf("organisation %s: %w", name, err)
+		}
+	}
+	specs := make([]OrganisationSpec, 0, len(builders))
+	for _, b := range builders {
+		specs = append(specs, b.spec)
+	}
+	return newOrganisations(specs), nil
+}
--- a/internal/version/compiler/organisation_test.go
+++ b/internal/version/compiler/organisation_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
@@ -63,3 +64,17 @@
 		})
 	}
 }
+
+func TestOrganisationsAloneAreTheSame(t *testing.T) {
+	doc := mustParse(t, base+organisations)
+	cfg, err := compiler.Compile(doc, "oaxaca", 1)
+	assert.NilError(t, err)
+	alone, err := compiler.CompileOrganisations(doc)
+	assert.NilError(t, err)
+	for _, key := range []string{"k1", "k2", "k3", "k4"} {
+		assert.DeepEqual(t, alone.ByAPIKey(key), cfg.Organisations().ByAPIKey(key), cmp.AllowUnexported(compiler.Organisation{}))
+	}
+	none, err := compiler.CompileOrganisations(mustParse(t, base))
+	assert.NilError(t, err)
+	assert.Assert(t, none.Empty())
+}
