--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -330,7 +330,9 @@
 // growingCounter is a counter of a metric, which must not decrease.
 type growingCounter struct{ t *testing.T }
 
-func (c growingCounter) Inc(delta int64) { assert.Assert(c.t, delta >= 0, "the counter decreased by %d", -delta) }
+func (c growingCounter) Inc(delta int64) {
+	assert.Assert(c.t, delta >= 0, "the counter decreased by %d", -delta)
+}
 
 func TestReturnedRequestDecreasesNoCounter(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
