--- a/internal/agreement/grantor/grantor_test.go
+++ b/internal/agreement/grantor/grantor_test.go
@@ -103,12 +103,14 @@
 }
 
 // leaseAll lets the nodes 0 to 9 lease all that may be leased of a rate of 100: 10 each, the last
-// one 5.
-func (f *fixture) leaseAll(t *testing.T, now time.Duration) {
+// one 5. It returns the time of that.
+func (f *fixture) leaseAll(t *testing.T) time.Duration {
 	t.Helper()
+	now := begun + time.Minute
 	for i := range 10 {
 		f.ask(t, i, AskRecord{Wanted: 1000, Wish: 10}, now)
 	}
+	return now
 }
 
 func TestNodeLeasesAtMostItsShare(t *testing.T) {
@@ -119,8 +121,7 @@
 // A lease that a node may still hold counts until the node says otherwise.
 func TestLeaseCountsUntilTheNodeHasGivenItUp(t *testing.T) {
 	f := newFixture(Limit{Rate: 100, Burst: 5})
-	now := begun + time.Minute
-	f.leaseAll(t, now)
+	now := f.leaseAll(t)
 	assert.Equal(t, f.ask(t, 0, AskRecord{Held: 10}, now).Rate, 0.0)
 	assert.Equal(t, f.ask(t, 10, AskRecord{Wish: 5}, now).Rate, 0.0)
 	f.ask(t, 0, AskRecord{}, now)
@@ -129,8 +130,7 @@
 
 func TestBucketPaysTheLeasesOfSilentNodes(t *testing.T) {
 	f := newFixture(Limit{Rate: 100, Burst: 50})
-	now := begun + time.Minute
-	f.leaseAll(t, now)
+	now := f.leaseAll(t)
 	end := now + 3*time.Second
 	for ; now < end; now += 50 * time.Millisecond {
 		f.Tick(now)
@@ -142,8 +142,7 @@
 
 func TestLeaseOfALostNodeEnds(t *testing.T) {
 	f := newFixture(Limit{Rate: 100, Burst: 5})
-	now := begun + time.Minute
-	f.leaseAll(t, now)
+	now := f.leaseAll(t)
 	f.Tick(now + f.cfg.Lease() - time.Millisecond)
 	assert.Equal(t, f.ask(t, 10, AskRecord{Wish: 9}, now+f.cfg.Lease()-time.Millisecond).Rate, 0.0)
 	f.Tick(now + f.cfg.Lease())
@@ -152,8 +151,7 @@
 
 func TestRestartedNodeFreesItsLease(t *testing.T) {
 	f := newFixture(Limit{Rate: 100, Burst: 5})
-	now := begun + time.Minute
-	f.leaseAll(t, now)
+	now := f.leaseAll(t)
 	restarted := Ask{Seq: 1, Start: 2, Tenure: 7, Records: []AskRecord{{Organisation: gradas}}}
 	_, ok := f.Ask(address(0), restarted, now)
 	assert.Assert(t, ok)
