feat: a node with little memory collects its heap sooner

The setting memory-mb tells a node what it may use; below 256 MB its heap is collected at half the size.

--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -35,6 +35,9 @@
 // maxRetryAllowance bounds the retries that all nodes together may save up.
 const maxRetryAllowance = 1_000_000
 
+// maxMemoryMB bounds the memory that a node may use, in MB.
+const maxMemoryMB = 1 << 20
+
 // maxLinkMegabits bounds the bandwidth of an instance's link, in Mbit/s.
 const maxLinkMegabits = 1_000_000
 
@@ -54,6 +57,7 @@
 	stopGrace                                 time.Duration
 	retryAllowance                            int
 	linkMegabits                              float64
+	memoryMB                                  int
 	logLevel                                  zerolog.Level
 }
 
@@ -90,6 +94,7 @@
 		stopGrace:          parser.Optional(r, "stop-grace", 0, parseStopGrace),
 		retryAllowance:     parser.Optional(r, "retry-allowance", 0, parseRetryAllowance),
 		linkMegabits:       parser.Optional(r, "link-mbps", 0, parseLinkMegabits),
+		memoryMB:           parser.Optional(r, "memory-mb", 0, intUpTo(maxMemoryMB)),
 		upstreamHeartbeats: parser.Optional(r, "upstream-heartbeats", false, parser.YesNo),
 		logLevel:           parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
@@ -200,6 +205,9 @@
 	return n.linkMegabits * mega / bitsPerByte
 }
 
+// MemoryMB returns the memory that the node may use in MB, or 0 if it is not set.
+func (n *Node) MemoryMB() int { return n.memoryMB }
+
 // RetryAllowance returns how many retries of a service all nodes together may make at once
 // in addition to their share of fresh requests, or 0 to use each node's default.
 func (n *Node) RetryAllowance() int { return n.retryAllowance }
--- a/internal/process/launcher/runner.go
+++ b/internal/process/launcher/runner.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,7 @@
 	if err != nil {
 		return fmt.Errorf("read the settings of the node: %w", err)
 	}
+	debug.SetGCPercent(collectorPercent(settings.MemoryMB()))
 	d, err := dialect(settings)
 	if err != nil {
 		return fmt.Errorf("determine the platform's dialect: %w", err)
