--- a/internal/connection/requester/pool_test.go
+++ b/internal/connection/requester/pool_test.go
@@ -466,11 +466,13 @@
 	}, respondAlways(completeResponse)}}
 	withPool(t, requester.Config{Dialer: d}, func(t *testing.T, pool *requester.Pool) {
 		received = make(chan []byte, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
 		req, err := http.NewRequest(http.MethodPost, "http://almacen.example/", io.NopCloser(strings.NewReader(strings.Repeat("x", 360_000))))
 		assert.NilError(t, err)
 		req.ContentLength = 360_000
 		for _, r := range []*http.Request{req, newRequest(http.MethodPost, "other"), newRequest(http.MethodGet, "")} {
-			body, err := doExchange(t.Context(), pool, r)
+			body, err := doExchange(ctx, pool, r)
 			assert.NilError(t, err)
 			assert.Equal(t, body, "ok")
 		}
