--- a/internal/agreement/elector/elector_test.go
+++ b/internal/agreement/elector/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -180,6 +181,8 @@
 			known, ok := g.instances[address(i)].Holder()
 			assert.Assert(t, ok && known == address(holder))
 		}
+		known, ok := g.instances[address(6)].Holder()
+		assert.Assert(t, ok && slices.Contains(addresses(0, 1, 2, 3, 4), known), "one that does not vote names a voter")
 	})
 }
 
