fix: a late copy of an election's messages does not end a lease

Cause: a voter renewed a candidate's lease for any of its rounds. Copies of a request and of the release of a round that was given up ended the lease which the candidate held by a later round, and another one could be elected beside it. Change: a request of an earlier round of the same candidate is refused.

--- a/internal/agreement/elector/promise.go
+++ b/internal/agreement/elector/promise.go
@@ -21,7 +21,8 @@
 	return promise{epoch: epoch, quietUntil: now + leaseLength}
 }
 
-// grant decides on a request. accepted is the epoch of the membership that the voter knows.
+// grant decides on a request. accepted is the epoch of the membership that the voter knows. A late
+// copy of an earlier request is refused, since a copy of its release would end the lease.
 func (p *promise) grant(m message, from netip.AddrPort, accepted uint64, now time.Duration) bool {
 	if p.epoch != accepted {
 		p.epoch, p.quietUntil = accepted, now+leaseLength
@@ -29,6 +30,9 @@
 	if m.epoch != accepted {
 		return false
 	}
+	if m.candidate == p.candidate && m.round < p.round {
+		return false
+	}
 	renewal := m.candidate == p.candidate && now < p.until
 	if !renewal && (now < p.quietUntil || now < p.until) {
 		return false
