feat: a grantor that stops gives its lease back

Cause: after each orderly stop of the granting control instance, such as an upgrade, nobody granted until its lease of 1 s had ended. Limits that are not leased were refused for that time. Change: Stop of an elector ends its tenure and releases what voters granted. Tests that play a kill keep its datagrams from being sent, so that they stay as hard.

--- a/internal/agreement/elector/elector.go
+++ b/internal/agreement/elector/elector.go
@@ -16,7 +16,8 @@
 // candidate's lease is unexpired by its own clock, and if both know the same membership. A voter
 // that has started, or has noticed another membership, grants no new lease for leaseLength, since
 // it does not know what was granted before. The candidate with a majority (during a replacement of
-// voters, of both memberships) holds the lease, counted from before it asked, and renews it.
+// voters, of both memberships) holds the lease, counted from before it asked, and renews it. It gives
+// the lease back when it stops.
 package elector
 
 import (
@@ -159,15 +160,30 @@
 // Start starts the candidate.
 func (e *Elector) Start() { e.tomb.Go(e.run) }
 
-// Stop ends the candidate.
+// Stop ends the candidate and its tenure.
 func (e *Elector) Stop() error {
 	e.tomb.Kill(nil)
 	if err := e.tomb.Wait(); err != nil {
 		return fmt.Errorf("stop elector: %w", err)
 	}
+	e.resign()
 	return nil
 }
 
+// resign gives the lease back, so that another instance need not wait for its end.
+func (e *Elector) resign() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Now()
+	held := now < e.validUntil
+	if !held && !e.round.open {
+		return
+	}
+	e.validUntil = 0
+	e.logEnd(false)
+	e.giveUp(now)
+}
+
 // Tenure returns the id of this instance's tenure, and whether it is the holder at this moment.
 func (e *Elector) Tenure() (id uint64, held bool) {
 	e.mu.Lock()
@@ -247,7 +263,8 @@
 	return 0
 }
 
-// giveUp ends a round without a majority, so that others need not wait for what it has got.
+// giveUp ends a round without a majority, or the tenure, so that others need not wait for what it
+// has got.
 func (e *Elector) giveUp(now time.Duration) {
 	e.round.open = false
 	e.nextRound = now + time.Duration(e.cfg.Random.Int64N(int64(pause)))
--- a/internal/agreement/elector/elector_test.go
+++ b/internal/agreement/elector/elector_test.go
@@ -112,11 +112,12 @@
 	g.network.SetSide(address(i), side)
 }
 
-// freeze stops an instance, and wake lets it go on with what it had.
+// freeze stops an instance without a word, and wake lets it go on with what it had.
 func (g *group) freeze(i int) {
 	in := g.instances[address(i)]
-	_ = in.Stop()
 	g.network.Freeze(address(i))
+	in.tomb.Kill(nil)
+	_ = in.tomb.Wait()
 	in.frozen = true
 }
 
@@ -223,6 +224,24 @@
 	}
 }
 
+// TestHolderThatStopsIsReplacedAtOnce stops one holder after another, as when control instances are
+// upgraded.
+func TestHolderThatStopsIsReplacedAtOnce(t *testing.T) {
+	for seed := range uint64(10) {
+		runGroup(t, seed, 3, 0, func(t *testing.T, g *group) {
+			for range 3 {
+				holder := g.awaitHolder(t, 3*time.Second)
+				time.Sleep(leaseLength + leaseLength/2) // The others are not quiet any more.
+				g.stopInstance(holder)
+				next := g.awaitHolder(t, leaseLength/2)
+				assert.Assert(t, next != holder)
+				g.startInstance(holder)
+				g.watch(t, 2*leaseLength)
+			}
+		})
+	}
+}
+
 // An old holder, who has not heard of it, must not hold beside a new one whose majority is among
 // other voters.
 func TestVotersAreReplaced(t *testing.T) {
--- a/internal/fleet/quotakeeper/failure_test.go
+++ b/internal/fleet/quotakeeper/failure_test.go
@@ -25,7 +25,7 @@
 
 var failures = map[string]failure{
 	"the grantor is killed": {
-		begin: func(t *testing.T, f *fleet) { f.stopControlAndCut(t, f.grantorIndex(t)) }, end: nothing, share: 0.9,
+		begin: func(t *testing.T, f *fleet) { f.killControlAndCut(t, f.grantorIndex(t)) }, end: nothing, share: 0.9,
 	},
 	"the grantor is frozen and woken": {
 		begin: func(t *testing.T, f *fleet) { f.frozenControl = f.grantorIndex(t); f.freezeControl(f.frozenControl) },
@@ -34,11 +34,14 @@
 	"the grantor is restarted": {
 		begin: func(t *testing.T, f *fleet) {
 			i := f.grantorIndex(t)
-			f.stopControl(t, i)
+			f.killControl(t, i)
 			f.startControl(i)
 		},
 		end: nothing, share: 0.9,
 	},
+	"the grantor stops in order": {
+		begin: func(t *testing.T, f *fleet) { f.stopControl(t, f.grantorIndex(t)) }, end: nothing, share: 0.95,
+	},
 	"half of the nodes and the grantor are cut off": {
 		begin: func(t *testing.T, f *fleet) {
 			f.network.SetSide(controlAddress(f.grantorIndex(t)), 1)
@@ -53,7 +56,7 @@
 	"all control instances are restarted": {
 		begin: func(t *testing.T, f *fleet) {
 			for i := range controls {
-				f.stopControl(t, i)
+				f.killControl(t, i)
 				f.startControl(i)
 			}
 		},
@@ -62,7 +65,7 @@
 	"all processes are restarted": {
 		begin: func(t *testing.T, f *fleet) {
 			for i := range controls {
-				f.stopControl(t, i)
+				f.killControl(t, i)
 				f.startControl(i)
 			}
 			for i := range f.nodes {
@@ -102,19 +105,19 @@
 	},
 }
 
-func (f *fleet) stopControlAndCut(t *testing.T, i int) {
+func (f *fleet) killControlAndCut(t *testing.T, i int) {
 	t.Helper()
-	f.stopControl(t, i)
+	f.killControl(t, i)
 	f.network.SetSide(controlAddress(i), 9)
 }
 
 // freezeControl stops a control instance, and wakeControl lets it go on with what it had.
 func (f *fleet) freezeControl(i int) {
 	c := f.controls[i]
+	f.network.Freeze(controlAddress(i))
 	_ = c.elector.Stop()
 	_ = c.server.Stop()
 	c.stopped = true
-	f.network.Freeze(controlAddress(i))
 }
 
 // wakeControl delivers what has reached the instance while it was frozen, first.
--- a/internal/fleet/quotakeeper/fleet_test.go
+++ b/internal/fleet/quotakeeper/fleet_test.go
@@ -142,6 +142,7 @@
 	c.server.Start()
 }
 
+// stopControl stops a control instance in order.
 func (f *fleet) stopControl(t *testing.T, i int) {
 	t.Helper()
 	if c := f.controls[i]; !c.stopped {
@@ -151,6 +152,14 @@
 	}
 }
 
+// killControl ends a control instance, which does not tell the others.
+func (f *fleet) killControl(t *testing.T, i int) {
+	t.Helper()
+	f.network.Freeze(controlAddress(i))
+	f.stopControl(t, i)
+	f.network.Wake(controlAddress(i))
+}
+
 func (f *fleet) startNode(i int) {
 	k := New(Config{
 		Controls: func() []netip.AddrPort {
