fix: a failure domain of a member is known, however many were seen before

Cause: control instances remember 256 failure domains. An order for a further one, in which members run, was refused as a typing error. Change: the domains of the current members are known as well. Measure: TestFailureDomainsOfMembersAreKnown failed before.

--- a/internal/process/launcher/known_fleet.go
+++ b/internal/process/launcher/known_fleet.go
@@ -31,7 +31,13 @@
 	if time.Since(f.startedAt) < domainLearningPeriod || f.seen.Has(domain) {
 		return false
 	}
-	knowsNode := slices.ContainsFunc(f.view().Instances(), func(in *registrar.Instance) bool { return in.Service() != "" })
+	knowsNode := false
+	for _, in := range f.view().Instances() {
+		if in.FailureDomain() == domain {
+			return false
+		}
+		knowsNode = knowsNode || in.Service() != ""
+	}
 	return knowsNode && !compiler.NamesFailureDomain(doc, domain)
 }
 
--- a/internal/process/launcher/known_fleet_test.go
+++ b/internal/process/launcher/known_fleet_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,6 +69,23 @@
 	}
 }
 
+// A proper order is not refused after more failure domains than are remembered.
+func TestFailureDomainsOfMembersAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		journal := &memoryJournal{}
+		for i := range maxSeenDomains {
+			journal.records = append(journal.records, []byte("former-"+strconv.Itoa(i)))
+		}
+		view := newDomainView(registrar.StateReady)
+		seen := newSeenDomains(journal, zerolog.Nop())
+		seen.Observe(view)
+		f := newKnownFleet(func() *registrar.View { return view }, seen)
+		time.Sleep(time.Hour)
+		assert.Assert(t, !f.Unknown("ready", &controlwire.Document{}))
+		assert.Assert(t, f.Unknown("raedy", &controlwire.Document{}))
+	})
+}
+
 func TestCapacityLeavesOutWhatAcceptsNothing(t *testing.T) {
 	view := newDomainView(registrar.StateReady, registrar.StateWarming, registrar.StateLeaving, registrar.StateFailed)
 	f := newKnownFleet(func() *registrar.View { return view }, seenIn(view))
