--- a/internal/fleet/quotakeeper/answering.go
+++ b/internal/fleet/quotakeeper/answering.go
@@ -97,7 +97,7 @@
 	if k.ask.redirects >= maxRedirects {
 		k.grantor = netip.AddrPort{}
 	}
-	to := k.target()
+	to := k.destination()
 	if !to.IsValid() {
 		return
 	}
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -108,7 +108,7 @@
 
 // send sends a new ask about what is due.
 func (k *Keeper) send(now time.Duration) {
-	to := k.target()
+	to := k.destination()
 	if !to.IsValid() {
 		k.ask.lastAt = now // Look for control instances again later.
 		k.fail(now)
@@ -189,8 +189,8 @@
 	k.ask.accounts = append(k.ask.accounts, a)
 }
 
-// target returns the grantor or, if it is not known, some control instance.
-func (k *Keeper) target() netip.AddrPort {
+// destination returns the grantor or, if it is not known, some control instance.
+func (k *Keeper) destination() netip.AddrPort {
 	if k.grantor.IsValid() {
 		return k.grantor
 	}
