fix: a doubt about a warm upstream reports a short wait

Cause: while an upstream was in doubt, load reports and refusals named the wait of the cold rate in debt, up to 1.09 s. Entry nodes that sampled it in the 1 to 2 ms of a doubt passed a warm upstream over for that time, and Retry-After was untrue. Change: the wait is at most 50 ms, or as long as the doubt has lasted. A stated cold start keeps the wait of its rate. Measure: TestWaitOfADoubtIsShort failed before (1.090909s, not 50ms).

--- a/internal/request/coldlimiter/belief.go
+++ b/internal/request/coldlimiter/belief.go
@@ -31,6 +31,12 @@
 	return !b.inDoubt() && now.Sub(b.statedAt) > statementMaxAge
 }
 
+// expectedDoubt returns for how much longer a doubt is expected to last: for as long again, since it
+// takes longer only if the upstream does not respond.
+func (b *belief) expectedDoubt(now time.Time) time.Duration {
+	return max(now.Sub(b.doubtSince), minDoubt)
+}
+
 // endDoubtAfter ends a doubt that is older than a cold start.
 func (b *belief) endDoubtAfter(coldStart time.Duration, now time.Time) {
 	if b.inDoubt() && now.Sub(b.doubtSince) >= coldStart {
--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -48,6 +48,8 @@
 	heartbeatMaxDelay = 3 * time.Second
 	// window is the time in which the upstream must not get more than the rate and the burst.
 	window = time.Second
+	// minDoubt is how long a doubt is expected to last at first: for a read of the upstream's health.
+	minDoubt = 50 * time.Millisecond
 	// transferMargin is the time that a request may take from its start to the upstream.
 	transferMargin = 50 * time.Millisecond
 	// logLinesPerSecond limits the log lines about cold periods.
@@ -217,7 +219,7 @@
 		PerSecond: l.perSecond,
 		Age:       now.Sub(l.limitedAt),
 		Left:      int(max(l.bucket.tokensAt(now)+tokenTolerance, 0)),
-		Wait:      l.bucket.wait(1, now),
+		Wait:      l.wait(1, now),
 	}
 }
 
@@ -247,7 +249,17 @@
 	if !l.limited {
 		return 0
 	}
-	return l.bucket.wait(n, now)
+	return l.wait(n, now)
+}
+
+// wait returns the time until n requests may start. The rate tells it only if the upstream is known
+// to be cold: the limit of one in doubt most likely ends with the doubt. The mutex must be held.
+func (l *Limiter) wait(n int, now time.Time) time.Duration {
+	wait := l.bucket.wait(n, now)
+	if l.cfg.Stating && l.belief.inDoubt() && !now.Before(l.belief.coldUntil) {
+		wait = min(wait, l.belief.expectedDoubt(now))
+	}
+	return wait
 }
 
 // Status returns the status at now.
--- a/internal/request/coldlimiter/coldlimiter_test.go
+++ b/internal/request/coldlimiter/coldlimiter_test.go
@@ -350,3 +350,30 @@
 		assert.Equal(t, len(l.Requests()), 0) // An idle one is not read.
 	})
 }
+
+// TestWaitOfADoubtIsShort guards against entry nodes that pass a warm upstream over, and callers that
+// stay away, for the time in which a cold one would have room, although the doubt has long ended.
+func TestWaitOfADoubtIsShort(t *testing.T) {
+	run(t, func(t *testing.T, l *Limiter) {
+		for range 60 {
+			l.Take(time.Now())
+		}
+		l.Doubt(CauseBrokenConnection)
+		assert.Equal(t, l.Wait(1, time.Now()), minDoubt)
+		assert.Equal(t, l.Report(time.Now()).Wait, minDoubt)
+		time.Sleep(5 * minDoubt)
+		assert.Equal(t, l.Wait(1, time.Now()), 5*minDoubt) // The read of health has not helped.
+	})
+}
+
+func TestWaitOfAColdUpstreamInDoubtIsThatOfItsRate(t *testing.T) {
+	run(t, func(t *testing.T, l *Limiter) {
+		respond(l, 3*time.Second)
+		takeAll(l)
+		wait := l.Wait(1, time.Now())
+		assert.Assert(t, wait > minDoubt, "%s", wait)
+		l.Doubt(CauseBrokenConnection)
+		assert.Equal(t, l.Wait(1, time.Now()), wait)
+		assert.Equal(t, l.Report(time.Now()).Wait, wait)
+	})
+}
