fix: waiting requests outlast a short doubt, and lower priorities take no cold rate

Cause: when a slot became free while an upstream was in doubt for 1 ms, all requests that waited for a slot were refused as cold. A request was also refused by the cold rate for waiting requests of lower priority, which start after it. Change: waiting requests stay if the wait for the cold rate is at most 50 ms, and are reviewed then. An arrival counts the waiting requests of its priority and above. The advertised rate limit is as before.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -47,6 +47,7 @@
 	leastCost    *leastCost // Nil unless it decides.
 	healthReport healthReport
 	rateReserve  rateReserve
+	rateHeld     bool // Waiting requests stay for a cold rate until the next review.
 	inFlight     int
 	// startOffsetSum is the sum of the start times of the requests in flight, each
 	// as an offset from created. The mean age of these requests is computed from it.
@@ -204,7 +205,7 @@
 	if a.leastCost != nil {
 		req = a.arrive(req, now)
 	}
-	if refusal := a.rateRefusal(a.queue.len()+1+a.rateReserve.forHigher(req.Priority, now), now); refusal != nil {
+	if refusal := a.arrivalRateRefusal(req.Priority, now); refusal != nil {
 		return nil, run{}, refusal
 	}
 	if a.inFlight < a.limiter.limit(now) && a.queue.len() == 0 && a.startDelay(req, now) == 0 {
@@ -325,7 +326,10 @@
 			a.refuseWaiter(w, classifier.ReasonDeadline, now)
 			continue
 		}
-		if refusal := a.rateRefusal(1, now); refusal != nil {
+		if refusal := a.rateRefusal(1, 1, now); refusal != nil {
+			if a.holdForRate(refusal) {
+				return
+			}
 			a.queue.remove(w)
 			w.settle(refusal)
 			continue
@@ -374,16 +378,6 @@
 	}
 }
 
-// rateRefusal returns a refusal if the rate limit does not let n requests start now, since
-// another instance may take them at once. Its RetryAfter is the time until it does.
-func (a *Admitter) rateRefusal(n int, now time.Time) *Refusal {
-	wait, reason := a.rateLimits.wait(n, now)
-	if wait == 0 {
-		return nil
-	}
-	return &Refusal{reason: reason, retryAfter: wait}
-}
-
 func (a *Admitter) refuseWaiter(w *waiter, reason classifier.Reason, now time.Time) {
 	refusal := a.newRefusal(reason, now)
 	a.queue.remove(w)
--- a/internal/request/admitter/least_cost.go
+++ b/internal/request/admitter/least_cost.go
@@ -319,7 +319,10 @@
 			a.refuseCandidate(c, classifier.ReasonDeadline, now)
 			continue
 		}
-		if refusal := a.rateRefusal(1, now); refusal != nil {
+		if refusal := a.rateRefusal(1, 1, now); refusal != nil {
+			if a.holdForRate(refusal) {
+				return
+			}
 			a.queue.remove(w)
 			w.settle(refusal)
 			continue
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -164,6 +164,15 @@
 
 func (q *queue) len() int { return q.size }
 
+// lenFrom returns the number of waiting requests whose class is not lower than the given priority.
+func (q *queue) lenFrom(priority compiler.Priority) int {
+	n := 0
+	for class := classOf(priority); class < len(q.classes); class++ {
+		n += q.classes[class].Len()
+	}
+	return n
+}
+
 func (q *queue) push(w *waiter) {
 	q.arrivals++
 	w.arrival = q.arrivals
--- a/internal/request/admitter/rate_limiters.go
+++ b/internal/request/admitter/rate_limiters.go
@@ -4,9 +4,14 @@
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/measurement/sampler"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
+// maxHeldRateWait is the longest wait for a cold rate for which waiting requests stay. A doubt about a
+// warm upstream seldom lasts longer, and a refusal after a wait costs its caller most.
+const maxHeldRateWait = 50 * time.Millisecond
+
 // rateLimiters combines the limits on the rate at which requests start: each request must keep
 // both.
 type rateLimiters struct{ advertised, cold RateLimiter }
@@ -22,10 +27,10 @@
 	return rateLimiters{advertised, cold}
 }
 
-// wait returns the time until n requests may start, or 0 if they may start now, and the reason
-// for the wait.
-func (r rateLimiters) wait(n int, now time.Time) (time.Duration, classifier.Reason) {
-	advertised, cold := r.advertised.Wait(n, now), r.cold.Wait(n, now)
+// wait returns the time until the given numbers of requests may start by the two limits, or 0 if they
+// may start now, and the reason for the wait.
+func (r rateLimiters) wait(byAdvertised, byCold int, now time.Time) (time.Duration, classifier.Reason) {
+	advertised, cold := r.advertised.Wait(byAdvertised, now), r.cold.Wait(byCold, now)
 	if cold > advertised {
 		return cold, classifier.ReasonCold
 	}
@@ -52,3 +57,43 @@
 	}
 	return advertised
 }
+
+// arrivalRateRefusal returns a refusal if a limit does not let a new request start now, after those
+// that wait. The cold rate does not count waiting requests of lower priority, which start later.
+func (a *Admitter) arrivalRateRefusal(priority compiler.Priority, now time.Time) *Refusal {
+	reserved := a.rateReserve.forHigher(priority, now)
+	return a.rateRefusal(a.queue.len()+1+reserved, a.queue.lenFrom(priority)+1+reserved, now)
+}
+
+// rateRefusal returns a refusal if a limit does not let as many requests start now, since another
+// instance may take them at once. Its RetryAfter is the time until it does.
+func (a *Admitter) rateRefusal(byAdvertised, byCold int, now time.Time) *Refusal {
+	wait, reason := a.rateLimits.wait(byAdvertised, byCold, now)
+	if wait == 0 {
+		return nil
+	}
+	return &Refusal{reason: reason, retryAfter: wait}
+}
+
+// holdForRate reports whether waiting requests stay although the rate lets none of them start now. They
+// are reviewed again when it may. The mutex must be held.
+func (a *Admitter) holdForRate(refusal *Refusal) bool {
+	if refusal.reason != classifier.ReasonCold || refusal.retryAfter > maxHeldRateWait {
+		return false
+	}
+	if !a.rateHeld {
+		a.rateHeld = true
+		time.AfterFunc(refusal.retryAfter, a.endHold)
+	}
+	return true
+}
+
+// endHold reviews requests that have stayed for a cold rate.
+func (a *Admitter) endHold() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rateHeld = false
+	now := time.Now()
+	a.review(now)
+	a.notify(now)
+}
