--- a/internal/connection/responder/request_body.go
+++ b/internal/connection/responder/request_body.go
@@ -32,8 +32,9 @@
 	return b
 }
 
-// Read reads the body and detects its end. The first call asks a client for the body that awaits that. If the length is known, the end is the last
-// byte, since the handler may not read on to io.EOF.
+// Read reads the body and detects its end. The first call sends the 100 response if the client
+// awaits it. If the length is known, the end is the last byte, since the handler may not read on to
+// io.EOF.
 func (b *requestBody) Read(p []byte) (int, error) {
 	if b.awaited.Load() {
 		if err := b.sendContinue(); err != nil {
--- a/internal/request/fingerprinter/request.go
+++ b/internal/request/fingerprinter/request.go
@@ -10,8 +10,8 @@
 //	fingerprint, ok := r.Fingerprint()
 //
 // Two requests are equal if they have the same method, host, path, query, credentials and body.
-// Of a body the length, if the request names it, and the first CountedSize bytes count. Fingerprints are digests, so that logs and
-// messages hold no part of a request.
+// Of a body the length, if the request names it, and the first CountedSize bytes count.
+// Fingerprints are digests, so that logs and messages hold no part of a request.
 package fingerprinter
 
 import (
