fix: a control instance starts although its list of seen failure domains was torn

The names are a blob now, which is replaced atomically and not from the thread that passes views on, and a list that cannot be read is left out with a log line. TestUnreadableFailureDomainsDoNotEndTheProcess.

--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -81,11 +81,7 @@
 }
 
 func (c *Control) assemble(base zerolog.Logger) error {
-	journal, err := c.store.OpenJournal(domainJournal)
-	if err != nil {
-		return fmt.Errorf("open the journal of failure domains: %w", err)
-	}
-	c.seenDomains = newSeenDomains(journal, c.log)
+	c.seenDomains = newSeenDomains(c.store, c.log)
 	member, err := newFleetMember(fleetMemberConfig{
 		startAllowance: controlStartAllowance,
 		instance:       c.instanceSpec(),
@@ -145,6 +141,7 @@
 	}
 	c.start()
 	c.tomb.Go(peerListener.serve)
+	c.tomb.Go(func() error { return c.seenDomains.run(c.tomb.Dying()) })
 	c.voter.Start()
 	c.ledger.Start()
 	c.replicator.Start()
--- a/internal/process/launcher/known_fleet_test.go
+++ b/internal/process/launcher/known_fleet_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -25,21 +26,38 @@
 	return registrar.NewView(instances)
 }
 
-// memoryJournal is a recordAppender in memory.
-type memoryJournal struct{ records [][]byte }
+// memoryStore is a blobStore with one blob in memory. Its reads fail with err, if not nil.
+type memoryStore struct {
+	data []byte
+	err  error
+}
 
-func (j *memoryJournal) Records() [][]byte { return j.records }
+func (m *memoryStore) ReadBlob(string) ([]byte, error) { return m.data, m.err }
 
-func (j *memoryJournal) AppendUnsynced(records ...[]byte) error {
-	j.records = append(j.records, records...)
+func (m *memoryStore) WriteBlob(_ string, data []byte) error {
+	m.data = data
 	return nil
 }
 
 // seenIn returns the failure domains of a view, after a restart.
-func seenIn(view *registrar.View) *seenDomains {
-	journal := &memoryJournal{}
-	newSeenDomains(journal, zerolog.Nop()).Observe(view)
-	return newSeenDomains(journal, zerolog.Nop())
+func seenIn(t *testing.T, view *registrar.View) *seenDomains {
+	t.Helper()
+	store := &memoryStore{}
+	seen := newSeenDomains(store, zerolog.Nop())
+	seen.Observe(view)
+	assert.NilError(t, seen.save())
+	return newSeenDomains(store, zerolog.Nop())
+}
+
+// TestUnreadableFailureDomainsDoNotEndTheProcess guards against a control instance that cannot start after a loss of power.
+func TestUnreadableFailureDomainsDoNotEndTheProcess(t *testing.T) {
+	store := &memoryStore{err: errors.New("corrupt")}
+	seen := newSeenDomains(store, zerolog.Nop())
+	assert.Assert(t, !seen.Has("ready"))
+	seen.Observe(newDomainView(registrar.StateReady))
+	assert.Assert(t, seen.Has("ready"))
+	assert.NilError(t, seen.save())
+	assert.Equal(t, string(store.data), "ready")
 }
 
 func TestUnknownFailureDomains(t *testing.T) {
@@ -61,7 +79,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newKnownFleet(func() *registrar.View { return tc.view }, seenIn(newDomainView(registrar.StateReady, registrar.StateFailed)))
+				f := newKnownFleet(func() *registrar.View { return tc.view }, seenIn(t, newDomainView(registrar.StateReady, registrar.StateFailed)))
 				time.Sleep(tc.upFor)
 				assert.Equal(t, f.Unknown(tc.domain, overlay), tc.unknown)
 			})
@@ -72,12 +90,12 @@
 // A proper order is not refused after more failure domains than are remembered.
 func TestFailureDomainsOfMembersAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		journal := &memoryJournal{}
+		store := &memoryStore{}
 		for i := range maxSeenDomains {
-			journal.records = append(journal.records, []byte("former-"+strconv.Itoa(i)))
+			store.data = append(store.data, "former-"+strconv.Itoa(i)+"\n"...)
 		}
 		view := newDomainView(registrar.StateReady)
-		seen := newSeenDomains(journal, zerolog.Nop())
+		seen := newSeenDomains(store, zerolog.Nop())
 		seen.Observe(view)
 		f := newKnownFleet(func() *registrar.View { return view }, seen)
 		time.Sleep(time.Hour)
@@ -88,7 +106,7 @@
 
 func TestCapacityLeavesOutWhatAcceptsNothing(t *testing.T) {
 	view := newDomainView(registrar.StateReady, registrar.StateWarming, registrar.StateLeaving, registrar.StateFailed)
-	f := newKnownFleet(func() *registrar.View { return view }, seenIn(view))
+	f := newKnownFleet(func() *registrar.View { return view }, seenIn(t, view))
 	all := f.Capacity(nil)
 	assert.Equal(t, len(all), 1)
 	assert.Equal(t, all[0].GetSlots(), uint32(12))
