fix: a request whose body stalls is counted in the window in which it runs

Cause: a request takes its token before its body is read. Bodies of up to 16 KiB that stall, for example during a cut, and go on together ran in one window with tokens of many. So did requests that had a ticket when their process was suspended. Change: a ticket ends with its token, but not before 50 ms; a request whose ticket has ended takes another one before it is sent, and is refused as not run if there is none. Cost: such a request counts twice. Measure: TestRequestWithASlowBodyIsCountedWhenItRuns failed before (200 with room for one).

--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -25,6 +25,9 @@
 	// minLeasedDemand is the least demand in requests a second for which a lease is wanted: one that
 	// serves a request in the time in which a grantor is replaced.
 	minLeasedDemand = 0.4
+	// useTime is the least time in which a request that was taken may be sent, since a token may be
+	// taken just before its end.
+	useTime = 50 * time.Millisecond
 	// backOffAhead is the time whose demand is asked for if there was no room.
 	backOffAhead = maxBackOff
 )
@@ -32,7 +35,9 @@
 // Ticket is what was taken for a request.
 type Ticket struct {
 	validUntil time.Duration // 0 if nothing was taken.
-	leased     bool
+	// usableUntil is when the request must have been sent.
+	usableUntil time.Duration
+	leased      bool
 }
 
 // NewTicket returns a ticket that may be given back until the given time.
@@ -99,7 +104,8 @@
 }
 
 // ticket counts a request that may run.
-func (a *account) ticket(t Ticket) Ticket {
+func (a *account) ticket(t Ticket, now time.Duration) Ticket {
+	t.usableUntil = max(t.validUntil, now+useTime)
 	a.taken++
 	a.own.take()
 	return t
--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -141,6 +141,35 @@
 	})
 }
 
+// A request that was taken before its process was suspended, or whose body stalls, is not sent by
+// what was granted for an earlier window.
+func TestTicketEnds(t *testing.T) {
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		o := organisation(t, "grande", 100, 0)
+		ticket, _ := m.Take(t.Context(), o)
+		assert.Assert(t, m.Valid(ticket))
+		m.suspended.Add(int64(time.Second))
+		assert.Assert(t, !m.Valid(ticket))
+		assert.Assert(t, !m.Valid(Ticket{}))
+	})
+}
+
+func TestTokenMayBeUsedJustBeforeItsEnd(t *testing.T) {
+	const validity = 250 * time.Millisecond
+	runKeeper(t, func(t *testing.T, m *manualGrantor) {
+		o := organisation(t, "grande", 100, 0)
+		ticket, _ := m.Take(t.Context(), o)
+		time.Sleep(validity - 3*time.Millisecond)
+		m.Return(o, ticket)
+		late := m.TakeNow(o)
+		assert.Assert(t, late.Taken())
+		time.Sleep(useTime - time.Millisecond)
+		assert.Assert(t, m.Valid(late))
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, !m.Valid(late))
+	})
+}
+
 // An answer that comes late may be of a tenure that has ended.
 func TestLateAnswerIsIgnored(t *testing.T) {
 	runKeeper(t, func(t *testing.T, m *manualGrantor) {
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -244,6 +244,9 @@
 	return Ticket{}, k.refused(a, k.cfg.Now())
 }
 
+// Valid reports whether a request for which a ticket was taken may still be sent.
+func (k *Keeper) Valid(ticket Ticket) bool { return k.cfg.Now() < ticket.usableUntil }
+
 // Return gives back a request that has not run. A token that has ended meanwhile is lost, since
 // its place in the window may have been granted again.
 func (k *Keeper) Return(o *compiler.Organisation, ticket Ticket) {
@@ -278,12 +281,12 @@
 		return Ticket{}
 	}
 	if until, ok := a.tokens.take(); ok {
-		return a.ticket(Ticket{validUntil: until})
+		return a.ticket(Ticket{validUntil: until}, now)
 	}
 	if (k.unanswered(now) || k.nextIsFar(now)) && k.leaseValid(now) && a.takeLeased(k.contact.sentAt, now) {
 		k.due[a] = true
 		k.metrics.leased.Inc(1)
-		return a.ticket(Ticket{validUntil: now + 1, leased: true})
+		return a.ticket(Ticket{validUntil: now + 1, leased: true}, now)
 	}
 	return Ticket{}
 }
--- a/internal/request/forwarder/config.go
+++ b/internal/request/forwarder/config.go
@@ -139,6 +139,8 @@
 	Take(ctx context.Context, o *compiler.Organisation) (ticket quotakeeper.Ticket, retryAfter time.Duration)
 	// TakeNow is like Take, but does not wait.
 	TakeNow(o *compiler.Organisation) quotakeeper.Ticket
+	// Valid reports whether a request for which a ticket was taken may still be sent.
+	Valid(ticket quotakeeper.Ticket) bool
 	// Return gives back a request that was taken and has not run.
 	Return(o *compiler.Organisation, ticket quotakeeper.Ticket)
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -97,6 +97,10 @@
 		f.refuseEarly(w, r, trace, refusal)
 		return
 	}
+	if refusal := c.renewQuota(); refusal != nil {
+		f.refuseEarly(w, r, trace, refusal)
+		return
+	}
 	resp, refusal := c.serve()
 	if refusal != nil {
 		c.returnQuota(refusal)
--- a/internal/request/forwarder/organisation.go
+++ b/internal/request/forwarder/organisation.go
@@ -54,6 +54,15 @@
 	return nil
 }
 
+// renewQuota takes the request again if its ticket has ended while the body was read. Requests whose
+// bodies stalled and go on together would else all run in one window.
+func (c *call) renewQuota() *refuser.Refusal {
+	if !c.quotaTicket.Taken() || c.forwarder.cfg.Quota.Valid(c.quotaTicket) {
+		return nil
+	}
+	return c.takeQuota()
+}
+
 // hasQuota reports whether the request counts against a quota.
 func (c *call) hasQuota() bool {
 	organisation := c.route.organisation
--- a/internal/request/forwarder/organisation_test.go
+++ b/internal/request/forwarder/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -39,7 +40,12 @@
 `
 
 // fakeQuota has room for a number of requests.
-type fakeQuota struct{ left int }
+type fakeQuota struct {
+	left int
+	// validity is how long a ticket may be used, 0 for any time.
+	validity time.Duration
+	takenAt  time.Time
+}
 
 func (q *fakeQuota) Take(_ context.Context, o *compiler.Organisation) (quotakeeper.Ticket, time.Duration) {
 	return q.TakeNow(o), time.Second
@@ -50,9 +56,14 @@
 		return quotakeeper.Ticket{}
 	}
 	q.left--
+	q.takenAt = time.Now()
 	return quotakeeper.NewTicket(time.Minute)
 }
 
+func (q *fakeQuota) Valid(quotakeeper.Ticket) bool {
+	return q.validity == 0 || time.Since(q.takenAt) < q.validity
+}
+
 func (q *fakeQuota) Return(*compiler.Organisation, quotakeeper.Ticket) { q.left++ }
 
 // organisationFleet returns a fleet with organisationsBase, and the headers of the last request
@@ -151,6 +162,44 @@
 	})
 }
 
+// A caller that sends its body slowly, maybe many at once, must not run all requests for which it
+// has got tokens in many windows in one of them.
+func TestRequestWithASlowBodyIsCountedWhenItRuns(t *testing.T) {
+	for left, want := range map[int]int{1: http.StatusTooManyRequests, 2: http.StatusOK} {
+		q := &fakeQuota{left: left, validity: time.Second / 4}
+		f, _ := organisationFleet(t, q)
+		f.run(t, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+entryAddress+"/", &slowBody{left: 3, delay: time.Second / 5})
+			assert.NilError(t, err)
+			req.ContentLength = 3
+			req.Host = "pedidos.example"
+			req.Header.Set("X-Key", "k1")
+			resp, _, err := f.call(t.Context(), req)
+			assert.NilError(t, err)
+			resp.Body.Close()
+			assert.Check(t, resp.StatusCode == want, "status %d with room for %d", resp.StatusCode, left)
+			assert.Equal(t, q.left, 0)
+		})
+	}
+}
+
+// slowBody is a body of some bytes, before each of which it pauses.
+type slowBody struct {
+	left  int
+	delay time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.delay)
+	b.left--
+	p[0] = 'x'
+	return 1, nil
+}
+
 // failingHandler answers the first run of a request with an error of the server, and others well.
 func failingHandler(w http.ResponseWriter, _ *http.Request, run int64) {
 	if run == 1 {
