--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -326,21 +326,30 @@
 			a.refuseWaiter(w, classifier.ReasonDeadline, now)
 			continue
 		}
-		if refusal := a.rateRefusal(1, 1, now); refusal != nil {
-			if a.holdForRate(refusal) {
-				return
-			}
-			a.queue.remove(w)
-			w.settle(refusal)
-			continue
+		if !a.startWaiter(w, now) {
+			return
 		}
-		a.queue.remove(w)
-		a.queue.dispatched++
-		w.run = a.start(w.req, now)
-		w.settle(nil)
 	}
 }
 
+// startWaiter starts a waiting request, or refuses it by a rate limit. It returns false if the request
+// stays for the limit, as others then do.
+func (a *Admitter) startWaiter(w *waiter, now time.Time) bool {
+	refusal := a.rateRefusal(1, 1, now)
+	if refusal != nil && a.holdForRate(refusal) {
+		return false
+	}
+	a.queue.remove(w)
+	if refusal != nil {
+		w.settle(refusal)
+		return true
+	}
+	a.queue.dispatched++
+	w.run = a.start(w.req, now)
+	w.settle(nil)
+	return true
+}
+
 // prune refuses requests from the end of each class until the last one is
 // expected to meet its deadline after an acceptable wait.
 func (a *Admitter) prune(now time.Time) {
--- a/internal/request/admitter/least_cost.go
+++ b/internal/request/admitter/least_cost.go
@@ -319,18 +319,9 @@
 			a.refuseCandidate(c, classifier.ReasonDeadline, now)
 			continue
 		}
-		if refusal := a.rateRefusal(1, 1, now); refusal != nil {
-			if a.holdForRate(refusal) {
-				return
-			}
-			a.queue.remove(w)
-			w.settle(refusal)
-			continue
+		if !a.startWaiter(w, now) {
+			return
 		}
-		a.queue.remove(w)
-		a.queue.dispatched++
-		w.run = a.start(w.req, now)
-		w.settle(nil)
 	}
 }
 
