--- a/internal/agreement/grantor/grantor.go
+++ b/internal/agreement/grantor/grantor.go
@@ -41,6 +41,9 @@
 	// leasableShare is the part of the rate that is leased at most, so that something is left
 	// for nodes without a lease.
 	leasableShare = 0.95
+	// minValidity is the least time for which tokens are valid, whatever the overage: they have
+	// to reach the node that asked for them.
+	minValidity = 50 * time.Millisecond
 	// minLease is the least rate that is leased, in requests a second.
 	minLease = 0.01
 	// minLeasableRate is the least limit of which parts are leased, in requests a second. A
@@ -72,7 +75,7 @@
 
 // validity returns how long tokens are valid.
 func (c Config) validity() time.Duration {
-	return time.Duration(validityShare * c.Overage * float64(c.Window))
+	return max(time.Duration(validityShare*c.Overage*float64(c.Window)), minValidity)
 }
 
 // Grantor holds what one tenure has granted.
--- a/internal/agreement/grantor/grantor_test.go
+++ b/internal/agreement/grantor/grantor_test.go
@@ -203,6 +203,14 @@
 	assert.Equal(t, f.ask(t, 0, AskRecord{Wanted: 1000}, end+500*time.Millisecond).Tokens, 50)
 }
 
+func TestTokensAreValidWithoutAnOverage(t *testing.T) {
+	g := New(Config{Window: window, Limit: func(OrganisationID) (Limit, bool) { return Limit{Rate: 10, Burst: 1}, true }})
+	g.Begin(7, nil, begun)
+	answer, ok := g.Ask(address(0), Ask{Seq: 1, Start: 1, Tenure: 7}, begun)
+	assert.Assert(t, ok)
+	assert.Equal(t, answer.Validity, minValidity)
+}
+
 func TestLowerLimitHoldsAtOnce(t *testing.T) {
 	f := newFixture(Limit{Rate: 100, Burst: 100})
 	now := begun + time.Minute
--- a/internal/process/launcher/quota_fleet_test.go
+++ b/internal/process/launcher/quota_fleet_test.go
@@ -269,7 +269,7 @@
 func TestRefusalsOfQuotasSayWhenThereIsRoom(t *testing.T) {
 	runQuotaFleet(t, 2, func(t *testing.T, f *quotaFleet) {
 		f.publish(t, apiKey, 0.5)
-		time.Sleep(10 * time.Second)
+		time.Sleep(40 * time.Second) // The bucket is full, whenever the grantor was elected.
 		var refused *http.Response
 		for range 60 {
 			if resp := f.send(0, apiKey); resp.StatusCode == http.StatusTooManyRequests {
