fix: evidence found while the budget is scarce reaches all processes

Cause: each response began with the same messages, so that a budget which allows only the first of them sent no other to anyone, without end (one crash known to 1 or 2 of 20 processes after 600 s). Change: messages of a response are drawn, the most important ones more often. Test: TestScarceBudgetReachesAllEvidence, 4 of 4 failed before, 10 of 10 pass.

--- a/internal/fleet/disseminator/disseminator.go
+++ b/internal/fleet/disseminator/disseminator.go
@@ -314,6 +314,7 @@
 		d.cfg.Random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 		messages = messages[:maxReplies]
 	}
+	d.mix(messages)
 	if kind == kindReply {
 		if len(messages) == 0 {
 			messages = []message{{digest: digest}}
@@ -325,6 +326,19 @@
 	}
 }
 
+// mix reorders the messages of a response, the most important one of which is the first. Each place
+// gets, with equal chances, the message that stands there or a random one of the rest: a budget that
+// allows only the first of each response must not withhold the rest from all others for good.
+func (d *Disseminator) mix(messages []message) {
+	for i := range messages {
+		if d.cfg.Random.IntN(2) == 0 {
+			continue
+		}
+		j := i + d.cfg.Random.IntN(len(messages)-i)
+		messages[i], messages[j] = messages[j], messages[i]
+	}
+}
+
 // pages distributes evidence over messages that fit a datagram.
 func pages(kind messageKind, digest uint64, evidence []quarantiner.Evidence) []message {
 	var messages []message
--- a/internal/fleet/disseminator/disseminator_test.go
+++ b/internal/fleet/disseminator/disseminator_test.go
@@ -191,6 +191,37 @@
 	})
 }
 
+// TestScarceBudgetReachesAllEvidence guards against evidence that stays with the process that found it: each
+// response that the budget cut short began with the same messages.
+func TestScarceBudgetReachesAllEvidence(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		const requests, crashes = 100, 10
+		p := f.processes[0]
+		for i := range requests * crashes {
+			p.crash(crashwatcher.CrashID(i), fmt.Sprintf("/%d", i%requests))
+		}
+		known := make(map[fingerprinter.Fingerprint]bool)
+		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, 0}), 1)
+		endpoint{f, peer}.Handle(courier.KindCrash, func(_ netip.AddrPort, payload []byte) {
+			m, err := decodeMessage(payload, time.Now())
+			assert.Check(t, err)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, e := range m.evidence {
+				known[e.Fingerprint] = true
+			}
+		})
+		for range 600 { // A minute in which the budget allows a part of a response.
+			p.receive(peer, message{kind: kindCompare, digest: 1}.encode(time.Now()))
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.Equal(t, len(known), requests)
+	})
+}
+
 func TestNothingIsSentWithoutEvidence(t *testing.T) {
 	runFleet(t, 5, func(t *testing.T, f *fleet) {
 		time.Sleep(startupPeriod + time.Second)
