fix: crashes of one moment are kept by their ids

Cause: which of more than 32 crashes of one time were kept depended on the order of merges; a crash that was learned to be older kept its place as the newest. Change: crashes are ordered by time and id after each change. Test: two tests failed before, in quarantiner.

--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
@@ -179,11 +180,12 @@
 		known.Apart = known.Apart || c.Apart
 		if c.At.Before(known.At) {
 			known.At = c.At // The age of a crash grows by the delay of each message.
+			e.sort()
 		}
 		return changed
 	}
 	e.Crashes = append(e.Crashes, c)
-	slices.SortStableFunc(e.Crashes, func(a, b Crash) int { return b.At.Compare(a.At) })
+	e.sort()
 	if len(e.Crashes) <= MaxCrashes {
 		return true
 	}
@@ -192,6 +194,14 @@
 	return oldest.ID != c.ID
 }
 
+// sort orders the crashes, the newest one first. Those of one time are in the order of their ids, so that
+// nodes keep the same ones of many.
+func (e *Evidence) sort() {
+	slices.SortFunc(e.Crashes, func(a, b Crash) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.ID, b.ID))
+	})
+}
+
 // survive records that the request has run to its end. It reports whether that is new.
 func (e *Evidence) survive() bool {
 	changed := false
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -344,6 +344,48 @@
 	}
 }
 
+// TestMergeOfManyInAnyOrder guards against nodes that keep different ones of many crashes of one request,
+// and so would compare and send all evidence for two hours.
+func TestMergeOfManyInAnyOrder(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(2, seed))
+			now := time.Now()
+			var changes []quarantiner.Evidence
+			for i := range 2 * quarantiner.MaxCrashes { // Three upstreams at a time end at the same moment.
+				at := now.Add(-time.Duration(i/3) * time.Second)
+				crash := quarantiner.Crash{Crash: crashwatcher.Crash{ID: crashwatcher.CrashID(random.Uint64()), At: at}}
+				changes = append(changes, quarantiner.Evidence{Fingerprint: fingerprint("/a"), Crashes: []quarantiner.Crash{crash}})
+			}
+			first, second := newNodes(1)[0], newNodes(1)[0]
+			first.Merge(changes)
+			random.Shuffle(len(changes), func(i, j int) { changes[i], changes[j] = changes[j], changes[i] })
+			for _, c := range append(changes, changes[:10]...) {
+				second.Merge([]quarantiner.Evidence{c})
+			}
+			assert.Equal(t, first.Digest(), second.Digest())
+			assert.DeepEqual(t, first.Evidence(), second.Evidence())
+		})
+	}
+}
+
+// TestCrashThatIsLearnedToBeOlderIsReordered guards against evidence whose newest crash depends on the
+// order in which messages of different delay arrive.
+func TestCrashThatIsLearnedToBeOlderIsReordered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		evidence := func(id crashwatcher.CrashID, age time.Duration) quarantiner.Evidence {
+			crash := quarantiner.Crash{Crash: crashwatcher.Crash{ID: id, At: now.Add(-age)}}
+			return quarantiner.Evidence{Fingerprint: fingerprint("/a"), Crashes: []quarantiner.Crash{crash}}
+		}
+		late, other, early := evidence(1, 0), evidence(2, time.Second), evidence(1, 2*time.Second)
+		first, second := newNodes(1)[0], newNodes(1)[0]
+		first.Merge([]quarantiner.Evidence{late, other, early})
+		second.Merge([]quarantiner.Evidence{early, other, late})
+		assert.DeepEqual(t, first.Evidence(), second.Evidence())
+	})
+}
+
 // TestEvidenceIsBounded guards against memory without bound, and against one request that crashes upstreams and is forgotten for many that do not.
 func TestEvidenceIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
