--- a/internal/request/quarantiner/table.go
+++ b/internal/request/quarantiner/table.go
@@ -12,7 +12,7 @@
 const maxEntries = 1024
 
 // table holds the evidence against requests. Tables of several nodes that have merged the same
-// changes, in any order, hold the same.
+// changes, in any order, hold the same within the bounds of maxEntries and MaxCrashes.
 type table struct {
 	entries map[fingerprinter.Fingerprint]*Evidence
 	// heads counts the entries by the digest of their requests without the body.
