--- a/internal/agreement/controller/evacuation.go
+++ b/internal/agreement/controller/evacuation.go
@@ -54,16 +54,22 @@
 }
 
 // StartEvacuation implements controlwireconnect.ControlHandler.
-func (c *Controller) StartEvacuation(ctx context.Context, req *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+func (c *Controller) StartEvacuation(
+	ctx context.Context, req *connect.Request[controlwire.EvacuationRequest],
+) (*connect.Response[controlwire.EvacuationResponse], error) {
 	return c.serveEvacuation(ctx, req.Msg, true)
 }
 
 // EndEvacuation implements controlwireconnect.ControlHandler.
-func (c *Controller) EndEvacuation(ctx context.Context, req *connect.Request[controlwire.EvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+func (c *Controller) EndEvacuation(
+	ctx context.Context, req *connect.Request[controlwire.EvacuationRequest],
+) (*connect.Response[controlwire.EvacuationResponse], error) {
 	return c.serveEvacuation(ctx, req.Msg, false)
 }
 
-func (c *Controller) serveEvacuation(ctx context.Context, req *controlwire.EvacuationRequest, evacuated bool) (*connect.Response[controlwire.EvacuationResponse], error) {
+func (c *Controller) serveEvacuation(
+	ctx context.Context, req *controlwire.EvacuationRequest, evacuated bool,
+) (*connect.Response[controlwire.EvacuationResponse], error) {
 	evacuation, err := c.OrderEvacuation(ctx, EvacuationOrder{
 		FailureDomain: req.GetFailureDomain(),
 		Evacuated:     evacuated,
@@ -76,7 +82,9 @@
 }
 
 // ReadEvacuation implements controlwireconnect.ControlHandler.
-func (c *Controller) ReadEvacuation(ctx context.Context, req *connect.Request[controlwire.ReadEvacuationRequest]) (*connect.Response[controlwire.EvacuationResponse], error) {
+func (c *Controller) ReadEvacuation(
+	ctx context.Context, req *connect.Request[controlwire.ReadEvacuationRequest],
+) (*connect.Response[controlwire.EvacuationResponse], error) {
 	state, err := c.voter.Current(ctx)
 	if errors.Is(err, voter.ErrStale) {
 		return nil, staleError(c.voter.Status())
--- a/internal/agreement/elector/elector.go
+++ b/internal/agreement/elector/elector.go
@@ -46,9 +46,9 @@
 	// renewInterval is the time between two renewals.
 	renewInterval = 200 * time.Millisecond
 	// roundTimeout is the time after which a candidate without a majority gives up a round, and
-	// pause the longest random time until its next one.
+	// maxPause the longest random time until its next one.
 	roundTimeout = 150 * time.Millisecond
-	pause        = 300 * time.Millisecond
+	maxPause     = 300 * time.Millisecond
 )
 
 // Electorate is the membership of voters that is known to be in force.
@@ -244,7 +244,8 @@
 	return e.startRound(electorate, now)
 }
 
-// startRound asks all voters, the own one directly.
+// startRound asks all voters, the own one directly. It returns the id of the tenure if it has begun
+// one.
 func (e *Elector) startRound(electorate Electorate, now time.Duration) uint64 {
 	e.round = round{
 		number: e.round.number + 1, open: true, electorate: electorate, sentAt: now,
@@ -267,7 +268,7 @@
 // has got.
 func (e *Elector) giveUp(now time.Duration) {
 	e.round.open = false
-	e.nextRound = now + time.Duration(e.cfg.Random.Int64N(int64(pause)))
+	e.nextRound = now + time.Duration(e.cfg.Random.Int64N(int64(maxPause)))
 	release := message{kind: kindRelease, candidate: e.id, round: e.round.number, epoch: e.round.electorate.Epoch}
 	e.promise.release(release)
 	for _, a := range e.round.electorate.members() {
@@ -297,7 +298,8 @@
 	e.tenure = e.cfg.Random.Uint64() | 1
 	e.holding = true
 	e.elections.Inc(1)
-	e.cfg.Log.Info().Uint64("tenure", e.tenure).Uint64("epoch", e.round.electorate.Epoch).Int("voters", len(e.round.granted)).Msg("Elected to grant.")
+	e.cfg.Log.Info().Uint64("tenure", e.tenure).Uint64("epoch", e.round.electorate.Epoch).
+		Int("voters", len(e.round.granted)).Msg("Elected to grant.")
 	return e.tenure
 }
 
@@ -322,6 +324,7 @@
 	}
 }
 
+// handle handles a message. It returns the id of the tenure if it has begun one.
 func (e *Elector) handle(from netip.AddrPort, m message) uint64 {
 	accepted := e.cfg.AcceptedEpoch()
 	e.mu.Lock()
--- a/internal/agreement/grantor/grantor.go
+++ b/internal/agreement/grantor/grantor.go
@@ -10,7 +10,7 @@
 //
 // A Grantor keeps one token bucket per organisation with traffic. It is made for a load of many
 // times the limits that comes through nodes in changing shares, and for nodes that fall silent
-// with leases in hand. See docs/design/quotas.md. It uses no network, and the caller serializes
+// while they hold leases. See docs/design/quotas.md. It uses no network, and the caller serializes
 // the calls. Server connects it to the network.
 package grantor
 
@@ -29,12 +29,10 @@
 	// of asks of all nodes that the interval allows.
 	minInterval   = 20 * time.Millisecond
 	asksPerSecond = 5000
-	// leaseWindows is the length of leases in windows.
-	leaseWindows = 1
-	// validityShare is the part of the overage that the validity of tokens takes, levelShare
-	// that by which a bucket may exceed the burst, and slackShare the part of the slack for it
-	// and for what a new grantor grants before it knows all leases. The rest is for what silent
-	// nodes spend before they are noticed.
+	// A bucket may hold more than the burst by levelShare of the overage and slackShare of the
+	// slack, and tokens are valid for validityShare of the overage, as a part of the window. A new
+	// grantor may grant at least slackShare of the slack in a window, up to the limit, before it knows
+	// all leases. The rest of both is for what silent nodes spend before they count as silent.
 	validityShare = 0.5
 	levelShare    = 0.2
 	slackShare    = 0.25
@@ -47,13 +45,13 @@
 	// minLease is the least rate that is leased, in requests a second.
 	minLease = 0.01
 	// minLeasableRate is the least limit of which parts are leased, in requests a second. A
-	// lower one is spread so thinly over nodes that leases would serve few requests, and
-	// without leases a new grantor knows at once what is left of it.
+	// node's part of a lower one would serve few requests, and without leases a new grantor
+	// knows at once what is left of it.
 	minLeasableRate = 50
 	// maxNodeShare is the part of the rate that one node may lease. It bounds what a node that
 	// has not reported its leases may spend.
 	maxNodeShare = 0.1
-	// maxWait is the longest time until there is room that is told.
+	// maxWait is the longest time until there is room that an answer names.
 	maxWait = 10 * time.Second
 )
 
@@ -70,8 +68,8 @@
 	Limit func(OrganisationID) (Limit, bool)
 }
 
-// Lease returns the length of leases.
-func (c Config) Lease() time.Duration { return leaseWindows * c.Window }
+// Lease returns the length of leases, which is one window.
+func (c Config) Lease() time.Duration { return c.Window }
 
 // validity returns how long tokens are valid.
 func (c Config) validity() time.Duration {
@@ -83,12 +81,12 @@
 	cfg     Config
 	tenure  uint64
 	begunAt time.Duration
-	// expected holds the nodes that may have leases of earlier tenures. It is nil once all are
+	// unreported holds the nodes that may have leases of earlier tenures. It is nil once all are
 	// known.
-	expected   map[netip.AddrPort]bool
-	completeAt time.Duration // When all leases became known; 0 before.
-	nodes      map[netip.AddrPort]*node
-	pools      map[OrganisationID]*pool
+	unreported    map[netip.AddrPort]bool
+	leasesKnownAt time.Duration // When all leases became known; 0 before.
+	nodes         map[netip.AddrPort]*node
+	pools         map[OrganisationID]*pool
 }
 
 // node is what is known of one node.
@@ -112,14 +110,14 @@
 
 // Begin begins a tenure. The given nodes may hold leases of earlier ones.
 func (g *Grantor) Begin(tenure uint64, nodes []netip.AddrPort, now time.Duration) {
-	g.tenure, g.begunAt, g.completeAt = tenure, now, 0
-	g.expected = make(map[netip.AddrPort]bool, len(nodes))
+	g.tenure, g.begunAt, g.leasesKnownAt = tenure, now, 0
+	g.unreported = make(map[netip.AddrPort]bool, len(nodes))
 	for _, a := range nodes {
-		g.expected[a] = true
+		g.unreported[a] = true
 	}
 	g.nodes = make(map[netip.AddrPort]*node)
 	g.pools = make(map[OrganisationID]*pool)
-	g.checkComplete(now)
+	g.checkLeasesKnown(now)
 }
 
 // Tenure returns the id of the tenure.
@@ -128,7 +126,7 @@
 // Unreported returns the nodes that have not reported their leases yet.
 func (g *Grantor) Unreported() []netip.AddrPort {
 	var list []netip.AddrPort
-	for a := range g.expected {
+	for a := range g.unreported {
 		list = append(list, a)
 	}
 	return list
@@ -143,7 +141,7 @@
 	if n != nil && ask.Start == n.start && ask.Seq == n.seq {
 		return n.answer, true
 	}
-	n = g.heard(from, ask, now)
+	n = g.hear(from, ask, now)
 	n.answer = Answer{
 		Seq: ask.Seq, Tenure: g.tenure,
 		Interval: g.interval(), Validity: g.cfg.validity(), Lease: g.cfg.Lease(),
@@ -151,15 +149,15 @@
 	for _, r := range ask.Records {
 		n.answer.Grants = append(n.answer.Grants, g.grant(n, r, now))
 	}
-	if ask.Complete && ask.Tenure == g.tenure && g.expected != nil {
-		delete(g.expected, from)
-		g.checkComplete(now)
+	if ask.Complete && ask.Tenure == g.tenure && g.unreported != nil {
+		delete(g.unreported, from)
+		g.checkLeasesKnown(now)
 	}
 	return n.answer, true
 }
 
-// heard returns the node that an ask is from, which is not silent any more.
-func (g *Grantor) heard(from netip.AddrPort, ask Ask, now time.Duration) *node {
+// hear records that a node has sent an ask, and returns the node, which is not silent any more.
+func (g *Grantor) hear(from netip.AddrPort, ask Ask, now time.Duration) *node {
 	n := g.nodes[from]
 	if n == nil {
 		n = &node{start: ask.Start, leases: make(map[OrganisationID]*lease)}
@@ -189,7 +187,7 @@
 // grant decides on one record of an ask.
 func (g *Grantor) grant(n *node, r AskRecord, now time.Duration) Grant {
 	limit, limited := g.cfg.Limit(r.Organisation)
-	if !limited {
+	if !limited { // Not in the configuration that this instance knows.
 		return Grant{Organisation: r.Organisation, Wait: g.cfg.Window}
 	}
 	p := g.pool(r.Organisation, limit, now)
@@ -204,8 +202,8 @@
 	return granted
 }
 
-// charged returns how many of the requests that a node took from its lease the pool has to pay. It
-// does not pay for those of an earlier tenure, since nothing has accrued for that lease yet.
+// charged returns how many of the requests that a node took from its lease are deducted from the
+// pool. Those of an earlier tenure are not, since nothing has accrued for that lease yet.
 func (g *Grantor) charged(n *node, r AskRecord) int {
 	if known, _ := g.leasesKnown(g.pools[r.Organisation]); n.leases[r.Organisation] == nil && !known {
 		return 0
@@ -237,7 +235,7 @@
 	if p.limit.Rate < minLeasableRate {
 		return true, g.begunAt
 	}
-	return g.completeAt > 0, g.completeAt
+	return g.leasesKnownAt > 0, g.leasesKnownAt
 }
 
 // accrual returns the tokens a second that a pool gets: the rate without what silent nodes may
@@ -248,8 +246,8 @@
 	if known, _ := g.leasesKnown(p); known {
 		return max(p.limit.Rate-p.silent, 0)
 	}
-	unreported := float64(len(g.expected)) * maxNodeShare * p.limit.Rate
-	unknown := min(unreported, max(leasableShare*p.limit.Rate-p.leased, 0))
+	most := float64(len(g.unreported)) * maxNodeShare * p.limit.Rate // Of nodes that have not reported.
+	unknown := min(most, max(leasableShare*p.limit.Rate-p.leased, 0))
 	allowance := slackShare * g.cfg.Slack / g.cfg.Window.Seconds()
 	least := min(max(p.leased-p.silent, 0)+allowance, p.limit.Rate)
 	return max(p.limit.Rate-p.silent-unknown, least)
@@ -272,7 +270,7 @@
 	if p.limit.Rate < minLeasableRate {
 		granted = 0
 	}
-	if g.completeAt == 0 {
+	if g.leasesKnownAt == 0 {
 		granted = min(granted, r.Held)
 	}
 	if granted < minLease {
@@ -299,15 +297,16 @@
 			g.silence(n, now)
 		}
 	}
-	g.checkComplete(now)
+	g.checkLeasesKnown(now)
 	for id, p := range g.pools {
-		if p.advance(now, g.accrual(p)); p.idle() && g.completeAt > 0 {
+		if p.advance(now, g.accrual(p)); p.idle() && g.leasesKnownAt > 0 {
 			delete(g.pools, id)
 		}
 	}
 }
 
-// silence makes the pools pay for what a node may spend, from when it was heard last.
+// silence marks a node as silent: what it may spend is deducted from the pools, from when it was
+// heard last.
 func (g *Grantor) silence(n *node, now time.Duration) {
 	n.silent = true
 	for id, l := range n.leases {
@@ -318,7 +317,8 @@
 	}
 }
 
-// refund gives the pools back what they paid for a silent node, which reports what it spent.
+// refund ends the silence of a node: the pools get back what was deducted, since the node reports
+// what it spent.
 func (g *Grantor) refund(n *node, now time.Duration) {
 	n.silent = false
 	for id, l := range n.leases {
@@ -344,13 +344,13 @@
 	clear(n.leases)
 }
 
-// checkComplete checks whether all leases of earlier tenures are known or have ended.
-func (g *Grantor) checkComplete(now time.Duration) {
-	if g.completeAt > 0 || len(g.expected) > 0 && now-g.begunAt < g.cfg.Lease() {
+// checkLeasesKnown checks whether all leases of earlier tenures are known or have ended.
+func (g *Grantor) checkLeasesKnown(now time.Duration) {
+	if g.leasesKnownAt > 0 || len(g.unreported) > 0 && now-g.begunAt < g.cfg.Lease() {
 		return
 	}
 	for _, p := range g.pools {
 		p.advance(now, g.accrual(p))
 	}
-	g.expected, g.completeAt = nil, now
+	g.unreported, g.leasesKnownAt = nil, now
 }
--- a/internal/agreement/grantor/pool.go
+++ b/internal/agreement/grantor/pool.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// levelTolerance is the part of a token by which rounding may reduce a level.
-const levelTolerance = 1e-6
+// roundingTolerance is the amount by which rounding may change a level or a sum of rates.
+const roundingTolerance = 1e-6
 
 // pool is the token bucket of one organisation.
 type pool struct {
@@ -38,7 +38,7 @@
 
 // take takes up to the wanted number of tokens.
 func (p *pool) take(wanted int) int {
-	tokens := min(wanted, max(int(math.Floor(p.level+levelTolerance)), 0))
+	tokens := min(wanted, max(int(math.Floor(p.level+roundingTolerance)), 0))
 	p.level -= float64(tokens)
 	return tokens
 }
@@ -57,5 +57,5 @@
 
 // idle reports whether the pool is as a new one would be.
 func (p *pool) idle() bool {
-	return p.leased <= levelTolerance && p.wished <= levelTolerance && p.level >= p.capacity-levelTolerance
+	return p.leased <= roundingTolerance && p.wished <= roundingTolerance && p.level >= p.capacity-roundingTolerance
 }
--- a/internal/agreement/grantor/server.go
+++ b/internal/agreement/grantor/server.go
@@ -53,18 +53,18 @@
 // Server answers the asks of nodes while this instance is elected, and tells them who is
 // otherwise.
 type Server struct {
-	cfg                           ServerConfig
-	answered, redirected, malform tally.Counter
-	granted, short                tally.Counter
-	tomb                          tomb.Tomb
+	cfg                             ServerConfig
+	answered, redirected, malformed tally.Counter
+	granted, refused                tally.Counter
+	tomb                            tomb.Tomb
 
 	mu      sync.Mutex // Guards the fields below.
 	grantor *Grantor
 	// seenAt holds when each node was last in the view, for those that left it while they may
 	// hold leases.
-	seenAt  map[netip.AddrPort]time.Duration
-	greeted map[netip.AddrPort]time.Duration
-	wasDone bool // Whether all leases were known at the last tick.
+	seenAt          map[netip.AddrPort]time.Duration
+	greeted         map[netip.AddrPort]time.Duration
+	leasesWereKnown bool // Whether all leases were known at the last tick.
 }
 
 // NewServer returns a server that answers immediately. Start starts what depends on time.
@@ -74,9 +74,9 @@
 		cfg:        cfg,
 		answered:   cfg.Scope.Counter("asks_answered"),
 		redirected: cfg.Scope.Counter("asks_redirected"),
-		malform:    cfg.Scope.Counter("malformed"),
+		malformed:  cfg.Scope.Counter("malformed"),
 		granted:    cfg.Scope.Counter("tokens_granted"),
-		short:      cfg.Scope.Counter("tokens_refused"),
+		refused:    cfg.Scope.Counter("tokens_refused"),
 		grantor:    New(cfg.Grantor),
 		seenAt:     make(map[netip.AddrPort]time.Duration),
 	}
@@ -124,9 +124,10 @@
 	}
 	s.grantor.Tick(now)
 	s.greet(now)
-	if done := s.grantor.completeAt > 0; done != s.wasDone {
-		s.wasDone = done
-		s.cfg.Log.Info().Uint64("tenure", s.grantor.Tenure()).Float64("after-ms", milliseconds(now-s.grantor.begunAt)).Msg("All leases are known.")
+	if known := s.grantor.leasesKnownAt > 0; known != s.leasesWereKnown {
+		s.leasesWereKnown = known
+		s.cfg.Log.Info().Uint64("tenure", s.grantor.Tenure()).
+			Float64("after-ms", milliseconds(now-s.grantor.begunAt)).Msg("All leases are known.")
 	}
 }
 
@@ -156,7 +157,7 @@
 		nodes = append(nodes, a)
 	}
 	s.grantor.Begin(tenure, nodes, now)
-	s.greeted, s.wasDone = make(map[netip.AddrPort]time.Duration), false
+	s.greeted, s.leasesWereKnown = make(map[netip.AddrPort]time.Duration), false
 	return true
 }
 
@@ -179,7 +180,7 @@
 func (s *Server) receive(from netip.AddrPort, payload []byte) {
 	ask, err := DecodeAsk(payload)
 	if err != nil {
-		s.malform.Inc(1)
+		s.malformed.Inc(1)
 		s.cfg.Log.Debug().Err(err).Stringer("from", from).Msg("Message ignored.")
 		return
 	}
@@ -208,7 +209,7 @@
 		granted += g.Tokens
 	}
 	s.granted.Inc(int64(granted))
-	s.short.Inc(int64(wanted - granted))
+	s.refused.Inc(int64(wanted - granted))
 }
 
 func (s *Server) send(to netip.AddrPort, payload []byte) {
--- a/internal/agreement/grantor/status.go
+++ b/internal/agreement/grantor/status.go
@@ -32,7 +32,7 @@
 
 // Status returns the status of the tenure.
 func (g *Grantor) Status() Status {
-	s := Status{LeasesKnown: g.completeAt > 0, Nodes: len(g.nodes)}
+	s := Status{LeasesKnown: g.leasesKnownAt > 0, Nodes: len(g.nodes)}
 	for id, p := range g.pools {
 		s.Organisations = append(s.Organisations, OrganisationStatus{
 			ID: id, Limit: p.limit, Leased: p.leased, Wished: p.wished, Silent: p.silent, Tokens: p.level,
--- a/internal/cmd/quota.go
+++ b/internal/cmd/quota.go
@@ -34,7 +34,8 @@
 	t := tabwriter.NewWriter(env.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "ORGANISATION\tLIMIT\tDEMAND\tLEASE\tTOKENS\tSERVED\tREFUSED")
 	for _, o := range status.Organisations {
-		fmt.Fprintf(t, "%s\t%g/s\t%.1f/s\t%.1f/s\t%.0f\t%d\t%d\n", o.Organisation, o.Limit, o.Demand, o.Lease, o.Tokens, o.Served, o.Refused)
+		fmt.Fprintf(t, "%s\t%g/s\t%.1f/s\t%.1f/s\t%.0f\t%d\t%d\n",
+			o.Organisation, o.Limit, o.Demand, o.Lease, o.Tokens, o.Served, o.Refused)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("write the table: %w", err)
--- a/internal/fleet/quotakeeper/account.go
+++ b/internal/fleet/quotakeeper/account.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	// demandTime is the time constant of the estimate of demand for which tokens are asked, and
-	// usualTime that of the demand for which a lease is wanted. One request alone wants none.
-	demandTime = time.Second
-	usualTime  = 3 * time.Second
-	// wishTolerance is the part by which a wish may change before it is reported, and moreAfter the
-	// time after which one that was not met is reported again.
-	wishTolerance = 0.25
-	moreAfter     = time.Second
+	// demandTimeConstant is the time constant of the estimate of demand for which tokens are
+	// asked, and leaseDemandTimeConstant that of the demand for which a lease is wanted. One
+	// request alone wants none.
+	demandTimeConstant      = time.Second
+	leaseDemandTimeConstant = 3 * time.Second
+	// wishTolerance is the part by which a wish may change before it is reported, and repeatWishAfter
+	// the time after which one that was not met is reported again.
+	wishTolerance   = 0.25
+	repeatWishAfter = time.Second
 	// leaseHeadroom is the wanted lease in proportion to demand.
 	leaseHeadroom = 1.25
 	// leaseBurst is the time whose part of the lease may be taken at once.
@@ -25,9 +26,9 @@
 	// minLeasedDemand is the least demand in requests a second for which a lease is wanted: one that
 	// serves a request in the time in which a grantor is replaced.
 	minLeasedDemand = 0.4
-	// useTime is the least time in which a request that was taken may be sent, since a token may be
-	// taken just before its end.
-	useTime = 50 * time.Millisecond
+	// minSendTime is the least time in which a request that was taken may be sent, since a token may
+	// be taken just before its end.
+	minSendTime = 50 * time.Millisecond
 	// backOffAhead is the time whose demand is asked for if there was no room.
 	backOffAhead = maxBackOff
 )
@@ -79,11 +80,11 @@
 	// refusedUntil is when to ask again after there was no room, and roomAt when there may be.
 	refusedUntil, roomAt time.Duration
 	// arrivals counts the requests since the last review, and the rates are theirs.
-	arrivals   int
-	demandRate float64
-	usualRate  float64
-	reviewedAt time.Duration
-	usedAt     time.Duration
+	arrivals        int
+	demandRate      float64
+	leaseDemandRate float64
+	reviewedAt      time.Duration
+	usedAt          time.Duration
 	// taken and refused count requests since the start, for operators.
 	taken, refused int64
 	// givenBack counts the taken requests that have not run.
@@ -105,7 +106,7 @@
 
 // ticket counts a request that may run.
 func (a *account) ticket(t Ticket, now time.Duration) Ticket {
-	t.usableUntil = max(t.validUntil, now+useTime)
+	t.usableUntil = max(t.validUntil, now+minSendTime)
 	a.taken++
 	a.own.take()
 	return t
@@ -118,8 +119,8 @@
 		return
 	}
 	rate := float64(a.arrivals) / passed.Seconds()
-	a.demandRate = smooth(a.demandRate, rate, passed, demandTime)
-	a.usualRate = smooth(a.usualRate, rate, passed, usualTime)
+	a.demandRate = smooth(a.demandRate, rate, passed, demandTimeConstant)
+	a.leaseDemandRate = smooth(a.leaseDemandRate, rate, passed, leaseDemandTimeConstant)
 	a.arrivals, a.reviewedAt = 0, now
 }
 
@@ -131,17 +132,17 @@
 
 // wish returns the rate that this node wants to lease.
 func (a *account) wish() float64 {
-	if a.usualRate < minLeasedDemand {
+	if a.leaseDemandRate < minLeasedDemand {
 		return 0
 	}
-	return min(a.usualRate*leaseHeadroom, a.limit)
+	return min(a.leaseDemandRate*leaseHeadroom, a.limit)
 }
 
 // leaseDue reports whether the grantor should hear of the lease.
 func (a *account) leaseDue(now time.Duration) bool {
 	wish := a.wish()
 	changed := math.Abs(wish-a.reportedWish) > wishTolerance*max(wish, a.reportedWish)
-	unmet := wish > a.rate*(1+wishTolerance) && now-a.reportedAt >= moreAfter
+	unmet := wish > a.rate*(1+wishTolerance) && now-a.reportedAt >= repeatWishAfter
 	return changed || unmet || a.rate != a.reportedRate
 }
 
@@ -200,7 +201,8 @@
 
 // idle reports whether the account may be forgotten.
 func (a *account) idle(now time.Duration) bool {
-	return now-a.usedAt >= idleAfter && a.rate == 0 && a.reportedRate == 0 && a.spent == 0 && a.returned == 0 && len(a.waiters) == 0 && a.tokens.count() == 0
+	return now-a.usedAt >= idleAfter && a.rate == 0 && a.reportedRate == 0 && a.spent == 0 && a.returned == 0 &&
+		len(a.waiters) == 0 && a.tokens.count() == 0
 }
 
 // inAsk reports whether the ask under way has a record of the account.
--- a/internal/fleet/quotakeeper/answering.go
+++ b/internal/fleet/quotakeeper/answering.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// answered takes what an answer to the ask under way grants. An answer that took longer than an
-// ask is kept is ignored, whoever sent it: its tenure may have ended.
+// answered takes what an answer to the ask under way grants. An answer that comes
+// abandonAfter or more after the ask is ignored: the tenure of its sender may have ended.
 func (k *Keeper) answered(from netip.AddrPort, m grantor.Answer, now time.Duration) {
 	if !k.ask.open || m.Seq != k.ask.seq || len(m.Grants) != len(k.ask.accounts) || now-k.ask.firstAt >= abandonAfter {
 		return
--- a/internal/fleet/quotakeeper/asking.go
+++ b/internal/fleet/quotakeeper/asking.go
@@ -44,7 +44,7 @@
 	if k.ask.open {
 		k.resend(now)
 	}
-	if !k.ask.open && k.asks(now) && now >= k.sendAt() {
+	if !k.ask.open && k.mustAsk(now) && now >= k.sendAt() {
 		k.send(now)
 	}
 	return k.nextAction(now)
@@ -67,8 +67,8 @@
 	return max(next-now, time.Millisecond)
 }
 
-// asks reports whether there is something to ask or to say.
-func (k *Keeper) asks(now time.Duration) bool {
+// mustAsk reports whether there is something to ask or to say.
+func (k *Keeper) mustAsk(now time.Duration) bool {
 	return len(k.due) > 0 || k.report || k.leases > 0 && now >= k.renewAt()
 }
 
@@ -83,7 +83,7 @@
 	if k.urgent {
 		interval = min(interval, maxUrgentInterval)
 	}
-	return max(k.ask.lastAt+interval, k.paidUntil-burstTime)
+	return max(k.ask.lastAt+interval, k.budgetUsedUntil-burstTime)
 }
 
 func (k *Keeper) resendAfter() time.Duration { return max(minResend, 2*k.contact.roundTrip) }
@@ -163,7 +163,7 @@
 	return true
 }
 
-// addRecord adds an account to the ask.
+// addRecord adds an account to the ask: what it has to report, and how many tokens it wants.
 func (k *Keeper) addRecord(a *account, now time.Duration) {
 	delete(k.due, a)
 	a.tokens.expire(now)
@@ -216,7 +216,7 @@
 	k.ask.lastAt = now
 	payload := k.ask.message.Encode()
 	size := len(payload) + courier.Overhead
-	k.paidUntil = max(k.paidUntil, now) + time.Duration(size)*time.Second/bytesPerSecond
+	k.budgetUsedUntil = max(k.budgetUsedUntil, now) + time.Duration(size)*time.Second/bytesPerSecond
 	k.metrics.asks.Inc(1)
 	k.metrics.sentBytes.Inc(int64(size))
 	if err := k.cfg.Transport.Send(courier.KindQuotaAsk, k.ask.to, payload); err != nil {
--- a/internal/fleet/quotakeeper/keeper_test.go
+++ b/internal/fleet/quotakeeper/keeper_test.go
@@ -163,7 +163,7 @@
 		m.Return(o, ticket)
 		late := m.TakeNow(o)
 		assert.Assert(t, late.Taken())
-		time.Sleep(useTime - time.Millisecond)
+		time.Sleep(minSendTime - time.Millisecond)
 		assert.Assert(t, m.Valid(late))
 		time.Sleep(time.Millisecond)
 		assert.Assert(t, !m.Valid(late))
--- a/internal/fleet/quotakeeper/quotakeeper.go
+++ b/internal/fleet/quotakeeper/quotakeeper.go
@@ -90,7 +90,7 @@
 	start   uint64 // Tells processes of the node apart.
 	metrics metrics
 	logs    *logger.Limiter
-	wake    chan struct{} // Holds a token if there is something to do.
+	wake    chan struct{} // Holds a value if there is something to do.
 	tomb    tomb.Tomb
 
 	mu       sync.Mutex // Guards the fields below.
@@ -106,9 +106,9 @@
 	ask      pendingAsk
 	contact  contact
 	reviewAt time.Duration
-	// paidUntil is the time for which the bytes sent so far suffice.
-	paidUntil time.Duration
-	outage    bool // Whether an outage was logged.
+	// budgetUsedUntil is the time until which the bytes sent so far use up bytesPerSecond.
+	budgetUsedUntil time.Duration
+	outage          bool // Whether an outage was logged.
 	// named holds the metrics of single organisations, and others those of the rest.
 	named  map[string]organisationMetrics
 	others organisationMetrics
@@ -182,7 +182,7 @@
 		return ticket, 0
 	}
 	if now < a.refusedUntil || k.unanswered(now) || !a.own.allows(now) {
-		wait := k.refused(a, now)
+		wait := k.countRefusal(a, now)
 		k.mu.Unlock()
 		return Ticket{}, wait
 	}
@@ -224,7 +224,7 @@
 		if ticket.Taken() {
 			return ticket, 0
 		}
-		return Ticket{}, k.refused(a, k.cfg.Now())
+		return Ticket{}, k.countRefusal(a, k.cfg.Now())
 	default:
 	}
 	a.removeWaiter(w)
@@ -232,16 +232,17 @@
 	if ticket := k.spend(a, now); ticket.Taken() {
 		return ticket, 0
 	}
-	return Ticket{}, k.refused(a, now)
+	return Ticket{}, k.countRefusal(a, now)
 }
 
+// decided returns the result of Take for a waiting request that was decided on.
 func (k *Keeper) decided(a *account, ticket Ticket) (Ticket, time.Duration) {
 	if ticket.Taken() {
 		return ticket, 0
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Ticket{}, k.refused(a, k.cfg.Now())
+	return Ticket{}, k.countRefusal(a, k.cfg.Now())
 }
 
 // Valid reports whether a request for which a ticket was taken may still be sent.
@@ -286,13 +287,14 @@
 	if (k.unanswered(now) || k.nextIsFar(now)) && k.leaseValid(now) && a.takeLeased(k.contact.sentAt, now) {
 		k.due[a] = true
 		k.metrics.leased.Inc(1)
+		// Return ignores a leased ticket, so that validUntil only has to be other than 0.
 		return a.ticket(Ticket{validUntil: now + 1, leased: true}, now)
 	}
 	return Ticket{}
 }
 
-// refused counts a refusal and returns the time until there may be room.
-func (k *Keeper) refused(a *account, now time.Duration) time.Duration {
+// countRefusal counts a refusal and returns the time until there may be room.
+func (k *Keeper) countRefusal(a *account, now time.Duration) time.Duration {
 	a.refused++
 	k.metrics.refused.Inc(1)
 	wait := retryAfterWithoutRoom
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -154,7 +154,8 @@
 	c.log.Info().Msg("Stopping.")
 	c.gossiper.Leave(context.Background())
 	c.tomb.Kill(nil)
-	err = firstError(peerListener.closer(context.Background()), c.quota.stop, c.replicator.Stop, c.ledger.Stop, c.voter.Stop, c.distributor.Stop, c.disseminator.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
+	err = firstError(peerListener.closer(context.Background()), c.quota.stop, c.replicator.Stop, c.ledger.Stop, c.voter.Stop,
+		c.distributor.Stop, c.disseminator.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
 	if err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
--- a/internal/process/launcher/control_quota.go
+++ b/internal/process/launcher/control_quota.go
@@ -90,7 +90,8 @@
 func (q *controlQuota) offerVersion(version *controlwire.Version, log zerolog.Logger) {
 	organisations, err := compiler.CompileOrganisations(version.GetDocument())
 	if err != nil {
-		log.Error().Err(err).Uint64("version", version.GetDigest().GetNumber()).Msg("Failed to compile an accepted version for its quotas.")
+		log.Error().Err(err).Uint64("version", version.GetDigest().GetNumber()).
+			Msg("Failed to compile an accepted version for its quotas.")
 		return
 	}
 	q.setLimits(organisations)
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -197,7 +197,10 @@
 	n.handOverKeys(ctx)
 	n.gossiper.Leave(closeCtx)
 	n.tomb.Kill(nil)
-	stopFuncs := []func() error{n.reporter.Stop, n.quotaKeeper.Stop, n.distributor.Stop, n.disseminator.Stop, n.gossiper.Stop, peerListener.closer(closeCtx), n.courier.Stop}
+	stopFuncs := []func() error{
+		n.reporter.Stop, n.quotaKeeper.Stop, n.distributor.Stop, n.disseminator.Stop, n.gossiper.Stop,
+		peerListener.closer(closeCtx), n.courier.Stop,
+	}
 	for _, l := range platformListeners {
 		stopFuncs = append(stopFuncs, l.listener.closer(closeCtx))
 	}
