--- a/internal/connection/requester/request_body.go
+++ b/internal/connection/requester/request_body.go
@@ -137,7 +137,7 @@
 
 func (b *requestBody) signalContinue() { b.continueOnce.Do(func() { close(b.continued) }) }
 
-// begin records that the body is read. It returns false if the exchange was abandoned before.
+// begin records that the body is being read. It returns false if the exchange was abandoned before.
 func (b *requestBody) begin() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -145,7 +145,7 @@
 	return !b.isEnded
 }
 
-// begun reports whether the body has been read. It does not change after abort.
+// begun reports whether the body has been or is being read. It does not change after abort.
 func (b *requestBody) begun() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -259,7 +259,12 @@
 	}
 	a.lastChange = now
 	a.notify(now)
-	return run{startedAt: now, expectedWork: req.ExpectedWork, inFlight: a.inFlight, slownessPercent: a.slowdownAt(now).SlownessPercent}
+	return run{
+		startedAt:       now,
+		expectedWork:    req.ExpectedWork,
+		inFlight:        a.inFlight,
+		slownessPercent: a.slowdownAt(now).SlownessPercent,
+	}
 }
 
 // finish records the result of a request that ran, frees its slot and dispatches
--- a/internal/request/admitter/least_cost.go
+++ b/internal/request/admitter/least_cost.go
@@ -32,8 +32,8 @@
 	demand     [compiler.PriorityHigh + 1]decayingSum
 	overtaking [compiler.PriorityHigh + 1]overtaking
 
-	// The last plan, made at plannedAt: the candidates of all classes, and when a further
-	// request of each class would start.
+	// The last plan, made at plannedAt: the candidates of all classes, when a further request of
+	// each class would start, and when each slot in use becomes free.
 	plannedAt  time.Time
 	candidates [compiler.PriorityHigh + 1][]candidate
 	rooms      [compiler.PriorityHigh + 1]room
@@ -232,7 +232,8 @@
 		return classifier.ReasonGoal
 	case c.verdict == verdictLate && c.start+c.work > c.deadline/lateResponseDivisor:
 		return classifier.ReasonGoal
-	case c.verdict == verdictInTime && elsewhere && req.Priority != compiler.PriorityHigh && c.start > c.goal/firstAttemptWaitDivisor:
+	case c.verdict == verdictInTime && elsewhere && req.Priority != compiler.PriorityHigh &&
+		c.start > c.goal/firstAttemptWaitDivisor:
 		return classifier.ReasonQueueSlow
 	}
 	return classifier.ReasonNone
--- a/internal/request/admitter/organisation_account.go
+++ b/internal/request/admitter/organisation_account.go
@@ -78,8 +78,8 @@
 }
 
 // accounts divide the slots between organisations. They answer a load in which one asks for many
-// times its usual work, beyond capacity: it pays for its own excess. They hold back no
-// room: the share of an idle organisation is free for the others.
+// times its usual work, beyond capacity: its own requests are then refused first. No slots are
+// reserved: the share of an idle organisation is free for the others.
 type accounts struct {
 	began  time.Time
 	byName map[string]*account
@@ -97,7 +97,7 @@
 		if s.byName == nil {
 			s.byName, s.began = make(map[string]*account), now
 		}
-		s.makeRoom()
+		s.removeOldest()
 		a = &account{}
 		s.byName[name] = a
 	}
@@ -105,8 +105,8 @@
 	return a
 }
 
-// makeRoom removes the account that was used longest ago if there are too many.
-func (s *accounts) makeRoom() {
+// removeOldest removes the account that was used longest ago if there are too many.
+func (s *accounts) removeOldest() {
 	if len(s.byName) < maxAccounts {
 		return
 	}
--- a/internal/request/admitter/planner.go
+++ b/internal/request/admitter/planner.go
@@ -26,7 +26,7 @@
 	// goes on.
 	maxExchanges = 4
 	// entryMargin multiplies the expected wait of a new request, and stayMargin that of a waiting
-	// one, so that a request that was let in is not put out by small errors of estimates.
+	// one, so that small errors of estimates do not get a request refused that was queued before.
 	entryMargin = 1.5
 	stayMargin  = 0.9
 	// displaceRatio is how many times more a request must cost than another one to be left out for
@@ -75,7 +75,8 @@
 	turn time.Duration
 }
 
-// room is when a further request of a class would start, after all that are in time or after all.
+// room is when a further request of a class would start: inTime after all that are in time, late
+// after all.
 type room struct{ inTime, late time.Duration }
 
 // planner plans which of the waiting requests run, in which order, and which are left out. It
--- a/internal/request/coldlimiter/coldlimiter.go
+++ b/internal/request/coldlimiter/coldlimiter.go
@@ -13,7 +13,7 @@
 //		// Send the request.
 //	}
 //
-// A cold upstream has just started and bears only a few requests a second until it has warmed
+// A cold upstream has just started and can serve only a few requests a second until it has warmed
 // up. It may become cold again without announcing it, so that it counts as warm only for a short
 // time after it said so. When it may have restarted, it is in doubt, and counts as cold until it
 // says otherwise. What it says is requested when it comes into doubt, and now and then while
@@ -60,7 +60,7 @@
 type Cause string
 
 const (
-	// CauseNodeStarted means that this process has started and has heard nothing yet.
+	// CauseNodeStarted means that this process has started and the upstream has said nothing since.
 	CauseNodeStarted Cause = "node-started"
 	// CauseReplaced means that another incarnation of the upstream has started.
 	CauseReplaced Cause = "replaced"
@@ -106,7 +106,7 @@
 	mu        sync.Mutex // Guards the fields below.
 	perSecond float64    // 0 if the service has no cold rate.
 	coldStart time.Duration
-	belief    belief
+	state     coldState
 	starts    recentStarts
 	bucket    bucket
 	limited   bool // Whether the limit is in force.
@@ -124,11 +124,11 @@
 		rateGauge:  cfg.Scope.Gauge("cold_rate_limit"),
 		periods:    cfg.Scope.Counter("cold_periods"),
 		requests:   make(chan struct{}, 1),
-		belief:     belief{cause: CauseNodeStarted, doubtSince: time.Now()},
+		state:      coldState{cause: CauseNodeStarted, doubtSince: time.Now()},
 	}
 }
 
-// Configure sets the requests a second that a cold upstream bears, 0 for no limit, and the
+// Configure sets the requests a second that a cold upstream can serve, 0 for no limit, and the
 // length of a cold start.
 func (l *Limiter) Configure(perSecond float64, coldStart time.Duration) {
 	l.mu.Lock()
@@ -143,7 +143,7 @@
 		l.rateGauge.Update(perSecond)
 	}
 	l.update(now)
-	if l.belief.inDoubt() {
+	if l.state.inDoubt() {
 		l.requestStatement(now)
 	}
 }
@@ -154,7 +154,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.belief.doubt(cause, now)
+	l.state.doubt(cause, now)
 	l.update(now)
 	l.requestStatement(now)
 }
@@ -165,8 +165,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.belief = belief{}
-	l.belief.doubt(CauseReplaced, now)
+	l.state = coldState{}
+	l.state.doubt(CauseReplaced, now)
 	l.starts = recentStarts{}
 	l.update(now)
 	l.requestStatement(now)
@@ -182,7 +182,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.update(time.Now())
-	return l.perSecond > 0 && l.belief.inDoubt()
+	return l.perSecond > 0 && l.state.inDoubt()
 }
 
 // ObserveHeartbeat records the remaining time of the cold start by a heartbeat that was received
@@ -192,7 +192,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.update(now) // First: a pause that has just ended is a doubt.
-	l.belief.observeHeartbeat(remaining, now)
+	l.state.observeHeartbeat(remaining, now)
 	l.update(now)
 }
 
@@ -202,7 +202,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.update(now)
-	l.belief.observeResponse(r, now)
+	l.state.observeResponse(r, now)
 	l.update(now)
 }
 
@@ -235,7 +235,7 @@
 	if l.limited {
 		l.bucket.take(now)
 	}
-	if l.cfg.Stating && now.Sub(l.belief.respondedAt) > refreshAge && now.Sub(l.requestedAt) > refreshAge {
+	if l.cfg.Stating && now.Sub(l.state.respondedAt) > refreshAge && now.Sub(l.requestedAt) > refreshAge {
 		l.requestStatement(now)
 	}
 }
@@ -256,8 +256,8 @@
 // to be cold: the limit of one in doubt most likely ends with the doubt. The mutex must be held.
 func (l *Limiter) wait(n int, now time.Time) time.Duration {
 	wait := l.bucket.wait(n, now)
-	if l.cfg.Stating && l.belief.inDoubt() && !now.Before(l.belief.coldUntil) {
-		wait = min(wait, l.belief.expectedDoubt(now))
+	if l.cfg.Stating && l.state.inDoubt() && !now.Before(l.state.coldUntil) {
+		wait = min(wait, l.state.expectedDoubt(now))
 	}
 	return wait
 }
@@ -270,10 +270,10 @@
 	if !l.limited {
 		return Status{}
 	}
-	return Status{Cold: true, Cause: l.belief.cause, Remaining: max(l.belief.coldUntil.Sub(now), 0)}
+	return Status{Cold: true, Cause: l.state.cause, Remaining: max(l.state.coldUntil.Sub(now), 0)}
 }
 
-// update applies the passage of time to the belief, and begins or ends the limit. The mutex
+// update applies the passage of time to the state, and begins or ends the limit. The mutex
 // must be held.
 func (l *Limiter) update(now time.Time) {
 	if l.perSecond == 0 {
@@ -282,18 +282,18 @@
 		}
 		return
 	}
-	if l.cfg.Stating && l.belief.expired(now) {
-		l.belief.doubt(CauseNoStatement, now)
+	if l.cfg.Stating && l.state.expired(now) {
+		l.state.doubt(CauseNoStatement, now)
 		l.requestStatement(now)
 	}
 	if !l.cfg.Stating {
-		l.belief.endDoubtAfter(l.coldStart, now)
+		l.state.endDoubtAfter(l.coldStart, now)
 	}
-	cold := l.belief.cold(now)
+	cold := l.state.cold(now)
 	switch {
 	case cold && !l.limited:
 		l.begin(now)
-	case cold && l.belief.cause != l.logged:
+	case cold && l.state.cause != l.logged:
 		l.logBegin(now)
 	case !cold && l.limited:
 		l.end(now)
@@ -305,11 +305,11 @@
 	l.limited = true
 	l.limitedAt = now
 	since := now.Add(-window)
-	if warmAt := l.belief.warmAt.Add(-transferMargin); warmAt.After(since) {
+	if warmAt := l.state.warmAt.Add(-transferMargin); warmAt.After(since) {
 		since = warmAt
 	}
 	started := float64(l.starts.since(since))
-	if l.belief.cause == CauseNodeStarted {
+	if l.state.cause == CauseNodeStarted {
 		started = l.bucket.burst() // What a previous process sent is unknown.
 	}
 	l.bucket.reset(started, now)
@@ -320,22 +320,23 @@
 
 // logBegin logs why the limit is in force. The mutex must be held.
 func (l *Limiter) logBegin(now time.Time) {
-	l.logged = l.belief.cause
-	l.logEvent().Str("cause", string(l.belief.cause)).Float64("per-second", l.perSecond).
-		Float64("left", math.Floor(l.bucket.tokens)).Dur("remaining-ms", max(l.belief.coldUntil.Sub(now), 0)).Msg("Upstream counts as cold.")
+	l.logged = l.state.cause
+	l.logEvent().Str("cause", string(l.state.cause)).Float64("per-second", l.perSecond).
+		Float64("left", math.Floor(l.bucket.tokens)).
+		Dur("remaining-ms", max(l.state.coldUntil.Sub(now), 0)).Msg("Upstream counts as cold.")
 }
 
 // end ends the limit. The mutex must be held.
 func (l *Limiter) end(now time.Time) {
 	l.limited = false
 	l.rateGauge.Update(0)
-	l.logEvent().Str("cause", string(l.belief.cause)).Dur("after-ms", now.Sub(l.limitedAt)).Msg("Upstream counts as warm.")
+	l.logEvent().Str("cause", string(l.state.cause)).Dur("after-ms", now.Sub(l.limitedAt)).Msg("Upstream counts as warm.")
 }
 
 // logEvent returns the event of a log line. An upstream that was idle is in doubt until its
-// next read of health, which is no news.
+// next read of health, which needs no log line by default.
 func (l *Limiter) logEvent() *zerolog.Event {
-	if l.belief.cause == CauseNoStatement {
+	if l.state.cause == CauseNoStatement {
 		return l.cfg.Log.Debug()
 	}
 	return l.logLimiter.Limit(l.cfg.Log.Info())
--- a/internal/request/forwarder/evacuation.go
+++ b/internal/request/forwarder/evacuation.go
@@ -19,8 +19,8 @@
 	c.route.instances = view.Service(c.route.spec.Name)
 }
 
-// handleEvacuated excludes the failure domain of an attempt that was refused because that is
-// evacuated, which this node does not know yet. The next attempt is then free: there are at
+// handleEvacuated excludes the failure domain of an attempt that was refused because the
+// domain is evacuated, which this node does not know yet. The next attempt is then free: there are at
 // most as many such attempts as failure domains. It reports whether the attempt was so refused.
 func (c *call) handleEvacuated(a *attempt, state *retrier.State) bool {
 	if a.refusal == nil || a.refusal.Reason() != classifier.ReasonEvacuated {
--- a/internal/request/forwarder/organisation.go
+++ b/internal/request/forwarder/organisation.go
@@ -11,7 +11,9 @@
 // identify returns the organisation whose API key a request has. It returns nil for a request
 // without a key, such as a call of an upstream, and on a public route. A request with an unknown
 // key is refused.
-func (f *Forwarder) identify(r *http.Request, cfg *compiler.Configuration, matched *compiler.Route) (*compiler.Organisation, *refuser.Refusal) {
+func (f *Forwarder) identify(
+	r *http.Request, cfg *compiler.Configuration, matched *compiler.Route,
+) (*compiler.Organisation, *refuser.Refusal) {
 	if cfg.Organisations().Empty() || matched.Public() {
 		return nil, nil
 	}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -332,7 +332,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	before := q.table.standing(f, c.At)
-	if !q.table.merge(Evidence{Fingerprint: f, Crashes: []Crash{{Crash: c, Apart: q.apart != nil && q.apartFingerprint == f}}}, c.At) {
+	apart := q.apart != nil && q.apartFingerprint == f
+	if !q.table.merge(Evidence{Fingerprint: f, Crashes: []Crash{{Crash: c, Apart: apart}}}, c.At) {
 		return
 	}
 	q.updateSize()
