fix: a request that may be a call of a running one is tried at further instances

Upstreams that pass no depth on make calls that look like callers' requests, so that an entry node gave them up after two refusals, which ends the running request.

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -266,9 +266,11 @@
 
 // lacksRoom reports whether enough instances had no room for the request. It answers a load beyond
 // the capacity of all instances, in which each further attempt costs messages and the caller's
-// time. Calls of running requests are tried further, since their refusal wastes that work.
+// time. Calls of running requests are tried further, since their refusal wastes that work. An upstream
+// may pass no depth on, so that only a request with an organisation is known to be none.
 func (c *call) lacksRoom() bool {
-	return c.route.spec.Overload == compiler.OverloadLeastCost && c.route.depth == 1 && c.roomRefusals >= maxRoomRefusals
+	mayBeNested := c.route.depth > 1 || c.route.organisation == nil
+	return c.route.spec.Overload == compiler.OverloadLeastCost && !mayBeNested && c.roomRefusals >= maxRoomRefusals
 }
 
 // request builds the request of one attempt. Its headers are a copy, with extra added.
--- a/internal/request/forwarder/overload_test.go
+++ b/internal/request/forwarder/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
@@ -12,24 +13,27 @@
 )
 
 // TestFullInstancesAreNotTriedOneByOne plays two instances without room before one with room. At
-// least cost a caller's request is refused after two refusals for lack of room, since more would
-// cost messages and the caller's time. Calls of running requests, refusals for other reasons and
-// services in arrival order are tried further.
+// least cost a request with an API key, which is a caller's, is refused after two refusals for lack
+// of room, since more would cost messages and the caller's time. Requests that may be calls of running
+// ones, refusals for other reasons and services in arrival order are tried further.
 func TestFullInstancesAreNotTriedOneByOne(t *testing.T) {
 	for name, tc := range map[string]struct {
 		overload compiler.Overload
 		reason   classifier.Reason
+		keyed    bool
 		nested   bool
 		served   bool
 	}{
-		"least cost":         {overload: compiler.OverloadLeastCost, reason: classifier.ReasonGoal},
-		"call at least cost": {overload: compiler.OverloadLeastCost, reason: classifier.ReasonGoal, nested: true, served: true},
-		"another reason":     {overload: compiler.OverloadLeastCost, reason: classifier.ReasonCold, served: true},
-		"arrival order":      {overload: compiler.OverloadArrivalOrder, reason: classifier.ReasonQueueFull, served: true},
+		"least cost":              {overload: compiler.OverloadLeastCost, reason: classifier.ReasonGoal, keyed: true},
+		"call at least cost":      {overload: compiler.OverloadLeastCost, reason: classifier.ReasonGoal, keyed: true, nested: true, served: true},
+		"call that tells nothing": {overload: compiler.OverloadLeastCost, reason: classifier.ReasonGoal, served: true},
+		"another reason":          {overload: compiler.OverloadLeastCost, reason: classifier.ReasonCold, keyed: true, served: true},
+		"arrival order":           {overload: compiler.OverloadArrivalOrder, reason: classifier.ReasonQueueFull, keyed: true, served: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet()
-			f.spec.Overload = tc.overload
+			f, _ := organisationFleet(t, &fakeQuota{left: 9})
+			f.configuration = mustCompile(t, strings.Replace(organisationsBase, "hosts = none\n", "hosts = none\noverload = "+tc.overload.String()+"\n", 1))
+			f.upstreamHandler = newFleet().upstreamHandler
 			f.admissionErr = refusalError(tc.reason)
 			full := netip.MustParseAddrPort(firstNodeAddress)
 			f.instances = []*registrar.Instance{
@@ -38,7 +42,11 @@
 				f.instances[1],
 			}
 			f.run(t, func(t *testing.T) {
-				req := request(http.MethodPost)
+				req := request(http.MethodGet)
+				req.Host = "pedidos.example"
+				if tc.keyed {
+					req.Header.Set("X-Key", "k1")
+				}
 				if tc.nested {
 					req.Header.Set(classifier.HeaderDepth, "1")
 				}
