--- /dev/null
+++ b/review/harness/case_traffic.go
@@ -0,0 +1,329 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// twoServices is the first configuration of the cases with traffic.
+func twoServices(timeoutS float64) map[string]any {
+	return config(versionText(1), []string{"balance", "payment"}, host, []route{
+		{Name: "r-balance", PathPrefix: "/balance/", Kind: "safe", TimeoutS: timeoutS, LatencySloS: 0.5, Priority: 2, Service: "balance", MaxAttempts: 2},
+		{Name: "r-payment", PathPrefix: "/payment/", Kind: "non_idempotent", TimeoutS: timeoutS, LatencySloS: 0.6, Priority: 1, Service: "payment", MaxAttempts: 2},
+	})
+}
+
+// start starts a fleet with a node for each of the given targets.
+func (f *fleet) startAll(cfg map[string]any, nodes []spec) error {
+	if err := f.startControl(); err != nil {
+		return err
+	}
+	for _, s := range nodes {
+		if _, err := f.startNode(s.name, s.service, s.zone, s.run); err != nil {
+			return err
+		}
+	}
+	if err := f.firstConfig(cfg); err != nil {
+		return err
+	}
+	if err := f.awaitReady(host, "/balance/warm", "/payment/warm"); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second) // Nodes that started are in touch after ContactS.
+	return nil
+}
+
+type spec struct {
+	name, service, zone string
+	run                 behavior
+}
+
+// strayAnswer lets a target send additional bytes after complete answers. They arrive at the point
+// where the next answer is expected, and bear no Request-Id.
+func strayAnswer(f *fleet) error {
+	var strays atomic.Int64
+	pay := func(t *target, c net.Conn, r *http.Request, _ []byte) bool {
+		if f.trouble && r.URL.Path != "/payment/warm" && strays.Add(1)%20 == 0 {
+			f.rec.logf("target %s: additional bytes of an earlier answer precede the answer to %s", t.id, r.Header.Get("Request-Id"))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nleftover")
+		}
+		time.Sleep(20 * time.Millisecond)
+		return t.answer(c, r, 200, []byte("answer to "+r.Header.Get("Request-Id")))
+	}
+	err := f.startAll(twoServices(1.5), []spec{
+		{"node-a", "balance", "zone-a", work(20 * time.Millisecond)},
+		{"node-b", "payment", "zone-b", pay},
+	})
+	if err != nil {
+		return err
+	}
+	wrong, good := 0, 0
+	for range 160 {
+		id := newID()
+		a := request{ID: id, Method: "POST", Host: host, Path: "/payment/new", DeadlineMs: 1500, Body: "amount=12"}.send(f.nodes["node-a"].outbound)
+		f.rec.logf("client: %s", a)
+		switch {
+		case a.status/100 == 2 && (a.signature != "i-node-b."+id || a.body != "answer to "+id):
+			wrong++
+			f.rec.logf("BROKEN: request %s got a success that is not its target's answer", id)
+		case a.status == 200:
+			good++
+		}
+	}
+	f.rec.logf("%d requests got their answer, %d got a success that isn't", good, wrong)
+	if good == 0 {
+		return fmt.Errorf("%w: nothing was served", errSetup)
+	}
+	if wrong > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// slowBody stops a node as planned while targets pause within their answers.
+func slowBody(f *fleet) error {
+	pause := 50 * time.Millisecond
+	if f.trouble {
+		pause = 1300 * time.Millisecond
+	}
+	pay := func(t *target, c net.Conn, r *http.Request, _ []byte) bool {
+		id := r.Header.Get("Request-Id")
+		first, second := bytes.Repeat([]byte("a"), 700), bytes.Repeat([]byte("b"), 700)
+		var head bytes.Buffer
+		fmt.Fprintf(&head, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nServer-Load: 1,0,9\r\nContent-Length: %d\r\n\r\n", id, t.signature(id), len(first)+len(second))
+		_, _ = c.Write(append(head.Bytes(), first...))
+		if r.URL.Path != "/payment/warm" {
+			time.Sleep(pause)
+		}
+		_, err := c.Write(second)
+		f.rec.logf("target %s: answer to %s written, error %v", t.id, id, err)
+		return err == nil
+	}
+	err := f.startAll(twoServices(4), []spec{
+		{"node-a", "balance", "zone-a", work(20 * time.Millisecond)},
+		{"node-b", "payment", "zone-b", pay},
+	})
+	if err != nil {
+		return err
+	}
+	entry := f.nodes["node-a"]
+	f.rec.logf("platform: SIGTERM to %s", entry.name)
+	entry.signal(syscall.SIGTERM)
+	var wg sync.WaitGroup
+	var lost, good atomic.Int64
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			a := request{Method: "POST", Host: host, Path: "/payment/new", DeadlineMs: 4000, Body: "amount=12"}.send(entry.outbound)
+			f.rec.logf("client: %s", a)
+			if a.status == 200 && a.err == nil && len(a.body) == 1400 {
+				good.Add(1)
+				return
+			}
+			if a.status == 503 || a.status == 429 {
+				return
+			}
+			lost.Add(1)
+		}()
+	}
+	wg.Wait()
+	f.rec.logf("%d requests got their whole answer, %d were broken off while their target was at work", good.Load(), lost.Load())
+	if lost.Load() > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// lateAccept stops a node as planned while its target is at work.
+func lateAccept(f *fleet) error {
+	timed := func(t *target, c net.Conn, r *http.Request, _ []byte) bool {
+		var d time.Duration
+		if q := r.URL.Query().Get("work"); q != "" {
+			d, _ = time.ParseDuration(q)
+		}
+		time.Sleep(d)
+		ok := t.answer(c, r, 200, []byte("answer to "+r.Header.Get("Request-Id")))
+		f.rec.logf("target %s: answered %s, connection open %v", t.id, r.Header.Get("Request-Id"), ok)
+		return ok
+	}
+	err := f.startAll(twoServices(6), []spec{
+		{"node-a", "balance", "zone-a", timed},
+		{"node-b", "payment", "zone-b", timed},
+		{"node-c", "balance", "zone-c", timed},
+	})
+	if err != nil {
+		return err
+	}
+	entry := f.nodes["node-a"]
+	// Connections that clients keep open.
+	var kept []net.Conn
+	for range 6 {
+		c, err := net.Dial("tcp", entry.outbound)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		a := request{Method: "GET", Host: host, Path: "/payment/warm", DeadlineMs: 1000}.sendOn(c, br)
+		if a.status != 200 {
+			return fmt.Errorf("%w: warm-up: %s", errSetup, a)
+		}
+		kept = append(kept, c)
+	}
+	stop := time.Now()
+	if f.trouble {
+		f.rec.logf("platform: SIGTERM to %s", entry.name)
+		entry.signal(syscall.SIGTERM)
+	}
+	var wg sync.WaitGroup
+	var lost, good, refused atomic.Int64
+	at := func(d time.Duration, label string, counts bool, send func() answer) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Until(stop.Add(d)))
+			f.rec.logf("client: %s sent %.1f s after the SIGTERM", label, d.Seconds())
+			a := send()
+			f.rec.logf("client: %s: %s", label, a)
+			if !counts {
+				return
+			}
+			switch {
+			case a.status == 200 && a.err == nil:
+				good.Add(1)
+			case a.status == 503 || a.status == 429:
+				refused.Add(1)
+			default:
+				lost.Add(1)
+			}
+		}()
+	}
+	// The target of the node is at work until after the others are sent.
+	at(2*time.Second, "request at the own target", false, func() answer {
+		return request{Method: "GET", Host: host, Path: "/balance/x?work=3200ms", DeadlineMs: 6000}.send(f.nodes["node-a"].outbound)
+	})
+	for i, c := range kept {
+		at(3300*time.Millisecond+time.Duration(i)*100*time.Millisecond, fmt.Sprintf("payment %d", i), true, func() answer {
+			return request{Method: "POST", Host: host, Path: "/payment/new?work=2900ms", DeadlineMs: 5500, Body: "amount=12"}.sendOn(c, bufio.NewReader(c))
+		})
+	}
+	wg.Wait()
+	f.rec.logf("%d answered, %d refused as not run, %d broken off", good.Load(), refused.Load(), lost.Load())
+	if lost.Load() > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// lateHeartbeat kills a node right after it has acknowledged that its target leaves. A heartbeat that
+// the target sent before arrives seconds late.
+func lateHeartbeat(f *fleet) error {
+	err := f.startAll(twoServices(1.5), []spec{
+		{"node-a", "balance", "zone-a", work(60 * time.Millisecond)},
+		{"node-b", "payment", "zone-b", work(60 * time.Millisecond)},
+		{"node-c", "payment", "zone-c", work(60 * time.Millisecond)},
+	})
+	if err != nil {
+		return err
+	}
+	n := f.nodes["node-b"]
+	late := n.target.beat("ready") // Sent now, on its way for seconds.
+	n.target.leaving.Store(true)
+	status, err := n.target.deregister()
+	if err != nil || status/100 != 2 {
+		return fmt.Errorf("%w: deregistration: %d %v", errSetup, status, err)
+	}
+	acked := time.Now()
+	f.rec.logf("target %s: its deregistration was acknowledged", n.target.id)
+	if f.trouble {
+		time.Sleep(500 * time.Millisecond)
+		n.kill()
+		f.rec.logf("platform: killed %s", n.name)
+		time.Sleep(500 * time.Millisecond)
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(acked.Add(2500 * time.Millisecond)))
+	status, err = n.target.post("/-/Instances.Heartbeat/"+n.target.id, late)
+	f.rec.logf("target %s: a heartbeat sent before arrives: %d %v", n.target.id, status, err)
+	time.Sleep(time.Until(acked.Add(5 * time.Second)))
+	// Clients whose requests take more than the slots of one target.
+	var wg sync.WaitGroup
+	for range 14 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range 25 {
+				a := request{Method: "GET", Host: host, Path: "/payment/later", DeadlineMs: 1500}.send(f.nodes["node-a"].outbound)
+				f.rec.logf("client: %s", a)
+			}
+		}()
+	}
+	wg.Wait()
+	return f.checkDrained(n.target, "/payment/later", acked)
+}
+
+// checkDrained counts the requests that reached a target later than DrainS after an acknowledgement.
+func (f *fleet) checkDrained(t *target, path string, acked time.Time) error {
+	const drain = 2 * time.Second
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reached := 0
+	for _, r := range t.runs {
+		if r.path == path && r.at.Sub(acked) > drain {
+			reached++
+		}
+	}
+	f.rec.logf("%d requests reached target %s later than DrainS after the acknowledgement", reached, t.id)
+	if reached > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// slowUpload lets clients send bodies that begin late, while a target leaves as planned.
+func slowUpload(f *fleet) error {
+	err := f.startAll(twoServices(6), []spec{
+		{"node-a", "balance", "zone-a", work(20 * time.Millisecond)},
+		{"node-b", "payment", "zone-b", work(20 * time.Millisecond)},
+		{"node-c", "payment", "zone-c", work(20 * time.Millisecond)},
+	})
+	if err != nil {
+		return err
+	}
+	pause := 3 * time.Second
+	if !f.trouble {
+		pause = 0
+	}
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a := request{Method: "POST", Host: host, Path: "/payment/slow", DeadlineMs: 5500, Body: "amount=12", chunked: true, pause: pause}.send(f.nodes["node-b"].outbound)
+			f.rec.logf("client: %s", a)
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	t := f.nodes["node-b"].target
+	t.leaving.Store(true)
+	status, err := t.deregister()
+	if err != nil || status/100 != 2 {
+		return fmt.Errorf("%w: deregistration: %d %v", errSetup, status, err)
+	}
+	acked := time.Now()
+	f.rec.logf("target %s: its deregistration was acknowledged", t.id)
+	wg.Wait()
+	return f.checkDrained(t, "/payment/slow", acked)
+}
