--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -50,6 +50,9 @@
 
 // send sends the request on a connection of its own.
 func (r request) send(addr string) answer {
+	if r.ID == "" {
+		r.ID = newID()
+	}
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return answer{id: r.ID, err: err}
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -42,9 +42,13 @@
 	mu    sync.Mutex
 	f     *os.File
 	start time.Time
+	quiet bool
 }
 
 func (r *recorder) logf(format string, args ...any) {
+	if r.quiet {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	line := fmt.Sprintf("%8.3f  ", time.Since(r.start).Seconds()) + fmt.Sprintf(format, args...)
