--- a/review/harness/case_traffic.go
+++ b/review/harness/case_traffic.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,14 +47,24 @@
 	run                 behavior
 }
 
+// Additional bytes of a target. They look like answers, but bear no Request-Id.
+const (
+	strayAnswerBytes   = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nleftover"
+	strayRejectedBytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
 // strayAnswer lets a target send additional bytes after complete answers. They arrive at the point
 // where the next answer is expected, and bear no Request-Id.
 func strayAnswer(f *fleet) error {
-	var strays atomic.Int64
+	var answers atomic.Int64
 	pay := func(t *target, c net.Conn, r *http.Request, _ []byte) bool {
-		if f.trouble && r.URL.Path != "/payment/warm" && strays.Add(1)%20 == 0 {
-			f.rec.logf("target %s: additional bytes of an earlier answer precede the answer to %s", t.id, r.Header.Get("Request-Id"))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nleftover")
+		if n := answers.Add(1); f.trouble && r.URL.Path != "/payment/warm" && n%20 == 0 {
+			bytes := strayAnswerBytes
+			if n%40 == 0 {
+				bytes = strayRejectedBytes
+			}
+			f.rec.logf("target %s: additional bytes %.30q precede the answer to %s", t.id, bytes, r.Header.Get("Request-Id"))
+			_, _ = io.WriteString(c, bytes)
 		}
 		time.Sleep(20 * time.Millisecond)
 		return t.answer(c, r, 200, []byte("answer to "+r.Header.Get("Request-Id")))
@@ -62,28 +72,33 @@
 	err := f.startAll(twoServices(1.5), []spec{
 		{"node-a", "balance", "zone-a", work(20 * time.Millisecond)},
 		{"node-b", "payment", "zone-b", pay},
+		{"node-c", "payment", "zone-c", pay},
 	})
 	if err != nil {
 		return err
 	}
-	wrong, good := 0, 0
-	for range 160 {
+	foreign, good, twice := 0, 0, 0
+	for range 240 {
 		id := newID()
 		a := request{ID: id, Method: "POST", Host: host, Path: "/payment/new", DeadlineMs: 1500, Body: "amount=12"}.send(f.nodes["node-a"].outbound)
 		f.rec.logf("client: %s", a)
 		switch {
-		case a.status/100 == 2 && (a.signature != "i-node-b."+id || a.body != "answer to "+id):
-			wrong++
-			f.rec.logf("BROKEN: request %s got a success that is not its target's answer", id)
+		case a.status/100 == 2 && (!strings.HasSuffix(a.signature, "."+id) || a.body != "answer to "+id):
+			foreign++
+			f.rec.logf("BROKEN (MIXED): request %s got a success that is not its target's answer", id)
 		case a.status == 200:
 			good++
 		}
+		if f.timesRun(id) > 1 {
+			twice++
+			f.rec.logf("BROKEN (TWICE): payment %s ran at two targets", id)
+		}
 	}
-	f.rec.logf("%d requests got their answer, %d got a success that isn't", good, wrong)
+	f.rec.logf("%d requests got their answer, %d got a success that isn't, %d payments ran twice", good, foreign, twice)
 	if good == 0 {
 		return fmt.Errorf("%w: nothing was served", errSetup)
 	}
-	if wrong > 0 {
+	if foreign+twice > 0 {
 		return errBroken
 	}
 	return nil
@@ -145,19 +160,24 @@
 	return nil
 }
 
-// ran reports whether a target has begun to work on a request.
-func (f *fleet) ran(id string) bool {
-	for _, n := range f.nodes {
-		n.target.mu.Lock()
-		found := slices.ContainsFunc(n.target.runs, func(r ranRequest) bool { return r.id == id })
-		n.target.mu.Unlock()
-		if found {
-			return true
+// timesRun returns how often targets have begun to work on a request.
+func (f *fleet) timesRun(id string) int {
+	n := 0
+	for _, node := range f.nodes {
+		node.target.mu.Lock()
+		for _, r := range node.target.runs {
+			if r.id == id {
+				n++
+			}
 		}
+		node.target.mu.Unlock()
 	}
-	return false
+	return n
 }
 
+// ran reports whether a target has begun to work on a request.
+func (f *fleet) ran(id string) bool { return f.timesRun(id) > 0 }
+
 // lateAccept stops a node as planned while its target is at work.
 func lateAccept(f *fleet) error {
 	timed := func(t *target, c net.Conn, r *http.Request, _ []byte) bool {
@@ -274,19 +294,29 @@
 	status, err = n.target.post("/-/Instances.Heartbeat/"+n.target.id, late)
 	f.rec.logf("target %s: a heartbeat sent before arrives: %d %v", n.target.id, status, err)
 	time.Sleep(time.Until(acked.Add(5 * time.Second)))
+	// The target ends, as it said it would.
+	time.AfterFunc(time.Until(acked.Add(6500*time.Millisecond)), func() {
+		f.rec.logf("target %s: exits", n.target.id)
+		n.target.exit()
+	})
 	// Clients whose requests take more than the slots of one target.
+	var lost atomic.Int64
 	var wg sync.WaitGroup
 	for range 14 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			for range 25 {
-				a := request{Method: "GET", Host: host, Path: "/payment/later", DeadlineMs: 1500}.send(f.nodes["node-a"].outbound)
+				a := request{Method: "POST", Host: host, Path: "/payment/later", DeadlineMs: 1500, Body: "amount=12"}.send(f.nodes["node-a"].outbound)
 				f.rec.logf("client: %s", a)
+				if a.status != 200 && f.ran(a.id) {
+					lost.Add(1)
+				}
 			}
 		}()
 	}
 	wg.Wait()
+	f.rec.logf("%d payments had begun at a target and got no answer of it", lost.Load())
 	return f.checkDrained(n.target, "/payment/later", acked)
 }
 
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -33,8 +33,9 @@
 	stopped chan struct{}
 	stopOne sync.Once
 
-	mu   sync.Mutex
-	runs []ranRequest
+	mu    sync.Mutex
+	runs  []ranRequest
+	conns map[net.Conn]bool
 }
 
 type ranRequest struct {
@@ -50,13 +51,23 @@
 	t := &target{
 		rec: rec, id: id, service: service, zone: zone, addr: addr, beatAddr: beatAddr,
 		born: time.Now().UnixMilli(), listener: l, run: b, stopped: make(chan struct{}),
+		conns: make(map[net.Conn]bool),
 	}
 	go t.serve()
 	return t, nil
 }
 
-func (t *target) stop() {
-	t.stopOne.Do(func() { close(t.stopped); t.listener.Close() })
+// exit ends the target with all its connections.
+func (t *target) exit() {
+	t.stopOne.Do(func() {
+		close(t.stopped)
+		t.listener.Close()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for c := range t.conns {
+			c.Close()
+		}
+	})
 }
 
 func (t *target) serve() {
@@ -71,6 +82,9 @@
 
 func (t *target) serveConn(c net.Conn) {
 	defer c.Close()
+	t.mu.Lock()
+	t.conns[c] = true
+	t.mu.Unlock()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
