--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 mkdir -p target
 cd harness
-GOFLAGS=-mod=mod GOWORK=off go build -o ../target/harness .
+GOFLAGS= GOWORK=off go build -o ../target/harness .
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,7 +22,7 @@
 	"stray-answer":     strayAnswer,
 	"slow-body":        slowBody,
 	"late-accept":      lateAccept,
-	"late-heartbeat":   lateHeartbeat,
+	"split-voters":     splitVoters,
 }
 
 func main() {
