--- a/internal/agreement/voter/state_test.go
+++ b/internal/agreement/voter/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -59,6 +60,25 @@
 	}
 }
 
+// TestDerivedDocumentFollowsBase guards against a document that was derived from another state than the one that the change replaces.
+func TestDerivedDocumentFollowsBase(t *testing.T) {
+	derive := func(replaced *controlwire.Document) (*controlwire.Document, error) {
+		note := &controlwire.Entry{Section: "service x", Key: "copy", Value: replaced.GetEntries()[0].GetValue()}
+		return &controlwire.Document{Entries: append(slices.Clip(replaced.GetEntries()), note)}, nil
+	}
+	first := newState(genesisState("g"))
+	sub := newSubmission(&controlwire.SubmitRequest{ChangeId: "c", Replaces: 1}, derive, func(*controlwire.Document) []byte { return nil })
+	assert.Assert(t, sub.decide(first) == nil)
+	assert.ErrorIs(t, sub.err, ErrBaseTooNew)
+	// Different states may hold the same version while none is known to be chosen.
+	for size := range 3 {
+		transition := sub.decide(applyChange(t, first, size))
+		assert.NilError(t, sub.err)
+		assert.Equal(t, len(transition.GetChange().GetChanges()), 1)
+		assert.Equal(t, len(transition.GetChange().GetChanges()[0].GetEntry().GetValue()), size)
+	}
+}
+
 func TestHistoryIsBounded(t *testing.T) {
 	s := newState(genesisState("g"))
 	for range maxDetailedChanges + 10 {
--- a/internal/agreement/voter/voter.go
+++ b/internal/agreement/voter/voter.go
@@ -77,6 +77,7 @@
 	reasonConflict   classifier.Reason = "conflict"
 	reasonInvalid    classifier.Reason = "invalid"
 	reasonTooOld     classifier.Reason = "too-old"
+	reasonBaseTooNew classifier.Reason = "base-too-new"
 	reasonNoMajority classifier.Reason = "no-majority"
 	reasonUnknown    classifier.Reason = "outcome-unknown"
 	reasonOther      classifier.Reason = "other"
@@ -198,12 +199,24 @@
 // the change was not proposed, ErrOutcomeUnknown that it may or may not have
 // been accepted.
 func (v *Voter) Submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
-	resp, err := v.submit(ctx, req)
+	return v.submitAndReport(ctx, req, nil)
+}
+
+// SubmitDerived is like Submit, but the change's document is derived from the version that
+// it replaces, once that version is known to be the newest. An error of derive refuses the
+// change with ErrInvalid. derive may be called several times.
+func (v *Voter) SubmitDerived(ctx context.Context, req *controlwire.SubmitRequest, derive DocumentFunc) (*controlwire.SubmitResponse, error) {
+	return v.submitAndReport(ctx, req, derive)
+}
+
+func (v *Voter) submitAndReport(ctx context.Context, req *controlwire.SubmitRequest, derive DocumentFunc) (*controlwire.SubmitResponse, error) {
+	sub := newSubmission(req, derive, v.cfg.Digest)
+	resp, err := v.submit(ctx, sub)
 	reason := submissionReason(resp, err)
 	v.submissions.Inc(reason)
 	v.cfg.Log.Info().Str("change", req.GetChangeId()).Str("operator", req.GetOperator()).
 		Uint64("replaces", req.GetReplaces()).Uint64("wanted", req.GetVersion()).Uint64("version", resp.GetVersion()).
-		Str("result", string(reason)).AnErr("error", err).Msg("Submission finished.")
+		Hex("digest", sub.digest).Str("result", string(reason)).AnErr("error", err).Msg("Submission finished.")
 	if err != nil {
 		return nil, fmt.Errorf("submit change: %w", err)
 	}
@@ -244,11 +257,10 @@
 // confirm is the transitionFunc that changes nothing.
 func confirm(*State) *voterwire.Transition { return nil }
 
-func (v *Voter) submit(ctx context.Context, req *controlwire.SubmitRequest) (*controlwire.SubmitResponse, error) {
+func (v *Voter) submit(ctx context.Context, sub *submission) (*controlwire.SubmitResponse, error) {
 	ctx, cancel := withTimeout(ctx, operationTimeout)
 	defer cancel()
-	sub, err := newSubmission(req, v.cfg.Digest)
-	if err != nil {
+	if err := sub.prepare(); err != nil {
 		return nil, err
 	}
 	if held, _ := v.acceptor.newestState(); held != nil && !v.hasRequiredVoters(held) {
@@ -267,6 +279,10 @@
 			err = v.finishReplacement(ctx, state)
 		default:
 			v.tryFinishReplacement(ctx, state)
+			if p.sent && errors.Is(sub.err, ErrBaseTooNew) {
+				// An earlier attempt proposed the change on a state that may still be chosen.
+				return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, sub.err)
+			}
 			return sub.response, sub.err
 		}
 		if err != nil {
@@ -392,12 +408,14 @@
 		return reasonAccepted
 	case errors.Is(err, ErrInvalid):
 		return reasonInvalid
+	case errors.Is(err, ErrOutcomeUnknown):
+		return reasonUnknown
 	case errors.Is(err, ErrTooOld):
 		return reasonTooOld
+	case errors.Is(err, ErrBaseTooNew):
+		return reasonBaseTooNew
 	case errors.Is(err, ErrNoMajority), errors.Is(err, ErrTooFewVoters):
 		return reasonNoMajority
-	case errors.Is(err, ErrOutcomeUnknown):
-		return reasonUnknown
 	default:
 		return reasonOther
 	}
