--- a/internal/connection/requester/connection.go
+++ b/internal/connection/requester/connection.go
@@ -36,9 +36,9 @@
 	// sent is true once a byte of the current request may have been written to the
 	// socket.
 	sent atomic.Bool
-	// stallTimeout limits how long one write, or one read after the first byte of the
-	// response, may block; 0 means no limit.
-	stallTimeout time.Duration
+	// stall limits how long one write, or one read after the first byte of the response,
+	// may block.
+	stall stallLimit
 	// received counts the bytes received in the current exchange.
 	received int64
 	// headLimit limits received until the head of the final response is complete,
@@ -56,9 +56,9 @@
 }
 
 // beginExchange resets the state of the previous exchange.
-func (c *connection) beginExchange(stallTimeout time.Duration) {
+func (c *connection) beginExchange(stall stallLimit) {
 	c.sent.Store(false)
-	c.stallTimeout = stallTimeout
+	c.stall = stall
 	c.received = 0
 	c.headLimit = maxResponseHeadSize
 	c.readErr, c.writeErr = nil, nil
@@ -67,13 +67,13 @@
 // Write sends p. It marks the request as sent before it writes to the socket, and
 // removes the mark only if the first write failed without writing a byte.
 func (c *connection) Write(p []byte) (int, error) {
-	if c.stallTimeout > 0 {
-		if err := c.netConn.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
-			return 0, errors.Wrap(err, "set write deadline")
-		}
-	}
 	firstWrite := !c.sent.Swap(true)
-	n, err := c.netConn.Write(p)
+	n, err := c.write(p)
+	for c.stall.goOn(true, err) {
+		var more int
+		more, err = c.write(p[n:])
+		n += more
+	}
 	c.writeErr = err
 	if n == 0 && err != nil && firstWrite {
 		c.sent.Store(false)
@@ -81,37 +81,54 @@
 	return n, err
 }
 
-// Read receives into p, subject to the stall timeout and the head limit.
+// write performs one write.
+func (c *connection) write(p []byte) (int, error) {
+	if c.stall.timeout > 0 {
+		if err := c.netConn.SetWriteDeadline(time.Now().Add(c.stall.timeout)); err != nil {
+			return 0, errors.Wrap(err, "set write deadline")
+		}
+	}
+	return c.netConn.Write(p) //nolint:wrapcheck // net/http inspects it.
+}
+
+// Read receives into p, subject to the stall limit and the head limit.
 func (c *connection) Read(p []byte) (int, error) {
 	if c.headLimit > 0 && c.received >= c.headLimit {
 		return 0, errHeadTooLarge
 	}
-	if c.stallTimeout > 0 && c.received > 0 {
-		if err := c.netConn.SetReadDeadline(time.Now().Add(c.stallTimeout)); err != nil {
-			c.readErr = err
-			return 0, errors.Wrap(err, "set read deadline")
-		}
+	n, err := c.read(p)
+	for n == 0 && c.stall.goOn(false, err) {
+		n, err = c.read(p)
 	}
-	n, err := c.netConn.Read(p)
 	c.received += int64(n)
 	c.readErr = err
 	return n, err
 }
 
+// read performs one read.
+func (c *connection) read(p []byte) (int, error) {
+	if c.stall.timeout > 0 && c.received > 0 {
+		if err := c.netConn.SetReadDeadline(time.Now().Add(c.stall.timeout)); err != nil {
+			return 0, errors.Wrap(err, "set read deadline")
+		}
+	}
+	return c.netConn.Read(p) //nolint:wrapcheck // net/http inspects it.
+}
+
 // restartReceive lets the wait for the response begin after a 100 response: the stall timeout must
 // not count while the request body is sent.
 func (c *connection) restartReceive() error {
 	c.received = 0 // Of the final response.
-	if c.stallTimeout == 0 {
+	if c.stall.timeout == 0 {
 		return nil
 	}
 	return errors.Wrap(c.netConn.SetReadDeadline(time.Time{}), "clear read deadline")
 }
 
-// clearDeadlines removes the deadlines that the stall timeout has set, and reports
+// clearDeadlines removes the deadlines that the stall limit has set, and reports
 // whether the connection can be reused.
 func (c *connection) clearDeadlines() bool {
-	return c.stallTimeout == 0 || c.netConn.SetDeadline(time.Time{}) == nil
+	return c.stall.timeout == 0 || c.netConn.SetDeadline(time.Time{}) == nil
 }
 
 // limitIdleTime sets how long the connection may be idle by the header of its last
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -105,8 +104,7 @@
 	if err == nil {
 		err = buf.Flush()
 	}
-	var netErr net.Error
-	if errors.As(e.conn.writeErr, &netErr) && netErr.Timeout() {
+	if timedOut(e.conn.writeErr) {
 		e.conn.close() // The server has stopped reading: no response will come either.
 	}
 	return errors.Wrap(err, "write request")
@@ -129,6 +127,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if err := e.conn.endsReported(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusContinue && e.body != nil {
 			if err := e.conn.restartReceive(); err != nil {
 				return nil, err
@@ -234,11 +235,10 @@
 // receiveFailureReason returns why reading a response failed. Without a read error
 // the response itself was invalid.
 func receiveFailureReason(c *connection) classifier.Reason {
-	var netErr net.Error
 	switch {
 	case c.readErr == nil:
 		return classifier.ReasonMalformed
-	case errors.As(c.readErr, &netErr) && netErr.Timeout():
+	case timedOut(c.readErr):
 		return classifier.ReasonStalled
 	case c.received > 0:
 		return classifier.ReasonTruncated
--- a/internal/connection/requester/pool.go
+++ b/internal/connection/requester/pool.go
@@ -71,7 +71,8 @@
 // Limits overrides the limits of the pool for one exchange. The zero value overrides
 // none.
 type Limits struct {
-	// StallTimeout replaces the pool's stall timeout unless it is 0.
+	// StallTimeout replaces the pool's stall timeout if the context has a StallHandler,
+	// unless it is 0.
 	StallTimeout time.Duration
 	// RunsWithBody declares that the server runs a request with "Expect: 100-continue" only once
 	// it has received a part of the body. The body is sent only after a 100 response, however long
@@ -129,11 +130,7 @@
 		closeBody(req)
 		return nil, err
 	}
-	stallTimeout := limits.StallTimeout
-	if stallTimeout == 0 {
-		stallTimeout = p.cfg.StallTimeout
-	}
-	c.beginExchange(stallTimeout)
+	c.beginExchange(newStallLimit(ctx, &p.cfg, limits))
 	e := newExchange(ctx, c, req, &p.cfg)
 	e.runsWithBody = limits.RunsWithBody && expectsContinue(req)
 	return e.run()
--- a/internal/connection/responder/response_writer.go
+++ b/internal/connection/responder/response_writer.go
@@ -109,6 +109,22 @@
 	return errors.Wrap(rw.responder.writer.Flush(), "flush 100 response")
 }
 
+// WriteInformational sends an informational response with the given header, unless the head
+// of the response was written, and reports whether it did. An error recurs at the next write.
+func (rw *responseWriter) WriteInformational(status int, header http.Header) bool {
+	rw.headMu.Lock()
+	defer rw.headMu.Unlock()
+	if rw.headWritten {
+		return false
+	}
+	w := rw.responder.writer
+	fmt.Fprintf(w, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(w)
+	_, _ = w.WriteString("\r\n")
+	_ = w.Flush()
+	return true
+}
+
 // writeHead writes the head and the buffered part of the body. A body without a
 // Content-Length is sent in chunks. Errors are ignored here: the bufio.Writer returns
 // them from Flush.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -37,6 +37,9 @@
 	// explicit is route.explicit. On an explicit route, a 500 of the upstream is a failure
 	// that may be retried, as the kind of the route defines which requests may run again.
 	explicit bool
+	// stalled receives a value if the attempt makes no progress. It is nil if nothing is
+	// done about that before the response is relayed.
+	stalled chan<- struct{}
 }
 
 // try picks an untried instance and sends the request to it, with the headers in extra
@@ -166,6 +169,7 @@
 	if (c.route.largeResponse || c.uploads()) && a.choice.SameFailureDomain {
 		req.Header[classifier.HeaderStay] = preferLocalValue
 	}
+	ctx = requester.WithStallHandler(ctx, func(sending bool) bool { return c.endStalled(a, sending) })
 	resp, refusal := c.deliver(ctx, a.choice.Instance, req)
 	if refusal != nil {
 		return nil, refusal
@@ -176,6 +180,26 @@
 	return resp, nil
 }
 
+// endStalled is the requester.StallHandler of an attempt. It ends the attempt only if the
+// request can't have run, since a part of it was never taken, or if the response is being
+// relayed and the rest can be requested elsewhere. Before that, further attempts run beside
+// it: the response may still come.
+func (c *call) endStalled(a *attempt, sending bool) bool {
+	switch {
+	case sending:
+		return c.stream == nil
+	case !c.idempotent || c.stream != nil:
+		return false
+	case c.resumable.Load():
+		return c.mayResume()
+	}
+	select {
+	case a.stalled <- struct{}{}:
+	default:
+	}
+	return false
+}
+
 // deliver sends the request to the instance's node, or serves it in process if the
 // instance is this node's own.
 func (c *call) deliver(ctx context.Context, in *registrar.Instance, req *http.Request) (*http.Response, *refuser.Refusal) {
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
@@ -67,6 +68,8 @@
 	fingerprint *fingerprinter.Request
 	// quotaTicket is what was taken from the quota of the organisation.
 	quotaTicket quotakeeper.Ticket
+	// resumable is set when a response is relayed whose rest can be requested elsewhere.
+	resumable atomic.Bool
 	// quarantined is the refusal of a request that must not be sent any more, or nil.
 	quarantined *refuser.Refusal
 }
--- a/internal/request/forwarder/fault_test.go
+++ b/internal/request/forwarder/fault_test.go
@@ -201,10 +201,16 @@
 	if requestKind != http.MethodGet {
 		assert.Assert(t, runs <= 1, "ran %d times", runs)
 	}
+	if faults := []fault{f.network.fault, f.network.secondFault}; took == deadline && slices.ContainsFunc(faults, fault.stopsMidway) {
+		result = "ended by the deadline" // Which of the nodes ends it first is not determined.
+	}
 	assert.Assert(t, took <= deadline || errors.Is(err, context.DeadlineExceeded), "response after %v", took)
 	return result, took
 }
 
+// stopsMidway reports whether a request or response stops in its middle, on a connection that stays open.
+func (f fault) stopsMidway() bool { return (f.kind == stall || f.kind == garbage) && f.step != wait }
+
 // TestFaultPairs injects each pair of faults into the first and the second attempt, and
 // counts the caller's results.
 func TestFaultPairs(t *testing.T) {
--- a/internal/request/forwarder/hedge.go
+++ b/internal/request/forwarder/hedge.go
@@ -6,15 +6,19 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/banyanscale/banyanscale/internal/request/retrier"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
-// hedger runs one attempt and, if it is slow, a second one concurrently. The first
-// successful response wins; the other attempt is canceled and its response discarded.
+// hedger runs one attempt and, if it is slow or makes no progress, further ones
+// concurrently. The first successful response wins; the other attempts are canceled and
+// their responses discarded.
 type hedger struct {
 	call    *call
 	running []*hedgedAttempt
 	results chan *hedgedAttempt
+	// stalled receives a value when an attempt makes no progress.
+	stalled chan struct{}
 	// decided is closed when an attempt has won or the last one has failed.
 	decided chan struct{}
 	tomb    tomb.Tomb
@@ -26,24 +30,31 @@
 	cancel  context.CancelFunc
 }
 
-// tryHedged is like try, but starts a second attempt if the first is slow, provided that
-// the service hedges, the request is idempotent and its body is not streamed.
+// tryHedged is like try, but if the request is idempotent and its body is not streamed, it
+// starts further attempts: a second one if the first is slow and the service hedges, and
+// others while none makes progress.
 func (c *call) tryHedged(cause classifier.Reason) *attempt {
-	if c.route.spec.HedgeAfter <= 0 || !c.idempotent || c.stream != nil {
+	if !c.idempotent || c.stream != nil {
 		return c.try(cause, nil)
 	}
 	a := c.pick(cause)
 	if a == nil {
 		return nil
 	}
-	h := &hedger{call: c, results: make(chan *hedgedAttempt), decided: make(chan struct{})}
+	h := &hedger{call: c, results: make(chan *hedgedAttempt), stalled: make(chan struct{}, 1), decided: make(chan struct{})}
 	h.start(a)
-	timer := time.NewTimer(c.route.spec.HedgeAfter)
-	defer timer.Stop()
+	var slow <-chan time.Time
+	if c.route.spec.HedgeAfter > 0 {
+		timer := time.NewTimer(c.route.spec.HedgeAfter)
+		defer timer.Stop()
+		slow = timer.C
+	}
 	for {
 		select {
-		case <-timer.C:
+		case <-slow:
 			h.startHedge()
+		case <-h.stalled:
+			h.startAfterStall()
 		case ended := <-h.results:
 			if final := h.handleEnded(ended); final != nil {
 				return final
@@ -54,6 +65,7 @@
 
 // start runs an attempt concurrently with those already running.
 func (h *hedger) start(a *attempt) {
+	a.stalled = h.stalled
 	ctx, cancel := context.WithCancel(h.call.ctx)
 	started := &hedgedAttempt{attempt: a, cancel: cancel}
 	h.running = append(h.running, started)
@@ -97,6 +109,21 @@
 	h.start(a)
 }
 
+// startAfterStall starts another attempt if a failed one could be retried.
+func (h *hedger) startAfterStall() {
+	c := h.call
+	c.mayHaveRun = true
+	decision := retrier.Decide(retrier.Failure{Outcome: classifier.Unknown, Reason: classifier.ReasonStalled}, c.retryState())
+	c.recordDenial(decision)
+	if !decision.Retry() || !c.takeFurtherQuota() {
+		return
+	}
+	if a := c.pick(classifier.ReasonStalled); a != nil {
+		c.forwarder.retries.Inc(classifier.ReasonStalled)
+		h.start(a)
+	}
+}
+
 // handleEnded handles an attempt that has ended. It returns the attempt if it succeeded or
 // if no other is running, and nil otherwise.
 func (h *hedger) handleEnded(ended *hedgedAttempt) *attempt {
--- a/internal/request/forwarder/response.go
+++ b/internal/request/forwarder/response.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
 	"github.com/banyanscale/banyanscale/internal/request/resumer"
@@ -33,6 +35,7 @@
 	}
 	if resumer.Eligible(c.r, resp) {
 		resp.Body = resumer.New(resp, c.resume)
+		c.resumable.Store(true)
 	}
 	relayer.WriteResponseHeader(w, resp)
 	n, err := relayer.CopyBody(w, resp.Body)
@@ -53,6 +56,8 @@
 	if !decision.Retry() {
 		return nil, errNotResumed
 	}
+	c.resumable.Store(false)
+	defer c.resumable.Store(true)
 	a := c.try(cause, extra)
 	if a == nil {
 		return nil, errNotResumed
@@ -65,6 +70,14 @@
 	return a.resp, nil
 }
 
+// mayResume reports whether resume may start another attempt at this moment.
+func (c *call) mayResume() bool {
+	untried := slices.ContainsFunc(c.route.instances, func(in *registrar.Instance) bool {
+		return !slices.Contains(c.excluded, in.ID())
+	})
+	return untried && retrier.Permits(retrier.Failure{Reason: classifier.ReasonStalled}, c.retryState())
+}
+
 // abort breaks the caller's connection after a truncated response. It does not return.
 func (c *call) abort(w http.ResponseWriter, resp *http.Response, err error) {
 	reason := classifier.ReasonCanceled
--- a/internal/request/retrier/budget.go
+++ b/internal/request/retrier/budget.go
@@ -55,6 +55,9 @@
 // Withdraw removes the cost of one retry. It returns false if there are too few tokens.
 func (b *Budget) Withdraw() bool { return b.withdraw(0) }
 
+// Available reports whether Withdraw would succeed now.
+func (b *Budget) Available() bool { return b.tokens.Load() >= retryCost }
+
 // WithdrawHedge removes the cost of one hedge. It returns false if that would leave less
 // than half of the capacity, which is reserved for retries, since they matter more.
 func (b *Budget) WithdrawHedge() bool { return b.withdraw(b.capacity.Load() / reserveDivisor) }
--- a/internal/request/retrier/retrier.go
+++ b/internal/request/retrier/retrier.go
@@ -72,6 +72,9 @@
 	return Decision{retry: true}
 }
 
+// Permits reports whether Decide would permit a retry now. It deducts nothing.
+func Permits(f Failure, s State) bool { return mayRetry(f, s) && !f.Retried && s.Budget.Available() }
+
 // mayRetry reports whether the request itself permits a retry, regardless of the budget
 // and of retries at lower levels.
 func mayRetry(f Failure, s State) bool {
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -173,13 +173,14 @@
 		// Closing the body would read the rest, which the sender may hold back until it is asked.
 		req.Body = io.NopCloser(r.Body)
 	}
-	resp, err := s.Exchange(ctx, req)
+	stall := &stallReporter{w: w, streamed: body == nil && r.ContentLength != 0}
+	resp, err := s.Exchange(requester.WithStallHandler(ctx, stall.report), req)
 	if err != nil {
 		s.refuse(w, refuser.FromError(err))
 		return
 	}
 	defer resp.Body.Close()
-	s.respond(w, r, resp)
+	s.respond(w, r, resp, stall)
 }
 
 // limitReads ends reads of a streamed body at the deadline of ctx. Otherwise a sender that stalls
@@ -190,7 +191,7 @@
 	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 }
 
-func (s *Server) respond(w http.ResponseWriter, r *http.Request, resp *http.Response) {
+func (s *Server) respond(w http.ResponseWriter, r *http.Request, resp *http.Response, stall *stallReporter) {
 	h := w.Header()
 	for _, name := range [...]string{classifier.HeaderOutcome, classifier.HeaderInstance, classifier.HeaderRetried, classifier.HeaderWork} {
 		if value := resp.Header[name]; value != nil {
@@ -204,6 +205,7 @@
 			defer resp.Body.Close()
 		}
 	}
+	stall.responding = true
 	if err := relayer.Relay(w, resp); err != nil {
 		relayer.Abort(w, r)
 	}
--- a/internal/version/compiler/service.go
+++ b/internal/version/compiler/service.go
@@ -32,7 +32,8 @@
 	Timeout time.Duration
 	// MaxTimeout is the maximum timeout that a request may set.
 	MaxTimeout time.Duration
-	// StallTimeout is the maximum time without progress of a response.
+	// StallTimeout is the time without progress of a response after which a repeatable
+	// request is also sent elsewhere.
 	StallTimeout time.Duration
 	// Slots is the number of requests that an instance runs concurrently, unless it
 	// announces another number.
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -64,6 +64,9 @@
 	// HeaderOrganisation holds the name of the organisation whose API key the caller sent, on
 	// requests between nodes and to upstreams. Only nodes set it.
 	HeaderOrganisation = "Banyanscale-Organisation"
+	// HeaderStalled is set by a node on a 102 response: its upstream has begun to respond,
+	// but makes no progress.
+	HeaderStalled = "Banyanscale-Stalled"
 	// HeaderRetryAfterMS holds the time until a retry, in whole milliseconds.
 	HeaderRetryAfterMS = "Banyanscale-Retry-After-Ms"
 	// HeaderRetryAfter is the standard header for the time until a retry. Nodes set it
