--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -188,6 +188,9 @@
 		time.Sleep(lameDuckPeriod)
 	}
 	n.server.Leave()
+	if end, bounded := ctx.Deadline(); bounded {
+		n.forwarder.ServeUntil(end)
+	}
 	if err := n.server.Drain(ctx); err != nil && n.settings.StopGrace() == 0 {
 		return fmt.Errorf("drain: %w", err)
 	} else if err != nil {
--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -61,10 +61,12 @@
 	httpAddress, peerAddress := freeAddress(tb), freeAddress(tb)
 	path := filepath.Join(tb.TempDir(), id+".ini")
 	text := fmt.Sprintf("[node]\ninstance = %s\nservice = %s\nowner = o\nsite = s\nregion = r\n"+
-		"http-address = %s\npeer-address = %s\nupstream-address = %s\nslots = 1024\nconnections = 1024\nseeds = 127.0.0.1:1\n",
+		"http-address = %s\npeer-address = %s\nupstream-address = %s\nslots = 1024\nconnections = 1024\n",
 		id, service, httpAddress, peerAddress, upstream) + strings.Join(settingLines, "\n")
-	if !strings.Contains(text, "failure-domain") {
-		text += "\nfailure-domain = d"
+	for key, value := range map[string]string{"failure-domain": "d", "seeds": "127.0.0.1:1"} {
+		if !strings.Contains(text, key) {
+			text += "\n" + key + " = " + value
+		}
 	}
 	assert.NilError(tb, os.WriteFile(path, []byte(text), 0o600))
 	settings, err := configurer.LoadNode(path)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -44,6 +45,8 @@
 	// servedLog and failedLog limit the log lines of successful and failed requests.
 	servedLog, failedLog *logger.Limiter
 	latencies            *latencies
+	// servesUntil is when the node stops; nil unless that is known.
+	servesUntil atomic.Pointer[time.Time]
 }
 
 // New returns a forwarder.
@@ -88,6 +91,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), route.timeout)
 	defer cancel()
 	c := newCall(ctx, f, r, route, trace)
+	if refusal := c.leavingRefusal(); refusal != nil {
+		f.refuseEarly(w, r, trace, refusal)
+		return
+	}
 	if refusal := c.takeQuota(); refusal != nil {
 		f.refuseEarly(w, r, trace, refusal)
 		return
