--- a/internal/connection/requester/endless_test.go
+++ b/internal/connection/requester/endless_test.go
@@ -43,7 +43,7 @@
 // parts of one that are not its body. Each exchange must fail after a bounded number of
 // bytes, without waiting for its deadline, and the next one must succeed.
 func TestResponseWithoutEndIsEnded(t *testing.T) {
-	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const chunked = "HTTP/1.1 200 OK\r\nX-Echo: own\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, tc := range map[string]struct{ start, repeat string }{
 		"status line":             {"HTTP/1.1 200 ", "x"},
 		"no response":             {"", "x"},
@@ -60,7 +60,7 @@
 			written := make(chan int64, 1)
 			addr, _ := startRawServer(t, func(w net.Conn, r *http.Request) {
 				if r.Header.Get("X-Sound") != "" {
-					io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") //nolint:errcheck // The test fails without it.
+					writeResponse(w, r.Header.Get(echoHeader), "ok")
 					return
 				}
 				written <- writeEndlessly(w, tc.start, tc.repeat)
--- a/internal/connection/requester/error.go
+++ b/internal/connection/requester/error.go
@@ -14,6 +14,7 @@
 	errConnectionLimit = errors.New("connection limit reached")
 	errHeadTooLarge    = errors.New("response head is too large")
 	errNoFraming       = errors.New("response has neither a length nor chunked encoding")
+	errTwoHeads        = errors.New("response head contains another one")
 	errProtocolSwitch  = errors.New("response switches protocols")
 	errPoolClosed      = errors.New("pool is closed")
 	errBodyClosed      = errors.New("response body was closed before its end")
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -120,6 +120,9 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
+		if e.cfg.EchoHeader != "" && containsHead(resp) {
+			return nil, errTwoHeads
+		}
 		if resp.StatusCode >= http.StatusOK && e.mismatched(resp) {
 			e.discard(resp)
 			continue
@@ -140,23 +143,6 @@
 	return nil, errHeadTooLarge
 }
 
-// mismatched reports whether the echo header of a response shows that it belongs to
-// another request.
-func (e *exchange) mismatched(resp *http.Response) bool {
-	if e.cfg.EchoHeader == "" {
-		return false
-	}
-	value := resp.Header.Get(e.cfg.EchoHeader)
-	return value != "" && value != e.req.Header.Get(e.cfg.EchoHeader)
-}
-
-// discard reads and drops the body of a response that belongs to another request. A read
-// error recurs when the next response is read.
-func (e *exchange) discard(resp *http.Response) {
-	e.sawMismatch = true
-	_, _ = io.Copy(io.Discard, resp.Body)
-}
-
 // deliver returns the response to the caller, with a body that finishes the exchange
 // at its end. It fails if the end of the body cannot be detected.
 func (e *exchange) deliver(resp *http.Response) (*http.Response, error) {
--- a/internal/connection/requester/pool.go
+++ b/internal/connection/requester/pool.go
@@ -59,8 +59,9 @@
 	// response, may block; 0 means no limit.
 	StallTimeout time.Duration
 	// EchoHeader names a header whose value the server copies from the request to
-	// the response; empty for none. A response with another value belongs to an
-	// earlier request: it is discarded, and its connection is not reused.
+	// the response; empty for none. A response without it or with another value belongs
+	// to no request or to an earlier one: it is discarded, and its connection is not
+	// reused.
 	EchoHeader string
 	// AllowCloseDelimited accepts responses with neither a length nor chunked encoding.
 	// Such a response is complete if the server closes the connection, and truncated
--- a/internal/connection/requester/response_test.go
+++ b/internal/connection/requester/response_test.go
@@ -126,6 +126,88 @@
 	}
 }
 
+// TestForeignAnswerIsDiscarded guards against additional bytes of a faulty server that are passed on as the answer to the next request, or say that it has not run.
+func TestForeignAnswerIsDiscarded(t *testing.T) {
+	for name, foreign := range map[string]string{
+		"success without id":       "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nleftover",
+		"refusal without id":       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"success with empty id":    "HTTP/1.1 200 OK\r\n" + echoHeader + ": \r\nContent-Length: 0\r\n\r\n",
+		"earlier refusal again":    "HTTP/1.1 503 Service Unavailable\r\n" + echoHeader + ": earlier\r\nContent-Length: 0\r\n\r\n",
+		"two answers without id":   "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"own id and another's too": "HTTP/1.1 200 OK\r\n" + echoHeader + ": a\r\n" + echoHeader + ": earlier\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, accepted := startRawServer(t, func(w net.Conn, r *http.Request) {
+				_, _ = io.WriteString(w, foreign)
+				writeResponse(w, r.Header.Get(echoHeader), "own")
+			})
+			p := newEchoPool(t)
+			for range 2 {
+				body, err := getBody(t, p, addr, "a")
+				assert.NilError(t, err)
+				assert.Equal(t, body, "own")
+			}
+			assert.Equal(t, accepted.Load(), int64(2), "a connection with foreign bytes was used again")
+		})
+	}
+}
+
+// TestForeignBytesBeforeHeadAreNoAnswer guards against additional bytes that end anywhere within a head and make one with that of the answer.
+func TestForeignBytesBeforeHeadAreNoAnswer(t *testing.T) {
+	const foreign = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	for end := 1; end <= len(foreign); end++ {
+		addr, _ := startRawServer(t, func(w net.Conn, r *http.Request) {
+			_, _ = io.WriteString(w, foreign[:end])
+			writeResponse(w, r.Header.Get(echoHeader), "own")
+		})
+		p := newEchoPool(t)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr.String()+"/", http.NoBody)
+		assert.NilError(t, err)
+		req.Header.Set(echoHeader, "a")
+		req.Header.Set("X-End", "1")
+		resp, err := p.Do(t.Context(), addr, req)
+		if err != nil {
+			var failure *requester.Error
+			assert.Assert(t, errors.As(err, &failure))
+			assert.Equal(t, failure.Outcome(), classifier.Unknown, "%q", foreign[:end])
+			continue
+		}
+		defer resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusOK, "%q made a head of its own", foreign[:end])
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "own")
+	}
+}
+
+// TestRequestWithoutIDTakesResponse checks that a server may leave the echo header out where there is nothing to echo.
+func TestRequestWithoutIDTakesResponse(t *testing.T) {
+	addr, _ := startRawServer(t, func(w net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(w, completeResponse)
+	})
+	body, err := getBody(t, newEchoPool(t), addr, "")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+}
+
+// TestHeadThatEndsEarlyIsNoAnswer guards against a server that stops anywhere within the head of its answer and closes, which makes an empty body look whole.
+func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
+	for name, framing := range map[string]string{"no length": "", "length": "Content-Length: 4\r\n", "chunked": "Transfer-Encoding: chunked\r\n", "empty": "Content-Length: 0\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			head := "HTTP/1.1 200 OK\r\n" + echoHeader + ": a\r\n" + framing + "\r\n"
+			for end := range len(head) {
+				addr, _ := startRawServer(t, func(w net.Conn, _ *http.Request) {
+					_, _ = io.WriteString(w, head[:end])
+				})
+				_, err := getBody(t, newEchoPool(t), addr, "a", "X-End")
+				var failure *requester.Error
+				assert.Assert(t, errors.As(err, &failure), "%q passed as an answer", head[:end])
+				assert.Equal(t, failure.Outcome(), classifier.Unknown)
+			}
+		})
+	}
+}
+
 // TestCloseDelimitedResponses checks that a response without a length is complete if
 // the server closes the connection, and fails if the connection is reset.
 func TestCloseDelimitedResponses(t *testing.T) {
