--- a/internal/agreement/voter/monitor.go
+++ b/internal/agreement/voter/monitor.go
@@ -249,16 +249,22 @@
 	return local.GetLearnedOrigin() == nil || remote.GetLearnedRevision() > local.GetLearnedRevision()
 }
 
+// fetchAccepted fetches the state that a peer accepted. The response is the difference from
+// the state held here at the request; meanwhile the acceptor may accept another one.
 func (m *monitor) fetchAccepted(ctx context.Context, peer Peer) {
 	a := m.voter.acceptor
-	resp, ok := fetchState(ctx, peer, &voterwire.FetchStateRequest{Have: a.position().GetOrigin()})
+	a.mu.Lock()
+	held := a.acceptedState
+	a.mu.Unlock()
+	req := &voterwire.FetchStateRequest{}
+	if held != nil {
+		req.Have = held.origin()
+	}
+	resp, ok := fetchState(ctx, peer, req)
 	if !ok {
 		return
 	}
-	a.mu.Lock()
-	state := a.acceptedState
-	a.mu.Unlock()
-	next, ok := applyTransfer(state, resp.GetTransfer())
+	next, ok := applyTransfer(held, resp.GetTransfer())
 	if !ok {
 		return
 	}
