--- a/internal/request/quarantiner/evidence.go
+++ b/internal/request/quarantiner/evidence.go
@@ -71,6 +71,9 @@
 	Fingerprint fingerprinter.Fingerprint
 	// Crashes lists the latest crashes, the newest one first.
 	Crashes []Crash
+	// OtherCause reports whether upstreams also crashed without the request between the first
+	// and the last crash in a row, as far as this process knows.
+	OtherCause bool
 }
 
 // Streak returns the number of crashes since the request last ran to its end.
@@ -90,12 +93,13 @@
 	total int
 	// apart counts the moments at which the request ran apart.
 	apart int
-	// shared reports whether several upstreams ended at one of the moments.
-	shared bool
+	// shared reports whether several upstreams ended at one of the moments, and otherCause
+	// whether upstreams also ended without the request.
+	shared, otherCause bool
 }
 
 func (e *Evidence) moments() moments {
-	m := moments{}
+	m := moments{otherCause: e.OtherCause}
 	var last time.Time
 	lastApart := false
 	for _, c := range e.Crashes {
@@ -117,11 +121,11 @@
 }
 
 // surplus returns the number of moments beyond those that put the request in quarantine; it is
-// negative if there are too few. A service whose upstreams all ended has no response that would clear
-// a request meanwhile, so that a crash during its first run after that may be by chance.
+// negative if there are too few. A crash may be by chance while upstreams crash for another cause, or
+// during the first run after all upstreams of a service ended, since none could respond meanwhile.
 func (m moments) surplus() int {
 	apartNeeded := 1
-	if m.shared {
+	if m.shared || m.otherCause {
 		apartNeeded = 2
 	}
 	return min(m.total-trialAfter, m.apart-apartNeeded)
@@ -168,6 +172,22 @@
 	return Trial{Fingerprint: e.Fingerprint, Period: uint64(now.Sub(e.Newest()) / trialPeriod)}
 }
 
+// oldestInStreak returns the time of the first crash since the request last ran to its end.
+func (e *Evidence) oldestInStreak() time.Time {
+	var oldest time.Time
+	for _, c := range e.Crashes {
+		if !c.Survived {
+			oldest = c.At
+		}
+	}
+	return oldest
+}
+
+// includes reports whether the request was in flight in the crash with the given id.
+func (e *Evidence) includes(id crashwatcher.CrashID) bool {
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.ID == id })
+}
+
 // merge adds a crash, or what it says of a known one. It reports whether that is new.
 func (e *Evidence) merge(c Crash) bool {
 	for i := range e.Crashes {
@@ -232,5 +252,5 @@
 
 // clone returns a copy that shares nothing.
 func (e *Evidence) clone() Evidence {
-	return Evidence{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes)}
+	return Evidence{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes), OtherCause: e.OtherCause}
 }
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -358,7 +358,7 @@
 	if e == nil {
 		return false
 	}
-	before := e.Standing(now)
+	before := q.table.standing(f, now)
 	if !e.survive() {
 		return false
 	}
@@ -371,7 +371,7 @@
 // logStanding logs a change of the standing of a request.
 func (q *Quarantiner) logStanding(f fingerprinter.Fingerprint, before Standing, source string, now time.Time) {
 	e := q.table.entries[f]
-	after := e.Standing(now)
+	after := q.table.standing(f, now)
 	if after == before {
 		return
 	}
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -236,6 +236,34 @@
 	})
 }
 
+// TestCrashesOfAnotherCauseNeedMoreEvidence guards against a quarantine of a request that was in flight by chance in each of three crashes, among others in which it was not.
+func TestCrashesOfAnotherCauseNeedMoreEvidence(t *testing.T) {
+	for name, other := range map[string]func(n *node){
+		"another request crashed": func(n *node) { n.run("/b", true) },
+		"both crashed":            func(n *node) { n.runAll(true, "/a", "/b") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nodes := newNodes(4)
+				assert.Equal(t, nodes[0].run("/a", true), classifier.ReasonNone)
+				other(nodes[1])
+				chance := name == "another request crashed"
+				if chance {
+					assert.Equal(t, nodes[2].run("/a", true), classifier.ReasonNone)
+				}
+				assert.Equal(t, nodes[0].run("/a", true), classifier.ReasonNone)
+				want := classifier.ReasonQuarantined
+				if chance {
+					want = classifier.ReasonNone
+				}
+				assert.Equal(t, nodes[0].run("/a", true), want)
+				assert.Equal(t, nodes[0].run("/a", true), classifier.ReasonQuarantined)
+				assert.Equal(t, nodes[0].run("/b", false), classifier.ReasonNone)
+			})
+		})
+	}
+}
+
 // TestCrashOfTheFirstRunAfterAllUpstreamsEndedQuarantinesNothing guards against a quarantine of a request that was in flight at one upstream that ended, then at several that ended at the same moment, and runs on trial at one that ends once more.
 func TestCrashOfTheFirstRunAfterAllUpstreamsEndedQuarantinesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/quarantiner/table.go
+++ b/internal/request/quarantiner/table.go
@@ -77,9 +77,27 @@
 	}
 }
 
+// setOtherCause sets whether upstreams also crashed without the request.
+func (t *table) setOtherCause(e *Evidence) {
+	e.OtherCause = false
+	if e.Streak() < trialAfter {
+		return // Too few crashes for a quarantine, whatever their cause.
+	}
+	since, until := e.oldestInStreak(), e.Newest()
+	for _, other := range t.entries {
+		for _, c := range other.Crashes {
+			if !c.At.Before(since) && !c.At.After(until) && !e.includes(c.ID) {
+				e.OtherCause = true
+				return
+			}
+		}
+	}
+}
+
 // standing returns how a request is treated now.
 func (t *table) standing(f fingerprinter.Fingerprint, now time.Time) Standing {
 	if e := t.entries[f]; e != nil {
+		t.setOtherCause(e)
 		return e.Standing(now)
 	}
 	return Clear
@@ -89,6 +107,7 @@
 func (t *table) all() []Evidence {
 	list := make([]Evidence, 0, len(t.entries))
 	for _, e := range t.entries {
+		t.setOtherCause(e)
 		list = append(list, e.clone())
 	}
 	slices.SortFunc(list, func(a, b Evidence) int {
