--- a/internal/agreement/voter/submission.go
+++ b/internal/agreement/voter/submission.go
@@ -33,9 +33,12 @@
 	// identities.
 	identities map[string]string
 
+	// document is the document of the change, and digest its digest. A derived one is set
+	// by each call of decide on the version that the change replaces.
+	document *controlwire.Document
+	digest   []byte
+
 	// The outcome of the last call of decide.
-	document           *controlwire.Document
-	digest             []byte // Of document.
 	response           *controlwire.SubmitResponse
 	err                error
 	unresolved         []string // Addresses without an entry in identities.
