--- a/internal/agreement/journaler/framing.go
+++ b/internal/agreement/journaler/framing.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"math"
 )
 
 // Layout of a file's header, in bytes.
@@ -20,13 +21,17 @@
 	versionChecksummed = 1
 	// versionNumbered also numbers the records, and its checksum covers the frame.
 	versionNumbered = 2
-	currentVersion  = versionNumbered
+	// versionSyncPoints also stores how many records before each one were not synced when
+	// it was written.
+	versionSyncPoints = 3
+	currentVersion    = versionSyncPoints
 )
 
 // Sizes of the frame that precedes a record's content, in bytes.
 const (
 	checksummedFrameSize = 8
 	numberedFrameSize    = 16
+	syncPointsFrameSize  = 20
 )
 
 // maxRecordSize is the maximum size of a record's content, in bytes.
@@ -42,6 +47,9 @@
 	valid func(frame, content []byte, lastNumber uint64) bool
 	// number returns the record's number, given that of the previous record.
 	number func(frame []byte, lastNumber uint64) uint64
+	// synced returns the number of the last record that was synced when the record with
+	// the given number was written, or that number if the format does not store it.
+	synced func(frame []byte, number uint64) uint64
 }
 
 // framingByVersion maps the readable format versions to their framing.
@@ -52,30 +60,46 @@
 			return binary.BigEndian.Uint32(frame[4:]) == checksum(content)
 		},
 		number: func(_ []byte, lastNumber uint64) uint64 { return lastNumber + 1 },
+		synced: func(_ []byte, number uint64) uint64 { return number },
 	},
 	versionNumbered: {
 		frameSize: numberedFrameSize,
-		valid: func(frame, content []byte, lastNumber uint64) bool {
-			if binary.BigEndian.Uint64(frame[8:]) <= lastNumber {
-				return false
-			}
-			return binary.BigEndian.Uint32(frame[4:]) == numberedChecksum(frame, content)
+		valid:     validNumbered,
+		number:    storedNumber,
+		synced:    func(_ []byte, number uint64) uint64 { return number },
+	},
+	versionSyncPoints: {
+		frameSize: syncPointsFrameSize,
+		valid:     validNumbered,
+		number:    storedNumber,
+		synced: func(frame []byte, number uint64) uint64 {
+			return number - 1 - min(uint64(binary.BigEndian.Uint32(frame[16:])), number-1)
 		},
-		number: func(frame []byte, _ uint64) uint64 { return binary.BigEndian.Uint64(frame[8:]) },
 	},
 }
 
-// readRecords returns the records that follow the header. Invalid data at the end of the
-// file is dropped as a torn record, but is reported as corruption if it contains a valid
-// record.
+// validNumbered implements framing.valid for records that store their number.
+func validNumbered(frame, content []byte, lastNumber uint64) bool {
+	if storedNumber(frame, lastNumber) <= lastNumber {
+		return false
+	}
+	return binary.BigEndian.Uint32(frame[4:]) == numberedChecksum(frame, content)
+}
+
+// storedNumber implements framing.number for records that store their number.
+func storedNumber(frame []byte, _ uint64) uint64 { return binary.BigEndian.Uint64(frame[8:]) }
+
+// readRecords returns the records that follow the header, up to the first one that a crash
+// lost or tore before it was synced. An invalid one is reported as corruption if a later
+// record shows that it was synced.
 func (f *framing) readRecords(path string, data []byte) ([][]byte, error) {
 	var records [][]byte
 	var lastNumber uint64
 	for offset := headerSize; offset < len(data); {
 		content, ok := f.readRecord(data[offset:], lastNumber)
 		if !ok {
-			if f.containsRecord(data[offset+1:], lastNumber) {
-				return nil, &CorruptError{file: path, offset: int64(offset), reason: "invalid record followed by a valid one"}
+			if f.wasSynced(data[offset+1:], lastNumber) {
+				return nil, &CorruptError{file: path, offset: int64(offset), reason: "invalid record that was synced"}
 			}
 			return records, nil
 		}
@@ -104,31 +128,38 @@
 	return content, f.valid(data[:f.frameSize], content, lastNumber)
 }
 
-// containsRecord reports whether a valid record starts anywhere in data.
-func (f *framing) containsRecord(data []byte, lastNumber uint64) bool {
+// wasSynced reports whether a valid record anywhere in data shows that the record after
+// lastNumber was synced.
+func (f *framing) wasSynced(data []byte, lastNumber uint64) bool {
 	for offset := range data {
-		if _, ok := f.readRecord(data[offset:], lastNumber); ok {
+		if _, ok := f.readRecord(data[offset:], lastNumber); !ok {
+			continue
+		}
+		frame := data[offset : offset+f.frameSize]
+		if f.synced(frame, f.number(frame, lastNumber)) > lastNumber {
 			return true
 		}
 	}
 	return false
 }
 
-// appendRecord appends a record in the current format to data.
-func appendRecord(data []byte, number uint64, content []byte) []byte {
-	var frame [numberedFrameSize]byte
+// appendRecord appends a record in the current format to data. Of the records before it,
+// the last unsynced ones are not synced yet.
+func appendRecord(data []byte, number, unsynced uint64, content []byte) []byte {
+	var frame [syncPointsFrameSize]byte
 	binary.BigEndian.PutUint32(frame[:], uint32(len(content)))
 	binary.BigEndian.PutUint64(frame[8:], number)
+	binary.BigEndian.PutUint32(frame[16:], uint32(min(unsynced, math.MaxUint32)))
 	binary.BigEndian.PutUint32(frame[4:], numberedChecksum(frame[:], content))
 	data = append(data, frame[:]...)
 	return append(data, content...)
 }
 
-// numberedChecksum returns the checksum of a record of versionNumbered: over its frame,
+// numberedChecksum returns the checksum of a record that stores its number: over its frame,
 // without the checksum field, and its content.
 func numberedChecksum(frame, content []byte) uint32 {
 	sum := crc32.Update(0, castagnoli, frame[:4])
-	sum = crc32.Update(sum, castagnoli, frame[8:numberedFrameSize])
+	sum = crc32.Update(sum, castagnoli, frame[8:])
 	return crc32.Update(sum, castagnoli, content)
 }
 
--- a/internal/agreement/journaler/journal.go
+++ b/internal/agreement/journaler/journal.go
@@ -17,6 +17,7 @@
 	records    [][]byte // Records of the file when it was opened; nil after the first write.
 	file       File     // Nil until the first write.
 	lastNumber uint64   // Number of the last record.
+	lastSynced uint64   // Number of the last record that is synced.
 	size       int64    // Bytes up to the end of the last complete record.
 	appended   int64    // Bytes appended since the file was last rewritten.
 	closed     bool
@@ -79,6 +80,7 @@
 	if err := j.file.Sync(); err != nil {
 		return fmt.Errorf("append to journal: %w", j.store.recordFailure(err))
 	}
+	j.lastSynced = j.lastNumber
 	return nil
 }
 
@@ -145,6 +147,7 @@
 	j.file = f
 	j.records = nil
 	j.lastNumber = uint64(len(records))
+	j.lastSynced = j.lastNumber
 	j.size = int64(len(data))
 	j.appended = 0
 	return nil
@@ -159,8 +162,8 @@
 	var data []byte
 	number := j.lastNumber
 	for _, record := range records {
+		data = appendRecord(data, number+1, number-j.lastSynced, record)
 		number++
-		data = appendRecord(data, number, record)
 	}
 	if _, err := j.file.Write(data); err != nil {
 		return fmt.Errorf("append to journal: %w", j.rollBack(err))
--- a/internal/agreement/journaler/store.go
+++ b/internal/agreement/journaler/store.go
@@ -5,9 +5,10 @@
 // from time to time. Every file starts with its format version, and every blob and record
 // has a checksum.
 //
-// A crash may leave a torn record at the end of a journal. It is dropped when the journal
-// is opened, since its append was never acknowledged. Corruption before the last record
-// is reported as a CorruptError with the file and the offset.
+// A crash may lose or tear any record that was not synced, whatever it does to later ones.
+// When the journal is opened, such a record and those after it are dropped, since their
+// append was never acknowledged. Corruption of a record that a later one shows to have been
+// synced is reported as a CorruptError with the file and the offset.
 //
 // After a failed sync the content of the disk is unknown. The store then refuses every
 // write with ErrDiskFailed until the process restarts. The first write after opening a
@@ -222,7 +223,7 @@
 func encode(records ...[]byte) []byte {
 	data := appendHeader(nil)
 	for i, record := range records {
-		data = appendRecord(data, uint64(i)+1, record)
+		data = appendRecord(data, uint64(i)+1, 0, record)
 	}
 	return data
 }
