fix: voters are replaced before the next disk may be lost

Callers: after a lost disk, or a voter that left for good, and a second loss once the first machine no longer counts as lost, no majority can be reached any more: nothing that was acknowledged is ever read again.

Cause: repairs waited for heartbeats. An identity was replaced at the second heartbeat that found it, a silent voter at the third, of a second each if nothing answers there. And a poll that crosses a change proves no state chosen and started no replacement, so that changes without a pause held it up.

Why this works: a replacement starts on any poll that a majority answers; its proposal reads the newest state in its first phase, and confirms one that is undecided. It ends on any state that follows the chosen one with the same membership. An attempt to join is repeated after 200 ms, a new identity is replaced at once, a silent voter after two heartbeats: 1 s until the first, 2 s, 0.6 s of pause, within the 5 s that are left from its loss.

Looked at: confirmation of an undecided proposal (still after two heartbeats), voters added to a group that is too small (on any poll too), replacements that the document orders.

--- a/internal/agreement/voter/monitor.go
+++ b/internal/agreement/voter/monitor.go
@@ -14,8 +14,10 @@
 	// staleAfter is the time without a response from a majority after which the
 	// instance is stale.
 	staleAfter = 3 * time.Second
-	// repairAfterHeartbeats is how many consecutive heartbeats must find the same
-	// problem before the instance repairs it.
+	// joinInterval is the time between two attempts to join a group.
+	joinInterval = 200 * time.Millisecond
+	// repairAfterHeartbeats is how many consecutive heartbeats must find no chosen
+	// state before the instance finishes the proposal in progress.
 	repairAfterHeartbeats = 2
 	// repairTimeout bounds one attempt to repair the group.
 	repairTimeout = 5 * time.Second
@@ -44,7 +46,6 @@
 
 	// The fields below are used by the goroutine of run only.
 	undecidedHeartbeats int            // Consecutive heartbeats that found no chosen state.
-	identityChanges     map[string]int // Consecutive heartbeats that found a new identity, by address.
 	missedHeartbeats    map[string]int // Consecutive heartbeats without a response, by identity.
 }
 
@@ -54,7 +55,6 @@
 		notifications:    make(chan *State, 1),
 		repairing:        make(chan struct{}, 1),
 		lastContact:      time.Now().Add(-staleAfter),
-		identityChanges:  make(map[string]int),
 		missedHeartbeats: make(map[string]int),
 	}
 }
@@ -64,17 +64,20 @@
 	ctx := m.voter.tomb.Context(context.Background())
 	for {
 		next := time.Now().Add(heartbeatInterval)
-		m.heartbeat(ctx)
+		if !m.heartbeat(ctx) {
+			next = time.Now().Add(joinInterval)
+		}
 		if !sleep(ctx, time.Until(next)) {
 			return nil
 		}
 	}
 }
 
-// heartbeat polls the voters, catches up with them and starts a repair if needed.
-func (m *monitor) heartbeat(ctx context.Context) {
+// heartbeat polls the voters, catches up with them and starts a repair if needed. It
+// reports whether the instance belongs to a group.
+func (m *monitor) heartbeat(ctx context.Context) bool {
 	if held, _ := m.voter.acceptor.newestState(); held == nil && !m.join(ctx) {
-		return
+		return false
 	}
 	poll := m.pollVoters(ctx, func(*pollResult) bool { return false })
 	m.fetchFromVoters(ctx, poll)
@@ -89,7 +92,8 @@
 		m.undecidedHeartbeats = 0
 		m.voter.learn(chosen)
 	}
-	m.startRepair(ctx, poll, chosen)
+	m.startRepair(ctx, poll)
+	return true
 }
 
 // join fetches the state of an existing group, or forms a group. It reports whether
--- a/internal/agreement/voter/promotion.go
+++ b/internal/agreement/voter/promotion.go
@@ -9,7 +9,7 @@
 
 // replaceAfterMissed is how many consecutive heartbeats a voter must miss before
 // another instance may replace it.
-const replaceAfterMissed = 3
+const replaceAfterMissed = 2
 
 // requiredVoters returns how many voters the group needs to tolerate the
 // configured losses, or 0 if none are configured.
--- a/internal/agreement/voter/repair.go
+++ b/internal/agreement/voter/repair.go
@@ -10,26 +10,26 @@
 // startRepair starts an attempt to repair the group if the poll shows that it
 // needs one: to finish a proposal that only a minority accepted, to finish a
 // replacement of voters, or to replace a voter that lost its identity or does
-// not respond. Attempts run concurrently with the heartbeats, one at a time.
-func (m *monitor) startRepair(ctx context.Context, poll *pollResult, chosen *State) {
+// not respond. Attempts run concurrently with the heartbeats, one at a time. A
+// poll that crosses a change proves no state chosen; it must not delay a
+// replacement, since changes may follow one another without a pause.
+func (m *monitor) startRepair(ctx context.Context, poll *pollResult) {
 	if !hasQuorum(poll.state.membership(), poll.voting) {
 		return
 	}
 	m.countMissedHeartbeats(poll)
-	replacement := m.lostIdentityReplacement(poll)
-	if replacement == nil && chosen != nil && len(chosen.membership().GetPrevious()) == 0 {
-		replacement = m.promotion(ctx, poll)
-	}
 	var transition transitionFunc
-	switch {
-	case m.undecidedHeartbeats >= repairAfterHeartbeats:
-		transition = confirm
-	case chosen != nil && len(chosen.membership().GetPrevious()) > 0:
-		transition = nil
-	case chosen != nil && replacement != nil:
-		transition = replacement
-	default:
-		return
+	if !m.replacesVoters() {
+		transition = m.lostIdentityReplacement(poll)
+		if transition == nil && len(poll.state.membership().GetPrevious()) == 0 {
+			transition = m.promotion(ctx, poll)
+		}
+		if transition == nil && m.undecidedHeartbeats >= repairAfterHeartbeats {
+			transition = confirm
+		}
+		if transition == nil {
+			return
+		}
 	}
 	select {
 	case m.repairing <- struct{}{}:
@@ -38,14 +38,21 @@
 	}
 	m.voter.tomb.Go(func() error {
 		defer func() { <-m.repairing }()
-		m.attemptRepair(ctx, transition, chosen)
+		m.attemptRepair(ctx, transition)
 		return nil
 	})
 }
 
+// replacesVoters reports whether the newest state known to be chosen contains a
+// replacement of voters.
+func (m *monitor) replacesVoters() bool {
+	learned := m.voter.Local()
+	return learned != nil && len(learned.membership().GetPrevious()) > 0
+}
+
 // attemptRepair proposes the transition or, if it is nil, finishes the
-// replacement of voters that the chosen state contains.
-func (m *monitor) attemptRepair(ctx context.Context, transition transitionFunc, chosen *State) {
+// replacement of voters that the newest chosen state contains.
+func (m *monitor) attemptRepair(ctx context.Context, transition transitionFunc) {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
 	if !m.voter.proposer.pause(ctx, repairPause) {
@@ -53,7 +60,7 @@
 	}
 	var err error
 	if transition == nil {
-		err = m.voter.finishReplacement(ctx, chosen)
+		err = m.voter.finishReplacement(ctx, m.voter.Local())
 	} else {
 		err = m.proposeRepair(ctx, transition)
 	}
@@ -73,16 +80,11 @@
 
 // lostIdentityReplacement returns the transitionFunc that replaces the old identity
 // of an instance that lost its disk with its new one, or nil if there is no such
-// instance. The instance must already hold the group's state.
+// instance. The instance must already hold the group's state. It finds itself too.
 func (m *monitor) lostIdentityReplacement(poll *pollResult) transitionFunc {
 	for _, member := range poll.state.membership().GetVoters() {
 		p := poll.positions[member.GetIdentity()]
 		if p == nil || p.GetIdentity() == member.GetIdentity() || p.GetFailed() || p.GetOrigin() == nil || p.GetGroup() != poll.state.wire.GetGroup() {
-			delete(m.identityChanges, member.GetAddress())
-			continue
-		}
-		m.identityChanges[member.GetAddress()]++
-		if m.identityChanges[member.GetAddress()] < repairAfterHeartbeats {
 			continue
 		}
 		return replaceIdentity(member, p.GetIdentity())
@@ -110,9 +112,9 @@
 // contains.
 func (v *Voter) finishReplacement(ctx context.Context, chosen *State) error {
 	_, err := v.propose(ctx, &proposal{transition: func(base *State) *voterwire.Transition {
-		// The previous voters may be removed only when the state that replaced
-		// them is known to be chosen.
-		if !sameBallot(base.origin(), chosen.origin()) {
+		// The previous voters may be removed only when a state that replaces them is
+		// known to be chosen. Others may have followed it.
+		if base.membership().GetEpoch() != chosen.membership().GetEpoch() || len(base.membership().GetPrevious()) == 0 {
 			return nil
 		}
 		return &voterwire.Transition{Membership: finalMembership(base.membership())}
--- a/internal/agreement/voter/sim_test.go
+++ b/internal/agreement/voter/sim_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -175,7 +177,7 @@
 	c.mu.Unlock()
 	handle := inst.disk.open()
 	v, err := voter.New(voter.Config{
-		Address: address, InitialVoters: c.initial, StateSources: func() []string { return c.sources }, ToleratedLosses: c.toleratedLosses, Journal: handle,
+		Address: address, InitialVoters: c.initial, StateSources: c.knownSources, ToleratedLosses: c.toleratedLosses, Journal: handle,
 		Transport: &simTransport{cluster: c, from: address, handle: handle},
 		Digest:    digest, Random: rand.New(rand.NewPCG(seed, 2)),
 		OnVersion: func(version *controlwire.Version) {
@@ -203,6 +205,20 @@
 	v.Start()
 }
 
+// knownSources returns the further instances to fetch the state from.
+func (c *cluster) knownSources() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sources
+}
+
+// setSources sets the further instances to fetch the state from.
+func (c *cluster) setSources(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sources = addresses
+}
+
 // kill ends an instance at once and returns its voter, which must still be
 // stopped. The disk keeps the synced records.
 func (c *cluster) kill(address string) *voter.Voter {
@@ -260,11 +276,7 @@
 func (c *cluster) addresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []string
-	for i := range len(c.instances) {
-		list = append(list, fmt.Sprintf("v%d", i))
-	}
-	return list
+	return slices.Sorted(maps.Keys(c.instances))
 }
 
 func (c *cluster) voter(address string) *voter.Voter {
