fix: an impossible heartbeat names no upstream and hides no later one

Here, by a test on the code before: a heartbeat or a deregistration with `born` in nanoseconds or at the greatest integer was taken (200), and each later one of the real upstream counted as overtaken, so that the node sent it nothing, or never learned that it drains; a deregistration of an unknown id with such a start took the upstream out. A Seq above 2^53 did the same within an incarnation. Of 31 odd heartbeats of the test 18 were taken, of 5 odd ids all (one with a line break), 2 of 7 odd deregistrations took out another upstream, and one without `born` took out one known by its health alone. ColdRemainingS of 1e300 overflowed a duration.

Cause: the decoder checked types of some fields, no value; what follows (the order of incarnations, slots, cold start) trusts them.

Change: one check of a heartbeat, in the enroller, which platform/ shares: id, start at most an hour ahead of the clock, sequence, slots, cold time. A start that cannot be true counts as unknown in a deregistration, whose id suffices. A refusal is counted (heartbeats_refused) and logged, at most once a second.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -22,8 +22,14 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 )
 
+// logLinesPerSecond limits the log lines about heartbeats that are refused.
+const logLinesPerSecond = 1
+
 // ErrOtherUpstream reports a heartbeat of another upstream than the node's own.
 var ErrOtherUpstream = errors.New("heartbeat names another service or address")
 
@@ -31,25 +37,6 @@
 // response as for a heartbeat that was recorded.
 var ErrStale = errors.New("heartbeat was overtaken by a newer one")
 
-// Heartbeat is the announcement of an upstream.
-type Heartbeat struct {
-	// ID identifies the upstream, in most cases one incarnation of it.
-	ID string
-	// StartedAt is the start time of the incarnation.
-	StartedAt time.Time
-	// Sequence increases with every heartbeat of an incarnation.
-	Sequence uint64
-	// Service and Address are the service of the upstream and its own address.
-	Service string
-	Address netip.AddrPort
-	// Slots is how many requests the upstream runs concurrently.
-	Slots int
-	// Draining reports whether the upstream accepts no new requests.
-	Draining bool
-	// ColdRemaining is the remaining time for which the upstream is slow after its start.
-	ColdRemaining time.Duration
-}
-
 // Config lists what an Enroller depends on.
 type Config struct {
 	// Service and Address are those of the node's own upstream.
@@ -60,7 +47,9 @@
 	// OnHeartbeat is called for each heartbeat that is recorded, after OnChange; nil for
 	// none. It must not block.
 	OnHeartbeat func(Heartbeat)
-	Log         zerolog.Logger
+	// Scope may be nil.
+	Scope tally.Scope
+	Log   zerolog.Logger
 }
 
 // Change is a change of the upstream's state.
@@ -95,20 +84,40 @@
 
 // Enroller tracks one upstream by its heartbeats. It is safe for concurrent use.
 type Enroller struct {
-	cfg Config
+	cfg        Config
+	refused    tally.Counter
+	logLimiter *logger.Limiter
 
 	mu      sync.Mutex
 	current incarnation
 }
 
 // New returns an enroller whose upstream is not known yet.
-func New(cfg Config) *Enroller { return &Enroller{cfg: cfg} }
+func New(cfg Config) *Enroller {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	return &Enroller{
+		cfg:        cfg,
+		refused:    cfg.Scope.Counter("heartbeats_refused"),
+		logLimiter: logger.NewLimiter(logLinesPerSecond),
+	}
+}
 
-// RecordHeartbeat records a heartbeat. It returns ErrOtherUpstream or ErrStale for one that
-// it ignores.
+// Refuse counts and logs a heartbeat that names no upstream, for the given reason.
+func (e *Enroller) Refuse(reason error) {
+	e.refused.Inc(1)
+	e.logLimiter.Limit(e.cfg.Log.Warn()).Err(reason).Msg("Heartbeat refused.")
+}
+
+// RecordHeartbeat records a heartbeat. It returns ErrOtherUpstream, ErrImplausible or ErrStale
+// for one that it ignores.
 func (e *Enroller) RecordHeartbeat(h Heartbeat) error {
 	if h.Service != e.cfg.Service || h.Address != e.cfg.Address {
-		return errors.Wrapf(ErrOtherUpstream, "%s at %s", h.Service, h.Address)
+		return errors.Wrapf(ErrOtherUpstream, "%.64q at %s", h.Service, h.Address)
+	}
+	if err := h.validate(time.Now()); err != nil {
+		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -142,11 +151,15 @@
 }
 
 // Deregister records that an incarnation accepts no new requests and is about to end. An
-// unknown incarnation replaces the current one if it started later.
+// unknown incarnation replaces the current one if it started later. A start time that is not
+// plausible counts as unknown, which is zero.
 func (e *Enroller) Deregister(id string, startedAt time.Time) {
+	if !plausibleStart(startedAt, time.Now()) {
+		startedAt = time.Time{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if id != e.current.id && !startedAt.After(e.current.startedAt) {
+	if id != e.current.id && (!validID(id) || !startedAt.After(e.current.startedAt)) {
 		return
 	}
 	next := e.current
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -274,6 +274,7 @@
 			n.announcer.SetAvailable(c.Available)
 		},
 		OnHeartbeat: func(h enroller.Heartbeat) { n.coldLimiter.ObserveHeartbeat(h.ColdRemaining) },
+		Scope:       n.metrics.Scope().SubScope("enroller"),
 		Log:         logger.Part(base, "enroller"),
 	})
 }
