fix: an impossible entry of the list names no instance and hides no later one

An evacuation with the greatest revision could be replaced by no order.

Cause: what came from the network was checked for length and type only, and a counter that others may raise had no bound below the type's own.

Change: registrar.Spec.Validate is the one check of an instance; numbers of announcements and evacuations end at 2^53; an instance whose sequence is there goes on with the next incarnation. Each entry is refused by itself, counted (malformed) and logged at most once a second; one in a list of a bucket is not asked for.

Also looked at: exchanges (first and index from the wire are checked, no panic), relayed pings, disputes, digests: sound. An entry that cannot be decoded as protocol buffers drops its datagram: no process can hold or pass on such an entry. What remains: an entry of an instance with exactly the greatest incarnation, 2^53, cannot be exceeded; nobody signs entries.

Tests: two nodes of TestNodesDiscoverEachOtherOverSockets had a service and no address for requests, which no node can have (the setting is required); they have one now. countFalseFailures passes over instances without a process.

--- a/internal/fleet/gossiper/detector.go
+++ b/internal/fleet/gossiper/detector.go
@@ -393,5 +393,6 @@
 	}
 	g.metrics.count(eventRefuted)
 	g.health.worsen()
-	g.updateSelf(func(s *registrar.Spec) { s.Sequence = max(s.Sequence, sequence+1) })
+	own := g.self.revision()
+	g.exceed(revision{own.incarnation, max(own.sequence, sequence)})
 }
--- a/internal/fleet/gossiper/encoder.go
+++ b/internal/fleet/gossiper/encoder.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/pkg/errors"
@@ -9,14 +10,8 @@
 	"github.com/banyanscale/banyanscale/internal/wire/gossipwire"
 )
 
-// maxNameLength is the longest id or name that an update may contain, in bytes.
-const maxNameLength = 128
-
-// Errors for updates that are rejected.
-var (
-	errInvalidUpdate  = errors.New("update has an invalid id, incarnation, state or accuser")
-	errInvalidProfile = errors.New("profile has a name that is too long or an invalid peer address")
-)
+// errInvalidUpdate rejects an update from the network.
+var errInvalidUpdate = errors.New("update has an invalid state or accuser")
 
 // encodeStatus returns an update without the profile. Its state is suspect or failed if
 // this node assigns that status to m and m has not left, and otherwise the state that m
@@ -79,33 +74,23 @@
 	return a, a.IsValid()
 }
 
-// validateUpdate returns an error if an update from the network is unusable.
+// validateUpdate returns an error if an update from the network is unusable. The profile of a
+// record is checked by decodeRecord.
 func validateUpdate(u *gossipwire.Update) error {
 	validState := u.GetState() >= gossipwire.State_STATE_STARTING && u.GetState() <= gossipwire.State_STATE_FAILED
-	if u.GetId() == "" || len(u.GetId()) > maxNameLength || u.GetIncarnation() == 0 || !validState {
-		return errInvalidUpdate
+	if !validState || !registrar.ValidName(u.GetAccuser()) {
+		return errors.Wrapf(errInvalidUpdate, "state %d", u.GetState())
 	}
-	if len(u.GetAccuser()) > maxNameLength {
-		return errInvalidUpdate
-	}
-	return nil
+	return registrar.ValidateRevision(u.GetId(), u.GetIncarnation(), u.GetSequence())
 }
 
 // decodeRecord decodes an announcement that includes a profile.
 func decodeRecord(u *gossipwire.Update) (registrar.Spec, error) {
 	p := u.GetProfile()
-	for _, name := range []string{p.GetService(), p.GetOwner(), p.GetSite(), p.GetRegion(), p.GetFailureDomain()} {
-		if len(name) > maxNameLength {
-			return registrar.Spec{}, errInvalidProfile
-		}
-	}
-	peer, ok := decodeAddress(p.GetPeer())
-	if !ok {
-		return registrar.Spec{}, errInvalidProfile
-	}
-	// A control instance serves no requests and announces no HTTP address.
+	// An address that cannot be decoded is invalid, which Validate reports where one is needed.
+	peer, _ := decodeAddress(p.GetPeer())
 	httpAddress, _ := decodeAddress(p.GetHttp())
-	return registrar.Spec{
+	spec := registrar.Spec{
 		ID:            u.GetId(),
 		Incarnation:   u.GetIncarnation(),
 		Sequence:      u.GetSequence(),
@@ -119,7 +104,11 @@
 		Peer:          peer,
 		Slots:         int(p.GetSlots()),
 		Connections:   int(p.GetConnections()),
-	}, nil
+	}
+	if err := spec.Validate(); err != nil {
+		return registrar.Spec{}, fmt.Errorf("decode record: %w", err)
+	}
+	return spec, nil
 }
 
 // isAnnouncement reports whether an update originates from the instance it describes.
--- a/internal/fleet/gossiper/evacuation.go
+++ b/internal/fleet/gossiper/evacuation.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -14,7 +15,7 @@
 const maxEvacuationBytes = 420
 
 // errInvalidEvacuation rejects evacuated failure domains from the network.
-var errInvalidEvacuation = errors.New("evacuation has no revision, or a name that is empty or too long, or is too large")
+var errInvalidEvacuation = errors.New("evacuation has no revision or an impossible one, or a name that is empty or too long, or is too large")
 
 // SetEvacuation records the evacuated failure domains and pushes them to random members
 // immediately. A revision that is not newer than the last is ignored.
@@ -56,11 +57,11 @@
 }
 
 func validateEvacuation(evacuation *controlwire.Evacuation) error {
-	if evacuation.GetRevision() == 0 || proto.Size(evacuation) > maxEvacuationBytes {
+	if evacuation.GetRevision() == 0 || evacuation.GetRevision() > registrar.MaxRevisionNumber || proto.Size(evacuation) > maxEvacuationBytes {
 		return errInvalidEvacuation
 	}
 	for _, name := range evacuation.GetFailureDomains() {
-		if name == "" || len(name) > maxNameLength {
+		if name == "" || !registrar.ValidName(name) {
 			return errInvalidEvacuation
 		}
 	}
--- a/internal/fleet/gossiper/evacuation_test.go
+++ b/internal/fleet/gossiper/evacuation_test.go
@@ -97,7 +97,7 @@
 	for name, evacuation := range map[string]*controlwire.Evacuation{
 		"no revision": newEvacuation(0, "a"),
 		"empty name":  newEvacuation(2, ""),
-		"long name":   newEvacuation(2, strings.Repeat("x", maxNameLength+1)),
+		"long name":   newEvacuation(2, strings.Repeat("x", 129)),
 		"too many":    newEvacuation(2, many...),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/gossiper/exchanger.go
+++ b/internal/fleet/gossiper/exchanger.go
@@ -276,6 +276,10 @@
 func (g *Gossiper) reconcileBucket(b *gossipwire.Bucket, req *gossipwire.ReconcileRequest, now time.Time) {
 	listed := make(map[string]bool, len(b.GetMembers()))
 	for _, u := range b.GetMembers() {
+		if err := validateUpdate(u); err != nil {
+			g.refuseUpdate(u, err)
+			continue
+		}
 		listed[u.GetId()] = true
 		m := g.table.members[u.GetId()]
 		if m != nil && revisionOf(u).before(m.revision()) {
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -73,6 +73,8 @@
 	viewIntervalPerMember = 150 * time.Microsecond
 	// leaveTimeout limits how long Leave waits for the announcement to be sent.
 	leaveTimeout = time.Second
+	// logLinesPerSecond limits the log lines about entries that are refused.
+	logLinesPerSecond = 1
 )
 
 // Transport sends and receives datagrams. courier.Courier implements it.
@@ -116,7 +118,9 @@
 	cfg     Config
 	log     zerolog.Logger
 	metrics metrics
-	tomb    tomb.Tomb
+	// logLimiter limits the lines about what other processes send.
+	logLimiter *logger.Limiter
+	tomb       tomb.Tomb
 
 	mu                sync.Mutex // Guards the fields below.
 	self              *member
@@ -154,6 +158,7 @@
 		cfg:        cfg,
 		log:        logger.Part(cfg.Logger, "gossiper"),
 		metrics:    newMetrics(cfg.Scope),
+		logLimiter: logger.NewLimiter(logLinesPerSecond),
 		self:       &member{spec: cfg.Instance, changed: now, lastAck: now},
 		table:      newTable(cfg.Random),
 		queue:      newQueue(),
--- a/internal/fleet/gossiper/merger.go
+++ b/internal/fleet/gossiper/merger.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
@@ -10,7 +11,7 @@
 // apply merges one update into the table. New information is queued for other members.
 func (g *Gossiper) apply(u *gossipwire.Update, now time.Time) {
 	if err := validateUpdate(u); err != nil {
-		g.metrics.count(eventMalformed)
+		g.refuseUpdate(u, err)
 		return
 	}
 	switch {
@@ -25,6 +26,12 @@
 	}
 }
 
+// refuseUpdate counts and logs an update that cannot be true. The others of its message hold.
+func (g *Gossiper) refuseUpdate(u *gossipwire.Update, reason error) {
+	g.metrics.count(eventMalformed)
+	g.logLimiter.Limit(g.log.Warn()).Err(reason).Str("instance", fmt.Sprintf("%.64q", u.GetId())).Msg("Entry of the list refused.")
+}
+
 // applySelf handles an update about this instance. It announces the instance again if
 // the update is newer or declares it suspect or failed.
 func (g *Gossiper) applySelf(u *gossipwire.Update) {
@@ -42,8 +49,17 @@
 	case !isAnnouncement(u):
 		g.refute(received.sequence)
 	case own.before(received):
-		g.updateSelf(func(s *registrar.Spec) { s.Sequence = received.sequence + 1 })
+		g.exceed(received)
+	}
+}
+
+// exceed announces this instance with a revision after the given one of the same incarnation.
+func (g *Gossiper) exceed(received revision) {
+	next := revision{received.incarnation, received.sequence + 1}
+	if next.sequence > registrar.MaxRevisionNumber {
+		next = revision{received.incarnation + 1, 1}
 	}
+	g.updateSelf(func(s *registrar.Spec) { s.Incarnation, s.Sequence = next.incarnation, next.sequence })
 }
 
 // applyAnnouncement merges an announcement that an instance made about itself.
@@ -75,7 +91,7 @@
 	}
 	spec, err := decodeRecord(u)
 	if err != nil {
-		g.metrics.count(eventMalformed)
+		g.refuseUpdate(u, err)
 		return
 	}
 	old, known := g.table.tombstones[u.GetId()]
@@ -99,7 +115,7 @@
 	}
 	spec, err := decodeRecord(u)
 	if err != nil {
-		g.metrics.count(eventMalformed)
+		g.refuseUpdate(u, err)
 		return
 	}
 	g.insert(spec, u, now)
--- a/internal/fleet/gossiper/network_test.go
+++ b/internal/fleet/gossiper/network_test.go
@@ -174,7 +174,7 @@
 		node.fleet.mu.Lock()
 		other := node.fleet.byPeer[in.Peer()]
 		node.fleet.mu.Unlock()
-		if other.runsUpTo(in.Incarnation()) {
+		if other != nil && other.runsUpTo(in.Incarnation()) {
 			node.fleet.withLock(func() { node.falseFailures[other.index]++ })
 		}
 	}
--- a/internal/fleet/gossiper/socket_test.go
+++ b/internal/fleet/gossiper/socket_test.go
@@ -46,7 +46,7 @@
 	n := &socketNode{courier: c, views: make(chan *registrar.View, 1024)}
 	n.Gossiper = New(Config{
 		Instance: registrar.Spec{
-			ID: fmt.Sprintf("node-%d", i), State: registrar.StateReady, Service: "vitrina", Owner: "oaxaca", Peer: c.Address(),
+			ID: fmt.Sprintf("node-%d", i), State: registrar.StateReady, Service: "vitrina", Owner: "oaxaca", HTTP: c.Address(), Peer: c.Address(),
 		},
 		Seeds: seeds, Transport: c, Client: NewClient(http.DefaultClient),
 		OnView: func(v *registrar.View) { n.views <- v },
