fix: a reported version that nobody holds hides no other

What callers saw: nothing yet. By TestVersionThatNobodyHoldsHidesNoOther on the code before: one message that reports a version beyond all others makes a process ask control instances about ten times a second without end ("6620 != 592" fetches after ten minutes), and ignore each report of a true one, so that without a control instance in reach it follows nothing any more.

Cause: the newest reported number was kept as wanted until it was held, whether or not anybody holds it: a maximum that one message sets for good.

Change: after 50 fetches in a row from control instances that failed the wanted version is forgotten; gossip reports versions again as long as this process is behind. Numbers above 2^53 are neither wanted nor adopted.

Open, by reading: a node that starts with no control instance in reach takes the newest number that peers report as its oldest; a false one below 2^53 then keeps it from what they hold until a control instance responds.

--- a/internal/fleet/distributor/adopter.go
+++ b/internal/fleet/distributor/adopter.go
@@ -21,6 +21,7 @@
 	errNoNewerVersion = errors.New("holder has no newer version")
 	errTooOld         = errors.New("version is older than one that may already have been in force")
 	errRejected       = errors.New("version is not newer than one that failed to compile")
+	errImpossible     = errors.New("version has an impossible number")
 	errNoDocument     = errors.New("version has no document")
 )
 
@@ -133,6 +134,8 @@
 	switch {
 	case version.GetDocument() == nil || number == 0:
 		return errNoDocument
+	case number > maxNumber:
+		return errImpossible
 	case number < d.minVersion:
 		return errTooOld
 	case number <= d.rejected:
--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -35,6 +35,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +60,11 @@
 	// hedgeDelay is how long to wait for one holder before fetching from another in
 	// parallel: a version must be in force everywhere within two seconds.
 	hedgeDelay = 300 * time.Millisecond
+	// maxControlFetches is how many fetches from control instances may fail in a row before a
+	// reported version counts as one that nobody holds.
+	maxControlFetches = 50
+	// maxNumber is the greatest number that a version may have.
+	maxNumber = 1 << 53
 )
 
 // Config lists what a Distributor depends on.
@@ -139,6 +145,11 @@
 		d.reporters[from] = true
 	}
 	number := version.GetNumber()
+	if number > maxNumber {
+		d.metrics.rejected.Inc(1)
+		d.log.Debug().Uint64("version", number).Stringer("from", from).Msg("Report of an impossible version ignored.")
+		return
+	}
 	if number <= d.store.number() || number <= d.rejected || number < d.wanted.GetNumber() {
 		return
 	}
@@ -199,15 +210,23 @@
 	}
 }
 
-// catchUp fetches until the wanted version is held or there is no process left to fetch
-// from. The gossiper reports holders again as long as this process is behind.
+// catchUp fetches until the wanted version is held, there is no process left to fetch from, or
+// control instances do not have it either. The gossiper reports holders again as long as this
+// process is behind.
 func (d *Distributor) catchUp() {
 	wait := d.random(maxFetchDelay)
+	controlFetches := 0
 	for d.sleep(wait) {
 		source, ok := d.pickSource()
 		if !ok {
 			return
 		}
+		if !d.isSource(source) {
+			if controlFetches++; controlFetches > maxControlFetches {
+				d.forgetWanted()
+				return
+			}
+		}
 		if err := d.tryFetch(source); err != nil {
 			d.metrics.fetchFailures.Inc(1)
 			d.log.Debug().Err(err).Stringer("holder", source).Msg("Failed to fetch a version.")
@@ -215,8 +234,26 @@
 			wait = d.random(maxRetryDelay)
 			continue
 		}
-		wait = 0
+		wait, controlFetches = 0, 0
+	}
+}
+
+// isSource reports whether a process has reported the wanted version.
+func (d *Distributor) isSource(a netip.AddrPort) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Contains(d.sources, a)
+}
+
+// forgetWanted forgets a reported version that nobody holds, so that reports of others count again.
+func (d *Distributor) forgetWanted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.sources) > 0 {
+		return // Reported again meanwhile, which has woken this process.
 	}
+	d.log.Info().Uint64("version", d.wanted.GetNumber()).Msg("Nobody holds a reported version.")
+	d.wanted = nil
 }
 
 // tryFetch fetches from a holder and waits up to hedgeDelay for the result. A slower fetch
--- a/internal/fleet/distributor/distributor_test.go
+++ b/internal/fleet/distributor/distributor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
@@ -252,12 +253,13 @@
 	mismatchedVersion.Digest = version(8).GetDigest()
 	mismatchedDelta := &controlwire.Delta{Base: version(3).GetDigest(), Target: version(8).GetDigest()}
 	responses := map[string]*controlwire.FetchResponse{
-		"digest mismatch":  {Snapshot: mismatchedVersion},
-		"base mismatch":    {Delta: mismatchedDelta},
-		"no document":      {Snapshot: &controlwire.Version{Digest: version(8).GetDigest()}},
-		"empty response":   {},
-		"older version":    {Snapshot: version(1)},
-		"does not compile": {Snapshot: version(13)},
+		"digest mismatch":   {Snapshot: mismatchedVersion},
+		"base mismatch":     {Delta: mismatchedDelta},
+		"no document":       {Snapshot: &controlwire.Version{Digest: version(8).GetDigest()}},
+		"empty response":    {},
+		"older version":     {Snapshot: version(1)},
+		"does not compile":  {Snapshot: version(13)},
+		"impossible number": {Snapshot: version(maxNumber + 1)},
 	}
 	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
@@ -375,3 +377,28 @@
 	_, err = packer.Unpack(&controlwire.FetchResponse{Packed: []byte("no gzip")})
 	assert.ErrorContains(t, err, "decompress")
 }
+
+// TestVersionThatNobodyHoldsHidesNoOther guards against a reported version beyond all others after which a process
+// follows no configuration and asks control instances without end.
+func TestVersionThatNobodyHoldsHidesNoOther(t *testing.T) {
+	for _, number := range []uint64{1000, maxNumber, math.MaxUint64} {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			runSynctest(t, func(t *testing.T) {
+				net := newNetwork(version(3))
+				holder := newHolderAt(t, net, peers[0], 3)
+				n := newNode(net, control)
+				startNode(t, n)
+				time.Sleep(time.Minute)
+				n.ObserveVersion(peers[1], &controlwire.VersionDigest{Number: number})
+				time.Sleep(time.Minute)
+				before := net.fetches.Load()
+				time.Sleep(10 * time.Minute)
+				assert.Equal(t, net.fetches.Load(), before, "fetches of a version that nobody holds")
+				assert.NilError(t, holder.Offer(version(4)))
+				n.ObserveVersion(peers[0], version(4).GetDigest())
+				time.Sleep(2 * time.Second)
+				assertPublished(t, n, 3, 4)
+			})
+		})
+	}
+}
