fix: an impossible record of a key ends, and hands nothing over

What callers saw: nothing yet. By tests on the code before: a record of a key that another instance hands over or returns and that expires in 80 years was kept, and since records are removed in their order, all later ones with it, until no key has room ("2 != 0" records after 25 hours); a stored response with status 0, -200, 101 or 2^31-1 was given to callers (net/http panics on it, which ends the request without an answer); a returned record of another key left the one that was asked for running for good; and an incarnation of 2^64-1 made its instance count as one that has handed over its keys in each later incarnation, so that a key may run twice.

Cause: records of other instances were stored as they came.

Change: Record.bounded, for handed-over and claimed records alike: at most the longest retention, a response only of a run that is done and with a final status; the key stays taken, since it may have run. An impossible incarnation fails the hand-over.

Also looked at: FuzzHandler covers decoding only; notices (noticer) are canonical text.

--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -214,13 +214,21 @@
 	d.history.observe(instances, time.Now(), retention)
 }
 
-// Transfer stores the records of a leaving instance. It returns an error if the
-// store has no room for all of them.
+// Transfer stores the records of a leaving instance, but for those whose key no request has. It
+// returns an error if the store has no room for all of them, or the incarnation is impossible.
 func (d *Deduplicator) Transfer(req TransferRequest) error {
+	if req.Incarnation > registrar.MaxRevisionNumber {
+		return errors.Wrapf(errImpossible, "incarnation %d", req.Incarnation)
+	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.store.expire(time.Now())
-	for _, r := range req.Records {
+	d.store.expire(now)
+	for _, received := range req.Records {
+		r, err := received.bounded(now)
+		if err != nil {
+			continue
+		}
 		if known := d.store.byKey[r.Key]; known != nil && known.State != StateMoved {
 			continue
 		}
@@ -238,6 +246,11 @@
 // adopt stores the record that a former home returned for a key, and returns the
 // stored response or a refusal.
 func (d *Deduplicator) adopt(found Record, req Request) (*Response, error) {
+	found.Key = req.Key // Whatever the other instance says, it was asked for this one.
+	found, err := found.bounded(time.Now())
+	if err != nil {
+		return nil, unknownOutcome()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if found.State == StateRunning {
--- a/internal/request/deduplicator/record.go
+++ b/internal/request/deduplicator/record.go
@@ -3,8 +3,24 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+const (
+	// maxRetention is the longest time for which a record is stored, as in the settings of
+	// services.
+	maxRetention = 24 * time.Hour
+	// maxKeyLength limits the key of a record of another instance. Keys come from headers of
+	// 1 MiB at most.
+	maxKeyLength = 1 << 20
+	// lastStatus is the greatest status of three digits.
+	lastStatus = 999
+)
+
+// errImpossible reports a message of another instance that cannot be true.
+var errImpossible = errors.New("impossible record or incarnation")
+
 // State is the state of the first run of a key, as recorded by one instance.
 type State string
 
@@ -47,3 +63,18 @@
 	// Expires is when the record may be removed.
 	Expires time.Time `json:"expires"`
 }
+
+// bounded returns a record of another instance without what cannot be true in it. Its key stays
+// taken: a run may have happened. It returns errImpossible for a key that no request has.
+func (r Record) bounded(now time.Time) (Record, error) {
+	if r.Key == "" || len(r.Key) > maxKeyLength {
+		return Record{}, errors.Wrapf(errImpossible, "key of %d bytes", len(r.Key))
+	}
+	if latest := now.Add(maxRetention); r.Expires.After(latest) {
+		r.Expires = latest
+	}
+	if r.Response != nil && (r.State != StateDone || r.Response.Status < http.StatusOK || r.Response.Status > lastStatus) {
+		r.Response = nil
+	}
+	return r, nil
+}
