feat: log lines and a counter for requests that a planned stop cuts

A node that ended with requests open named none of them: at the end of the stop grace it logged "A caller did not read its response to the end.", which was a guess, or the number of requests at the own upstream. It could not be told whether a request was read whole, waited at another instance, ran, or was ready and not read.

Each request that has not ended is now kept with its stage, the instance of its last attempt and the bytes that the caller's connection took. A line for each (20 at most, the rest counted) is written before the process ends and when the wait for the own upstream ends, and banyanscale_forwarder_requests_cut counts them by stage. The line of the listeners tells the states of the connections instead of a guess.

--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -61,6 +61,7 @@
 	server  *http.Server
 	socket  net.Listener
 	backlog *drainingListener // Inside socket.
+	states  connectionStates
 }
 
 func listen(ctx context.Context, addr netip.AddrPort, h http.Handler) (*listener, error) {
@@ -70,7 +71,9 @@
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: serverIdleTimeout}
 	backlog := newDrainingListener(socket.(*net.TCPListener))
-	return &listener{server: srv, socket: backlog, backlog: backlog}, nil
+	l := &listener{server: srv, socket: backlog, backlog: backlog}
+	srv.ConnState = l.states.record
+	return l, nil
 }
 
 // serve handles requests until the listener is closed.
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -195,6 +195,7 @@
 		return fmt.Errorf("drain: %w", err)
 	} else if err != nil {
 		n.log.Warn().Err(err).Msg("Requests are still in flight at the end of the stop grace.")
+		n.server.ReportOpen()
 	}
 	n.shutDownCallerListeners(ctx, httpListener, platformListeners)
 	n.handOverKeys(ctx)
@@ -215,6 +216,7 @@
 	if err := firstError(append(stopFuncs, n.tomb.Wait, n.metrics.Close)...); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
+	n.forwarder.ReportCut()
 	n.log.Info().Msg("Stopped.")
 	return nil
 }
@@ -241,7 +243,8 @@
 	}
 	for _, l := range listeners {
 		if err := l.shutdown(ctx); err != nil {
-			n.log.Warn().Err(err).Msg("A caller did not read its response to the end.")
+			n.log.Warn().Err(err).Int("requests", n.forwarder.OpenRequests()).EmbedObject(&l.states).
+				Msg("Connections of callers are still open at the end of the stop.")
 		}
 	}
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -101,6 +101,7 @@
 	observer := c.forwarder.cfg.Observer
 	id := a.choice.Instance.ID()
 	observer.AttemptSent(id)
+	c.open.BeginAttempt(id)
 	resp, refusal := c.exchange(ctx, a, extra) //nolint:bodyclose // Closed by the user of the attempt or by discard.
 	a.resp, a.refusal = resp, refusal
 	a.end = time.Now()
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -16,6 +16,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/request/tracker"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -42,6 +43,7 @@
 	r           *http.Request
 	route       route
 	trace       *explainer.Trace
+	open        *tracker.Request
 	retryBudget *retrier.Budget
 	idempotent  bool // Copy of route.idempotent.
 	// body is the buffered request body, if it is small and of known length.
@@ -74,18 +76,21 @@
 	quarantined *refuser.Refusal
 }
 
-func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace) *call {
+func newCall(ctx context.Context, f *Forwarder, r *http.Request, route route, trace *explainer.Trace, open *tracker.Request) *call {
 	c := &call{
 		ctx:            ctx,
 		forwarder:      f,
 		r:              r,
 		route:          route,
 		trace:          trace,
+		open:           open,
 		firstAttemptAt: route.firstAttemptAt,
 		retryBudget:    f.budgets.Service(route.spec.Name),
 		idempotent:     route.idempotent,
 		header:         relayer.CopyRequestHeader(r.Header),
 	}
+	deadline, _ := ctx.Deadline()
+	open.SetDeadline(deadline)
 	c.retryBudget.Deposit(route.spec.RetryPercent)
 	c.header[classifier.HeaderDepth] = []string{strconv.Itoa(route.depth)}
 	c.header[classifier.HeaderRequestID] = []string{trace.ID()}
@@ -107,6 +112,7 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
+	c.open.Enter(tracker.ReceivingBody)
 	controller := http.NewResponseController(w)
 	deadline, _ := c.ctx.Deadline()
 	// A writer without deadlines has no connection that could stall.
@@ -152,6 +158,7 @@
 // serve returns the response of an upstream. A non-idempotent request with an idempotency
 // key runs at the key's home instance.
 func (c *call) serve() (*http.Response, *refuser.Refusal) {
+	c.open.Enter(tracker.Choosing)
 	key := c.r.Header.Get(classifier.HeaderIdempotencyKey)
 	if key == "" || c.idempotent || c.forwarder.cfg.Keys == nil {
 		return c.run()
@@ -198,6 +205,7 @@
 		c.forwarder.retries.Inc(failure.Reason)
 		cause = failure.Reason
 		last = a.refusal
+		c.open.Enter(tracker.Choosing)
 		a.discard()
 	}
 }
--- a/internal/request/forwarder/call_test.go
+++ b/internal/request/forwarder/call_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/request/explainer"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/request/tracker"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 )
 
@@ -24,7 +25,9 @@
 	}
 	r.Header.Set("Accept-Language", "es")
 	spec := compiler.DefaultServiceSpec("vitrina")
-	c := newCall(context.Background(), &Forwarder{budgets: retrier.NewBudgets()}, r, route{spec: &spec}, explainer.NewTrace("a", r.Method, r.URL.Path, time.Now()))
+	trace := explainer.NewTrace("a", r.Method, r.URL.Path, time.Now())
+	open := tracker.New().Begin("a", r.Method, r.URL.Path)
+	c := newCall(context.Background(), &Forwarder{budgets: retrier.NewBudgets()}, r, route{spec: &spec}, trace, open)
 	for _, name := range nodeHeaders {
 		assert.Equal(t, c.header.Get(name), "")
 	}
--- a/internal/request/forwarder/fleet_test.go
+++ b/internal/request/forwarder/fleet_test.go
@@ -70,6 +70,8 @@
 	headers forwarder.OrganisationHeaders
 	// link schedules the large request bodies of the entry node, if not nil.
 	link forwarder.Link
+	// logs receives the log lines of the entry node, if not nil.
+	logs io.Writer
 	// unreadBody lets upstreams respond before they have read the body.
 	unreadBody bool
 
@@ -122,6 +124,9 @@
 			cfg.Keys = f.keys
 		}
 		cfg.Link = f.link
+		if f.logs != nil {
+			cfg.Log = zerolog.New(f.logs)
+		}
 		if f.localUpstream {
 			cfg.Instance = "almacen-1"
 			cfg.Local = f.servers[0]
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/recognizer"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/request/tracker"
 	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -45,6 +46,9 @@
 	// servedLog and failedLog limit the log lines of successful and failed requests.
 	servedLog, failedLog *logger.Limiter
 	latencies            *latencies
+	// open are the requests that have not ended.
+	open *tracker.Tracker
+	cuts *counter.Counter
 	// servesUntil is when the node stops; nil unless that is known.
 	servesUntil atomic.Pointer[time.Time]
 }
@@ -63,6 +67,8 @@
 		requests:     cfg.Scope.Counter("requests"),
 		servedLog:    logger.NewLimiter(servedLinesPerSecond),
 		failedLog:    logger.NewLimiter(failedLinesPerSecond),
+		open:         tracker.New(),
+		cuts:         counter.New(cfg.Scope, "requests_cut"),
 
 		latencies: newLatencies(cfg.Scope),
 	}
@@ -80,6 +86,8 @@
 	now := time.Now()
 	trace := explainer.NewTrace(id, r.Method, r.URL.Path, now)
 	attempt := callerAttempt(r, now)
+	open := f.open.Begin(id, r.Method, r.URL.Path)
+	defer open.End()
 	var route route
 	defer func() { f.finish(attempt, trace, &route) }()
 	route, refusal := f.routeAfterStart(r, attempt)
@@ -90,7 +98,7 @@
 	trace.SetService(route.service.Name())
 	ctx, cancel := context.WithTimeout(r.Context(), route.timeout)
 	defer cancel()
-	c := newCall(ctx, f, r, route, trace)
+	c := newCall(ctx, f, r, route, trace, open)
 	if refusal := c.leavingRefusal(); refusal != nil {
 		f.refuseEarly(w, r, trace, refusal)
 		return
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -57,6 +57,7 @@
 	req.Header.Set(classifier.HeaderDepth, strconv.Itoa(c.route.depth-1))
 	req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(max(remainingMillis(c.ctx), 1), 10))
 	a := &attempt{choice: Choice{Instance: home}, start: time.Now()}
+	c.open.BeginAttempt(home.ID())
 	// The request is not idempotent: a response that makes no progress is awaited.
 	resp, err := c.forwarder.cfg.Requester.DoLimited(c.ctx, home.HTTP(), req, requester.Limits{})
 	switch {
--- a/internal/request/forwarder/leaving_test.go
+++ b/internal/request/forwarder/leaving_test.go
@@ -1,7 +1,10 @@
 package forwarder_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +29,28 @@
 		assertResponse(t, resp, body, err)
 	})
 }
+
+// TestRequestsCutByAStopAreNamed guards against a stop that cuts requests of which no log line tells.
+func TestRequestsCutByAStopAreNamed(t *testing.T) {
+	var logs bytes.Buffer
+	f := newFleet()
+	f.logs = &logs
+	f.upstreamHandler = func(http.ResponseWriter, *http.Request, int64) { time.Sleep(2 * time.Second) }
+	f.run(t, func(t *testing.T) {
+		req := request(http.MethodPost)
+		req.Header.Set(classifier.HeaderRequestID, "abc")
+		go f.call(t.Context(), req) //nolint:errcheck // The log tells how far it is.
+		time.Sleep(time.Second)
+		assert.Equal(t, f.entry.OpenRequests(), 1)
+		f.entry.ReportCut()
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.entry.OpenRequests(), 0)
+	})
+	line, _, _ := strings.Cut(logs.String(), "\n")
+	var fields map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(line), &fields))
+	assert.DeepEqual(t, fields, map[string]any{
+		"level": "warn", "message": "Request is open at the end of the stop.", "request": "abc", "method": "POST", "path": "/pedidos",
+		"stage": "sent", "instance": "almacen-1", "attempts": 1.0, "after-ms": 1000.0, "stage-ms": 1000.0, "left-ms": 4000.0, "bytes": 0.0,
+	})
+}
--- a/internal/request/forwarder/response.go
+++ b/internal/request/forwarder/response.go
@@ -12,6 +12,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
 	"github.com/banyanscale/banyanscale/internal/request/resumer"
 	"github.com/banyanscale/banyanscale/internal/request/retrier"
+	"github.com/banyanscale/banyanscale/internal/request/tracker"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -37,8 +38,9 @@
 		resp.Body = resumer.New(resp, c.resume)
 		c.resumable.Store(true)
 	}
+	c.open.Enter(tracker.Responding)
 	relayer.WriteResponseHeader(w, resp)
-	n, err := relayer.CopyBody(w, resp.Body)
+	n, err := relayer.CopyBody(&countingWriter{w, c.open}, resp.Body)
 	c.trace.SetBytes(n)
 	if err != nil {
 		c.abort(w, resp, err)
@@ -47,6 +49,22 @@
 	c.trace.End(time.Now(), resp.StatusCode, classifier.Done, classifier.ReasonNone)
 }
 
+// countingWriter records how many bytes of a response the caller's connection has taken.
+type countingWriter struct {
+	http.ResponseWriter
+	open *tracker.Request
+}
+
+// Unwrap returns the wrapped writer to http.ResponseController.
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.open.AddBytes(n)
+	return n, err // Not wrapped: CopyBody wraps it.
+}
+
 // resume requests the rest of a truncated response from another instance. The headers in
 // extra specify the range.
 func (c *call) resume(extra http.Header) (*http.Response, error) {
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/request/crashwatcher"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
+	"github.com/banyanscale/banyanscale/internal/request/tracker"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
@@ -42,19 +43,21 @@
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonLeaving)
 	}
 	inFlight := false
+	open := s.open.Begin(req.Header.Get(classifier.HeaderRequestID), req.Method, req.URL.Path)
 	defer func() {
 		if !inFlight {
+			open.End()
 			s.exit()
 		}
 	}()
-	resp, refusal := s.admitAndSend(ctx, req)
+	resp, refusal := s.admitAndSend(ctx, req, open)
 	inFlight = refusal == nil // Then the end of the response calls exit.
 	return resp, refusal
 }
 
 // admitAndSend waits for a slot, sends req to the upstream and returns the response. It
 // checks the upstream again after the wait, as it may have changed.
-func (s *Server) admitAndSend(ctx context.Context, req *http.Request) (*http.Response, *refuser.Refusal) {
+func (s *Server) admitAndSend(ctx context.Context, req *http.Request, open *tracker.Request) (*http.Response, *refuser.Refusal) {
 	if refusal := s.evacuationRefusal(); refusal != nil {
 		return nil, refusal
 	}
@@ -66,6 +69,7 @@
 		return nil, refusal
 	}
 	spec := s.spec()
+	open.Enter(tracker.Queued)
 	permit, refusal := s.admit(ctx, req, spec)
 	if refusal != nil {
 		return nil, refusal
@@ -81,12 +85,13 @@
 		permit.Done(Result{Abandoned: true})
 		return nil, refusal
 	}
-	return s.send(ctx, req, spec.StallTimeout, permit, tracked)
+	open.Enter(tracker.Running)
+	return s.send(ctx, req, spec.StallTimeout, permit, tracked, open)
 }
 
 // send sends an admitted request to the upstream and returns the response.
 func (s *Server) send(
-	ctx context.Context, req *http.Request, stallTimeout time.Duration, permit Permit, tracked *trackedRun,
+	ctx context.Context, req *http.Request, stallTimeout time.Duration, permit Permit, tracked *trackedRun, open *tracker.Request,
 ) (*http.Response, *refuser.Refusal) {
 	returned := false
 	defer func() {
@@ -120,6 +125,7 @@
 	}
 	release := func() {
 		permit.Done(Result{Latency: latency, Failed: resp.StatusCode >= http.StatusInternalServerError})
+		open.End()
 		s.exit()
 	}
 	if resp.Body == http.NoBody {
@@ -127,6 +133,7 @@
 		release()
 		return resp, nil
 	}
+	open.Enter(tracker.Responding)
 	resp.Body = &releasingBody{ReadCloser: resp.Body, release: release, tracked: tracked}
 	return resp, nil
 }
--- a/internal/request/server/server.go
+++ b/internal/request/server/server.go
@@ -29,6 +29,7 @@
 	"github.com/banyanscale/banyanscale/internal/connection/responder"
 	"github.com/banyanscale/banyanscale/internal/request/refuser"
 	"github.com/banyanscale/banyanscale/internal/request/relayer"
+	"github.com/banyanscale/banyanscale/internal/request/tracker"
 	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
 	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
@@ -54,6 +55,8 @@
 	// yet written or aborted.
 	openResponses atomic.Int64
 	leaving       atomic.Bool
+	// open are the requests in flight.
+	open *tracker.Tracker
 	// idle receives a token when the node is leaving and nothing is in flight.
 	idle chan struct{}
 }
@@ -68,6 +71,7 @@
 		admissionWaits:    cfg.Scope.Histogram("admission_wait", exporter.LatencyBuckets),
 		upstreamLatencies: cfg.Scope.Histogram("upstream_latency", exporter.LatencyBuckets),
 		idle:              make(chan struct{}, 1),
+		open:              tracker.New(),
 	}
 }
 
@@ -78,12 +82,17 @@
 		select {
 		case <-s.idle:
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d requests in flight", s.inFlight.Load())
+			return errors.Wrapf(ctx.Err(), "%d requests in flight, %d responses to other nodes open", s.inFlight.Load(), s.openResponses.Load())
 		}
 	}
 	return nil
 }
 
+// ReportOpen logs the requests in flight.
+func (s *Server) ReportOpen() {
+	s.open.Log(s.cfg.Log, "Request is in flight at the end of the stop.")
+}
+
 // Exchange admits req, sends it to the upstream and returns the response. It modifies the
 // headers of req. Errors are of type *refuser.Refusal. The slot of the upstream is held
 // until the response body is read to its end or closed.
