fix: requests that wait elsewhere are refused when the grace of a stop ends

What callers saw: a request was passed on before or shortly after the SIGTERM of the machine that took it, waited for a slot of another instance, and its connection ended with the process: no answer, no refusal.

Cause: when the wait for callers ran out (GraceS - 0.7 s) nothing ended their requests; the process went on to close and exit with them. The same when requests of other nodes at the own upstream used up the whole grace: then the listeners, with an expired context, waited for nothing, and the idempotency keys were not handed over.

Now the requests without a response are interrupted at the end of the wait: the caller gets what is known (503 if not run, else 502; reason leaving), also while a body is awaited or a keyed run goes on without its caller. Responses that are being written go on until the process ends. The wait for the own upstream ends 0.1 s earlier, the keys have their own time, and all listeners for callers close at once instead of one after the other. Their connections no longer turn the stop into an error.

Looked at: hedges, retries, keyed runs (detached from the caller), half read bodies, streamed bodies, responses whose head has come (tests of forwarder); the own queue (Admitter.Leave refuses all who wait: a test with that part taken out showed no difference); a stop without a grace.

--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -51,9 +51,17 @@
 	leavePropagationPeriod = 400 * time.Millisecond
 	// keyHandOverTimeout bounds the handover of idempotency keys at a planned stop.
 	keyHandOverTimeout = 10 * time.Second
-	// closeReserve is the end of the stop grace, reserved for announcing that the node
-	// left and for closing.
+	// drainReserve is the end of the stop grace by which the wait for requests to the own
+	// upstream ends, so that the listeners for callers can be closed before closeReserve.
+	drainReserve = 800 * time.Millisecond
+	// closeReserve is the end of the stop grace, reserved for refusing callers' requests that
+	// have no response yet, for the idempotency keys, for announcing that the node left and for
+	// closing.
 	closeReserve = 700 * time.Millisecond
+	// handOverReserve is the end of the stop grace by which the keys are handed over.
+	handOverReserve = 350 * time.Millisecond
+	// refusalTimeout bounds the wait for the refusals of interrupted requests to be written.
+	refusalTimeout = 150 * time.Millisecond
 	// exitReserve is the end of the stop grace by which everything is closed.
 	exitReserve = 200 * time.Millisecond
 	// callerReadMargin is how long after the longest possible deadline a stopping node
@@ -171,11 +179,15 @@
 }
 
 // stop performs a planned stop. It cuts off no request in flight, unless the stop grace
-// ends first.
+// ends first. Then callers whose requests have no response yet get a refusal.
 func (n *Node) stop(httpListener, peerListener *listener, platformListeners []platformListener) error {
 	n.log.Info().Msg("Leaving.")
 	ctx, cancel := n.stopContext(closeReserve)
 	defer cancel()
+	drainCtx, cancelDrain := n.stopContext(drainReserve)
+	defer cancelDrain()
+	handOverCtx, cancelHandOver := n.stopContext(handOverReserve)
+	defer cancelHandOver()
 	closeCtx, cancelClose := n.stopContext(exitReserve)
 	defer cancelClose()
 	n.leaving.Store(true)
@@ -191,22 +203,26 @@
 	if end, bounded := ctx.Deadline(); bounded {
 		n.forwarder.ServeUntil(end)
 	}
-	if err := n.server.Drain(ctx); err != nil && n.settings.StopGrace() == 0 {
+	if err := n.server.Drain(drainCtx); err != nil && n.settings.StopGrace() == 0 {
 		return fmt.Errorf("drain: %w", err)
 	} else if err != nil {
 		n.log.Warn().Err(err).Msg("Requests are still in flight at the end of the stop grace.")
 		n.server.ReportOpen()
 	}
-	n.shutDownCallerListeners(ctx, httpListener, platformListeners)
-	n.handOverKeys(ctx)
+	callers := callerListeners(httpListener, platformListeners)
+	n.shutDownCallerListeners(ctx, callers)
+	n.handOverKeys(handOverCtx)
 	n.gossiper.Leave(closeCtx)
+	n.closeCallerListeners(closeCtx, callers)
 	n.tomb.Kill(nil)
 	stopFuncs := []func() error{
 		n.reporter.Stop, n.quotaKeeper.Stop, n.distributor.Stop, n.disseminator.Stop, n.gossiper.Stop,
 		peerListener.closer(closeCtx), n.courier.Stop,
 	}
 	for _, l := range platformListeners {
-		stopFuncs = append(stopFuncs, l.listener.closer(closeCtx))
+		if !l.servesCallers {
+			stopFuncs = append(stopFuncs, l.listener.closer(closeCtx))
+		}
 	}
 	if n.enroller == nil {
 		stopFuncs = append(stopFuncs, n.watcher.Stop, n.healthReader.Stop)
@@ -216,7 +232,6 @@
 	if err := firstError(append(stopFuncs, n.tomb.Wait, n.metrics.Close)...); err != nil {
 		return fmt.Errorf("stop: %w", err)
 	}
-	n.forwarder.ReportCut()
 	n.log.Info().Msg("Stopped.")
 	return nil
 }
@@ -230,25 +245,6 @@
 	return context.WithTimeout(context.Background(), n.settings.StopGrace()-reserve)
 }
 
-// shutDownCallerListeners closes the listeners for callers after their requests ended. All
-// requests end by their deadlines, but a caller may never read its response.
-func (n *Node) shutDownCallerListeners(ctx context.Context, httpListener *listener, platformListeners []platformListener) {
-	ctx, cancel := context.WithTimeout(ctx, n.longestTimeout()+callerReadMargin)
-	defer cancel()
-	listeners := []*listener{httpListener}
-	for _, l := range platformListeners {
-		if l.servesCallers {
-			listeners = append(listeners, l.listener)
-		}
-	}
-	for _, l := range listeners {
-		if err := l.shutdown(ctx); err != nil {
-			n.log.Warn().Err(err).Int("requests", n.forwarder.OpenRequests()).EmbedObject(&l.states).
-				Msg("Connections of callers are still open at the end of the stop.")
-		}
-	}
-}
-
 // handOverKeys sends the idempotency keys to their next home instances. There, requests
 // with a key that could not be handed over end with the outcome "unknown".
 func (n *Node) handOverKeys(ctx context.Context) {
--- a/internal/request/forwarder/buffered_body.go
+++ b/internal/request/forwarder/buffered_body.go
@@ -35,6 +35,16 @@
 	return nil
 }
 
+// buffered reports whether the complete body of a response was received.
+func buffered(resp *http.Response) bool {
+	if closer, ok := resp.Body.(*onCloseBody); ok {
+		b, ok := closer.ReadCloser.(*bufferedBody)
+		return closer.ReadCloser == http.NoBody || ok && b.complete
+	}
+	b, ok := resp.Body.(*bufferedBody)
+	return resp.Body == http.NoBody || ok && b.complete
+}
+
 // bufferedBody is a response body whose first bytes, or all of them, are buffered.
 type bufferedBody struct {
 	buffered []byte
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -13,7 +13,6 @@
 package forwarder
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -96,7 +95,7 @@
 		return
 	}
 	trace.SetService(route.service.Name())
-	ctx, cancel := context.WithTimeout(r.Context(), route.timeout)
+	ctx, cancel := interruptible(r.Context(), route.timeout, w, open)
 	defer cancel()
 	c := newCall(ctx, f, r, route, trace, open)
 	if refusal := c.leavingRefusal(); refusal != nil {
@@ -109,14 +108,14 @@
 	}
 	if refusal := c.bufferBody(w); refusal != nil {
 		c.returnQuota(refusal)
-		f.refuseEarly(w, r, trace, refusal)
+		f.refuseEarly(w, r, trace, leavingIfStopped(ctx, refusal))
 		return
 	}
 	if refusal := c.renewQuota(); refusal != nil {
 		f.refuseEarly(w, r, trace, refusal)
 		return
 	}
-	resp, refusal := c.serve()
+	resp, refusal := c.serveUnlessStopped()
 	if refusal != nil {
 		c.returnQuota(refusal)
 		f.refuse(w, trace, refusal)
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
@@ -101,7 +103,13 @@
 		}
 	}()
 	deadline, _ := c.ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), deadline)
+	caller := c.ctx
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), deadline)
+	defer context.AfterFunc(caller, func() {
+		if errors.Is(context.Cause(caller), errStopping) {
+			cancel()
+		}
+	})()
 	c.ctx = ctx
 	resp, refusal := c.run()
 	reported = true
--- a/internal/request/forwarder/response.go
+++ b/internal/request/forwarder/response.go
@@ -38,7 +38,6 @@
 		resp.Body = resumer.New(resp, c.resume)
 		c.resumable.Store(true)
 	}
-	c.open.Enter(tracker.Responding)
 	relayer.WriteResponseHeader(w, resp)
 	n, err := relayer.CopyBody(&countingWriter{w, c.open}, resp.Body)
 	c.trace.SetBytes(n)
--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -1,5 +1,5 @@
 // Package tracker keeps the requests that have not ended yet, and how far each one is, for a
-// node that stops while some of them are open.
+// node that stops while some of them are open. It can interrupt those that have no response yet.
 //
 // # Usage
 //
@@ -95,6 +95,16 @@
 	return len(open)
 }
 
+// Interrupt interrupts the requests that have not ended and to which no response is being written.
+func (t *Tracker) Interrupt() {
+	t.mu.Lock()
+	open := slices.Collect(maps.Keys(t.open))
+	t.mu.Unlock()
+	for _, r := range open {
+		r.interruptUnanswered()
+	}
+}
+
 // Request is a request that is being handled.
 type Request struct {
 	tracker          *Tracker
@@ -108,6 +118,7 @@
 	instance   string
 	attempts   int
 	deadline   time.Time
+	interrupt  func(Stage)
 }
 
 // SetDeadline records the deadline of the request.
@@ -117,6 +128,23 @@
 	r.deadline = deadline
 }
 
+// OnInterrupt sets what interrupts the request. It is called with the stage of the request, and
+// must not block.
+func (r *Request) OnInterrupt(interrupt func(Stage)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interrupt = interrupt
+}
+
+// interruptUnanswered interrupts the request unless its response is being written.
+func (r *Request) interruptUnanswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.interrupt != nil && r.stage != Responding {
+		r.interrupt(r.stage)
+	}
+}
+
 // Enter records that the request is in a stage.
 func (r *Request) Enter(stage Stage) {
 	r.mu.Lock()
