fix: one unresponsive instance doesn't use up the time to hand over keys

What callers saw: a request with a key that is sent again after its home was stopped is refused as key-unknown.

Cause: a stopping node handed its keys over to one instance after the other within one time limit; one that did not respond used it up.

Evidence: TestUnresponsiveInstanceDoesNotHoldUpHandOver failed before: 0 instances of 2 had got their records. Now all get them at once.

Looked at: Claim from former homes (its loop is not changed).

--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -176,16 +176,25 @@
 // called once when the instance leaves, after the last run has ended.
 func (d *Deduplicator) HandOver(ctx context.Context, instances []*registrar.Instance, retention time.Duration) error {
 	byHome := d.groupByNextHome(instances, retention)
-	var firstErr error
-	for _, in := range instances {
+	errs := make([]error, len(instances))
+	var transfers sync.WaitGroup
+	for i, in := range instances {
 		if in.ID() == d.cfg.Instance || !in.State().Routable() {
 			continue
 		}
-		if err := d.transfer(ctx, in, byHome[in.ID()]); err != nil && firstErr == nil {
-			firstErr = fmt.Errorf("hand over records to %s: %w", in.ID(), err)
+		transfers.Go(func() {
+			if err := d.transfer(ctx, in, byHome[in.ID()]); err != nil {
+				errs[i] = fmt.Errorf("hand over records to %s: %w", in.ID(), err)
+			}
+		})
+	}
+	transfers.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
 		}
 	}
-	return firstErr
+	return nil
 }
 
 // transfer sends records to one instance in messages of at most maxTransferRecords
--- a/internal/request/forwarder/leaving_test.go
+++ b/internal/request/forwarder/leaving_test.go
@@ -90,7 +90,7 @@
 		req := request(http.MethodPost)
 		reader, writer := io.Pipe()
 		go writer.Write([]byte("12 litres")) //nolint:errcheck // The rest never comes.
-		defer writer.Close() //nolint:errcheck // Never fails.
+		defer writer.Close()                 //nolint:errcheck // Never fails.
 		req.Body = reader
 		resp, _, err := f.call(t.Context(), req)
 		assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonLeaving)
