--- a/internal/process/launcher/stop_test.go
+++ b/internal/process/launcher/stop_test.go
@@ -1,10 +1,14 @@
 package launcher
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -54,3 +58,26 @@
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 	assert.Equal(t, runs, 0)
 }
+
+// TestBusyStopHandsOverKeys guards against idempotency keys that are lost when the own upstream is at work until the stop grace ends.
+func TestBusyStopHandsOverKeys(t *testing.T) {
+	upstream, begun := startTimedUpstream(t)
+	other := newTestNode(t, "almacen-2", "almacen", upstream)
+	leaving := newTestNode(t, "almacen-1", "almacen", upstream, "stop-grace = 4s", "seeds = "+other.settings.PeerAddress().String())
+	var log bytes.Buffer
+	leaving.log = zerolog.New(zerolog.SyncWriter(&log))
+	runNode(t, other)
+	stop, ended := runNode(t, leaving)
+	awaitServed(t, leaving, "almacen.oax")
+	conn := openCallerConnection(t, leaving.settings.HTTPAddress())
+	_, err := fmt.Fprintf(conn, "POST /busy?8s HTTP/1.1\r\nHost: almacen.oax\r\n%s: 1\r\n%s: almacen\r\n%s: 10000\r\nContent-Length: 0\r\n\r\n",
+		classifier.HeaderHop, classifier.HeaderService, classifier.HeaderTimeout)
+	assert.NilError(t, err)
+	for begun("/busy") == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	stop()
+	<-ended
+	assert.Assert(t, strings.Contains(log.String(), "Requests are still in flight"), log.String())
+	assert.Assert(t, !strings.Contains(log.String(), "Failed to hand over"), log.String())
+}
