--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/request/deduplicator"
@@ -57,6 +59,7 @@
 	req.Header.Set(classifier.HeaderDepth, strconv.Itoa(c.route.depth-1))
 	req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(max(remainingMillis(c.ctx), 1), 10))
 	a := &attempt{choice: Choice{Instance: home}, start: time.Now()}
+	c.open.BeginAttempt(home.ID())
 	// The request is not idempotent: a response that makes no progress is awaited.
 	resp, err := c.forwarder.cfg.Requester.DoLimited(c.ctx, home.HTTP(), req, requester.Limits{})
 	switch {
@@ -100,7 +103,13 @@
 		}
 	}()
 	deadline, _ := c.ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), deadline)
+	caller := c.ctx
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(caller), deadline)
+	defer context.AfterFunc(caller, func() {
+		if errors.Is(context.Cause(caller), errStopping) {
+			cancel()
+		}
+	})()
 	c.ctx = ctx
 	resp, refusal := c.run()
 	reported = true
