feat: each version tells how it came into force at a process

"New version in force." had the number only, so that a version that came late could not be told apart as one that nobody told of, one that was long on a link, and one that waited for the processor. It now has the form, the holder, the bytes as sent, the time of the fetch, the time of merge, check, compile and publish, when the process first heard of it, and the fetches started since. A delta that cannot be used has its base, target and the version held.

--- a/internal/fleet/distributor/adopter.go
+++ b/internal/fleet/distributor/adopter.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/telemetry/recoverer"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
@@ -43,41 +45,54 @@
 	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), fetchTimeout)
 	defer cancel()
 	d.metrics.fetches.Inc(1)
-	resp, err := d.fetchUnpacked(ctx, source, d.store.digest())
+	o := origin{form: formDelta, holder: source, started: time.Now()}
+	resp, err := d.fetchUnpacked(ctx, &o, d.store.digest())
 	if err != nil {
 		return fmt.Errorf("fetch newer version: %w", err)
 	}
 	if resp.GetDelta() != nil {
-		if err := d.adoptDelta(resp.GetDelta()); err != nil {
-			d.log.Info().Err(err).Stringer("holder", source).Msg("Failed to use a delta, fetching the snapshot.")
-			return d.fetchSnapshot(ctx, source)
+		if err := d.adoptDelta(resp.GetDelta(), o); err != nil {
+			d.metrics.unusableDeltas.Inc(1)
+			d.log.Info().Err(err).Stringer("holder", source).
+				Uint64("base", resp.GetDelta().GetBase().GetNumber()).
+				Uint64("target", resp.GetDelta().GetTarget().GetNumber()).
+				Uint64("held", d.store.number()).
+				Int("bytes", o.bytes).
+				Msg("Failed to use a delta, fetching the snapshot.")
+			return d.fetchSnapshot(ctx, o)
 		}
 		return nil
 	}
 	if resp.GetSnapshot() == nil {
 		return errNoNewerVersion
 	}
-	return d.adopt(resp.GetSnapshot())
+	o.form = formSnapshot
+	return d.adopt(resp.GetSnapshot(), o)
 }
 
 // fetchSnapshot fetches and adopts the full version, whatever version is held.
-func (d *Distributor) fetchSnapshot(ctx context.Context, source netip.AddrPort) error {
-	resp, err := d.fetchUnpacked(ctx, source, nil)
+func (d *Distributor) fetchSnapshot(ctx context.Context, o origin) error {
+	o.form = formSnapshot
+	resp, err := d.fetchUnpacked(ctx, &o, nil)
 	if err != nil {
 		return fmt.Errorf("fetch snapshot: %w", err)
 	}
 	if resp.GetSnapshot() == nil {
 		return errNoNewerVersion
 	}
-	return d.adopt(resp.GetSnapshot())
+	return d.adopt(resp.GetSnapshot(), o)
 }
 
-// fetchUnpacked calls Fetch at a holder and returns the response decompressed.
-func (d *Distributor) fetchUnpacked(ctx context.Context, source netip.AddrPort, have *controlwire.VersionDigest) (*controlwire.FetchResponse, error) {
-	resp, err := d.cfg.Client.Fetch(ctx, source, have)
+// fetchUnpacked calls Fetch at the holder that o names, and returns the response decompressed.
+// It records in o when the response arrived and adds its bytes.
+func (d *Distributor) fetchUnpacked(ctx context.Context, o *origin, have *controlwire.VersionDigest) (*controlwire.FetchResponse, error) {
+	resp, err := d.cfg.Client.Fetch(ctx, o.holder, have)
 	if err != nil {
 		return nil, fmt.Errorf("call holder: %w", err)
 	}
+	o.fetched = time.Now()
+	o.bytes += proto.Size(resp)
+	d.metrics.fetchedBytes.Inc(int64(proto.Size(resp)))
 	plain, err := packer.Unpack(resp)
 	if err != nil {
 		return nil, fmt.Errorf("unpack the holder's response: %w", err)
@@ -86,7 +101,7 @@
 }
 
 // adoptDelta applies a delta to the held version and adopts the result.
-func (d *Distributor) adoptDelta(delta *controlwire.Delta) error {
+func (d *Distributor) adoptDelta(delta *controlwire.Delta, o origin) error {
 	held := d.store.version()
 	if held == nil || !sameVersion(held.GetDigest(), delta.GetBase()) {
 		return errBaseMismatch
@@ -96,13 +111,13 @@
 		return fmt.Errorf("apply delta: %w", err)
 	}
 	d.metrics.deltas.Inc(1)
-	return d.adopt(&controlwire.Version{Digest: delta.GetTarget(), Document: doc})
+	return d.adopt(&controlwire.Version{Digest: delta.GetTarget(), Document: doc}, o)
 }
 
 // adopt checks, compiles and publishes a version, stores it and then announces it. It
 // ignores a version that is not newer than the held one. One that makes this process panic is
 // rejected like one that does not compile, since it would do so after each restart.
-func (d *Distributor) adopt(version *controlwire.Version) error {
+func (d *Distributor) adopt(version *controlwire.Version, o origin) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	number := version.GetDigest().GetNumber()
@@ -120,7 +135,7 @@
 	}
 	d.store.put(version)
 	d.metrics.version.Update(float64(number))
-	d.log.Info().Uint64("version", number).Msg("New version in force.")
+	d.recordAdoption(number, o)
 	if d.cfg.Announce != nil {
 		d.cfg.Announce(version.GetDigest())
 	}
--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -100,6 +100,8 @@
 	minVersion  uint64                     // Oldest version that may be published.
 	wanted      *controlwire.VersionDigest // Newest reported version.
 	sources     []netip.AddrPort           // Holders of the wanted version.
+	heardAt     time.Time                  // When the wanted version was first reported.
+	fetchCount  int                        // Number of fetches since then.
 	reporters   map[netip.AddrPort]bool    // Peers that reported a version before initialization.
 	rejected    uint64                     // Newest version that failed to compile.
 }
@@ -145,6 +147,8 @@
 	if number > d.wanted.GetNumber() {
 		d.wanted = version
 		d.sources = d.sources[:0]
+		d.heardAt = time.Now()
+		d.fetchCount = 0
 	}
 	d.addSource(from)
 	select {
@@ -168,7 +172,7 @@
 // Offer adopts a version that the voters accepted, which a control instance learns from
 // its own voter. It ignores a version that is not newer than the held one.
 func (d *Distributor) Offer(version *controlwire.Version) error {
-	return d.adopt(version)
+	return d.adopt(version, origin{form: formOffer})
 }
 
 // InForce returns the digest of the held version, or nil. The version is in force unless
@@ -267,6 +271,7 @@
 	if d.wanted.GetNumber() <= max(d.store.number(), d.rejected) {
 		return netip.AddrPort{}, false
 	}
+	d.fetchCount++
 	if len(d.sources) == 0 {
 		return d.pickControlSource()
 	}
--- a/internal/fleet/distributor/distributor_test.go
+++ b/internal/fleet/distributor/distributor_test.go
@@ -1,11 +1,13 @@
 package distributor
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -375,3 +377,24 @@
 	_, err = packer.Unpack(&controlwire.FetchResponse{Packed: []byte("no gzip")})
 	assert.ErrorContains(t, err, "decompress")
 }
+
+// TestAdoptionIsTraceable checks that the line of a version tells how it came into force.
+func TestAdoptionIsTraceable(t *testing.T) {
+	runSynctest(t, func(t *testing.T) {
+		net := newNetwork(version(1))
+		newHolderAt(t, net, peers[0], 1, 2)
+		n := newNode(net, control)
+		var log bytes.Buffer
+		n.log = zerolog.New(&log)
+		startNode(t, n)
+		time.Sleep(3 * time.Second)
+		log.Reset()
+		n.ObserveVersion(peers[1], version(2).GetDigest()) // Unreachable.
+		n.ObserveVersion(peers[0], version(2).GetDigest())
+		time.Sleep(3 * time.Second)
+		assertPublished(t, n, 1, 2)
+		for _, want := range []string{`"version":2`, `"form":"delta"`, `"holder":"10.0.0.2:1"`, `"bytes":`, `"fetch-ms":`, `"adopt-ms":`, `"heard-ms-ago":`, `"fetches":`} {
+			assert.Assert(t, strings.Contains(log.String(), want), "%s in %s", want, log.String())
+		}
+	})
+}
--- a/internal/fleet/distributor/initializer.go
+++ b/internal/fleet/distributor/initializer.go
@@ -49,6 +49,7 @@
 	to := addresses[int(d.random(time.Duration(len(addresses))))]
 	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), controlReadTimeout)
 	defer cancel()
+	o := origin{form: formCurrent, holder: to, started: time.Now()}
 	version, err := d.cfg.Client.Current(ctx, to)
 	if err != nil {
 		d.log.Debug().Err(err).Stringer("control", to).Msg("Failed to read the newest version.")
@@ -59,7 +60,8 @@
 	if version.GetDigest().GetNumber() == 0 {
 		return true
 	}
-	if err := d.adopt(version); err != nil {
+	o.fetched = time.Now()
+	if err := d.adopt(version, o); err != nil {
 		d.log.Error().Err(err).Msg("Failed to adopt the newest version from a control instance.")
 	}
 	return true
--- a/internal/fleet/distributor/metrics.go
+++ b/internal/fleet/distributor/metrics.go
@@ -1,12 +1,18 @@
 package distributor
 
-import "github.com/uber-go/tally/v4"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
+)
 
 // metrics holds the metrics of a Distributor.
 type metrics struct {
 	fetches, fetchFailures, deltas, rejected tally.Counter
 	initializedByControl, initializedByPeers tally.Counter
+	unusableDeltas, fetchedBytes             tally.Counter
 	version                                  tally.Gauge
+	lags, adoptions                          tally.Histogram
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -17,6 +23,10 @@
 		rejected:             scope.Counter("versions_refused"),
 		initializedByControl: scope.Counter("versions_settled_by_control"),
 		initializedByPeers:   scope.Counter("versions_settled_by_peers"),
+		unusableDeltas:       scope.Counter("version_deltas_unusable"),
+		fetchedBytes:         scope.Counter("version_fetched_bytes"),
 		version:              scope.Gauge("version_in_force"),
+		lags:                 scope.Histogram("version_lag", exporter.LatencyBuckets),
+		adoptions:            scope.Histogram("version_adoption", exporter.LatencyBuckets),
 	}
 }
