test: acknowledged changes and evacuation orders survive a loss of all power

The disks of the voters that accepted last are lost too, as many as are tolerated, at a random moment while changes and orders are in progress.

--- a/internal/agreement/voter/power_test.go
+++ b/internal/agreement/voter/power_test.go
@@ -1,6 +1,7 @@
 package voter_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
+	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
 
 const (
@@ -66,27 +68,48 @@
 	c.setSources(sources)
 }
 
-// acceptedChanges submits changes one after another until stop is closed, and returns a channel
-// that receives the number of the last one that was acknowledged.
-func (c *cluster) acceptedChanges(address string, known uint64, stop <-chan struct{}) <-chan uint64 {
+// acceptedChanges submits changes one after another until ctx ends, and returns a channel that
+// receives the number of the last one that was acknowledged.
+func (c *cluster) acceptedChanges(ctx context.Context, address string, known uint64) <-chan uint64 {
 	result := make(chan uint64, 1)
 	go func() {
-		defer func() { result <- known }()
-		for v := c.voter(address); ; {
-			select {
-			case <-stop:
-				return
-			case <-time.After(changeInterval):
-			}
-			resp, err := v.Submit(context.Background(), change(fmt.Sprintf("change-%d", known+1), known))
+		for v := c.voter(address); sleepUntilDone(ctx, changeInterval); {
+			resp, err := v.Submit(ctx, change(fmt.Sprintf("change-%d", known+1), known))
 			if err == nil && resp.GetResult() == controlwire.SubmitResult_SUBMIT_RESULT_ACCEPTED {
 				known = resp.GetVersion()
 			}
 		}
+		result <- known
+	}()
+	return result
+}
+
+// acceptedOrders evacuates a failure domain and ends that, again and again until ctx ends, and
+// returns a channel that receives the revision of the last order that was acknowledged.
+func (c *cluster) acceptedOrders(ctx context.Context, address string) <-chan uint64 {
+	result := make(chan uint64, 1)
+	go func() {
+		revision := uint64(0)
+		for v := c.voter(address); sleepUntilDone(ctx, changeInterval); {
+			evacuation, err := v.SetEvacuated(ctx, "domain-a", revision%2 == 0)
+			if err == nil {
+				revision = evacuation.GetRevision()
+			}
+		}
+		result <- revision
 	}()
 	return result
 }
 
+// sleepUntilDone sleeps for d, and reports whether ctx is still valid.
+func sleepUntilDone(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+	return ctx.Err() == nil
+}
+
 // assertReadBack checks that all instances read the version, or one on top of it that was
 // submitted too, within recoveryTime.
 func assertReadBack(t testing.TB, c *cluster, addresses []string, version uint64) {
@@ -110,11 +133,11 @@
 // voters that begin does takes place. Once the instances of begin no longer count as lost, second
 // lose their disks while all others lose power.
 func (c *cluster) loseDisksAfterCatchUp(survivor string, second []string, losses int, begin func() (back time.Time)) {
-	stop := make(chan struct{})
-	accepted := c.acceptedChanges(survivor, 1, stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	accepted := c.acceptedChanges(ctx, survivor, 1)
 	back := begin()
 	time.Sleep(time.Until(back.Add(catchUpTimes[losses])))
-	close(stop)
+	cancel()
 	version := <-accepted
 	running := c.runningAddresses()
 	c.powerOff(running...)
@@ -123,6 +146,40 @@
 	assertReadBack(c.t, c, running, version)
 }
 
+// TestAcknowledgedWorkSurvivesPowerLoss cuts the power of all instances at a random moment among
+// changes and evacuation orders. As many disks as are tolerated are lost, those of the instances
+// that accepted last.
+func TestAcknowledgedWorkSurvivesPowerLoss(t *testing.T) {
+	simulateLosses(t, 40, func(t *testing.T, c *cluster, random *rand.Rand, losses int) {
+		ctx, cancel := context.WithCancel(context.Background())
+		changes := c.acceptedChanges(ctx, c.initial[random.IntN(len(c.initial))], 1)
+		orders := c.acceptedOrders(ctx, c.initial[random.IntN(len(c.initial))])
+		time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
+		wiped := c.newestAcceptors()[:losses]
+		c.powerOff(c.initial...)
+		cancel()
+		version, revision := <-changes, <-orders
+		time.Sleep(time.Second)
+		c.powerOn(c.initial, wiped)
+		assertReadBack(t, c, c.initial, version)
+		state, err := c.voter("v0").Current(context.Background())
+		assert.NilError(t, err)
+		got := state.Evacuation().GetRevision()
+		assert.Assert(t, got == revision || got == revision+1, "revision %d, %d was acknowledged", got, revision)
+	})
+}
+
+// newestAcceptors returns the instances, those first that accepted a state at the newest ballot.
+func (c *cluster) newestAcceptors() []string {
+	rounds := make(map[string]uint64)
+	for _, address := range c.initial {
+		resp, err := c.voter(address).Peer().Query(context.Background(), &voterwire.QueryRequest{})
+		assert.NilError(c.t, err)
+		rounds[address] = resp.GetPosition().GetAccepted().GetRound()
+	}
+	return slices.SortedStableFunc(slices.Values(c.initial), func(a, b string) int { return cmp.Compare(rounds[b], rounds[a]) })
+}
+
 func simulateLosses(t *testing.T, seeds uint64, test func(t *testing.T, c *cluster, random *rand.Rand, losses int)) {
 	t.Helper()
 	for seed := range seeds {
