fix: a voter's disk holds what it reads at its start

Callers: none seen. A voter could report that it has accepted a state which its disk does not hold, and that counts towards an acknowledgement.

Cause: a process that is killed between the write and the sync of a record leaves it in its file. The next process takes it for its state; the rewrite that makes it durable may fail on a full disk, on which the voter starts all the same. A loss of power then loses it.

Evidence: TestRecordReadAtStartSurvivesPowerLoss failed before: "3 (int) != 4 (int)" records after the loss of power.

Looked at: own and fetched votes (the state changes after the sync), blobs (synced before they get their name; they back no vote).

--- a/internal/agreement/journaler/journal.go
+++ b/internal/agreement/journaler/journal.go
@@ -41,6 +41,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("open journal %s: %w", name, err)
 	}
+	// An earlier process may have ended before it synced what was just read.
+	if err := s.syncExisting(j.path); err != nil {
+		return nil, fmt.Errorf("open journal %s: %w", name, err)
+	}
 	return j, nil
 }
 
--- a/internal/agreement/journaler/journaler_test.go
+++ b/internal/agreement/journaler/journaler_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// TestRecordReadAtStartSurvivesPowerLoss ends a process before its sync. The next one starts on a
+// full disk, relies on the record that it reads, and loses power.
+func TestRecordReadAtStartSurvivesPowerLoss(t *testing.T) {
+	fs := newFakeFS()
+	j := openJournal(t, fs)
+	assert.Equal(t, writeRecords(j, 3), 3)
+	assert.NilError(t, j.AppendUnsynced(record(3)))
+	fs.fail = failEvery(opWrite, errNoSpace)
+	reopened := openJournal(t, fs)
+	assertRecords(t, reopened.Records(), 4)
+	assert.ErrorIs(t, reopened.Rewrite(reopened.Records()), journaler.ErrDiskFull)
+	afterPowerLoss := openJournal(t, fs.crashKeeping(0))
+	assert.Equal(t, len(afterPowerLoss.Records()), 4)
+}
+
 func TestTornRecordIsDropped(t *testing.T) {
 	fs := newFakeFS()
 	j := openJournal(t, fs)
--- a/internal/agreement/journaler/store.go
+++ b/internal/agreement/journaler/store.go
@@ -183,6 +183,22 @@
 	return nil
 }
 
+// syncExisting makes a file and its name durable.
+func (s *Store) syncExisting(path string) error {
+	f, err := s.fs.OpenAppend(path)
+	if err != nil {
+		return s.recordFailure(err)
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return s.recordFailure(err)
+	}
+	if err := s.fs.SyncFolder(s.folder); err != nil {
+		return s.recordFailure(err)
+	}
+	return nil
+}
+
 // writeTemp writes and syncs a temporary file.
 func (s *Store) writeTemp(temp string, data []byte) error {
 	f, err := s.fs.Create(temp)
