fix: a load sample of no existing incarnation keeps out no later ones

What callers saw: nothing yet. By TestSampleOfAnImpossibleIncarnation- HidesNoLaterOnes on the code before: one response to a probe that names the greatest incarnation keeps out all later samples of that instance (" != 2" after 20 s), so that it is chosen without its load until it is out of view.

Cause: samples of an earlier incarnation were dropped for good, not only while they can arrive late.

Change: a sample keeps out those of earlier incarnations for ten seconds, longer than a response takes. The statistics begin anew with it, as with each other incarnation.

--- a/internal/measurement/sampler/entry.go
+++ b/internal/measurement/sampler/entry.go
@@ -15,6 +15,9 @@
 	// decayHalfLife is the time in which a latency or failure rate that is not
 	// updated decays to half, so that an avoided instance is tried again.
 	decayHalfLife = 2 * time.Second
+	// incarnationMemory is how long a sample keeps out those of earlier incarnations, which
+	// arrive late. After that the incarnation cannot be one that exists.
+	incarnationMemory = 10 * time.Second
 )
 
 // sample is a load received from an instance. It is immutable.
@@ -67,19 +70,19 @@
 	e.stats.Store(&next)
 }
 
-// observe stores a sample unless the one held is newer or of a later incarnation. The
-// first sample of a new incarnation discards the statistics of the previous one.
+// observe stores a sample unless the one held is newer or, for incarnationMemory, of a later
+// incarnation. The first sample of a new incarnation discards the statistics of the previous one.
 func (e *entry) observe(next sample) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.sample.Load()
-	if old != nil && old.incarnation > next.incarnation {
+	if old != nil && old.incarnation > next.incarnation && next.receivedAt.Sub(old.receivedAt) < incarnationMemory {
 		return
 	}
 	if old != nil && old.incarnation == next.incarnation && old.receivedAt.After(next.receivedAt) {
 		return
 	}
-	if old != nil && old.incarnation < next.incarnation {
+	if old != nil && old.incarnation != next.incarnation {
 		e.stats.Store(nil)
 	}
 	e.sample.Store(&next)
--- a/internal/measurement/sampler/pool_test.go
+++ b/internal/measurement/sampler/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +148,18 @@
 		p.Finished(id, Result{Latency: latency})
 	}
 }
+
+// TestSampleOfAnImpossibleIncarnationHidesNoLaterOnes guards against one sample that keeps the load of an instance unknown for good.
+func TestSampleOfAnImpossibleIncarnationHidesNoLaterOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Config{MaxRequestsPerSample: 3})
+		p.Observe("a", math.MaxUint64, loadWithInFlight(5), time.Now())
+		for range 20 {
+			time.Sleep(time.Second)
+			p.Observe("a", 2, loadWithInFlight(1), time.Now())
+		}
+		r := p.Read("a", maxAge, time.Now())
+		assert.Equal(t, r.Incarnation(), uint64(2))
+		assert.Assert(t, r.Fresh())
+	})
+}
