fix: hold the departure of an upstream over restarts of its node

Callers saw payments sent to an upstream long after its departure was acknowledged, and lost as it exited: its node was killed, started again, and took a heartbeat that was sent before the departure for the first of an incarnation.

Cause: enroller kept draining and deregistrations in memory only, and a node has no disk. A deregistration without a start time (the users' targets send none), at a node that knew no upstream yet, counted as that of an incarnation of 1970, so that any heartbeat was a later start; this needed no second restart.

Before a departure is acknowledged, it is now on the disks of a majority of the control instances (fleet/departurekeeper, one datagram each way, repeated until it is answered; refused after 700 ms, while nothing more is sent all the same). A node that starts asks them before it uses its upstream, for 500 ms at most, and goes on asking those that have not answered. A deregistration without a start time counts as of an incarnation that started at that moment at the latest. A late deregistration no longer ends a later start under the same id. A departure that cannot be placed is not acknowledged.

Looked at: draining stated in responses (stored as well), the server's second check after the wait for a slot, hedges, retries, keyed and streamed requests (all pass it), notices, the native interface (no heartbeats, nothing is acknowledged), quotas, rate limits, cold periods, crash evidence and idempotency keys (by reading only).

--- a/internal/connection/courier/courier.go
+++ b/internal/connection/courier/courier.go
@@ -48,10 +48,14 @@
 	KindQuotaAsk
 	// KindQuotaAnswer marks a message to a node about quotas.
 	KindQuotaAnswer
+	// KindDeparture marks a message of a node about the departure of its upstream.
+	KindDeparture
+	// KindDepartureAnswer marks the answer of a control instance to that.
+	KindDepartureAnswer
 )
 
 const (
-	kindCount = int(KindQuotaAnswer) + 1 // Includes the unused 0.
+	kindCount = int(KindDepartureAnswer) + 1 // Includes the unused 0.
 	// MaxPayload is the largest payload of a datagram, in bytes. It fits the path MTU
 	// of common networks.
 	MaxPayload = 1200
--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -7,12 +7,14 @@
 //	err := e.RecordHeartbeat(enroller.Heartbeat{ID: "i-7f3a", StartedAt: startedAt, Sequence: 4, ...})
 //	e.RecordDraining("i-7f3a", startedAt) // after a response that says so
 //	e.Deregister("i-7f3a", startedAt)
+//	id, startedAt, ok := e.Departure() // to store it before it is acknowledged
 //	id, ok := e.Current() // on the path of a request
 //
 // An upstream may be replaced at its address while the node keeps running. Its incarnations
 // are ordered by their start times. A heartbeat may arrive seconds late, even after its
 // sender ended: one of an earlier incarnation, or with a sequence number no higher than the
-// last one, changes nothing.
+// last one, changes nothing. What an earlier process of the node acknowledged is not known after
+// a restart: between Hold and Release the upstream is unavailable, so that it can be learnt.
 package enroller
 
 import (
@@ -60,6 +62,9 @@
 	// OnHeartbeat is called for each heartbeat that is recorded, after OnChange; nil for
 	// none. It must not block.
 	OnHeartbeat func(Heartbeat)
+	// OnDeparture is called when an incarnation has said that it accepts no new requests, after
+	// OnChange; nil for none. It must not block.
+	OnDeparture func(id string, startedAt time.Time)
 	Log         zerolog.Logger
 }
 
@@ -84,8 +89,8 @@
 	deregistered bool
 }
 
-// available reports whether new requests may be sent to the incarnation.
-func (i incarnation) available() bool { return i.id != "" && !i.draining && !i.deregistered }
+// departed reports whether the incarnation accepts no new requests.
+func (i incarnation) departed() bool { return i.draining || i.deregistered }
 
 // matches reports whether the incarnation may be the one with the given id and start time,
 // either of whose start times may be unknown.
@@ -93,12 +98,24 @@
 	return id == i.id && (startedAt.IsZero() || i.startedAt.IsZero() || startedAt.Equal(i.startedAt))
 }
 
+// withLatestStart returns the incarnation with the latest possible start time if its own is
+// unknown, so that its late heartbeats can be told from those of a later start under the same id.
+func (i incarnation) withLatestStart() incarnation {
+	if i.startedAt.IsZero() {
+		i.startedAt = time.UnixMilli(time.Now().UnixMilli())
+	}
+	return i
+}
+
 // Enroller tracks one upstream by its heartbeats. It is safe for concurrent use.
 type Enroller struct {
 	cfg Config
 
 	mu      sync.Mutex
 	current incarnation
+	held    bool
+	// coldRemaining is that of the last change.
+	coldRemaining time.Duration
 }
 
 // New returns an enroller whose upstream is not known yet.
@@ -133,28 +150,37 @@
 func (e *Enroller) RecordDraining(id string, startedAt time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.current.matches(id, startedAt) || !e.current.available() {
+	if e.current.id == "" || !e.current.matches(id, startedAt) || e.current.departed() {
 		return
 	}
 	next := e.current
 	next.draining = true
-	e.setCurrent(next, Heartbeat{})
+	e.setCurrent(next.withLatestStart(), Heartbeat{})
 }
 
 // Deregister records that an incarnation accepts no new requests and is about to end. An
-// unknown incarnation replaces the current one if it started later.
+// unknown incarnation replaces the current one if it started later. Its start time may be zero if
+// it is unknown; then it replaces one that accepts no new requests either, and counts as started
+// just now at the latest.
 func (e *Enroller) Deregister(id string, startedAt time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if id != e.current.id && !startedAt.After(e.current.startedAt) {
-		return
-	}
 	next := e.current
-	if id != e.current.id || startedAt.After(e.current.startedAt) {
+	switch {
+	case id == e.current.id:
+		if !startedAt.IsZero() && startedAt.Before(e.current.startedAt) {
+			return
+		}
+		if startedAt.After(e.current.startedAt) {
+			next = incarnation{id: id, startedAt: startedAt}
+		}
+	case startedAt.IsZero() && (e.current.id == "" || e.current.departed()), startedAt.After(e.current.startedAt):
 		next = incarnation{id: id, startedAt: startedAt}
+	default:
+		return
 	}
 	next.deregistered = true
-	e.setCurrent(next, Heartbeat{})
+	e.setCurrent(next.withLatestStart(), Heartbeat{})
 }
 
 // Identify records the id that the upstream itself returned, and that it is available, if no
@@ -171,9 +197,48 @@
 func (e *Enroller) Current() (id string, available bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.current.id, e.current.available()
+	return e.current.id, e.available(e.current)
 }
 
+// Departure returns the id and the start time of the upstream, and whether it has said that it
+// accepts no new requests.
+func (e *Enroller) Departure() (id string, startedAt time.Time, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current.id, e.current.startedAt, e.current.departed()
+}
+
+// Ended reports whether no new request is sent to the incarnation with the given id and start time,
+// which may be zero if it is unknown: it has said so, or a later one has replaced it.
+func (e *Enroller) Ended(id string, startedAt time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current.matches(id, startedAt) {
+		return e.current.departed()
+	}
+	return !startedAt.IsZero() && startedAt.Before(e.current.startedAt)
+}
+
+// Hold keeps the upstream unavailable until Release is called.
+func (e *Enroller) Hold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = true
+}
+
+// Release ends Hold.
+func (e *Enroller) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = false
+	if e.available(e.current) {
+		e.cfg.OnChange(Change{Available: true, ColdRemaining: e.coldRemaining})
+	}
+}
+
+// available reports whether new requests may be sent to an incarnation. The mutex must be held.
+func (e *Enroller) available(i incarnation) bool { return i.id != "" && !i.departed() && !e.held }
+
 // Identity returns the id of the upstream and its start time, which is zero if unknown.
 func (e *Enroller) Identity() (id string, startedAt time.Time) {
 	e.mu.Lock()
@@ -196,10 +261,16 @@
 	e.current = next
 	sameIncarnation := previous.id == next.id && (previous.startedAt.Equal(next.startedAt) || previous.startedAt.IsZero())
 	slotsKnown := !previous.startedAt.IsZero() || h.Slots == 0
-	if sameIncarnation && slotsKnown && previous.available() == next.available() {
+	if sameIncarnation && slotsKnown && previous.departed() == next.departed() {
 		return
 	}
 	e.cfg.Log.Info().Str("upstream", next.id).Time("born", next.startedAt).Uint64("sequence", next.sequence).
 		Bool("draining", next.draining).Bool("deregistered", next.deregistered).Msg("Upstream changed.")
-	e.cfg.OnChange(Change{Available: next.available(), Replaced: !sameIncarnation && previous.id != "", ColdRemaining: h.ColdRemaining, Slots: h.Slots})
+	e.coldRemaining = h.ColdRemaining
+	e.cfg.OnChange(Change{
+		Available: e.available(next), Replaced: !sameIncarnation && previous.id != "", ColdRemaining: h.ColdRemaining, Slots: h.Slots,
+	})
+	if next.departed() && e.cfg.OnDeparture != nil {
+		e.cfg.OnDeparture(next.id, next.startedAt)
+	}
 }
--- a/internal/process/enroller/enroller_test.go
+++ b/internal/process/enroller/enroller_test.go
@@ -101,3 +101,31 @@
 	assert.ErrorIs(t, e.RecordHeartbeat(h), enroller.ErrOtherUpstream)
 	assert.Equal(t, len(*changes), 0)
 }
+
+// TestLateDeregistrationDoesNotEndALaterStart guards against a deregistration that arrives late and ends the upstream that has started again under the same id.
+func TestLateDeregistrationDoesNotEndALaterStart(t *testing.T) {
+	e, _ := newEnroller()
+	assert.NilError(t, e.RecordHeartbeat(heartbeat("i-1", 2, 1, false)))
+	e.Deregister("i-1", startTime(1))
+	assertCurrent(t, e, "i-1", true)
+	assert.Assert(t, e.Ended("i-1", startTime(1)))
+	assert.Assert(t, !e.Ended("i-1", startTime(2)))
+	e.Deregister("i-1", time.Time{})
+	assertCurrent(t, e, "i-1", false)
+	assert.Assert(t, e.Ended("i-1", startTime(2)))
+}
+
+func TestHeldUpstreamIsUnavailable(t *testing.T) {
+	e, changes := newEnroller()
+	e.Hold()
+	assert.NilError(t, e.RecordHeartbeat(heartbeat("i-1", 1, 1, false)))
+	assertCurrent(t, e, "i-1", false)
+	e.Release()
+	assertCurrent(t, e, "i-1", true)
+	assert.Equal(t, len(*changes), 2)
+	assert.Assert(t, !(*changes)[0].Available && (*changes)[1].Available)
+	e.Hold()
+	e.Deregister("i-1", startTime(1))
+	e.Release()
+	assertCurrent(t, e, "i-1", false)
+}
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -17,6 +17,7 @@
 	"github.com/banyanscale/banyanscale/internal/agreement/controller"
 	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
+	"github.com/banyanscale/banyanscale/internal/fleet/departurekeeper"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
 	"github.com/banyanscale/banyanscale/internal/process/timekeeper"
@@ -26,8 +27,11 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// voterJournal is the name of the voter's journal in the data folder.
-const voterJournal = "voter"
+// Names of journals in the data folder.
+const (
+	voterJournal     = "voter"
+	departureJournal = "departures"
+)
 
 // controlStartAllowance is the number of bytes that a control instance may send for
 // membership at its start. It is above that of a node, since all nodes join through the
@@ -55,6 +59,7 @@
 	replicator  *accountant.Replicator
 	quota       *controlQuota
 	seenDomains *seenDomains
+	departures  *departurekeeper.Archive
 	tomb        tomb.Tomb
 }
 
@@ -95,6 +100,21 @@
 	if err := c.assembleVoter(base); err != nil {
 		return fmt.Errorf("assemble the voter and the ledger: %w", err)
 	}
+	if err := c.assembleDepartures(base); err != nil {
+		return fmt.Errorf("read the departures of upstreams: %w", err)
+	}
+	return nil
+}
+
+// assembleDepartures creates the part that stores that upstreams are leaving.
+func (c *Control) assembleDepartures(base zerolog.Logger) error {
+	journal, err := c.store.OpenJournal(departureJournal)
+	if err != nil {
+		return fmt.Errorf("open the journal: %w", err)
+	}
+	c.departures = departurekeeper.NewArchive(departurekeeper.ArchiveConfig{
+		Journal: journal, Transport: c.courier, Scope: c.metrics.Scope().SubScope("departurekeeper"), Log: base,
+	})
 	return nil
 }
 
@@ -146,6 +166,7 @@
 	c.ledger.Start()
 	c.replicator.Start()
 	c.quota.start()
+	c.departures.Start()
 	c.log.Info().Stringer("peer", c.settings.PeerAddress()).Msg("Started.")
 	select {
 	case <-ctx.Done():
@@ -154,7 +175,7 @@
 	c.log.Info().Msg("Stopping.")
 	c.gossiper.Leave(context.Background())
 	c.tomb.Kill(nil)
-	err = firstError(peerListener.closer(context.Background()), c.quota.stop, c.replicator.Stop, c.ledger.Stop, c.voter.Stop,
+	err = firstError(peerListener.closer(context.Background()), c.quota.stop, c.departures.Stop, c.replicator.Stop, c.ledger.Stop, c.voter.Stop,
 		c.distributor.Stop, c.disseminator.Stop, c.gossiper.Stop, c.courier.Stop, c.tomb.Wait, c.store.Close, c.metrics.Close)
 	if err != nil {
 		return fmt.Errorf("stop: %w", err)
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -17,6 +17,7 @@
 	"github.com/banyanscale/banyanscale/internal/accounting/accountant"
 	"github.com/banyanscale/banyanscale/internal/connection/pacer"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
+	"github.com/banyanscale/banyanscale/internal/fleet/departurekeeper"
 	"github.com/banyanscale/banyanscale/internal/fleet/publisher"
 	"github.com/banyanscale/banyanscale/internal/fleet/quotakeeper"
 	"github.com/banyanscale/banyanscale/internal/measurement/gauger"
@@ -80,8 +81,9 @@
 	deduplicator         *deduplicator.Deduplicator
 	quotaKeeper          *quotakeeper.Keeper
 	watcher              *watcher.Watcher
-	enroller             *enroller.Enroller // Nil if the upstream sends no heartbeats.
-	gauger               *gauger.Gauger     // Nil if the upstream sends no heartbeats.
+	enroller             *enroller.Enroller      // Nil if the upstream sends no heartbeats.
+	departures           *departurekeeper.Keeper // Nil if the upstream sends no heartbeats.
+	gauger               *gauger.Gauger          // Nil if the upstream sends no heartbeats.
 	linkPacer            *pacer.Pacer
 	upstreamDialer       requester.Dialer // Checks whether the upstream has ended.
 	dialect              Dialect
@@ -146,6 +148,7 @@
 		return err
 	}
 	n.start()
+	n.recallDeparture()
 	n.tomb.Go(peerListener.serve)
 	n.tomb.Go(httpListener.serve)
 	for _, l := range platformListeners {
@@ -210,7 +213,7 @@
 	if n.enroller == nil {
 		stopFuncs = append(stopFuncs, n.watcher.Stop, n.healthReader.Stop)
 	} else {
-		stopFuncs = append(stopFuncs, n.gauger.Stop)
+		stopFuncs = append(stopFuncs, n.gauger.Stop, n.departures.Stop)
 	}
 	if err := firstError(append(stopFuncs, n.tomb.Wait, n.metrics.Close)...); err != nil {
 		return fmt.Errorf("stop: %w", err)
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -85,6 +85,7 @@
 	n.onEvacuationEnded = n.DoubtUpstream
 	n.assembleLoadReporting(base)
 	n.assembleEnroller(base)
+	n.assembleDepartures(base, n.courier)
 	n.assembleWatchers()
 	n.assembleServer(base, n.upstreamRequester(orDefault(s.Connections(), spec.Connections)))
 	n.deduplicator = deduplicator.New(deduplicator.Config{
@@ -274,6 +275,7 @@
 			n.announcer.SetAvailable(c.Available)
 		},
 		OnHeartbeat: func(h enroller.Heartbeat) { n.coldLimiter.ObserveHeartbeat(h.ColdRemaining) },
+		OnDeparture: n.noteDeparture,
 		Log:         logger.Part(base, "enroller"),
 	})
 }
--- a/internal/process/launcher/node_notice.go
+++ b/internal/process/launcher/node_notice.go
@@ -22,9 +22,7 @@
 func (u upstreamNotices) Current() string {
 	notice := noticer.Notice{RateLimit: u.rateLimiter.Report(time.Now()).PerSecond}
 	if u.enroller != nil {
-		notice.Upstream, notice.StartedAt = u.enroller.Identity()
-		_, available := u.enroller.Current()
-		notice.Draining = notice.Upstream != "" && !available
+		notice.Upstream, notice.StartedAt, notice.Draining = u.enroller.Departure()
 	}
 	return notice.String()
 }
