fix: a process that is behind by two changes of one entry gets a delta that it can use

Cause: a holder joined the deltas that it keeps by writing their changes one after the other, and the merge refuses two changes of one entry, since a document has each entry once. So each process that missed one version in between, which is most of them in a storm, got a delta that nobody can use. Control instances joined them to one change an entry, but gave up, and sent the whole configuration, if an entry was set and then removed.

Change: both join in one way, the last change of each entry. Whether an entry that was set and then removed existed before can't be told from the changes, so its removal stays, and the process that merges joined changes lets a removal of an entry that it lacks change nothing; the digest of the result decides, as before. Voters and operators still merge strictly.

Looked at: deltas from nodes and control instances; the voters' own transitions, which are applied one by one and are not joined; Effects and diffs for operators, which compare documents.

--- a/internal/agreement/voter/state.go
+++ b/internal/agreement/voter/state.go
@@ -183,8 +183,8 @@
 
 // Delta returns the difference between the given version and this one. It returns
 // false if the given version is 0, is newer, or has the same number with another
-// digest, or if the history lacks a change in between or does not determine the
-// result of merging them. The receiver verifies the digest after applying the delta.
+// digest, or if the history lacks a change in between. The receiver verifies the digest
+// after applying the delta with compiler.ApplyJoined.
 func (s *State) Delta(have *controlwire.VersionDigest) (*controlwire.Delta, bool) {
 	if have.GetNumber() == 0 || have.GetNumber() > s.number() {
 		return nil, false
@@ -202,7 +202,6 @@
 		changes = append(changes, e.GetChanges()...)
 		number = e.GetNumber()
 	}
-	var ok bool
-	delta.Changes, ok = compiler.MergeChanges(changes)
-	return delta, ok
+	delta.Changes = compiler.JoinChanges(changes)
+	return delta, true
 }
--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -9,7 +9,7 @@
 //		Compile:          compileForSite, // compiler.Compile for the site of this process
 //		Digest:           compiler.Digest,
 //		Diff:             compiler.Diff,
-//		Apply:            compiler.Apply,
+//		Apply:            compiler.ApplyJoined,
 //		Publish:          publisher.SetConfiguration,
 //		Announce:         gossiper.SetVersion,
 //		...
@@ -75,7 +75,7 @@
 	Digest func(doc *controlwire.Document) []byte
 	// Diff returns the changes from one document to another.
 	Diff func(old, next *controlwire.Document) []*controlwire.EntryChange
-	// Apply returns a document with changes applied.
+	// Apply returns a document with changes applied, which JoinChanges may have combined.
 	Apply func(doc *controlwire.Document, changes []*controlwire.EntryChange) (*controlwire.Document, error)
 	// Publish puts a configuration in force, and reports whether it did.
 	Publish func(*compiler.Configuration) bool
--- a/internal/fleet/distributor/store.go
+++ b/internal/fleet/distributor/store.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
@@ -114,11 +115,11 @@
 		if !sameVersion(first.GetBase(), have) {
 			continue
 		}
-		joined := &controlwire.Delta{Base: have, Target: s.current.GetDigest()}
+		var changes []*controlwire.EntryChange
 		for _, delta := range s.deltas[i:] {
-			joined.Changes = append(joined.Changes, delta.GetChanges()...)
+			changes = append(changes, delta.GetChanges()...)
 		}
-		return joined
+		return &controlwire.Delta{Base: have, Target: s.current.GetDigest(), Changes: compiler.JoinChanges(changes)}
 	}
 	return nil
 }
--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -82,7 +82,7 @@
 		Compile:          cfg.compile,
 		Digest:           compiler.Digest,
 		Diff:             compiler.Diff,
-		Apply:            compiler.Apply,
+		Apply:            compiler.ApplyJoined,
 		Publish:          cfg.publish,
 		Announce:         func(v *controlwire.VersionDigest) { g.SetVersion(v) },
 		Logger:           base,
--- a/internal/version/compiler/compiler_test.go
+++ b/internal/version/compiler/compiler_test.go
@@ -1,6 +1,8 @@
 package compiler_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"os"
 	"regexp"
 	"strings"
@@ -202,6 +204,33 @@
 	assertEqualDocuments(t, fromNothing, old)
 }
 
+// TestJoinedChangesLeadToTheSameDocument guards against a delta over several versions that cannot be applied.
+func TestJoinedChangesLeadToTheSameDocument(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	document := func() *controlwire.Document {
+		doc := &controlwire.Document{}
+		for i := range 12 {
+			if random.IntN(2) == 0 {
+				doc.Entries = append(doc.Entries, &controlwire.Entry{Section: "service s", Key: fmt.Sprintf("k%02d", i), Value: fmt.Sprint(random.IntN(3))})
+			}
+		}
+		return doc
+	}
+	for range 200 {
+		first := document()
+		last := first
+		var changes []*controlwire.EntryChange
+		for range 2 + random.IntN(4) {
+			next := document()
+			changes = append(changes, compiler.Diff(last, next)...)
+			last = next
+		}
+		got, err := compiler.ApplyJoined(first, compiler.JoinChanges(changes))
+		assert.NilError(t, err)
+		assertEqualDocuments(t, got, last)
+	}
+}
+
 func TestSitesDoNotAffectEachOther(t *testing.T) {
 	kigali := "[site]\nname = kigali\nregion = rw-kigali\nfailure-domains = kgl-a\n[service almacen]\nhosts = tienda.example\n"
 	doc := mustParse(t, base, overlay+"hosts = tienda.example\n", kigali)
--- a/internal/version/compiler/delta.go
+++ b/internal/version/compiler/delta.go
@@ -50,6 +50,16 @@
 // with doc. It returns ErrNotApplicable if a change removes an entry that the document
 // does not have, if two changes are for the same entry, or if a change has no entry.
 func Apply(doc *controlwire.Document, changes []*controlwire.EntryChange) (*controlwire.Document, error) {
+	return applyChanges(doc, changes, true)
+}
+
+// ApplyJoined is Apply for changes from JoinChanges: the removal of an entry that the document
+// does not have changes nothing. The caller must check the digest of the result.
+func ApplyJoined(doc *controlwire.Document, changes []*controlwire.EntryChange) (*controlwire.Document, error) {
+	return applyChanges(doc, changes, false)
+}
+
+func applyChanges(doc *controlwire.Document, changes []*controlwire.EntryChange, removedMustExist bool) (*controlwire.Document, error) {
 	changes = slices.Clone(changes)
 	slices.SortFunc(changes, func(a, b *controlwire.EntryChange) int { return compareEntries(a.GetEntry(), b.GetEntry()) })
 	entries := canonicalEntries(doc)
@@ -73,7 +83,7 @@
 		switch {
 		case !change.GetRemoved():
 			next = append(next, change.GetEntry())
-		case !found:
+		case !found && removedMustExist:
 			return nil, errors.Wrapf(ErrNotApplicable, "%s: %s cannot be removed, as it does not exist", describeLocation(id), id.key)
 		}
 	}
--- a/internal/version/compiler/merge.go
+++ b/internal/version/compiler/merge.go
@@ -1,39 +1,23 @@
 package compiler
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// netChange is the combined effect of consecutive changes to one entry.
-type netChange struct {
-	last         *controlwire.EntryChange
-	firstRemoved bool // The first change removed the entry, so it existed before.
-}
-
-// MergeChanges combines consecutive changes into one change per entry, in canonical
-// order. It returns false if an entry was set and then removed: the changes don't
-// show whether it existed before, and so whether its removal must be kept.
-func MergeChanges(changes []*controlwire.EntryChange) ([]*controlwire.EntryChange, bool) {
-	netByID := make(map[entryID]*netChange)
+// JoinChanges combines consecutive changes into one per entry, the last one, in canonical
+// order. They don't show whether an entry that was set and then removed existed before them,
+// so that the result is for ApplyJoined.
+func JoinChanges(changes []*controlwire.EntryChange) []*controlwire.EntryChange {
+	last := make(map[entryID]*controlwire.EntryChange, len(changes))
 	for _, change := range changes {
-		id := idOf(change.GetEntry())
-		if net, ok := netByID[id]; ok {
-			net.last = change
-			continue
-		}
-		netByID[id] = &netChange{last: change, firstRemoved: change.GetRemoved()}
-	}
-	merged := make([]*controlwire.EntryChange, 0, len(netByID))
-	for _, net := range netByID {
-		if net.last.GetRemoved() && !net.firstRemoved {
-			return nil, false
-		}
-		merged = append(merged, net.last)
+		last[idOf(change.GetEntry())] = change
 	}
-	slices.SortFunc(merged, func(a, b *controlwire.EntryChange) int { return compareEntries(a.GetEntry(), b.GetEntry()) })
-	return merged, true
+	joined := slices.Collect(maps.Values(last))
+	slices.SortFunc(joined, func(a, b *controlwire.EntryChange) int { return compareEntries(a.GetEntry(), b.GetEntry()) })
+	return joined
 }
 
 // FindDuplicate returns the second of two entries with the same layer, section and
