fix: a node does the work of a large configuration once, and of a change about its own size

Cause: at 0.16 of a core the work on the whole configuration decides. Of the version with 1,400 routes a node needed 375 ms to fetch 56 KB and 359 ms to adopt it at the median, and half of the nodes fetch from nodes that did so before. A change of one route then took 191 ms to adopt (7 ms in the small configuration). Work was repeated: each route parsed again at each version, documents compared to find the delta that had been received, received deltas compressed again, the hedge after 300 ms running during adoption, late responses unpacked and, if their start was no longer held, replaced by the whole configuration. Datagrams waited for an adoption.

Looked at: control instances and nodes as holders, versions offered, read at a start, fetched as delta and whole; nodes with an overlay checked the document twice (mended); config submit and the platform's calls share the path. Not changed: the check of a submission at control.

--- a/internal/fleet/distributor/adopter.go
+++ b/internal/fleet/distributor/adopter.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,13 +25,14 @@
 	errTooOld         = errors.New("version is older than one that may already have been in force")
 	errRejected       = errors.New("version is not newer than one that failed to compile")
 	errNoDocument     = errors.New("version has no document")
+	errUnusableDelta  = errors.New("delta cannot be used")
 )
 
 // fetchNewer fetches from a holder and returns an error if the held version is not
-// newer afterwards.
-func (d *Distributor) fetchNewer(source netip.AddrPort) error {
+// newer afterwards. It sets waiting while the holder is to respond.
+func (d *Distributor) fetchNewer(source netip.AddrPort, waiting *atomic.Bool) error {
 	before := d.store.number()
-	if err := recoverer.Call(func() error { return d.fetch(source) }); err != nil {
+	if err := recoverer.Call(func() error { return d.fetch(source, waiting) }); err != nil {
 		return fmt.Errorf("fetch from %s: %w", source, err)
 	}
 	if d.store.number() <= before {
@@ -40,86 +42,102 @@
 }
 
 // fetch fetches a delta or a snapshot from a holder and adopts the resulting version. If
-// the delta cannot be used, it fetches the snapshot.
-func (d *Distributor) fetch(source netip.AddrPort) error {
+// the delta cannot be used, it fetches again: from the version that is held by then, or, if
+// that is the same, the snapshot.
+func (d *Distributor) fetch(source netip.AddrPort, waiting *atomic.Bool) error {
 	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), fetchTimeout)
 	defer cancel()
 	d.metrics.fetches.Inc(1)
-	o := origin{form: formDelta, holder: source, started: time.Now()}
-	resp, err := d.fetchUnpacked(ctx, &o, d.store.digest())
-	if err != nil {
-		return fmt.Errorf("fetch newer version: %w", err)
-	}
-	if resp.GetDelta() != nil {
-		if err := d.adoptDelta(resp.GetDelta(), o); err != nil {
-			d.metrics.unusableDeltas.Inc(1)
-			d.log.Info().Err(err).Stringer("holder", source).
-				Uint64("base", resp.GetDelta().GetBase().GetNumber()).
-				Uint64("target", resp.GetDelta().GetTarget().GetNumber()).
-				Uint64("held", d.store.number()).
-				Int("bytes", o.bytes).
-				Msg("Failed to use a delta, fetching the snapshot.")
-			return d.fetchSnapshot(ctx, o)
-		}
-		return nil
-	}
-	if resp.GetSnapshot() == nil {
-		return errNoNewerVersion
-	}
-	o.form = formSnapshot
-	return d.adopt(resp.GetSnapshot(), o)
-}
-
-// fetchSnapshot fetches and adopts the full version, whatever version is held.
-func (d *Distributor) fetchSnapshot(ctx context.Context, o origin) error {
-	o.form = formSnapshot
-	resp, err := d.fetchUnpacked(ctx, &o, nil)
-	if err != nil {
-		return fmt.Errorf("fetch snapshot: %w", err)
-	}
-	if resp.GetSnapshot() == nil {
-		return errNoNewerVersion
+	o := origin{holder: source, started: time.Now(), waiting: waiting}
+	have := d.store.digest()
+	err := d.fetchFrom(ctx, &o, have)
+	if !errors.Is(err, errUnusableDelta) {
+		return err
 	}
-	return d.adopt(resp.GetSnapshot(), o)
+	next := d.store.digest()
+	if sameVersion(next, have) {
+		next = nil
+	}
+	d.metrics.unusableDeltas.Inc(1)
+	d.log.Info().Err(err).Stringer("holder", source).
+		Uint64("base", have.GetNumber()).
+		Uint64("held", next.GetNumber()).
+		Int("bytes", o.bytes).
+		Msg("Failed to use a delta, fetching again.")
+	return d.fetchFrom(ctx, &o, next)
 }
 
-// fetchUnpacked calls Fetch at the holder that o names, and returns the response decompressed.
-// It records in o when the response arrived and adds its bytes.
-func (d *Distributor) fetchUnpacked(ctx context.Context, o *origin, have *controlwire.VersionDigest) (*controlwire.FetchResponse, error) {
+// fetchFrom calls Fetch at the holder that o names and adopts the version in its response.
+func (d *Distributor) fetchFrom(ctx context.Context, o *origin, have *controlwire.VersionDigest) error {
+	before := d.store.number()
+	o.waiting.Store(true)
 	resp, err := d.cfg.Client.Fetch(ctx, o.holder, have)
+	o.waiting.Store(false)
 	if err != nil {
-		return nil, fmt.Errorf("call holder: %w", err)
+		return fmt.Errorf("call holder: %w", err)
 	}
 	o.fetched = time.Now()
+	o.resp = resp
 	o.bytes += proto.Size(resp)
 	d.metrics.fetchedBytes.Inc(int64(proto.Size(resp)))
-	plain, err := packer.Unpack(resp)
+	return d.adoptResponse(*o, before)
+}
+
+// adoptResponse adopts the version in a holder's response. It does not read the response if
+// this process, which held the version before when it asked, has got the wanted one meanwhile.
+func (d *Distributor) adoptResponse(o origin, before uint64) error {
+	d.adopting <- struct{}{}
+	defer func() { <-d.adopting }()
+	if held := d.store.number(); held > before && held >= d.wantedNumber() {
+		d.metrics.superseded.Inc(1)
+		return nil
+	}
+	plain, err := packer.Unpack(o.resp)
 	if err != nil {
-		return nil, fmt.Errorf("unpack the holder's response: %w", err)
+		return fmt.Errorf("unpack the holder's response: %w", err)
+	}
+	switch {
+	case plain.GetDelta() != nil:
+		o.form = formDelta
+		return d.adoptDelta(plain.GetDelta(), o)
+	case plain.GetSnapshot() != nil:
+		o.form = formSnapshot
+		return d.adoptNext(plain.GetSnapshot(), o)
+	default:
+		return errNoNewerVersion
 	}
-	return plain, nil
 }
 
-// adoptDelta applies a delta to the held version and adopts the result.
+// adoptDelta applies a delta to the held version and adopts the result. The caller holds adopting.
 func (d *Distributor) adoptDelta(delta *controlwire.Delta, o origin) error {
 	held := d.store.version()
 	if held == nil || !sameVersion(held.GetDigest(), delta.GetBase()) {
-		return errBaseMismatch
+		return fmt.Errorf("%w: %w", errUnusableDelta, errBaseMismatch)
 	}
 	doc, err := d.cfg.Apply(held.GetDocument(), delta.GetChanges())
 	if err != nil {
-		return fmt.Errorf("apply delta: %w", err)
+		return fmt.Errorf("%w: apply delta: %w", errUnusableDelta, err)
 	}
 	d.metrics.deltas.Inc(1)
-	return d.adopt(&controlwire.Version{Digest: delta.GetTarget(), Document: doc}, o)
+	o.delta = delta
+	err = d.adoptNext(&controlwire.Version{Digest: delta.GetTarget(), Document: doc}, o)
+	if errors.Is(err, errDigestMismatch) {
+		return fmt.Errorf("%w: %w", errUnusableDelta, err)
+	}
+	return err
 }
 
 // adopt checks, compiles and publishes a version, stores it and then announces it. It
 // ignores a version that is not newer than the held one. One that makes this process panic is
 // rejected like one that does not compile, since it would do so after each restart.
 func (d *Distributor) adopt(version *controlwire.Version, o origin) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.adopting <- struct{}{}
+	defer func() { <-d.adopting }()
+	return d.adoptNext(version, o)
+}
+
+// adoptNext does the work of adopt. The caller holds adopting.
+func (d *Distributor) adoptNext(version *controlwire.Version, o origin) error {
 	number := version.GetDigest().GetNumber()
 	if err := d.checkAdoptable(version); err != nil {
 		return err
@@ -127,13 +145,15 @@
 	if number <= d.store.number() {
 		return nil
 	}
+	if !bytes.Equal(d.cfg.Digest(version.GetDocument()), version.GetDigest().GetDigest()) {
+		return errDigestMismatch
+	}
 	if err := recoverer.Call(func() error { return d.publish(version) }); err != nil {
-		d.rejected = number
-		d.metrics.rejected.Inc(1)
+		d.reject(number)
 		d.log.Error().Err(err).Uint64("version", number).Msg("Failed to put a version in force.")
 		return err
 	}
-	d.store.put(version)
+	d.store.put(version, o)
 	d.metrics.version.Update(float64(number))
 	d.recordAdoption(number, o)
 	if d.cfg.Announce != nil {
@@ -142,8 +162,10 @@
 	return nil
 }
 
-// checkAdoptable returns an error if the version must not be adopted.
+// checkAdoptable returns an error if the version must not be adopted, whatever its document is.
 func (d *Distributor) checkAdoptable(version *controlwire.Version) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	number := version.GetDigest().GetNumber()
 	switch {
 	case version.GetDocument() == nil || number == 0:
@@ -152,13 +174,25 @@
 		return errTooOld
 	case number <= d.rejected:
 		return errRejected
-	case !bytes.Equal(d.cfg.Digest(version.GetDocument()), version.GetDigest().GetDigest()):
-		return errDigestMismatch
 	default:
 		return nil
 	}
 }
 
+// reject records that a version failed to compile, and is not to be fetched again.
+func (d *Distributor) reject(number uint64) {
+	d.metrics.rejected.Inc(1)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rejected = max(d.rejected, number)
+}
+
+func (d *Distributor) wantedNumber() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wanted.GetNumber()
+}
+
 // publish compiles a version and puts it in force, unless this process only holds
 // versions for others.
 func (d *Distributor) publish(version *controlwire.Version) error {
--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -36,6 +36,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,7 +96,10 @@
 	tomb    tomb.Tomb
 	wake    chan struct{} // Signals run that a newer version was reported.
 
-	mu          sync.Mutex                 // Guards the fields below.
+	// adopting has an element while a version is adopted, so that each starts from the one before.
+	adopting chan struct{}
+
+	mu          sync.Mutex                 // Guards the fields below. Held for short times only.
 	initialized bool                       // minVersion is known.
 	minVersion  uint64                     // Oldest version that may be published.
 	wanted      *controlwire.VersionDigest // Newest reported version.
@@ -114,6 +118,7 @@
 		metrics:     newMetrics(cfg.Scope),
 		store:       newStore(cfg.Diff),
 		wake:        make(chan struct{}, 1),
+		adopting:    make(chan struct{}, 1),
 		initialized: cfg.ControlAddresses == nil,
 		reporters:   make(map[netip.AddrPort]bool),
 	}
@@ -132,8 +137,8 @@
 }
 
 // ObserveVersion records that another process holds a version, and wakes the fetching
-// goroutine if the version is newer than the held one. It may block while a version is
-// being adopted, but not during a fetch.
+// goroutine if the version is newer than the held one. It blocks neither during a fetch nor while a
+// version is adopted.
 func (d *Distributor) ObserveVersion(from netip.AddrPort, version *controlwire.VersionDigest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -223,23 +228,30 @@
 	}
 }
 
-// tryFetch fetches from a holder and waits up to hedgeDelay for the result. A slower fetch
-// continues in the background, and its version is still adopted.
+// tryFetch fetches from a holder and waits up to hedgeDelay for each response, and then until
+// the version is adopted. A fetch whose holder is slower continues in the background, and its
+// version is still adopted.
 func (d *Distributor) tryFetch(source netip.AddrPort) error {
 	done := make(chan error, 1)
+	var waiting atomic.Bool
 	d.tomb.Go(func() error {
-		done <- d.fetchNewer(source)
+		done <- d.fetchNewer(source, &waiting)
 		return nil
 	})
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
-	select {
-	case err := <-done:
-		return err
-	case <-timer.C:
-		return errNoResponse
-	case <-d.tomb.Dying():
-		return errNoResponse
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-timer.C:
+			if waiting.Load() {
+				return errNoResponse
+			}
+			timer.Reset(hedgeDelay)
+		case <-d.tomb.Dying():
+			return errNoResponse
+		}
 	}
 }
 
--- a/internal/fleet/distributor/distributor_test.go
+++ b/internal/fleet/distributor/distributor_test.go
@@ -350,7 +350,7 @@
 	assert.NilError(t, h.Offer(largeVersion(2))) // diff covers the first entry only, so the delta is incomplete.
 	n := newNode(net)
 	assert.NilError(t, n.Offer(version(1)))
-	assert.NilError(t, n.fetch(peers[0]))
+	assert.NilError(t, n.fetch(peers[0], new(atomic.Bool)))
 	assert.Equal(t, n.InForce().GetNumber(), uint64(2))
 }
 
@@ -365,8 +365,8 @@
 		}
 		return changes
 	})
-	s.put(version(1))
-	s.put(large)
+	s.put(version(1), origin{})
+	s.put(large, origin{})
 	first, ok := s.response(version(1).GetDigest(), time.Now())
 	assert.Assert(t, ok && first.GetPacked() != nil)
 	second, _ := s.response(version(1).GetDigest(), time.Now())
--- a/internal/fleet/distributor/joined_delta_test.go
+++ b/internal/fleet/distributor/joined_delta_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 }
 
 // newCompilerDistributor returns a distributor that merges documents as processes do.
-func newCompilerDistributor(net *network) *Distributor {
+func newCompilerDistributor(net Client) *Distributor {
 	return New(Config{
 		Client: net, Digest: compiler.Digest, Diff: compiler.Diff, Apply: compiler.ApplyJoined,
 		Logger: zerolog.Nop(), Scope: tally.NoopScope, Random: rand.New(rand.NewPCG(3, 3)),
@@ -67,7 +68,7 @@
 			for i, step := range steps {
 				assert.NilError(t, holder.Offer(numbered(uint64(i+1), documentOf(step))))
 			}
-			assert.NilError(t, behind.fetch(peers[0]))
+			assert.NilError(t, behind.fetch(peers[0], new(atomic.Bool)))
 			assert.Equal(t, behind.InForce().GetNumber(), uint64(3))
 			assert.Equal(t, net.fetches.Load(), int64(1))
 		})
--- a/internal/fleet/distributor/metrics.go
+++ b/internal/fleet/distributor/metrics.go
@@ -10,7 +10,7 @@
 type metrics struct {
 	fetches, fetchFailures, deltas, rejected tally.Counter
 	initializedByControl, initializedByPeers tally.Counter
-	unusableDeltas, fetchedBytes             tally.Counter
+	unusableDeltas, fetchedBytes, superseded tally.Counter
 	version                                  tally.Gauge
 	lags, adoptions                          tally.Histogram
 }
@@ -25,6 +25,7 @@
 		initializedByPeers:   scope.Counter("versions_settled_by_peers"),
 		unusableDeltas:       scope.Counter("version_deltas_unusable"),
 		fetchedBytes:         scope.Counter("version_fetched_bytes"),
+		superseded:           scope.Counter("version_fetches_superseded"),
 		version:              scope.Gauge("version_in_force"),
 		lags:                 scope.Histogram("version_lag", exporter.LatencyBuckets),
 		adoptions:            scope.Histogram("version_adoption", exporter.LatencyBuckets),
--- a/internal/fleet/distributor/origin.go
+++ b/internal/fleet/distributor/origin.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
+
+	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
 // form says how a process received a version.
@@ -15,17 +18,22 @@
 	formOffer    form = "offer"   // From the control instance's own voter.
 )
 
-// origin describes where a version came from and when, for logs and metrics.
+// origin describes where a version came from, when and in what form.
 type origin struct {
 	form    form
 	holder  netip.AddrPort
-	started time.Time // When the fetch began.
-	fetched time.Time // When its last response was complete.
-	bytes   int       // Of all responses, as sent.
+	started time.Time                  // When the fetch began.
+	fetched time.Time                  // When its last response was complete.
+	waiting *atomic.Bool               // Set while the holder is to respond.
+	bytes   int                        // Of all responses, as sent.
+	resp    *controlwire.FetchResponse // The last response, as sent.
+	delta   *controlwire.Delta         // The delta that led to the version, if it did.
 }
 
-// recordAdoption logs and measures that a version is in force from now on. The caller holds mu.
+// recordAdoption logs and measures that a version is in force from now on.
 func (d *Distributor) recordAdoption(number uint64, o origin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := time.Now()
 	line := d.log.Info().Uint64("version", number).Str("form", string(o.form))
 	if o.holder.IsValid() {
--- a/internal/fleet/distributor/store.go
+++ b/internal/fleet/distributor/store.go
@@ -54,22 +54,30 @@
 
 func (s *store) number() uint64 { return s.digest().GetNumber() }
 
-// put replaces the version with a newer one and records the delta between them.
-func (s *store) put(version *controlwire.Version) {
+// put replaces the version with a newer one and records the delta between them: the one that
+// it came as, if it did, else the difference of the documents.
+func (s *store) put(version *controlwire.Version, o origin) {
+	delta := o.delta
+	if held := s.version(); delta == nil && held != nil {
+		delta = &controlwire.Delta{
+			Base:    held.GetDigest(),
+			Target:  version.GetDigest(),
+			Changes: s.diff(held.GetDocument(), version.GetDocument()),
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current != nil {
-		s.deltas = append(s.deltas, &controlwire.Delta{
-			Base:    s.current.GetDigest(),
-			Target:  version.GetDigest(),
-			Changes: s.diff(s.current.GetDocument(), version.GetDocument()),
-		})
+	if delta != nil {
+		s.deltas = append(s.deltas, delta)
 	}
 	if len(s.deltas) > maxDeltas {
 		s.deltas = append([]*controlwire.Delta(nil), s.deltas[len(s.deltas)-maxDeltas:]...)
 	}
 	s.current = version
 	s.packed = make(map[uint64]*controlwire.FetchResponse)
+	if o.delta != nil && o.resp.GetPacked() != nil {
+		s.packed[o.delta.GetBase().GetNumber()] = o.resp // Others need not compress it again.
+	}
 }
 
 // response returns what updates have to the held version: an empty response if have is not
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -36,6 +36,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
+	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -93,7 +94,8 @@
 	announcer            *announcer.Announcer
 	upstreamSlots        atomic.Int64 // Slots by the heartbeats; 0 if none named any.
 	loadRequestedAt      atomic.Int64 // Last request for the own load, in nanoseconds since the Unix epoch.
-	missingOverlayLogged atomic.Bool  // Whether the missing overlay of the site was logged.
+	compiler             *compiler.Compiler
+	missingOverlayLogged atomic.Bool // Whether the missing overlay of the site was logged.
 	evacuation           evacuationState
 	// onEvacuationEnded is called when the evacuation of the own failure domain has ended; the
 	// upstream may be cold then. It may be nil.
@@ -118,6 +120,7 @@
 		snapshots:  publisher.New(),
 		samplePool: sampler.New(sampler.Config{}),
 		explainer:  explainer.New(maxExplainedRequests),
+		compiler:   compiler.NewCompiler(settings.Site()),
 
 		noticeBoard:    noticer.NewBoard(),
 		upstreamDialer: &net.Dialer{},
--- a/internal/process/launcher/node_view.go
+++ b/internal/process/launcher/node_view.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/banyanscale/banyanscale/internal/connection/courier"
@@ -35,11 +34,11 @@
 // compile compiles the configuration for the node's site. A site without an overlay uses
 // the base file alone. That may be a typo in the settings, so it is logged once.
 func (n *Node) compile(doc *controlwire.Document, number uint64) (*compiler.Configuration, error) {
-	if !n.missingOverlayLogged.Load() && !slices.Contains(compiler.Sites(doc), n.settings.Site()) {
+	if !n.missingOverlayLogged.Load() && !compiler.HasOverlay(doc, n.settings.Site()) {
 		n.missingOverlayLogged.Store(true)
 		n.log.Warn().Str("site", n.settings.Site()).Uint64("version", number).Msg("No overlay exists for this site; the base file applies.")
 	}
-	return compiler.Compile(doc, n.settings.Site(), number)
+	return n.compiler.Compile(doc, number)
 }
 
 // controlAddresses returns the peer addresses of the control instances: those announced
--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -20,8 +20,8 @@
 	ownerNames    []string
 	serviceNames  []string
 	routeNames    []string
-	baseServices  []*serviceBuilder // Without overlays, in the order of serviceNames.
-	routes        []*routeBuilder
+	baseServices  []*serviceBuilder      // Without overlays, in the order of serviceNames.
+	routes        []*routeBuilder        // In the order of routeNames.
 	organisations []*organisationBuilder // In the order of their names.
 	limits        Limits
 	violations    []violation
@@ -29,7 +29,11 @@
 }
 
 // newChecker returns a checker that has checked the base layer of doc.
-func newChecker(doc *controlwire.Document) *checker {
+func newChecker(doc *controlwire.Document) *checker { return newCheckerAfter(doc, nil) }
+
+// newCheckerAfter is newChecker with routes that were parsed earlier, which it takes if they are
+// unchanged.
+func newCheckerAfter(doc *controlwire.Document, earlier parsedRoutes) *checker {
 	c := &checker{layers: newLayers(doc), invalid: make(map[entryID]bool)}
 	c.base = c.layers[baseLayer]
 	c.ownerNames = c.base.sectionNames(kindOwner)
@@ -38,8 +42,9 @@
 		c.baseServices = append(c.baseServices, newServiceBuilder(name))
 	}
 	c.routeNames = c.base.sectionNames(kindRoute)
-	for _, name := range c.routeNames {
-		c.routes = append(c.routes, newRouteBuilder(name))
+	c.routes = make([]*routeBuilder, len(c.routeNames))
+	for i, name := range c.routeNames {
+		c.routes[i] = earlier.builder(c.base.sections[kindRoute+" "+name], name)
 	}
 	for _, name := range c.base.sectionNames(kindOrganisation) {
 		c.organisations = append(c.organisations, newOrganisationBuilder(name))
@@ -102,6 +107,9 @@
 // routes and limits. The services must be in the order of c.serviceNames.
 func (c *checker) checkSections(l *layer, services []*serviceBuilder) {
 	for _, s := range l.sortedSections() {
+		if s.parsed {
+			continue
+		}
 		kind, name, ok := c.checkHeader(s)
 		if !ok {
 			continue
--- a/internal/version/compiler/compile.go
+++ b/internal/version/compiler/compile.go
@@ -27,10 +27,17 @@
 // site without an overlay has the settings of the base. Compile returns
 // parser.Errors if the base or the site's overlay is invalid.
 func Compile(doc *controlwire.Document, site string, number uint64) (*Configuration, error) {
-	c := newChecker(doc)
+	cfg, _, err := compile(doc, site, number, nil)
+	return cfg, err
+}
+
+// compile does the work of Compile. It takes routes from earlier if they are unchanged, and
+// returns those of doc.
+func compile(doc *controlwire.Document, site string, number uint64, earlier parsedRoutes) (*Configuration, parsedRoutes, error) {
+	c := newCheckerAfter(doc, earlier)
 	builders := c.resolveSite(site)
 	if err := toParserErrors(c.violations, nil); err != nil {
-		return nil, fmt.Errorf("compile for site %s: %w", site, err)
+		return nil, nil, fmt.Errorf("compile for site %s: %w", site, err)
 	}
 	services := make([]*Service, len(builders))
 	for i, b := range builders {
@@ -44,9 +51,9 @@
 	cfg.limits = c.limits
 	cfg.organisations = c.compileOrganisations()
 	if err := c.addSiteAndOwners(cfg); err != nil {
-		return nil, fmt.Errorf("compile for site %s: %w", site, err)
+		return nil, nil, fmt.Errorf("compile for site %s: %w", site, err)
 	}
-	return cfg, nil
+	return cfg, c.parsedRoutes(), nil
 }
 
 // addSiteAndOwners sets the region, failure domains, voters and owners of cfg.
@@ -98,3 +105,8 @@
 
 // Sites returns the names of the sites that have an overlay, sorted.
 func Sites(doc *controlwire.Document) []string { return newChecker(doc).siteNames() }
+
+// HasOverlay reports whether the document has an overlay of the site.
+func HasOverlay(doc *controlwire.Document, site string) bool {
+	return slices.ContainsFunc(doc.GetEntries(), func(e *controlwire.Entry) bool { return e.GetLayer() == site })
+}
--- a/internal/version/compiler/document.go
+++ b/internal/version/compiler/document.go
@@ -1,10 +1,10 @@
 package compiler
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
+	"strings"
 
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
@@ -21,7 +21,13 @@
 }
 
 func compareIDs(a, b entryID) int {
-	return cmp.Or(cmp.Compare(a.layer, b.layer), cmp.Compare(a.section, b.section), cmp.Compare(a.key, b.key))
+	if c := strings.Compare(a.layer, b.layer); c != 0 {
+		return c
+	}
+	if c := strings.Compare(a.section, b.section); c != 0 {
+		return c
+	}
+	return strings.Compare(a.key, b.key)
 }
 
 func newEntry(id entryID, value string) *controlwire.Entry {
@@ -29,7 +35,10 @@
 }
 
 func compareEntries(a, b *controlwire.Entry) int {
-	return cmp.Or(compareIDs(idOf(a), idOf(b)), cmp.Compare(a.GetValue(), b.GetValue()))
+	if c := compareIDs(idOf(a), idOf(b)); c != 0 {
+		return c
+	}
+	return strings.Compare(a.GetValue(), b.GetValue())
 }
 
 // canonicalEntries returns the document's entries in canonical order: sorted by
@@ -44,18 +53,26 @@
 	return entries
 }
 
+// digestChunk is the number of encoded bytes that Digest hashes at once.
+const digestChunk = 4 << 10
+
 // Digest returns the SHA-256 hash of the document in canonical order. Each string
 // is prefixed with its length, so that no two documents have the same encoding.
 func Digest(doc *controlwire.Document) []byte {
-	var encoded []byte
+	hash := sha256.New()
+	encoded := make([]byte, 0, 2*digestChunk)
 	for _, e := range canonicalEntries(doc) {
 		encoded = appendLengthPrefixed(encoded, e.GetLayer())
 		encoded = appendLengthPrefixed(encoded, e.GetSection())
 		encoded = appendLengthPrefixed(encoded, e.GetKey())
 		encoded = appendLengthPrefixed(encoded, e.GetValue())
+		if len(encoded) >= digestChunk {
+			_, _ = hash.Write(encoded) // Never fails.
+			encoded = encoded[:0]
+		}
 	}
-	sum := sha256.Sum256(encoded)
-	return sum[:]
+	_, _ = hash.Write(encoded)
+	return hash.Sum(nil)
 }
 
 func appendLengthPrefixed(encoded []byte, text string) []byte {
--- a/internal/version/compiler/layer.go
+++ b/internal/version/compiler/layer.go
@@ -1,8 +1,6 @@
 package compiler
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
@@ -12,58 +10,51 @@
 type layer struct {
 	name     string
 	sections map[string]*section
+	sorted   []*section // The sections, sorted by header.
 }
 
 // section holds the entries of one section of a layer, sorted by key.
 type section struct {
 	id      entryID
 	entries []*controlwire.Entry
+	parsed  bool // It was parsed without an error for an earlier version.
 }
 
 // newLayers returns the document's layers by name. The base layer is always present.
 func newLayers(doc *controlwire.Document) map[string]*layer {
 	layers := map[string]*layer{baseLayer: {name: baseLayer, sections: make(map[string]*section)}}
-	for _, e := range canonicalEntries(doc) {
-		l := layers[e.GetLayer()]
+	for entries := canonicalEntries(doc); len(entries) > 0; {
+		first := entries[0]
+		n := 1
+		for n < len(entries) && entries[n].GetSection() == first.GetSection() && entries[n].GetLayer() == first.GetLayer() {
+			n++
+		}
+		l := layers[first.GetLayer()]
 		if l == nil {
-			l = &layer{name: e.GetLayer(), sections: make(map[string]*section)}
+			l = &layer{name: first.GetLayer(), sections: make(map[string]*section)}
 			layers[l.name] = l
 		}
-		l.add(e)
+		s := &section{id: entryID{layer: l.name, section: first.GetSection()}, entries: entries[:n:n]}
+		l.sections[s.id.section] = s
+		l.sorted = append(l.sorted, s)
+		entries = entries[n:]
 	}
 	return layers
 }
 
-func (l *layer) add(e *controlwire.Entry) {
-	s := l.sections[e.GetSection()]
-	if s == nil {
-		s = &section{id: entryID{layer: l.name, section: e.GetSection()}}
-		l.sections[e.GetSection()] = s
-	}
-	s.entries = append(s.entries, e)
-}
-
-// sortedSections returns the sections, sorted by header.
-func (l *layer) sortedSections() []*section {
-	list := make([]*section, 0, len(l.sections))
-	for _, s := range l.sections {
-		list = append(list, s)
-	}
-	slices.SortFunc(list, func(a, b *section) int { return cmp.Compare(a.id.section, b.id.section) })
-	return list
-}
+// sortedSections returns the sections, sorted by header. The caller must not change the slice.
+func (l *layer) sortedSections() []*section { return l.sorted }
 
 // sectionNames returns the names of the sections of one kind, sorted. The header of
 // a named section is its kind and its name.
 func (l *layer) sectionNames(kind string) []string {
 	var names []string
-	for header := range l.sections {
-		if k, name, named := strings.Cut(header, " "); named && k == kind {
+	for _, s := range l.sorted {
+		if k, name, named := strings.Cut(s.id.section, " "); named && k == kind {
 			names = append(names, name)
 		}
 	}
-	slices.Sort(names)
-	return names
+	return names // Sorted, since their headers have the same start.
 }
 
 // value returns the value of a key, and whether it is set.
--- a/internal/version/compiler/route_builder.go
+++ b/internal/version/compiler/route_builder.go
@@ -13,29 +13,34 @@
 type routeBuilder struct {
 	header  string // Of the route's section.
 	spec    RouteSpec
-	keysSet map[string]bool
+	changed RouteSpec // The spec of set before it is known to be valid.
+	keysSet []string
+	entries []*controlwire.Entry // Of the section.
+	match   string               // The host and path prefix, once they are checked.
 }
 
 func newRouteBuilder(name string) *routeBuilder {
-	return &routeBuilder{header: kindRoute + " " + name, spec: defaultRouteSpec(name), keysSet: make(map[string]bool)}
+	return &routeBuilder{header: kindRoute + " " + name, spec: defaultRouteSpec(name), keysSet: make([]string, 0, len(routeSettings))}
 }
 
 // set sets one key. If the value is invalid, the builder stays unchanged.
 func (b *routeBuilder) set(e *controlwire.Entry) error {
-	spec := b.spec
-	if err := routeSettingsByKey[e.GetKey()].set(&spec, e.GetValue()); err != nil {
+	b.changed = b.spec
+	if err := routeSettingsByKey[e.GetKey()].set(&b.changed, e.GetValue()); err != nil {
 		return err
 	}
-	b.spec = spec
-	b.keysSet[e.GetKey()] = true
+	b.spec = b.changed
+	b.keysSet = append(b.keysSet, e.GetKey())
 	return nil
 }
 
+func (b *routeBuilder) isSet(key string) bool { return slices.Contains(b.keysSet, key) }
+
 // locate returns the entry to name in an error about keys: the first of them that is
 // set, else the route's section.
 func (b *routeBuilder) locate(keys ...string) entryID {
 	for _, key := range keys {
-		if b.keysSet[key] {
+		if b.isSet(key) {
 			return entryID{layer: baseLayer, section: b.header, key: key}
 		}
 	}
@@ -47,7 +52,7 @@
 // hosts and path prefixes of services to the headers of their sections.
 func (c *checker) checkRoutes(headerByRoute map[string]string) {
 	for _, b := range c.routes {
-		if !b.keysSet[keyServices] {
+		if !b.isSet(keyServices) {
 			c.addViolation(b.locate(), "the key "+keyServices+" is missing")
 			continue
 		}
@@ -56,7 +61,10 @@
 				c.addViolation(b.locate(keyServices), parser.UnknownMessage("service", s.Name, c.serviceNames))
 			}
 		}
-		route := getRouteHost(&b.spec) + b.spec.PathPrefix
+		if b.match == "" {
+			b.match = getRouteHost(&b.spec) + b.spec.PathPrefix
+		}
+		route := b.match
 		if other, taken := headerByRoute[route]; taken {
 			c.addViolation(b.locate(keyPathPrefix, keyHost), fmt.Sprintf("%s has the same route %s", other, route))
 			continue
@@ -65,6 +73,15 @@
 	}
 }
 
+// parsedRoutes returns the routes by their headers. The document must be valid.
+func (c *checker) parsedRoutes() parsedRoutes {
+	parsed := make(parsedRoutes, len(c.routes))
+	for _, b := range c.routes {
+		parsed[b.header] = b
+	}
+	return parsed
+}
+
 // compileRoutes returns the routes, linked to the given services by name.
 func (c *checker) compileRoutes(services map[string]*Service) []*Route {
 	var routes []*Route
