--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -9,7 +9,7 @@
 //		Compile:          compileForSite, // compiler.Compile for the site of this process
 //		Digest:           compiler.Digest,
 //		Diff:             compiler.Diff,
-//		Apply:            compiler.Apply,
+//		Apply:            compiler.ApplyJoined,
 //		Publish:          publisher.SetConfiguration,
 //		Announce:         gossiper.SetVersion,
 //		...
@@ -37,6 +37,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -81,7 +82,7 @@
 	Digest func(doc *controlwire.Document) []byte
 	// Diff returns the changes from one document to another.
 	Diff func(old, next *controlwire.Document) []*controlwire.EntryChange
-	// Apply returns a document with changes applied.
+	// Apply returns a document with changes applied, which JoinChanges may have combined.
 	Apply func(doc *controlwire.Document, changes []*controlwire.EntryChange) (*controlwire.Document, error)
 	// Publish puts a configuration in force, and reports whether it did.
 	Publish func(*compiler.Configuration) bool
@@ -101,7 +102,10 @@
 	tomb    tomb.Tomb
 	wake    chan struct{} // Signals run that a newer version was reported.
 
-	mu          sync.Mutex                 // Guards the fields below.
+	// adopting has an element while a version is adopted, so that each starts from the one before.
+	adopting chan struct{}
+
+	mu          sync.Mutex                 // Guards the fields below. Held for short times only.
 	initialized bool                       // minVersion is known.
 	minVersion  uint64                     // Oldest version that may be published.
 	wanted      *controlwire.VersionDigest // Newest reported version.
@@ -120,6 +124,7 @@
 		metrics:     newMetrics(cfg.Scope),
 		store:       newStore(cfg.Diff),
 		wake:        make(chan struct{}, 1),
+		adopting:    make(chan struct{}, 1),
 		initialized: cfg.ControlAddresses == nil,
 		reporters:   make(map[netip.AddrPort]bool),
 	}
@@ -138,8 +143,8 @@
 }
 
 // ObserveVersion records that another process holds a version, and wakes the fetching
-// goroutine if the version is newer than the held one. It may block while a version is
-// being adopted, but not during a fetch.
+// goroutine if the version is newer than the held one. It blocks neither during a fetch nor while a
+// version is adopted.
 func (d *Distributor) ObserveVersion(from netip.AddrPort, version *controlwire.VersionDigest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -242,6 +247,7 @@
 	}
 }
 
+<<<<<<< HEAD
 // isSource reports whether a process has reported the wanted version.
 func (d *Distributor) isSource(a netip.AddrPort) bool {
 	d.mu.Lock()
@@ -262,21 +268,32 @@
 
 // tryFetch fetches from a holder and waits up to hedgeDelay for the result. A slower fetch
 // continues in the background, and its version is still adopted.
+=======
+// tryFetch fetches from a holder and waits up to hedgeDelay for each response, and then until
+// the version is adopted. A fetch whose holder is slower continues in the background, and its
+// version is still adopted.
+>>>>>>> from-red
 func (d *Distributor) tryFetch(source netip.AddrPort) error {
 	done := make(chan error, 1)
+	var waiting atomic.Bool
 	d.tomb.Go(func() error {
-		done <- d.fetchNewer(source)
+		done <- d.fetchNewer(source, &waiting)
 		return nil
 	})
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
-	select {
-	case err := <-done:
-		return err
-	case <-timer.C:
-		return errNoResponse
-	case <-d.tomb.Dying():
-		return errNoResponse
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-timer.C:
+			if waiting.Load() {
+				return errNoResponse
+			}
+			timer.Reset(hedgeDelay)
+		case <-d.tomb.Dying():
+			return errNoResponse
+		}
 	}
 }
 
