--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -247,7 +247,6 @@
 	}
 }
 
-<<<<<<< HEAD
 // isSource reports whether a process has reported the wanted version.
 func (d *Distributor) isSource(a netip.AddrPort) bool {
 	d.mu.Lock()
@@ -266,13 +265,9 @@
 	d.wanted = nil
 }
 
-// tryFetch fetches from a holder and waits up to hedgeDelay for the result. A slower fetch
-// continues in the background, and its version is still adopted.
-=======
 // tryFetch fetches from a holder and waits up to hedgeDelay for each response, and then until
 // the version is adopted. A fetch whose holder is slower continues in the background, and its
 // version is still adopted.
->>>>>>> from-red
 func (d *Distributor) tryFetch(source netip.AddrPort) error {
 	done := make(chan error, 1)
 	var waiting atomic.Bool
