fix: upstreams respond before a stopping node ends

Callers saw: a request that came 1.5 s after the signal of a planned stop, with a deadline beyond the end of the node, was passed on and ran until the node ended; no answer.

Cause: the upstream was told the caller's deadline, which the node does not outlast. Refusing all such requests from the signal on would refuse nearly all of a node that still serves for 2.2 s, and few of them last that long.

From the signal on, each request that is sent tells the node beside the upstream how much time the upstream gets: until 0.25 s before the end of the wait for callers. The queue there refuses what cannot be done by then (not-run), and an upstream that gives up at its deadline responds itself, which still reaches the caller. No caller gets more or less than before if its response comes in that time.

TestUpstreamsRespondBeforeAStoppingNodeEnds, without the limit: 502 'leaving (unknown)' in place of the upstream's response, for the own upstream and for another instance; with it: the upstream's own response.

Looked at: own and other instances, retries, hedges and resumed responses (one place sets it), streamed and large bodies (the same place), callers cannot set the header. Not limited: attempts sent before the signal, and keyed requests that are forwarded to a home instance, whose own attempts have that node's time.

--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -197,6 +197,9 @@
 	closeCtx, cancelClose := n.stopContext(exitReserve)
 	defer cancelClose()
 	n.leaving.Store(true)
+	if end, bounded := ctx.Deadline(); bounded {
+		n.forwarder.EndAt(end)
+	}
 	if n.settings.StopGrace() > 0 {
 		time.Sleep(unreadyPeriod) // Not announced yet: the upstream can still serve.
 		n.announcer.Leave()
--- a/internal/process/launcher/stop_test.go
+++ b/internal/process/launcher/stop_test.go
@@ -3,8 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/netip"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,3 +86,45 @@
 	assert.Assert(t, strings.Contains(log.String(), "Requests are still in flight"), log.String())
 	assert.Assert(t, !strings.Contains(log.String(), "Failed to hand over"), log.String())
 }
+
+// startPunctualUpstream runs an upstream that works for 8 s on each path but "/" and "/warm", and that
+// responds with a status of its own when the time that it got is over.
+func startPunctualUpstream(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/" || r.URL.Path == "/warm" {
+			return
+		}
+		left, err := strconv.Atoi(r.Header.Get(classifier.HeaderTimeout))
+		assert.Check(t, err)
+		time.Sleep(min(time.Duration(left)*time.Millisecond, 8*time.Second))
+		w.WriteHeader(http.StatusGatewayTimeout)
+		_, _ = io.WriteString(w, "time is over")
+	})}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { assert.Check(t, srv.Close()) })
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestUpstreamsRespondBeforeAStoppingNodeEnds guards against requests accepted during a stop that are still at work when the node ends.
+func TestUpstreamsRespondBeforeAStoppingNodeEnds(t *testing.T) {
+	serving := newTestNode(t, "almacen-1", "almacen", startPunctualUpstream(t))
+	entry := newTestNode(t, "vitrina-1", "vitrina", startPunctualUpstream(t), "stop-grace = 4s", "seeds = "+serving.settings.PeerAddress().String())
+	runNode(t, serving)
+	stop, _ := runNode(t, entry)
+	awaitServed(t, entry, "vitrina.oax", "almacen.oax")
+	var calls sync.WaitGroup
+	for _, host := range []string{"vitrina.oax", "almacen.oax"} {
+		conn := openCallerConnection(t, entry.settings.HTTPAddress())
+		calls.Go(func() {
+			time.Sleep(time.Second)
+			resp, body, err := conn.send(host, "/long", 10*time.Second)
+			assert.Check(t, err, host)
+			assert.Check(t, body == "time is over", "%s: %q, %v", host, body, resp)
+		})
+	}
+	stop()
+	calls.Wait()
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -161,6 +161,7 @@
 		return nil, refuser.New(classifier.NotRun, classifier.ReasonDeadline)
 	}
 	req.Header[classifier.HeaderTimeout] = []string{strconv.FormatInt(remaining, 10)}
+	c.limitUpstreamTime(ctx, req.Header)
 	if work := c.forwarder.workEstimates.expected(&c.route); work > 0 {
 		req.Header[classifier.HeaderWork] = []string{strconv.FormatInt(work.Milliseconds(), 10)}
 	}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -33,7 +33,7 @@
 // requests.
 var nodeHeaders = [...]string{
 	classifier.HeaderKeyHome, classifier.HeaderDue, classifier.HeaderStay, classifier.HeaderWork, classifier.HeaderUpstreamNotice,
-	classifier.HeaderAPIKey, classifier.HeaderOrganisation,
+	classifier.HeaderAPIKey, classifier.HeaderOrganisation, classifier.HeaderUpstreamTimeout,
 }
 
 // call is one caller's request and the state of its attempts.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -48,7 +48,9 @@
 	// open are the requests that have not ended.
 	open *tracker.Tracker
 	cuts *counter.Counter
-	// servesUntil is when the node stops; nil unless that is known.
+	// endsAt is when the stopping node interrupts its requests; nil unless that is known.
+	endsAt atomic.Pointer[time.Time]
+	// servesUntil is set to that time once no request is accepted that may last longer.
 	servesUntil atomic.Pointer[time.Time]
 }
 
--- a/internal/request/forwarder/leaving.go
+++ b/internal/request/forwarder/leaving.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,25 @@
 // errStopping is the cause of the end of a request that the end of the node interrupts.
 var errStopping = errors.New("the node is about to end")
 
+// upstreamReserve is how long before the end of the node an upstream has to respond, so that its
+// response, be it that the time is over, still reaches the caller.
+const upstreamReserve = 250 * time.Millisecond
+
+// EndAt gives the upstreams of requests that are sent from now on no more time than until shortly
+// before end, at which the node interrupts them.
+func (f *Forwarder) EndAt(end time.Time) { f.endsAt.Store(&end) }
+
+// limitUpstreamTime sets the time that the upstream gets if the node ends before the request does.
+func (c *call) limitUpstreamTime(ctx context.Context, h http.Header) {
+	end := c.forwarder.endsAt.Load()
+	deadline, _ := ctx.Deadline()
+	if end == nil || !deadline.After(end.Add(-upstreamReserve)) {
+		return
+	}
+	left := max(time.Until(*end)-upstreamReserve, time.Millisecond)
+	h[classifier.HeaderUpstreamTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+}
+
 // ServeUntil makes the forwarder refuse all further requests whose deadline is later than
 // end, at which the node stops.
 func (f *Forwarder) ServeUntil(end time.Time) { f.servesUntil.Store(&end) }
--- a/internal/request/server/exchange.go
+++ b/internal/request/server/exchange.go
@@ -58,6 +58,7 @@
 // admitAndSend waits for a slot, sends req to the upstream and returns the response. It
 // checks the upstream again after the wait, as it may have changed.
 func (s *Server) admitAndSend(ctx context.Context, req *http.Request, open *tracker.Request) (*http.Response, *refuser.Refusal) {
+	upstreamDeadline := upstreamDeadline(ctx, req.Header)
 	if refusal := s.evacuationRefusal(); refusal != nil {
 		return nil, refusal
 	}
@@ -70,11 +71,11 @@
 	}
 	spec := s.spec()
 	open.Enter(tracker.Queued)
-	permit, refusal := s.admit(ctx, req, spec)
+	permit, refusal := s.admit(ctx, req, spec, upstreamDeadline)
 	if refusal != nil {
 		return nil, refusal
 	}
-	setUpstreamHeaders(ctx, req)
+	setUpstreamHeaders(req, upstreamDeadline)
 	if refusal = s.evacuationRefusal(); refusal == nil {
 		refusal = s.setUpstreamID(req)
 	}
@@ -139,8 +140,9 @@
 }
 
 // admit waits for a slot of the upstream.
-func (s *Server) admit(ctx context.Context, req *http.Request, spec compiler.ServiceSpec) (Permit, *refuser.Refusal) {
-	deadline, _ := ctx.Deadline()
+func (s *Server) admit(
+	ctx context.Context, req *http.Request, spec compiler.ServiceSpec, deadline time.Time,
+) (Permit, *refuser.Refusal) {
 	queuedAt := time.Now()
 	permit, err := s.cfg.Admitter.Admit(ctx, AdmissionRequest{
 		Priority:        priorityFor(req.Header.Get(classifier.HeaderPriority), spec.Priority),
@@ -237,16 +239,31 @@
 	}
 }
 
+// upstreamDeadline returns the time by which the upstream must respond to a request: that of ctx,
+// or an earlier one that the request names. It is zero if there is none.
+func upstreamDeadline(ctx context.Context, h http.Header) time.Time {
+	deadline, bounded := ctx.Deadline()
+	limit := h.Get(classifier.HeaderUpstreamTimeout)
+	if limit == "" {
+		return deadline
+	}
+	if earlier := time.Now().Add(parseMillis(limit)); !bounded || earlier.Before(deadline) {
+		return earlier
+	}
+	return deadline
+}
+
 // setUpstreamHeaders removes headers that are meant for nodes only and sets the
 // remaining timeout.
-func setUpstreamHeaders(ctx context.Context, req *http.Request) {
+func setUpstreamHeaders(req *http.Request, deadline time.Time) {
 	delete(req.Header, classifier.HeaderHop)
 	delete(req.Header, classifier.HeaderService)
 	delete(req.Header, classifier.HeaderDue)
 	delete(req.Header, classifier.HeaderWork)
 	delete(req.Header, classifier.HeaderStay)
 	delete(req.Header, classifier.HeaderUpstreamNotice)
-	if deadline, ok := ctx.Deadline(); ok {
+	delete(req.Header, classifier.HeaderUpstreamTimeout)
+	if !deadline.IsZero() {
 		remaining := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(classifier.HeaderTimeout, strconv.FormatInt(remaining, 10))
 	}
--- a/pkg/classifier/header.go
+++ b/pkg/classifier/header.go
@@ -33,6 +33,9 @@
 	HeaderLoad = "Banyanscale-Load"
 	// HeaderDraining is "1" on a response of an upstream that accepts no new requests.
 	HeaderDraining = "Banyanscale-Draining"
+	// HeaderUpstreamTimeout holds the time in milliseconds that the upstream gets, on requests
+	// between nodes for which that is less than HeaderTimeout.
+	HeaderUpstreamTimeout = "Banyanscale-Upstream-Timeout-Ms"
 	// HeaderDue holds the time until the latency goal in milliseconds, on requests
 	// between nodes.
 	HeaderDue = "Banyanscale-Due-Ms"
