fix: the start of an upstream lies at most a minute ahead of the node's clock

A heartbeat of another writer with a start within the hour to come hid those of the upstream itself for up to that hour. The upstream stands beside its node, so that their clocks differ by seconds at most; clocks that jump do so by seconds. TestImplausibleHeartbeatHidesNoLaterOne has two minutes in place of two hours, and fails with the former limit.

--- a/internal/process/enroller/heartbeat.go
+++ b/internal/process/enroller/heartbeat.go
@@ -16,7 +16,7 @@
 	maxSequence      = 1 << 53
 	maxColdRemaining = time.Hour
 	// maxStartLead is how far the start of an upstream may lie ahead of this process's clock.
-	maxStartLead = time.Hour
+	maxStartLead = time.Minute
 )
 
 // ErrImplausible reports a heartbeat with a value that cannot be true.
--- a/internal/process/enroller/heartbeat_test.go
+++ b/internal/process/enroller/heartbeat_test.go
@@ -15,7 +15,7 @@
 	for name, change := range map[string]func(*enroller.Heartbeat){
 		"no id":                  func(h *enroller.Heartbeat) { h.ID = "" },
 		"greatest sequence":      func(h *enroller.Heartbeat) { h.Sequence = math.MaxUint64 },
-		"starts in two hours":    func(h *enroller.Heartbeat) { h.StartedAt = time.Now().Add(2 * time.Hour) },
+		"starts in two minutes":  func(h *enroller.Heartbeat) { h.StartedAt = time.Now().Add(2 * time.Minute) },
 		"started before 1970":    func(h *enroller.Heartbeat) { h.StartedAt = time.UnixMilli(math.MinInt64) },
 		"no slots":               func(h *enroller.Heartbeat) { h.Slots = 0 },
 		"most slots":             func(h *enroller.Heartbeat) { h.Slots = math.MaxInt },
