--- a/internal/agreement/voter/acceptor.go
+++ b/internal/agreement/voter/acceptor.go
@@ -159,7 +159,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	resp := &voterwire.PrepareResponse{Position: a.positionLocked(), Newest: a.promisedBallot}
-	if a.refuses(req.GetGroup(), req.GetTo()) || compareBallots(req.GetBallot(), a.promisedBallot) < 0 {
+	if a.refuses(req.GetGroup(), req.GetTo()) || !validBallot(req.GetBallot()) || compareBallots(req.GetBallot(), a.promisedBallot) < 0 {
 		return resp, nil
 	}
 	if !sameBallot(req.GetBallot(), a.promisedBallot) {
@@ -182,7 +182,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	resp := &voterwire.AcceptResponse{Newest: a.promisedBallot}
-	if a.refuses(req.GetGroup(), req.GetTo()) || compareBallots(req.GetBallot(), a.promisedBallot) < 0 {
+	if a.refuses(req.GetGroup(), req.GetTo()) || !validBallot(req.GetBallot()) || compareBallots(req.GetBallot(), a.promisedBallot) < 0 {
 		resp.Position = a.positionLocked()
 		return resp, nil
 	}
--- a/internal/agreement/voter/repair.go
+++ b/internal/agreement/voter/repair.go
@@ -94,7 +94,7 @@
 
 func replaceIdentity(old *voterwire.Member, identity string) transitionFunc {
 	return func(base *State) *voterwire.Transition {
-		if len(base.membership().GetPrevious()) > 0 || !isVoter(base.membership(), old.GetIdentity()) {
+		if len(base.membership().GetPrevious()) > 0 || !isVoter(base.membership(), old.GetIdentity()) || isVoter(base.membership(), identity) {
 			return nil
 		}
 		var voters []*voterwire.Member
