fix: a clock that is set back ends no heartbeats of a known upstream

Found by the review: a start that lies further ahead of the clock than a minute was refused for good, also that of the incarnation in force, once the machine's clock was set back. TestClockSetBackHidesNoHeartbeat fails without the change (guard clock-set-back). A node that is started with such a clock refuses them still.

--- a/internal/process/enroller/enroller.go
+++ b/internal/process/enroller/enroller.go
@@ -133,11 +133,15 @@
 	if h.Service != e.cfg.Service || h.Address != e.cfg.Address {
 		return errors.Wrapf(ErrOtherUpstream, "%.64q at %s", h.Service, h.Address)
 	}
-	if err := h.validate(time.Now()); err != nil {
-		return err
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
+	if h.StartedAt.Equal(e.current.startedAt) {
+		now = h.StartedAt // The clock may have been set back since.
+	}
+	if err := h.validate(now); err != nil {
+		return err
+	}
 	sameIncarnation := h.ID == e.current.id && h.StartedAt.Equal(e.current.startedAt)
 	switch {
 	case sameIncarnation && (h.Sequence <= e.current.sequence || e.current.deregistered):
