fix: the end of a stop interrupts no response that is being written

TestInterruptionCutsNoResumedResponse failed before (answer truncated), guard resumed-response-stage. A refusal keeps the mark that the node retried (TestInterruptedRetryIsMarkedRetried, guard interrupted-retry).

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -112,11 +112,14 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	c.open.Enter(tracker.ReceivingBody)
 	controller := http.NewResponseController(w)
 	deadline, _ := c.ctx.Deadline()
 	// A writer without deadlines has no connection that could stall.
 	_ = controller.SetReadDeadline(deadline)
+	c.open.Enter(tracker.ReceivingBody)
+	if c.ctx.Err() != nil { // An interruption before Enter has left the deadline as it was.
+		_ = controller.SetReadDeadline(time.Now())
+	}
 	body, err := relayer.BufferBody(c.r)
 	if err != nil && c.ctx.Err() != nil {
 		return refuser.New(classifier.NotRun, classifier.ReasonDeadline)
--- a/internal/request/forwarder/leaving.go
+++ b/internal/request/forwarder/leaving.go
@@ -89,7 +89,11 @@
 	}
 	switch refusal.Reason() {
 	case classifier.ReasonCanceled, classifier.ReasonDeadline:
-		return refuser.New(refusal.Outcome(), classifier.ReasonLeaving)
+		leaving := refuser.New(refusal.Outcome(), classifier.ReasonLeaving)
+		if refusal.Retried() {
+			return leaving.WithRetried()
+		}
+		return leaving
 	}
 	return refusal
 }
--- a/internal/request/forwarder/leaving_test.go
+++ b/internal/request/forwarder/leaving_test.go
@@ -81,6 +81,39 @@
 	})
 }
 
+// TestInterruptionCutsNoResumedResponse guards against a response that is cut while its rest is requested elsewhere.
+func TestInterruptionCutsNoResumedResponse(t *testing.T) {
+	f := newFleet()
+	ranges := serveRanges(`"v1"`)
+	f.upstreamHandler = func(w http.ResponseWriter, r *http.Request, run int64) {
+		if run > 1 {
+			time.Sleep(time.Second)
+		}
+		ranges(w, r, run)
+	}
+	f.network.fault = fault{address: firstNodeAddress, step: finish, kind: reset}
+	f.run(t, func(t *testing.T) {
+		time.AfterFunc(time.Second/2, f.entry.Interrupt)
+		resp, body, err := f.call(t.Context(), request(http.MethodGet))
+		time.Sleep(2 * time.Second)
+		assertResponse(t, resp, body, err)
+	})
+}
+
+// TestInterruptedRetryIsMarkedRetried guards against callers that retry what the node has retried already.
+func TestInterruptedRetryIsMarkedRetried(t *testing.T) {
+	f := newFleet()
+	f.network.fault = fault{address: firstNodeAddress, step: receiveHead, kind: reset}
+	f.upstreamHandler = func(http.ResponseWriter, *http.Request, int64) { time.Sleep(2 * time.Second) }
+	f.run(t, func(t *testing.T) {
+		time.AfterFunc(3*time.Second, f.entry.Interrupt)
+		resp, _, err := f.call(t.Context(), request(http.MethodGet))
+		assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonLeaving)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, resp.Header.Get(classifier.HeaderRetried), "1")
+	})
+}
+
 // TestUnreadBodyDoesNotOutlastTheNode guards against a caller that sends half a body and holds up the end of a node.
 func TestUnreadBodyDoesNotOutlastTheNode(t *testing.T) {
 	f := newFleet()
--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -156,7 +156,9 @@
 func (r *Request) BeginAttempt(instance string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stage, r.stageSince = Sent, time.Now()
+	if r.stage != Responding { // Then it fetches the rest of the response, or comes too late.
+		r.stage, r.stageSince = Sent, time.Now()
+	}
 	r.instance = instance
 	r.attempts++
 }
