--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -6,7 +6,7 @@
 //	requests := tracker.New()
 //	r := requests.Begin(id, method, path)
 //	defer r.End()
-//	r.Enter(tracker.Sent, instanceID)
+//	r.BeginAttempt(instanceID)
 //	...
 //	n := requests.Log(log, "Request is open at the end of the stop.")
 package tracker
