--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) error{
 	"start":   playStart,
 	"version": playVersion,
+	"host":    playHost,
 	"memory":  playMemory,
 }
 
