--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -42,6 +42,7 @@
 	side      []*machine
 	seeds     []string
 	zones     []string
+	spareIP   string // Of a core machine that is added later.
 	rec       *recorder
 
 	mu      sync.Mutex
@@ -74,6 +75,7 @@
 			})
 		}
 	}
+	f.spareIP = fmt.Sprintf("%s.%d", network, 20)
 	if f.ports, err = f.freePorts(); err != nil {
 		return nil, err
 	}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -29,6 +29,7 @@
 	"start":   playStart,
 	"version": playVersion,
 	"host":    playHost,
+	"replace": playReplace,
 	"memory":  playMemory,
 }
 
