--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -42,7 +42,7 @@
 	side      []*machine
 	seeds     []string
 	zones     []string
-	spareIP   string // Of a core machine that is added later.
+	spareIPs  []string // Of core machines that are added later.
 	rec       *recorder
 
 	mu      sync.Mutex
@@ -75,7 +75,7 @@
 			})
 		}
 	}
-	f.spareIP = fmt.Sprintf("%s.%d", network, 20)
+	f.spareIPs = []string{network + ".20", network + ".21"}
 	if f.ports, err = f.freePorts(); err != nil {
 		return nil, err
 	}
