--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -51,6 +52,9 @@
 
 const region = "rw-kigali"
 
+// maxLength is the longest time that a case may run.
+const maxLength = 115 * time.Second
+
 // newFleet lays out three control machines and the given number of sidecars of each service.
 func newFleet(rec *recorder, services map[string]int, order []string) (*fleet, error) {
 	root, err := os.Getwd()
@@ -82,9 +86,24 @@
 	for _, m := range f.core {
 		f.seeds = append(f.seeds, m.address(f.ports.control))
 	}
+	go f.closeEarly()
 	return f, nil
 }
 
+// closeEarly ends the case, and all processes that it started, at a signal or after maxLength.
+func (f *fleet) closeEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case s := <-signals:
+		f.rec.add("result: could not run: %v", s)
+	case <-time.After(maxLength):
+		f.rec.add("result: could not run within %v", maxLength)
+	}
+	f.close()
+	os.Exit(exitNotRun)
+}
+
 // freePorts returns ports that are free on all machines.
 func (f *fleet) freePorts() (ports, error) {
 	for range 50 {
