fix: what is kept for processes that are behind is bounded in bytes

Cause: voters kept the last 256 transitions and distributors the last 256 deltas, whatever their size: 0.6 MB each where two keys of 1,400 routes change. Cached responses and the history were bounded by their number as well.

Now each such list takes 1/32 of the memory of the process at most (retainer.BytesFor), and so do the responses that are being sent at the same moment. The history is bounded at 4 MB. Control instances read memory-mb, which nodes already did.

--- a/internal/agreement/controller/bench_test.go
+++ b/internal/agreement/controller/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/banyanscale/banyanscale/internal/accounting/accountant"
 	"github.com/banyanscale/banyanscale/internal/agreement/controller"
 	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -30,7 +31,7 @@
 				ledger, err := accountant.NewLedger(store, zerolog.Nop(), tally.NoopScope)
 				assert.NilError(b, err)
 				mux := http.NewServeMux()
-				mux.Handle(controller.New(nil, nil, ledger, nil).Handler())
+				mux.Handle(controller.New(nil, nil, ledger, nil, retainer.DefaultBytes).Handler())
 				server := httptest.NewServer(mux)
 				defer server.Close()
 				transport := &http.Transport{DisableKeepAlives: fresh}
--- a/internal/agreement/controller/cache.go
+++ b/internal/agreement/controller/cache.go
@@ -11,16 +11,20 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
-// maxCachedFetches bounds the number of cached responses to Fetch: few processes are more
-// than a few versions behind.
-const maxCachedFetches = 64
+// cachedFetchBytes is the memory that a cached response takes besides its content.
+const cachedFetchBytes = 256
 
 // responseCache keeps responses that contain the newest version, large ones compressed.
 // After a change, and when they start, all nodes request the version at once. Compressing
 // a large one for each of them takes a small control instance seconds, and sending it
 // uncompressed saturates their links.
+//
+// The responses that it keeps take maxBytes bytes at most, besides that to Current.
 type responseCache struct {
+	maxBytes int
+
 	mu      sync.Mutex
+	bytes   int                        // Of fetches.
 	digest  *controlwire.VersionDigest // Digest of the version in the cached responses.
 	current *controlwire.CurrentResponse
 	// fetches holds the responses to Fetch, by the number of the version that the
@@ -62,22 +66,31 @@
 	if cached, ok := c.fetches[have.GetNumber()]; ok && proto.Equal(cached.have, have) {
 		return cached.resp, nil
 	}
-	resp := &controlwire.FetchResponse{}
-	if delta, ok := state.Delta(have); ok {
-		resp.Delta = delta
-	} else {
-		resp.Snapshot = state.Version()
-	}
-	packed, err := packer.Pack(resp)
+	packed, err := packer.Pack(update(state, have))
 	if err != nil {
 		return nil, fmt.Errorf("pack version: %w", err)
 	}
-	if len(c.fetches) < maxCachedFetches {
+	if size := proto.Size(packed) + cachedFetchBytes; c.bytes+size <= c.maxBytes {
 		c.fetches[have.GetNumber()] = cachedFetch{have: have, resp: packed}
+		c.bytes += size
 	}
 	return packed, nil
 }
 
+// update returns the plain response that updates have to the version of the state: a delta, if the
+// state has one that the receiver can unpack, else the snapshot.
+func update(state *voter.State, have *controlwire.VersionDigest) *controlwire.FetchResponse {
+	snapshot := &controlwire.FetchResponse{Snapshot: state.Version()}
+	delta, ok := state.Delta(have)
+	if !ok {
+		return snapshot
+	}
+	if response := (&controlwire.FetchResponse{Delta: delta}); proto.Size(response) <= packer.MaxResponseBytes {
+		return response
+	}
+	return snapshot
+}
+
 // invalidate drops the cached responses unless they belong to the version with the given
 // digest.
 func (c *responseCache) invalidate(digest *controlwire.VersionDigest) {
@@ -86,5 +99,6 @@
 	}
 	c.digest = digest
 	c.current = nil
+	c.bytes = 0
 	c.fetches = make(map[uint64]cachedFetch)
 }
--- a/internal/agreement/controller/controller.go
+++ b/internal/agreement/controller/controller.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	c := controller.New(v, checker, ledger, fleet)
+//	c := controller.New(v, checker, ledger, fleet, retainer.BytesFor(settings.MemoryMB()))
 //	path, handler := c.Handler()
 //	mux.Handle(path, handler)
 //
@@ -17,7 +17,8 @@
 //	unavailable          no majority, too few voters, the outcome is unknown, the
 //	                     instance is stale, or it cannot store reported usage
 //	not-found            no instance and no site names the failure domain
-//	resource-exhausted   too many failure domains are evacuated
+//	resource-exhausted   too many failure domains are evacuated, or as much is being sent
+//	                     to other processes as fits in memory
 //	internal             the response cannot be compressed
 //
 // The error of a failed submission has the header classifier.HeaderOutcome: "not-run" if
@@ -37,6 +38,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -73,11 +75,24 @@
 	fleet          Fleet // Nil if it is not known; every failure domain is then accepted.
 	versionReports *versionReports
 	cache          responseCache
+	responses      *retainer.Gate // Of the versions that are sent to other processes.
 }
 
-// New returns a controller.
-func New(v Voter, checker Checker, ledger Ledger, fleet Fleet) *Controller {
-	return &Controller{voter: v, checker: checker, ledger: ledger, fleet: fleet, versionReports: newVersionReports()}
+// errManyResponses is returned to a process that should ask another instance, or later.
+var errManyResponses = errors.New("other processes are being sent as much as fits in memory")
+
+// New returns a controller. What it keeps for processes that are behind, and what it sends them at
+// the same time, takes up to catchUpBytes bytes of memory, each.
+func New(v Voter, checker Checker, ledger Ledger, fleet Fleet, catchUpBytes int) *Controller {
+	return &Controller{
+		voter:          v,
+		checker:        checker,
+		ledger:         ledger,
+		fleet:          fleet,
+		versionReports: newVersionReports(),
+		cache:          responseCache{maxBytes: catchUpBytes},
+		responses:      retainer.NewGate(catchUpBytes),
+	}
 }
 
 // Handler returns the HTTP handler of the service and its path.
@@ -129,22 +144,22 @@
 	if err != nil {
 		return nil, connect.NewError(codeOf(err), err)
 	}
-	if !req.Msg.GetPacked() {
-		return connect.NewResponse(&controlwire.CurrentResponse{Version: state.Version(), Evacuation: state.Evacuation()}), nil
+	resp := &controlwire.CurrentResponse{Version: state.Version(), Evacuation: state.Evacuation()}
+	if req.Msg.GetPacked() {
+		cached, err := c.cache.currentResponse(state.Version())
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		resp.Version, resp.Packed = cached.GetVersion(), cached.GetPacked()
 	}
-	cached, err := c.cache.currentResponse(state.Version())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, err)
+	if !c.responses.Enter(ctx, proto.Size(resp)) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errManyResponses)
 	}
-	return connect.NewResponse(&controlwire.CurrentResponse{
-		Version:    cached.GetVersion(),
-		Packed:     cached.GetPacked(),
-		Evacuation: state.Evacuation(),
-	}), nil
+	return connect.NewResponse(resp), nil
 }
 
 // Fetch implements controlwireconnect.ControlHandler.
-func (c *Controller) Fetch(_ context.Context, req *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error) {
+func (c *Controller) Fetch(ctx context.Context, req *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error) {
 	state := c.voter.Local()
 	if state == nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, voter.ErrNoGroup)
@@ -153,6 +168,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
+	if !c.responses.Enter(ctx, proto.Size(resp)) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errManyResponses)
+	}
 	return connect.NewResponse(resp), nil
 }
 
--- a/internal/agreement/controller/controller_test.go
+++ b/internal/agreement/controller/controller_test.go
@@ -14,11 +14,13 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/banyanscale/banyanscale/internal/agreement/controller"
 	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -99,7 +101,7 @@
 func startWithVoter(t *testing.T, v controller.Voter, ledger *fakeLedger) controlwireconnect.ControlClient {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(controller.New(v, fakeChecker{}, ledger, nil).Handler())
+	mux.Handle(controller.New(v, fakeChecker{}, ledger, nil, retainer.DefaultBytes).Handler())
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return controlwireconnect.NewControlClient(server.Client(), server.URL)
@@ -327,3 +329,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(usage.Msg.GetCounters()), 1)
 }
+
+// TestResponsesSentAtOnceAreBoundedInBytes guards against as many large responses at once as there are processes behind.
+func TestResponsesSentAtOnceAreBoundedInBytes(t *testing.T) {
+	for name, call := range map[string]func(context.Context, *controller.Controller) error{
+		"Fetch": func(ctx context.Context, c *controller.Controller) error {
+			_, err := c.Fetch(ctx, connect.NewRequest(&controlwire.FetchRequest{}))
+			return err
+		},
+		"Current": func(ctx context.Context, c *controller.Controller) error {
+			_, err := c.Current(ctx, connect.NewRequest(&controlwire.CurrentRequest{}))
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := controller.New(newVoter(t, "v0"), fakeChecker{}, &fakeLedger{}, nil, 1)
+			ctx, sent := context.WithCancel(context.Background())
+			assert.NilError(t, call(ctx, c))
+			assertCode(t, call(context.Background(), c), connect.CodeResourceExhausted)
+			sent()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if err := call(context.Background(), c); err != nil {
+					return poll.Continue("refused: %v", err)
+				}
+				return poll.Success()
+			})
+		})
+	}
+}
--- a/internal/agreement/controller/evacuation_test.go
+++ b/internal/agreement/controller/evacuation_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/banyanscale/banyanscale/internal/agreement/controller"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -34,7 +35,7 @@
 func startWithFleet(t *testing.T) controlwireconnect.ControlClient {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(controller.New(newVoter(t, "127.0.0.1:1"), fakeChecker{}, &fakeLedger{}, fakeFleet{"oax-istmo"}).Handler())
+	mux.Handle(controller.New(newVoter(t, "127.0.0.1:1"), fakeChecker{}, &fakeLedger{}, fakeFleet{"oax-istmo"}, retainer.DefaultBytes).Handler())
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return controlwireconnect.NewControlClient(server.Client(), server.URL)
--- a/internal/agreement/voter/acceptor.go
+++ b/internal/agreement/voter/acceptor.go
@@ -8,11 +8,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
 
-// compactionThreshold is how many bytes are appended to the journal before it is
-// compacted.
+// compactionThreshold is how many bytes are appended to the journal before it is compacted.
 const compactionThreshold = 4 << 20
 
 // Journal stores what an acceptor must not lose. journaler.Journal implements it.
@@ -33,6 +33,8 @@
 // in the journal and never breaks a promise that it has sent.
 type acceptor struct {
 	journal Journal
+	// catchUpBytes bounds the transitions that each held state keeps.
+	catchUpBytes int
 
 	mu             sync.Mutex
 	identity       string
@@ -47,7 +49,7 @@
 // newAcceptor restores an acceptor from the journal. An empty journal gets the
 // given identity.
 func newAcceptor(journal Journal, identity string) (*acceptor, error) {
-	a := &acceptor{journal: journal}
+	a := &acceptor{journal: journal, catchUpBytes: retainer.DefaultBytes}
 	for i, data := range journal.Records() {
 		record := &voterwire.Record{}
 		if err := proto.Unmarshal(data, record); err != nil {
@@ -70,6 +72,19 @@
 	return a, nil
 }
 
+// limitCatchUp bounds the transitions that each held state keeps, in bytes.
+func (a *acceptor) limitCatchUp(catchUpBytes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.catchUpBytes = catchUpBytes
+	if a.acceptedState != nil {
+		a.acceptedState = a.acceptedState.bounded(catchUpBytes)
+	}
+	if a.learned != nil {
+		a.learned = a.learned.bounded(catchUpBytes)
+	}
+}
+
 func (a *acceptor) replay(record *voterwire.Record) error {
 	switch kind := record.GetKind().(type) {
 	case *voterwire.Record_Identity:
@@ -231,7 +246,7 @@
 
 func (a *acceptor) setAccepted(ballot *voterwire.Ballot, state *State) {
 	a.acceptedBallot = ballot
-	a.acceptedState = state
+	a.acceptedState = state.bounded(a.catchUpBytes)
 	a.reserved = nil
 	if compareBallots(ballot, a.promisedBallot) > 0 {
 		a.promisedBallot = ballot
@@ -278,7 +293,7 @@
 	if a.learned != nil && state.wire.GetRevision() <= a.learned.wire.GetRevision() {
 		return false
 	}
-	a.learned = state
+	a.learned = state.bounded(a.catchUpBytes)
 	a.reserved = nil
 	if a.acceptedState != nil && sameBallot(a.acceptedState.origin(), state.origin()) && !a.failed {
 		a.learned = a.acceptedState
--- a/internal/agreement/voter/state.go
+++ b/internal/agreement/voter/state.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
@@ -22,20 +23,31 @@
 	// maxDetailedBytes bounds the total size of these changes. The newest one is kept
 	// whatever its size.
 	maxDetailedBytes = 1 << 20
+	// maxHistoryBytes bounds the total size of the history without these entry changes.
+	maxHistoryBytes = 4 << 20
+	// maxHistoryEntryBytes is above the size of one change without its entry changes.
+	maxHistoryEntryBytes = 2*maxIDBytes + maxMessageBytes + 64
 	// maxRecentTransitions bounds the transitions that are kept to update other
-	// instances without a snapshot.
+	// instances without a snapshot. Their size is bounded as well.
 	maxRecentTransitions = 256
 )
 
 // State is the content of the register. It is immutable.
 type State struct {
 	wire *voterwire.State
-	// recent holds the newest transitions that led to this state, oldest first.
-	// It is not part of the content.
-	recent []*voterwire.Transition
+	// recent holds the newest transitions that led to this state. It is not part of the content.
+	recent retainer.List[*voterwire.Transition]
 }
 
-func newState(wire *voterwire.State) *State { return &State{wire: wire} }
+func newState(wire *voterwire.State) *State {
+	return &State{wire: wire, recent: retainer.NewList[*voterwire.Transition](maxRecentTransitions, retainer.DefaultBytes)}
+}
+
+// bounded returns the state with another bound on the transitions that it keeps, in bytes. States
+// that result from it have the same bound.
+func (s *State) bounded(catchUpBytes int) *State {
+	return &State{wire: s.wire, recent: s.recent.Bounded(catchUpBytes)}
+}
 
 // Version returns the document with its version number and digest. Version 0 is
 // the empty document before the first change.
@@ -79,15 +91,21 @@
 	if t.GetEvacuation() != nil {
 		next.Evacuation = t.GetEvacuation()
 	}
-	recent := s.recent[max(0, len(s.recent)+1-maxRecentTransitions):]
-	return &State{wire: next, recent: append(slices.Clip(recent), t)}, nil
+	return &State{wire: next, recent: s.recent.With(t, transitionSize(t))}, nil
+}
+
+// transitionSize returns about how many bytes of memory the transition takes.
+func transitionSize(t *voterwire.Transition) int {
+	changes := t.GetChange().GetChanges()
+	rest := &voterwire.Transition{Membership: t.GetMembership(), Evacuation: t.GetEvacuation()}
+	return retainer.ChangesSize(changes) + maxHistoryEntryBytes + proto.Size(rest)
 }
 
 // appendHistory returns the history with the change appended. To stay within the
 // bounds, it drops the oldest changes and the entry changes of others.
 func appendHistory(history []*controlwire.HistoryEntry, change *controlwire.HistoryEntry) []*controlwire.HistoryEntry {
 	history = history[max(0, len(history)+1-maxHistoryChanges):]
-	history = append(slices.Clip(history), change)
+	history = withoutOldest(append(slices.Clip(history), change))
 	size := 0
 	newest := len(history) - 1
 	for i := newest - 1; i >= max(0, newest-maxDetailedChanges); i-- {
@@ -99,6 +117,21 @@
 	return history
 }
 
+// withoutOldest returns the history without the oldest changes that are above maxHistoryBytes.
+func withoutOldest(history []*controlwire.HistoryEntry) []*controlwire.HistoryEntry {
+	if len(history)*maxHistoryEntryBytes <= maxHistoryBytes {
+		return history
+	}
+	size := 0
+	for i, e := range slices.Backward(history) {
+		size += proto.Size(withoutEntryChanges(e))
+		if size > maxHistoryBytes {
+			return slices.Clone(history[i+1:])
+		}
+	}
+	return history
+}
+
 func withoutEntryChanges(e *controlwire.HistoryEntry) *controlwire.HistoryEntry {
 	return &controlwire.HistoryEntry{
 		Number:         e.GetNumber(),
@@ -151,9 +184,9 @@
 	if have != nil && sameBallot(have, s.origin()) {
 		return &voterwire.Transfer{}
 	}
-	for i, t := range s.recent {
+	for i, t := range s.recent.All() {
 		if have != nil && sameBallot(t.GetBase(), have) {
-			return &voterwire.Transfer{Transitions: s.recent[i:]}
+			return &voterwire.Transfer{Transitions: s.recent.From(i)}
 		}
 	}
 	return &voterwire.Transfer{Snapshot: s.wire}
--- a/internal/agreement/voter/state_test.go
+++ b/internal/agreement/voter/state_test.go
@@ -5,10 +5,12 @@
 	"slices"
 	"testing"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 )
@@ -20,6 +22,7 @@
 	number := s.number() + 1
 	entry := &controlwire.Entry{Section: "service x", Key: "note", Value: string(make([]byte, size))}
 	next, err := s.apply(&voterwire.Transition{
+		Base:   s.origin(),
 		Origin: ballot(number),
 		Change: &controlwire.HistoryEntry{
 			Number: number, ChangeId: fmt.Sprint(number), Changes: []*controlwire.EntryChange{{Entry: entry}},
@@ -96,3 +99,49 @@
 	newest := s.History()[len(s.History())-1]
 	assert.Equal(t, len(newest.GetChanges()), 1)
 }
+
+// TestTransfersAreBoundedInBytes guards against memory that grows with each change of a large configuration.
+func TestTransfersAreBoundedInBytes(t *testing.T) {
+	const changeBytes = 100 << 10
+	s := newState(genesisState("g"))
+	states := []*State{s}
+	for range 3 * retainer.DefaultBytes / changeBytes {
+		s = applyChange(t, s, changeBytes)
+		states = append(states, s)
+	}
+	withTransitions := 0
+	for _, behind := range states {
+		transfer := s.transferFrom(behind.origin())
+		assert.Assert(t, proto.Size(transfer) <= retainer.DefaultBytes, "%d bytes", proto.Size(transfer))
+		withTransitions += min(1, len(transfer.GetTransitions()))
+		caughtUp, ok := applyTransfer(behind, transfer)
+		assert.Assert(t, ok && caughtUp.number() == s.number())
+	}
+	assert.Assert(t, withTransitions > retainer.DefaultBytes/changeBytes/2, "%d", withTransitions)
+}
+
+// TestStatesFetchedAtOnceAreBoundedInBytes guards against as many copies of the state as there are instances behind.
+func TestStatesFetchedAtOnceAreBoundedInBytes(t *testing.T) {
+	a, err := newAcceptor(nullJournal{}, "me")
+	assert.NilError(t, err)
+	a.learn(newState(genesisState("g")))
+	h := &connectHandler{peer: &localPeer{voter: &Voter{acceptor: a}}, transfers: retainer.NewGate(1)}
+	req := connect.NewRequest(&voterwire.FetchStateRequest{Learned: true})
+	_, err = h.FetchState(t.Context(), req)
+	assert.NilError(t, err)
+	_, err = h.FetchState(t.Context(), req)
+	assert.Equal(t, connect.CodeOf(err), connect.CodeResourceExhausted)
+}
+
+// TestHistoryIsBoundedInBytes guards against changes with long messages that take more memory than there is.
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	wire := genesisState("g")
+	for n := range uint64(maxHistoryChanges) {
+		wire.History = append(wire.History, &controlwire.HistoryEntry{Number: n + 1, Message: string(make([]byte, maxMessageBytes))})
+	}
+	wire.Version.Digest = &controlwire.VersionDigest{Number: maxHistoryChanges}
+	s := applyChange(t, newState(wire), 1)
+	assert.Assert(t, proto.Size(s.wire) < 5<<20, "%d bytes", proto.Size(s.wire))
+	assert.Equal(t, s.History()[len(s.History())-1].GetNumber(), uint64(maxHistoryChanges+1))
+	assert.Assert(t, s.changeReplacing(maxHistoryChanges-1) != nil)
+}
--- a/internal/agreement/voter/transport.go
+++ b/internal/agreement/voter/transport.go
@@ -7,7 +7,10 @@
 	"sync"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire/voterwireconnect"
 )
@@ -88,14 +91,27 @@
 }
 
 // connectHandler serves a Peer with the Connect protocol.
-type connectHandler struct{ peer Peer }
+type connectHandler struct {
+	peer      Peer
+	transfers *retainer.Gate
+}
+
+// errManyTransfers means that other instances are fetching as much as this one may send at once.
+var errManyTransfers = errors.New("other instances are fetching the state; fetch it again, or from another instance")
 
 func (h *connectHandler) Query(ctx context.Context, req *connect.Request[voterwire.QueryRequest]) (*connect.Response[voterwire.QueryResponse], error) {
 	return handle(ctx, h.peer.Query, req)
 }
 
 func (h *connectHandler) FetchState(ctx context.Context, req *connect.Request[voterwire.FetchStateRequest]) (*connect.Response[voterwire.FetchStateResponse], error) {
-	return handle(ctx, h.peer.FetchState, req)
+	resp, err := handle(ctx, h.peer.FetchState, req)
+	if err != nil {
+		return nil, err
+	}
+	if !h.transfers.Enter(ctx, proto.Size(resp.Msg)) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errManyTransfers)
+	}
+	return resp, nil
 }
 
 func (h *connectHandler) Reserve(ctx context.Context, req *connect.Request[voterwire.ReserveRequest]) (*connect.Response[voterwire.ReserveResponse], error) {
--- a/internal/agreement/voter/voter.go
+++ b/internal/agreement/voter/voter.go
@@ -40,6 +40,7 @@
 package voter
 
 import (
+	"cmp"
 	"context"
 	crand "crypto/rand"
 	"fmt"
@@ -54,6 +55,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire"
 	"github.com/banyanscale/banyanscale/internal/wire/voterwire/voterwireconnect"
@@ -102,6 +104,9 @@
 	ToleratedLosses int
 	// Journal stores the durable state.
 	Journal Journal
+	// CatchUpBytes bounds what the voter keeps in memory for others that are behind, and what
+	// it sends them at the same time. If it is 0, retainer.DefaultBytes is used.
+	CatchUpBytes int
 	// Transport connects to the other instances.
 	Transport Transport
 	// Digest computes the digest of a document.
@@ -130,7 +135,8 @@
 	monitor          *monitor
 	submissions      *counter.Counter
 	evacuationOrders *counter.Counter
-	learnedSignal    chan struct{} // Signaled when a newer state was learned.
+	learnedSignal    chan struct{}  // Signaled when a newer state was learned.
+	transfers        *retainer.Gate // Of the states that other instances fetch.
 	tomb             tomb.Tomb
 }
 
@@ -148,12 +154,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("read voter's journal: %w", err)
 	}
+	cfg.CatchUpBytes = cmp.Or(cfg.CatchUpBytes, retainer.DefaultBytes)
+	a.limitCatchUp(cfg.CatchUpBytes)
 	v := &Voter{
 		cfg:              cfg,
 		acceptor:         a,
 		submissions:      counter.New(cfg.Scope, "submissions"),
 		evacuationOrders: counter.New(cfg.Scope, "evacuation_orders"),
 		learnedSignal:    make(chan struct{}, 1),
+		transfers:        retainer.NewGate(cfg.CatchUpBytes),
 	}
 	v.proposer = newProposer(a, a.identity+"/"+randomID(cfg.Random), v.memberPeer, cfg.Random)
 	v.monitor = newMonitor(v)
@@ -182,7 +191,7 @@
 
 // Handler returns the path and the handler of requests from other voters.
 func (v *Voter) Handler() (string, http.Handler) {
-	return voterwireconnect.NewVoterHandler(&connectHandler{peer: v.Peer()})
+	return voterwireconnect.NewVoterHandler(&connectHandler{peer: v.Peer(), transfers: v.transfers})
 }
 
 // Peer returns this voter as a Peer that is called without the network.
--- a/internal/fleet/distributor/client.go
+++ b/internal/fleet/distributor/client.go
@@ -9,14 +9,18 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
 
-// errSnapshotLimit is returned to a process that should fetch from another holder.
-var errSnapshotLimit = errors.New("snapshot rate limit exceeded")
+// Errors that are returned to a process that should fetch from another holder.
+var (
+	errSnapshotLimit = errors.New("snapshot rate limit exceeded")
+	errManyResponses = errors.New("other processes are being sent as much as fits in memory")
+)
 
 // Client fetches versions from other processes.
 type Client interface {
@@ -77,11 +81,14 @@
 
 // Fetch serves the version that this process holds. A control instance may expose it as
 // part of its own service.
-func (d *Distributor) Fetch(_ context.Context, req *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error) {
+func (d *Distributor) Fetch(ctx context.Context, req *connect.Request[controlwire.FetchRequest]) (*connect.Response[controlwire.FetchResponse], error) {
 	resp, ok := d.store.response(req.Msg.GetHave(), time.Now())
 	if !ok {
 		return nil, connect.NewError(connect.CodeResourceExhausted, errSnapshotLimit)
 	}
+	if !d.responses.Enter(ctx, proto.Size(resp)) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errManyResponses)
+	}
 	return connect.NewResponse(resp), nil
 }
 
--- a/internal/fleet/distributor/distributor.go
+++ b/internal/fleet/distributor/distributor.go
@@ -32,6 +32,7 @@
 package distributor
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -46,6 +47,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -88,19 +90,24 @@
 	Publish func(*compiler.Configuration) bool
 	// Announce advertises to other processes that this one holds a version.
 	Announce func(*controlwire.VersionDigest)
-	Logger   zerolog.Logger
-	Scope    tally.Scope
-	Random   *rand.Rand
+	// CatchUpBytes bounds the deltas kept for other processes, the compressed responses to
+	// them, and what is sent to them at the same time, each. If it is 0, retainer.DefaultBytes
+	// is used.
+	CatchUpBytes int
+	Logger       zerolog.Logger
+	Scope        tally.Scope
+	Random       *rand.Rand
 }
 
 // Distributor holds and updates the configuration version of one process.
 type Distributor struct {
-	cfg     Config
-	log     zerolog.Logger
-	metrics metrics
-	store   *store
-	tomb    tomb.Tomb
-	wake    chan struct{} // Signals run that a newer version was reported.
+	cfg       Config
+	log       zerolog.Logger
+	metrics   metrics
+	store     *store
+	responses *retainer.Gate // Of the responses to other processes.
+	tomb      tomb.Tomb
+	wake      chan struct{} // Signals run that a newer version was reported.
 
 	// adopting has an element while a version is adopted, so that each starts from the one before.
 	adopting chan struct{}
@@ -118,11 +125,13 @@
 
 // New returns a distributor that holds no version.
 func New(cfg Config) *Distributor {
+	cfg.CatchUpBytes = cmp.Or(cfg.CatchUpBytes, retainer.DefaultBytes)
 	return &Distributor{
 		cfg:         cfg,
 		log:         logger.Part(cfg.Logger, "distributor"),
 		metrics:     newMetrics(cfg.Scope),
-		store:       newStore(cfg.Diff),
+		store:       newStore(cfg.Diff, cfg.CatchUpBytes),
+		responses:   retainer.NewGate(cfg.CatchUpBytes),
 		wake:        make(chan struct{}, 1),
 		adopting:    make(chan struct{}, 1),
 		initialized: cfg.ControlAddresses == nil,
--- a/internal/fleet/distributor/distributor_test.go
+++ b/internal/fleet/distributor/distributor_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -366,7 +367,7 @@
 			changes = append(changes, &controlwire.EntryChange{Entry: e})
 		}
 		return changes
-	})
+	}, retainer.DefaultBytes)
 	s.put(version(1), origin{})
 	s.put(large, origin{})
 	first, ok := s.response(version(1).GetDigest(), time.Now())
--- a/internal/fleet/distributor/store.go
+++ b/internal/fleet/distributor/store.go
@@ -9,11 +9,13 @@
 
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
 	"github.com/banyanscale/banyanscale/internal/version/packer"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
 const (
-	// maxDeltas bounds the number of recent deltas kept for other processes.
+	// maxDeltas bounds the number of recent deltas kept for other processes. Their size is
+	// bounded as well.
 	maxDeltas = 256
 	// maxDeltaRatio bounds the size of a delta relative to the full version. It is above 1
 	// because deltas need no rate limit: unlike requests for snapshots, requests for
@@ -30,17 +32,27 @@
 type store struct {
 	diff    func(old, next *controlwire.Document) []*controlwire.EntryChange
 	limiter *rate.Limiter
+	// maxPackedBytes bounds the compressed responses.
+	maxPackedBytes int
 
 	mu      sync.Mutex
 	current *controlwire.Version
-	deltas  []*controlwire.Delta // Each starts from the target of the one before.
+	deltas  retainer.List[*controlwire.Delta] // Each starts from the target of the one before.
 	// packed holds the compressed responses that contain or lead to the current version,
 	// by the number of the version that the requester holds. The snapshot has number 0.
-	packed map[uint64]*controlwire.FetchResponse
+	packed      map[uint64]*controlwire.FetchResponse
+	packedBytes int
 }
 
-func newStore(diff func(old, next *controlwire.Document) []*controlwire.EntryChange) *store {
-	return &store{diff: diff, limiter: rate.NewLimiter(snapshotBytesPerSecond, snapshotBurst)}
+// newStore returns an empty store, which keeps up to catchUpBytes of deltas and as much of
+// compressed responses.
+func newStore(diff func(old, next *controlwire.Document) []*controlwire.EntryChange, catchUpBytes int) *store {
+	return &store{
+		diff:           diff,
+		limiter:        rate.NewLimiter(snapshotBytesPerSecond, snapshotBurst),
+		maxPackedBytes: catchUpBytes,
+		deltas:         retainer.NewList[*controlwire.Delta](maxDeltas, catchUpBytes),
+	}
 }
 
 // version returns the newest version, or nil. The caller must not modify it.
@@ -68,18 +80,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if delta != nil {
-		s.deltas = append(s.deltas, delta)
-	}
-	if len(s.deltas) > maxDeltas {
-		s.deltas = append([]*controlwire.Delta(nil), s.deltas[len(s.deltas)-maxDeltas:]...)
+		s.deltas = s.deltas.With(delta, retainer.ChangesSize(delta.GetChanges()))
 	}
 	s.current = version
-	s.packed = make(map[uint64]*controlwire.FetchResponse)
+	s.packed, s.packedBytes = make(map[uint64]*controlwire.FetchResponse), 0
 	if o.delta != nil && o.resp.GetPacked() != nil {
-		s.packed[o.delta.GetBase().GetNumber()] = o.resp // Others need not compress it again.
+		s.keepPacked(o.delta.GetBase(), o.resp) // Others need not compress it again.
 	}
 }
 
+// keepPacked keeps a compressed response for later requesters of the same version, if it fits.
+func (s *store) keepPacked(have *controlwire.VersionDigest, packed *controlwire.FetchResponse) {
+	if s.packedBytes+len(packed.GetPacked()) > s.maxPackedBytes {
+		return
+	}
+	s.packed[have.GetNumber()] = packed
+	s.packedBytes += len(packed.GetPacked())
+}
+
 // response returns what updates have to the held version: an empty response if have is not
 // older, a delta if one is known and within maxDeltaRatio, else a snapshot. It reports
 // false if a snapshot exceeds the rate limit.
@@ -112,19 +130,19 @@
 	if err != nil || packed.GetPacked() == nil {
 		return resp // Small, or compression failed: it is sent uncompressed.
 	}
-	s.packed[have.GetNumber()] = packed
+	s.keepPacked(have, packed)
 	return packed
 }
 
 // deltaFrom returns one delta from have to the current version, composed of the kept
 // ones, or nil if they do not reach back to have.
 func (s *store) deltaFrom(have *controlwire.VersionDigest) *controlwire.Delta {
-	for i, first := range s.deltas {
+	for i, first := range s.deltas.All() {
 		if !sameVersion(first.GetBase(), have) {
 			continue
 		}
 		var changes []*controlwire.EntryChange
-		for _, delta := range s.deltas[i:] {
+		for _, delta := range s.deltas.From(i) {
 			changes = append(changes, delta.GetChanges()...)
 		}
 		return &controlwire.Delta{Base: have, Target: s.current.GetDigest(), Changes: compiler.JoinChanges(changes)}
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -27,6 +27,7 @@
 	keyFailureDomain = "failure-domain"
 	keyInstance      = "instance"
 	keyLogLevel      = "log-level"
+	keyMemoryMB      = "memory-mb"
 	keyPeerAddress   = "peer-address"
 	keyRegion        = "region"
 	keySeeds         = "seeds"
--- a/internal/process/configurer/control.go
+++ b/internal/process/configurer/control.go
@@ -34,6 +34,7 @@
 	toleratedLosses                       int
 	quotaWindow                           time.Duration
 	quotaOverage, quotaSlack              float64
+	memoryMB                              int
 	logLevel                              zerolog.Level
 }
 
@@ -65,6 +66,7 @@
 		quotaWindow:     parser.Optional(r, "quota-window", defaultQuotaWindow, parseQuotaWindow),
 		quotaOverage:    parser.Optional(r, "quota-overage", defaultQuotaOverage, numberUpTo(maxQuotaOverage)),
 		quotaSlack:      parser.Optional(r, "quota-slack", defaultQuotaSlack, numberUpTo(maxQuotaSlack)),
+		memoryMB:        parser.Optional(r, keyMemoryMB, 0, intUpTo(maxMemoryMB)),
 		logLevel:        parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	if len(c.voters) == 0 && len(c.seeds) == 0 {
@@ -113,6 +115,9 @@
 // QuotaSlack returns the number of requests by which a quota may be exceeded in a window besides.
 func (c *Control) QuotaSlack() float64 { return c.quotaSlack }
 
+// MemoryMB returns the memory that the instance may use in MB, or 0 if it is not set.
+func (c *Control) MemoryMB() int { return c.memoryMB }
+
 // LogLevel returns the lowest level that is logged.
 func (c *Control) LogLevel() zerolog.Level { return c.logLevel }
 
--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -35,7 +35,7 @@
 // maxRetryAllowance bounds the retries that all nodes together may save up.
 const maxRetryAllowance = 1_000_000
 
-// maxMemoryMB bounds the memory that a node may use, in MB.
+// maxMemoryMB bounds the memory that a process may use, in MB.
 const maxMemoryMB = 1 << 20
 
 // maxLinkMegabits bounds the bandwidth of an instance's link, in Mbit/s.
@@ -94,7 +94,7 @@
 		stopGrace:          parser.Optional(r, "stop-grace", 0, parseStopGrace),
 		retryAllowance:     parser.Optional(r, "retry-allowance", 0, parseRetryAllowance),
 		linkMegabits:       parser.Optional(r, "link-mbps", 0, parseLinkMegabits),
-		memoryMB:           parser.Optional(r, "memory-mb", 0, intUpTo(maxMemoryMB)),
+		memoryMB:           parser.Optional(r, keyMemoryMB, 0, intUpTo(maxMemoryMB)),
 		upstreamHeartbeats: parser.Optional(r, "upstream-heartbeats", false, parser.YesNo),
 		logLevel:           parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -24,6 +24,7 @@
 	"github.com/banyanscale/banyanscale/internal/telemetry/exporter"
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 )
 
@@ -89,6 +90,7 @@
 	c.seenDomains = newSeenDomains(c.store, c.log)
 	member, err := newFleetMember(fleetMemberConfig{
 		startAllowance: controlStartAllowance,
+		catchUpBytes:   c.catchUpBytes(),
 		instance:       c.instanceSpec(),
 		seeds:          append(c.settings.Seeds(), c.settings.Voters()...),
 		onView:         c.seenDomains.Observe,
@@ -129,6 +131,7 @@
 		ToleratedLosses: c.settings.ToleratedLosses(),
 		StateSources:    func() []string { return addressStrings(c.otherControlAddresses()) },
 		Journal:         journal,
+		CatchUpBytes:    c.catchUpBytes(),
 		Transport:       voter.NewConnectTransport(c.client),
 		Digest:          compiler.Digest,
 		OnVersion:       c.offerVersion,
@@ -148,7 +151,7 @@
 		settings: c.settings, voters: c.voter, transport: c.courier, view: c.gossiper.View,
 		now: timekeeper.Now, scope: c.metrics.Scope(), log: base,
 	})
-	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newKnownFleet(c.gossiper.View, c.seenDomains))
+	c.controller = controller.New(c.voter, documentChecker{}, c.ledger, newKnownFleet(c.gossiper.View, c.seenDomains), c.catchUpBytes())
 	return nil
 }
 
@@ -221,6 +224,10 @@
 	}
 }
 
+// catchUpBytes returns the bound of each part that keeps or sends something for processes that are
+// behind.
+func (c *Control) catchUpBytes() int { return retainer.BytesFor(c.settings.MemoryMB()) }
+
 // instanceSpec returns the instance as it is announced to the fleet.
 func (c *Control) instanceSpec() registrar.Spec {
 	s := c.settings
--- a/internal/process/launcher/fleet_member.go
+++ b/internal/process/launcher/fleet_member.go
@@ -27,6 +27,8 @@
 	// startAllowance is the number of bytes that the process may send for membership at
 	// its start, in addition to the usual limit; 0 for the default.
 	startAllowance int
+	// catchUpBytes bounds what the process keeps and sends for others that are behind.
+	catchUpBytes int
 	// onView is called with each new view of the fleet.
 	onView func(*registrar.View)
 	// onEvacuation is called with newer evacuated failure domains of other processes. It is
@@ -85,6 +87,7 @@
 		Apply:            compiler.ApplyJoined,
 		Publish:          cfg.publish,
 		Announce:         func(v *controlwire.VersionDigest) { g.SetVersion(v) },
+		CatchUpBytes:     cfg.catchUpBytes,
 		Logger:           base,
 		Scope:            scope.SubScope("distributor"),
 		Random:           newRandom(),
--- a/internal/process/launcher/node_assembly.go
+++ b/internal/process/launcher/node_assembly.go
@@ -30,6 +30,7 @@
 	"github.com/banyanscale/banyanscale/internal/request/server"
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/version/compiler"
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 )
 
 const (
@@ -60,6 +61,7 @@
 	member, err := newFleetMember(fleetMemberConfig{
 		instance:         n.instanceSpec(),
 		seeds:            n.settings.Seeds(),
+		catchUpBytes:     retainer.BytesFor(n.settings.MemoryMB()),
 		onView:           n.setView,
 		onEvacuation:     n.setEvacuation,
 		controlAddresses: n.controlAddresses,
