--- a/internal/version/compiler/checker.go
+++ b/internal/version/compiler/checker.go
@@ -193,7 +193,7 @@
 		c.addViolation(entryID{layer: baseLayer}, "no service is defined")
 	}
 	for _, name := range c.ownerNames {
-		c.requireKeys(c.base, kindOwner+" "+name, ownerKeys)
+		c.requireKeys(c.base, kindOwner+" "+name, ownerRates)
 	}
 	for _, name := range c.serviceNames {
 		c.requireKeys(c.base, kindService+" "+name, []string{keyOwner})
@@ -271,6 +271,8 @@
 		return err
 	case keyCurrency:
 		return checkCurrency(value)
+	case keyHosts:
+		return checkHosts(value)
 	case keyVoters:
 		return checkVoters(value)
 	case keyName:
--- a/internal/version/compiler/route_setting.go
+++ b/internal/version/compiler/route_setting.go
@@ -57,7 +57,7 @@
 	if value == anyHost {
 		return nil
 	}
-	if err := checkHost(value); err != nil {
+	if err := CheckHost(value); err != nil {
 		return err
 	}
 	s.Host = value
--- a/internal/version/compiler/section.go
+++ b/internal/version/compiler/section.go
@@ -15,6 +15,7 @@
 const (
 	keyCurrency       = "currency"
 	keyFailureDomains = "failure-domains"
+	keyHosts          = "hosts"
 	keyIdleRate       = "idle-rate"
 	keyName           = "name"
 	keyOwner          = "owner"
@@ -34,7 +35,8 @@
 
 var (
 	controlKeys      = []string{keyVoters}
-	ownerKeys        = []string{keyIdleRate, keyCurrency}
+	ownerRates       = []string{keyIdleRate, keyCurrency} // The keys that each owner needs.
+	ownerKeys        = append([]string{keyHosts}, ownerRates...)
 	siteKeys         = []string{keyName, keyRegion, keyFailureDomains}
 	serviceKeys      = settingKeys(serviceSettings)
 	routeKeys        = settingKeys(routeSettings)
--- a/internal/version/compiler/setting.go
+++ b/internal/version/compiler/setting.go
@@ -167,16 +167,10 @@
 	if value == anyHost || s.Unrouted {
 		return nil
 	}
-	hosts, err := parser.List(value)
-	if err != nil {
+	if err := checkHosts(value); err != nil {
 		return err
 	}
-	for _, host := range hosts {
-		if err := checkHost(host); err != nil {
-			return err
-		}
-	}
-	s.Hosts = hosts
+	s.Hosts, _ = parser.List(value) // Valid, as it was just checked.
 	return nil
 }
 
@@ -190,7 +184,22 @@
 	return strings.Join(s.Hosts, ", ")
 }
 
-func checkHost(host string) error {
+// checkHosts checks a list of host names that an owner holds.
+func checkHosts(value string) error {
+	hosts, err := parser.List(value)
+	if err != nil {
+		return err
+	}
+	for _, host := range hosts {
+		if err := CheckHost(host); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CheckHost returns an error if host is not a host name that a route may have.
+func CheckHost(host string) error {
 	if !hostPattern.MatchString(host) {
 		return errors.Errorf("%q is not a host name in lower case without a port", host)
 	}
