fix: a part of a response without a length is not the whole if sending failed

Cause: the system reports the error of a connection once, to the next read or write. If the write of the upload gets the reset, the read gets the end of the connection, as after an orderly close, and with that the body was complete.

A body without a length is complete only if no write has failed. At the end of the connection the exchange ends a write that blocks and waits for it before it decides.

--- a/internal/connection/requester/connection.go
+++ b/internal/connection/requester/connection.go
@@ -45,9 +45,14 @@
 	// including discarded responses; 0 means no limit.
 	headLimit int64
 	// readErr and writeErr are the errors of the last read and write, before net/http
-	// wraps or replaces them.
+	// wraps or replaces them. A sender may still be writing: endWrites returns the latter then.
 	readErr, writeErr error
 
+	writeMu sync.Mutex // Held during a write, including all attempts that the stall limit allows.
+
+	deadlineMu  sync.Mutex // Held while the write deadline is set.
+	writesEnded bool       // The write deadline does not change any more.
+
 	closeOnce sync.Once
 }
 
@@ -64,9 +69,39 @@
 	c.readErr, c.writeErr = nil, nil
 }
 
+// endWrites ends a write that blocks, and keeps others from being made. It returns the error of a
+// write that failed before. The connection cannot be used again.
+func (c *connection) endWrites() error {
+	c.deadlineMu.Lock()
+	c.writesEnded = true
+	_ = c.netConn.SetWriteDeadline(time.Now()) // It fails only once the connection is closed.
+	c.deadlineMu.Unlock()
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if timedOut(c.writeErr) || errors.Is(c.writeErr, errWritesEnded) {
+		return nil
+	}
+	return c.writeErr
+}
+
+// beginWrite sets the deadline of the next write.
+func (c *connection) beginWrite() error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.writesEnded {
+		return errWritesEnded
+	}
+	if c.stall.timeout == 0 {
+		return nil
+	}
+	return errors.Wrap(c.netConn.SetWriteDeadline(time.Now().Add(c.stall.timeout)), "set write deadline")
+}
+
 // Write sends p. It marks the request as sent before it writes to the socket, and
 // removes the mark only if the first write failed without writing a byte.
 func (c *connection) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	firstWrite := !c.sent.Swap(true)
 	n, err := c.write(p)
 	for c.stall.goOn(true, err) {
@@ -83,10 +118,8 @@
 
 // write performs one write.
 func (c *connection) write(p []byte) (int, error) {
-	if c.stall.timeout > 0 {
-		if err := c.netConn.SetWriteDeadline(time.Now().Add(c.stall.timeout)); err != nil {
-			return 0, errors.Wrap(err, "set write deadline")
-		}
+	if err := c.beginWrite(); err != nil {
+		return 0, err
 	}
 	return c.netConn.Write(p) //nolint:wrapcheck // net/http inspects it.
 }
--- a/internal/connection/requester/error.go
+++ b/internal/connection/requester/error.go
@@ -17,6 +17,8 @@
 	errTwoHeads        = errors.New("response head contains another one")
 	errProtocolSwitch  = errors.New("response switches protocols")
 	errPoolClosed      = errors.New("pool is closed")
+	errWritesEnded     = errors.New("response has ended, the rest of the request is not sent")
+	errNoOrderlyEnd    = errors.New("connection ended with an error while the request was being sent")
 	errBodyClosed      = errors.New("response body was closed before its end")
 )
 
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -155,7 +155,7 @@
 		e.finish(resp)
 		return resp, nil
 	}
-	resp.Body = &responseBody{exchange: e, resp: resp, src: resp.Body}
+	resp.Body = &responseBody{exchange: e, resp: resp, src: resp.Body, closeDelimited: closeDelimited}
 	return resp, nil
 }
 
--- a/internal/connection/requester/response_body.go
+++ b/internal/connection/requester/response_body.go
@@ -1,6 +1,7 @@
 package requester
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 
@@ -16,6 +17,8 @@
 	resp     *http.Response
 	src      io.ReadCloser
 	endErr   error // Returned by further reads once the body has ended.
+	// closeDelimited is true if the body ends with the connection.
+	closeDelimited bool
 }
 
 // Read reads the body. At its end it finishes the exchange.
@@ -28,6 +31,9 @@
 		return n, nil
 	}
 	if errors.Is(err, io.EOF) {
+		err = b.checkEnd()
+	}
+	if err == nil {
 		b.endErr = io.EOF
 		b.exchange.finish(b.resp)
 		return n, io.EOF
@@ -36,6 +42,20 @@
 	return n, b.endErr
 }
 
+// checkEnd returns an error if a body that seems to have ended is incomplete.
+//
+// The system reports the reset of a connection once, to a read or to a write, and then the end of
+// the connection to all others. So a body without a length is complete only if no write failed.
+func (b *responseBody) checkEnd() error {
+	if b.closeDelimited {
+		if err := b.exchange.conn.endWrites(); err != nil {
+			b.exchange.conn.readErr = err
+			return fmt.Errorf("%w: %w", errNoOrderlyEnd, err)
+		}
+	}
+	return nil
+}
+
 // Close does nothing if the body has ended. Otherwise it ends the exchange and closes the
 // connection, so that the server detects that the response is no longer wanted.
 func (b *responseBody) Close() error {
--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -57,6 +57,12 @@
 // newTestNode assembles a node with a configuration, and with the given lines added to its
 // settings. Its listeners are not open.
 func newTestNode(tb testing.TB, id, service string, upstream netip.AddrPort, settingLines ...string) *Node {
+	tb.Helper()
+	return newTestNodeWithDialect(tb, id, service, upstream, Dialect{}, settingLines...)
+}
+
+// newTestNodeWithDialect is newTestNode for a platform.
+func newTestNodeWithDialect(tb testing.TB, id, service string, upstream netip.AddrPort, dialect Dialect, settingLines ...string) *Node {
 	tb.Helper()
 	httpAddress, peerAddress := freeAddress(tb), freeAddress(tb)
 	path := filepath.Join(tb.TempDir(), id+".ini")
@@ -71,7 +77,7 @@
 	assert.NilError(tb, os.WriteFile(path, []byte(text), 0o600))
 	settings, err := configurer.LoadNode(path)
 	assert.NilError(tb, err)
-	n, err := NewNode(settings, io.Discard)
+	n, err := NewNodeWithDialect(settings, io.Discard, dialect)
 	assert.NilError(tb, err)
 	n.publish(compiler.NewConfiguration(1, "s", []*compiler.Service{benchService("vitrina"), benchService("almacen")}))
 	return n
