fix: heads that are none of HTTP are no responses, and end a caller's connection

Callers saw, here: Transfer-Encoding : chunked gives the caller the raw chunks; after a status below 100 the body is read as the response that follows; a field whose name has a blank is taken.

Cause: http.ReadResponse and http.ReadRequest take any three digits for a status and keep a name with a blank as it is, so that nothing finds the field under its name.

A head of an upstream or of another node with an impossible status or version, or with a malformed field, is malformed: the outcome is unknown. The same holds for trailers. Health responses of that kind say nothing (status 000 was healthy). On kept connections of callers such a request ends the connection: a hidden length made its body the next request.

--- a/internal/connection/requester/error.go
+++ b/internal/connection/requester/error.go
@@ -19,6 +19,7 @@
 	errPoolClosed      = errors.New("pool is closed")
 	errWritesEnded     = errors.New("response has ended, the rest of the request is not sent")
 	errNoOrderlyEnd    = errors.New("connection ended with an error while the request was being sent")
+	errBadStatus       = errors.New("response has an impossible status or protocol version")
 	errBodyClosed      = errors.New("response body was closed before its end")
 )
 
--- a/internal/connection/requester/exchange.go
+++ b/internal/connection/requester/exchange.go
@@ -117,6 +117,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errProtocolSwitch
 		}
--- a/internal/connection/requester/response_body.go
+++ b/internal/connection/requester/response_body.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/connection/fieldchecker"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
 )
 
@@ -42,7 +43,8 @@
 	return n, b.endErr
 }
 
-// checkEnd returns an error if a body that seems to have ended is incomplete.
+// checkEnd returns an error if a body that seems to have ended is incomplete or has malformed
+// trailers.
 //
 // The system reports the reset of a connection once, to a read or to a write, and then the end of
 // the connection to all others. So a body without a length is complete only if no write failed.
@@ -53,6 +55,9 @@
 			return fmt.Errorf("%w: %w", errNoOrderlyEnd, err)
 		}
 	}
+	if err := fieldchecker.Check(b.resp.Trailer); err != nil {
+		return fmt.Errorf("check trailers: %w", err)
+	}
 	return nil
 }
 
--- a/internal/connection/responder/responder.go
+++ b/internal/connection/responder/responder.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/banyanscale/banyanscale/internal/connection/fieldchecker"
 )
 
 const (
@@ -180,6 +182,9 @@
 	if !req.ProtoAtLeast(1, 1) {
 		return nil, errProtocol
 	}
+	if err := fieldchecker.Check(req.Header); err != nil {
+		return nil, fmt.Errorf("check header: %w", err)
+	}
 	r.readLimit = math.MaxInt64
 	if req.Body != http.NoBody {
 		if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
--- a/internal/measurement/watcher/health_reader.go
+++ b/internal/measurement/watcher/health_reader.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
+
+	"github.com/banyanscale/banyanscale/internal/connection/fieldchecker"
 )
 
 const (
@@ -23,6 +25,8 @@
 	// request and the head of a response, which is no longer than maxHealthHeadBytes.
 	healthReadBytes    = 1024
 	maxHealthHeadBytes = 512
+	// maxStatus is the greatest status code of HTTP.
+	maxStatus = 599
 )
 
 // errInconclusive reports a response that neither confirms nor denies health.
@@ -131,7 +135,12 @@
 		return false, fmt.Errorf("request the health endpoint: %w", err)
 	}
 	resp.Body.Close()
+	if err := fieldchecker.Check(resp.Header); err != nil {
+		return false, fmt.Errorf("read the health response: %w", err)
+	}
 	switch {
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus:
+		return false, errors.Wrapf(errInconclusive, "status %d", resp.StatusCode)
 	case resp.StatusCode >= http.StatusInternalServerError:
 		return false, nil
 	case resp.StatusCode >= http.StatusBadRequest:
--- a/internal/measurement/watcher/health_reader_test.go
+++ b/internal/measurement/watcher/health_reader_test.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
+
+	"github.com/banyanscale/banyanscale/internal/connection/fieldchecker"
 )
 
 // endpoint returns the response to read n, counted from 1.
@@ -31,6 +33,9 @@
 		"healthy":         {status(http.StatusOK), "/health", 9, 4, []bool{true, true, true, true}},
 		"unhealthy":       {status(http.StatusServiceUnavailable), "/health", 9, 4, []bool{false, false, false, false}},
 		"wrong path":      {status(http.StatusNotFound), "/health", 9, 4, nil},
+		"status 0":        {status(0), "/health", 9, 4, nil},
+		"status 99":       {status(99), "/health", 9, 4, nil},
+		"status 600":      {status(600), "/health", 9, 4, nil},
 		"hangs":           {hang, "/health", 9, 3, nil},
 		"no path":         {status(http.StatusOK), "", 9, 0, nil},
 		"budget is spent": {status(http.StatusOK), "/health", 2, 2, []bool{true, true}},
@@ -75,3 +80,16 @@
 type roundTripper func(*http.Request) (*http.Response, error)
 
 func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// TestMalformedHealthResponseIsInconclusive guards against a head that is none of HTTP and passes as a healthy one.
+func TestMalformedHealthResponseIsInconclusive(t *testing.T) {
+	h := NewHealthReader(HealthConfig{
+		Upstream: netip.MustParseAddrPort("10.0.0.1:80"),
+		Transport: roundTripper(func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody, Header: http.Header{"X Odd": {"1"}}}, nil
+		}),
+		Scope: tally.NoopScope,
+	})
+	_, err := h.read("/health")
+	assert.ErrorIs(t, err, fieldchecker.ErrMalformed)
+}
