fix: responses of other processes, and headers that are kept, are bounded

Operators of other systems saw: a faulty target sends bytes without end, the machine that called it keeps them all and runs out of memory (LOST).

Here heads and bodies of upstreams were bounded already. Not bounded: the header of a stored response to a keyed request (up to 1 MB for each key), messages between voters, usage, and what commands of operators read; heads of calls between processes had the library's 10 MB.

Messages of voters have 20 MB at most, above the largest state; heads between processes 16 KB; a stored response 4 KB of header and of body, both counted. The bound of what is kept for processes that are behind is 16 MB at most, so that a transfer can be read.

--- a/internal/accounting/accountant/replicator.go
+++ b/internal/accounting/accountant/replicator.go
@@ -12,7 +12,6 @@
 
 	"github.com/banyanscale/banyanscale/internal/telemetry/logger"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
-	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
 
 const (
@@ -38,7 +37,7 @@
 
 // Usage implements Reader.
 func (r *httpReader) Usage(ctx context.Context, to netip.AddrPort, req *controlwire.UsageRequest) (*controlwire.UsageResponse, error) {
-	control := controlwireconnect.NewControlClient(r.client, "http://"+to.String())
+	control := newControlClient(r.client, to)
 	resp, err := control.Usage(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, fmt.Errorf("read usage: %w", err)
--- a/internal/accounting/accountant/reporter.go
+++ b/internal/accounting/accountant/reporter.go
@@ -47,9 +47,17 @@
 // NewSender returns a Sender that uses the given HTTP client.
 func NewSender(client connect.HTTPClient) Sender { return &httpSender{client: client} }
 
+// maxUsageBytes is the size up to which the usage of all instances and days is read.
+const maxUsageBytes = 128 << 20
+
+// newControlClient returns a client of a control instance, which reads bounded responses.
+func newControlClient(client connect.HTTPClient, to netip.AddrPort) controlwireconnect.ControlClient {
+	return controlwireconnect.NewControlClient(client, "http://"+to.String(), connect.WithReadMaxBytes(maxUsageBytes))
+}
+
 // ReportUsage implements Sender.
 func (s *httpSender) ReportUsage(ctx context.Context, to netip.AddrPort, req *controlwire.ReportUsageRequest) error {
-	control := controlwireconnect.NewControlClient(s.client, "http://"+to.String())
+	control := newControlClient(s.client, to)
 	if _, err := control.ReportUsage(ctx, connect.NewRequest(req)); err != nil {
 		return fmt.Errorf("report usage: %w", err)
 	}
--- a/internal/agreement/controller/controller.go
+++ b/internal/agreement/controller/controller.go
@@ -38,6 +38,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
+	"github.com/banyanscale/banyanscale/internal/version/packer"
 	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
@@ -97,7 +98,7 @@
 
 // Handler returns the HTTP handler of the service and its path.
 func (c *Controller) Handler() (string, http.Handler) {
-	return controlwireconnect.NewControlHandler(c)
+	return controlwireconnect.NewControlHandler(c, connect.WithReadMaxBytes(packer.MaxResponseBytes))
 }
 
 // Submit implements controlwireconnect.ControlHandler.
--- a/internal/agreement/voter/transport.go
+++ b/internal/agreement/voter/transport.go
@@ -51,10 +51,14 @@
 	if peer, ok := t.peers.Load(address); ok {
 		return peer.(Peer)
 	}
-	peer, _ := t.peers.LoadOrStore(address, &connectPeer{client: voterwireconnect.NewVoterClient(t.client, "http://"+address)})
+	peer, _ := t.peers.LoadOrStore(address, &connectPeer{client: newVoterClient(t.client, address)})
 	return peer.(Peer)
 }
 
+func newVoterClient(client *http.Client, address string) voterwireconnect.VoterClient {
+	return voterwireconnect.NewVoterClient(client, "http://"+address, connect.WithReadMaxBytes(retainer.MaxMessageBytes))
+}
+
 // connectPeer calls one instance with the Connect protocol.
 type connectPeer struct{ client voterwireconnect.VoterClient }
 
--- a/internal/agreement/voter/voter.go
+++ b/internal/agreement/voter/voter.go
@@ -49,6 +49,7 @@
 	"slices"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -191,7 +192,7 @@
 
 // Handler returns the path and the handler of requests from other voters.
 func (v *Voter) Handler() (string, http.Handler) {
-	return voterwireconnect.NewVoterHandler(&connectHandler{peer: v.Peer(), transfers: v.transfers})
+	return voterwireconnect.NewVoterHandler(&connectHandler{peer: v.Peer(), transfers: v.transfers}, connect.WithReadMaxBytes(retainer.MaxMessageBytes))
 }
 
 // Peer returns this voter as a Peer that is called without the network.
--- a/internal/cmd/config_client.go
+++ b/internal/cmd/config_client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/banyanscale/banyanscale/internal/version/retainer"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire"
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 	"github.com/banyanscale/banyanscale/pkg/classifier"
@@ -50,7 +51,7 @@
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	c := &failoverClient{addresses: addresses, timeout: timeout}
 	for _, addr := range addresses {
-		client := controlwireconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+addr.String())
+		client := controlwireconnect.NewControlClient(&http.Client{Transport: transport}, "http://"+addr.String(), connect.WithReadMaxBytes(retainer.MaxMessageBytes))
 		c.clients = append(c.clients, client)
 	}
 	return c
--- a/internal/cmd/page.go
+++ b/internal/cmd/page.go
@@ -13,6 +13,9 @@
 // errPageStatus reports that a process responded with an error status.
 var errPageStatus = errors.New("the process returned an error")
 
+// maxPageBytes is the size up to which a page is read.
+const maxPageBytes = 32 << 20
+
 // fetchPage returns the body of a page that a process serves at its peer address.
 func fetchPage(env *environment, url string, timeout time.Duration) ([]byte, error) {
 	return callPage(env, http.MethodGet, url, timeout)
@@ -29,7 +32,7 @@
 		return nil, fmt.Errorf("call the process: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
--- a/internal/fleet/distributor/client.go
+++ b/internal/fleet/distributor/client.go
@@ -16,6 +16,9 @@
 	"github.com/banyanscale/banyanscale/internal/wire/controlwire/controlwireconnect"
 )
 
+// maxFetchRequest is the maximum size of a request to Fetch, in bytes.
+const maxFetchRequest = 4 << 10
+
 // Errors that are returned to a process that should fetch from another holder.
 var (
 	errSnapshotLimit = errors.New("snapshot rate limit exceeded")
@@ -95,7 +98,7 @@
 // Handler returns the path and the handler of the Control service on a node, which
 // implements only Fetch.
 func (d *Distributor) Handler() (string, http.Handler) {
-	return controlwireconnect.NewControlHandler(nodeHandler{d: d})
+	return controlwireconnect.NewControlHandler(nodeHandler{d: d}, connect.WithReadMaxBytes(maxFetchRequest))
 }
 
 // nodeHandler implements Fetch of the Control service.
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -41,6 +41,8 @@
 	// power delays a call only briefly before another one is tried. It is several round
 	// trips between regions.
 	peerDialTimeout = 250 * time.Millisecond
+	// maxPeerHeadBytes bounds the head of a response of another process.
+	maxPeerHeadBytes = 16 << 10
 )
 
 // newPeerClient returns the HTTP client for calls between processes. All of these calls
@@ -49,9 +51,10 @@
 	return &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-			MaxIdleConnsPerHost: peerIdleConnections,
-			IdleConnTimeout:     serverIdleTimeout / 3,
+			DialContext:            (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    peerIdleConnections,
+			IdleConnTimeout:        serverIdleTimeout / 3,
+			MaxResponseHeaderBytes: maxPeerHeadBytes,
 		},
 	}
 }
--- a/internal/request/deduplicator/deduplicator.go
+++ b/internal/request/deduplicator/deduplicator.go
@@ -83,7 +83,7 @@
 	Client           Client
 	// MaxKeys bounds the number of stored records. Beyond it, new keys are refused.
 	MaxKeys int
-	// MaxBytes bounds the total size of stored response bodies. Beyond it, the
+	// MaxBytes bounds the total size of stored responses. Beyond it, the
 	// responses of further runs are not stored.
 	MaxBytes int
 }
--- a/internal/request/deduplicator/deduplicator_test.go
+++ b/internal/request/deduplicator/deduplicator_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -351,6 +354,26 @@
 	})
 }
 
+// TestLargeHeaderIsNotStored guards against a faulty upstream whose heads fill the memory: 1 MB for each key.
+func TestLargeHeaderIsNotStored(t *testing.T) {
+	for name, header := range map[string]http.Header{
+		"one large field": {"X-Odd": {strings.Repeat("x", 1<<20)}},
+		"many fields":     {"X-Odd": slices.Repeat([]string{"x"}, 1<<10)},
+		"a large name":    {strings.Repeat("X", 1<<20): {"x"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(1, longUptime)
+				run, resp, err := g.begin("key", "")
+				assertFirstRun(t, run, resp, err)
+				run.Done(&deduplicator.Response{Status: http.StatusOK, Header: header, Body: []byte("paid")})
+				_, _, err = g.begin("key", "")
+				assertRefused(t, err, classifier.ReasonKeyAnswer)
+			})
+		})
+	}
+}
+
 func TestRemovedInstanceMovesOnlyItsKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(5, longUptime)
--- a/internal/request/deduplicator/record.go
+++ b/internal/request/deduplicator/record.go
@@ -14,6 +14,8 @@
 	// maxKeyLength limits the key of a record of another instance. Keys come from headers of
 	// 1 MiB at most.
 	maxKeyLength = 1 << 20
+	// fieldBytes is the memory that a header field takes besides its name and value.
+	fieldBytes = 64
 	// lastStatus is the greatest status of three digits.
 	lastStatus = 999
 )
@@ -44,12 +46,23 @@
 	Body   []byte      `json:"body"`
 }
 
-// bodySize returns the size of the body in bytes, or 0 for a nil response.
-func (r *Response) bodySize() int {
+// size returns the size of the header and the body in bytes, or 0 for a nil response.
+func (r *Response) size() int {
 	if r == nil {
 		return 0
 	}
-	return len(r.Body)
+	return len(r.Body) + r.headerSize()
+}
+
+// headerSize returns about how many bytes of memory the header takes.
+func (r *Response) headerSize() int {
+	size := 0
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldBytes
+		}
+	}
+	return size
 }
 
 // Record holds the state of one key at an instance. Instances exchange records as
--- a/internal/request/deduplicator/run.go
+++ b/internal/request/deduplicator/run.go
@@ -1,7 +1,10 @@
 package deduplicator
 
-// maxStoredBody is the maximum size of the body of a stored response, in bytes.
-const maxStoredBody = 4 << 10
+// Maximum sizes of a stored response, in bytes.
+const (
+	maxStoredBody   = 4 << 10
+	maxStoredHeader = 4 << 10
+)
 
 // Run is the first run of a key. Exactly one of Done, NotRun and Unknown must be
 // called when it ends.
@@ -11,12 +14,12 @@
 }
 
 // Done records that the upstream responded. The response is not stored if it is nil,
-// larger than maxStoredBody, or would exceed Config.MaxBytes.
+// larger than the maximum sizes, or would exceed Config.MaxBytes.
 func (r *Run) Done(resp *Response) {
 	r.deduplicator.mu.Lock()
 	defer r.deduplicator.mu.Unlock()
 	r.record.State = StateDone
-	if resp != nil && len(resp.Body) <= maxStoredBody {
+	if resp != nil && len(resp.Body) <= maxStoredBody && resp.headerSize() <= maxStoredHeader {
 		r.deduplicator.store.keepResponse(r.record, resp)
 	}
 }
--- a/internal/request/deduplicator/store.go
+++ b/internal/request/deduplicator/store.go
@@ -5,13 +5,13 @@
 )
 
 // store holds records, bounded by their number and by the total size of their
-// response bodies. It never evicts a record before it expires.
+// responses. It never evicts a record before it expires.
 type store struct {
 	maxKeys, maxBytes int
 	byKey             map[string]*Record
 	// queue holds the records in the order in which they were added.
 	queue []*Record
-	// bytes is the total size of the stored response bodies.
+	// bytes is the total size of the stored responses.
 	bytes int
 }
 
@@ -38,23 +38,23 @@
 	s.remove(r.Key)
 	s.byKey[r.Key] = r
 	s.queue = append(s.queue, r)
-	s.bytes += r.Response.bodySize()
+	s.bytes += r.Response.size()
 	return true
 }
 
 // keepResponse adds a response to a stored record, unless it would exceed
 // maxBytes.
 func (s *store) keepResponse(r *Record, resp *Response) {
-	if s.bytes+resp.bodySize() > s.maxBytes {
+	if s.bytes+resp.size() > s.maxBytes {
 		return
 	}
 	r.Response = resp
-	s.bytes += resp.bodySize()
+	s.bytes += resp.size()
 }
 
 func (s *store) remove(key string) {
 	if r := s.byKey[key]; r != nil {
-		s.bytes -= r.Response.bodySize()
+		s.bytes -= r.Response.size()
 		delete(s.byKey, key)
 	}
 }
--- a/internal/version/retainer/retainer.go
+++ b/internal/version/retainer/retainer.go
@@ -29,6 +29,11 @@
 	memoryDivisor = 32
 	// DefaultBytes is the bound of a process whose memory is unknown.
 	DefaultBytes = 4 << 20
+	// maxBytes is the largest bound: receivers read no longer messages than MaxMessageBytes.
+	maxBytes = 16 << 20
+	// MaxMessageBytes is the size up to which processes read messages of one another. It is above
+	// that of the largest state of the voters.
+	MaxMessageBytes = 20 << 20
 	// entryChangeBytes is the memory that a change of an entry takes besides its texts: the
 	// two messages, the pointers to them and the rounding of what is allocated for the texts.
 	entryChangeBytes = 192
@@ -40,7 +45,7 @@
 	if memoryMB == 0 {
 		return DefaultBytes
 	}
-	return memoryMB << 20 / memoryDivisor
+	return min(memoryMB<<20/memoryDivisor, maxBytes)
 }
 
 // ChangesSize returns about how many bytes of memory the changes take.
--- a/internal/version/retainer/retainer_test.go
+++ b/internal/version/retainer/retainer_test.go
@@ -57,6 +57,7 @@
 	assert.Equal(t, BytesFor(0), DefaultBytes)
 	assert.Equal(t, BytesFor(64), 2<<20)
 	assert.Equal(t, BytesFor(1), 32<<10)
+	assert.Equal(t, BytesFor(1<<20), maxBytes)
 }
 
 func TestSizeOfChanges(t *testing.T) {
