--- a/internal/process/launcher/runner.go
+++ b/internal/process/launcher/runner.go
@@ -25,6 +25,7 @@
 		return fmt.Errorf("read the settings of the node: %w", err)
 	}
 	debug.SetGCPercent(collectorPercent(settings.MemoryMB()))
+	debug.SetMemoryLimit(softLimitBytes(settings.MemoryMB()))
 	d, err := dialect(settings)
 	if err != nil {
 		return fmt.Errorf("determine the platform's dialect: %w", err)
@@ -52,6 +53,7 @@
 	if err != nil {
 		return fmt.Errorf("read the settings of the control instance: %w", err)
 	}
+	debug.SetMemoryLimit(softLimitBytes(settings.MemoryMB()))
 	out, flush := logger.NonBlocking(logs)
 	defer flush()
 	c, err := NewControlWithHandlers(settings, out, addHandlers)
