fix: a voter that stops as planned hands its vote over before

Cause: a voter that stops as planned stayed a voter until the others had missed two heartbeats. Two of three that stop within that time are a lost majority.

Before it stops, a voter replaces itself by an instance that holds the group's state and does not vote, for 3 s at most; without one the stop goes on. A leaving instance becomes no voter again.

--- a/internal/agreement/voter/acceptor.go
+++ b/internal/agreement/voter/acceptor.go
@@ -44,6 +44,7 @@
 	learned        *State            // The newest state known to be chosen, or nil.
 	reserved       *voterwire.State  // The first state of a group that is forming, or nil.
 	failed         bool              // Set when the disk failed; ends voting until a restart.
+	leaving        bool              // Set before a planned stop.
 }
 
 // newAcceptor restores an acceptor from the journal. An empty journal gets the
@@ -117,7 +118,7 @@
 }
 
 func (a *acceptor) positionLocked() *voterwire.Position {
-	p := &voterwire.Position{Identity: a.identity, Accepted: a.acceptedBallot, Failed: a.failed}
+	p := &voterwire.Position{Identity: a.identity, Accepted: a.acceptedBallot, Failed: a.failed || a.declines()}
 	if a.acceptedState != nil {
 		p.Group = a.acceptedState.wire.GetGroup()
 		p.Origin = a.acceptedState.origin()
@@ -154,7 +155,7 @@
 // refuses reports whether the acceptor must not vote on a request that is
 // addressed to the given group and identity.
 func (a *acceptor) refuses(group, to string) bool {
-	if a.failed || to != a.identity {
+	if a.failed || a.declines() || to != a.identity {
 		return true
 	}
 	switch {
--- a/internal/agreement/voter/promotion_test.go
+++ b/internal/agreement/voter/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +110,64 @@
 		assert.Assert(t, !c.voter("v3").Status().GetVoting())
 	})
 }
+
+// TestVotersThatLeaveInTurnAreReplaced guards against a group that loses its majority, and with it all that it
+// acknowledged, since voters that are replaced as planned stop one right after the other.
+func TestVotersThatLeaveInTurnAreReplaced(t *testing.T) {
+	simulate(t, 35, 3, func(t *testing.T, c *cluster) {
+		c.toleratedLosses = 1
+		c.restartAll()
+		c.setSources([]string{"v3", "v4"})
+		c.add("v3")
+		c.add("v4")
+		time.Sleep(5 * time.Second)
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		for _, address := range []string{"v1", "v2"} {
+			assert.NilError(t, c.leave(address))
+			c.crash(address)
+		}
+		assertCurrent(t, c.voter("v0"), 1)
+		assertAccepted(t, c.voter("v3"), change("b", 1), 2)
+	})
+}
+
+// TestLeavingInstancesBecomeNoVoters checks that a vote goes to no instance that is about to stop as well.
+func TestLeavingInstancesBecomeNoVoters(t *testing.T) {
+	simulate(t, 36, 3, func(t *testing.T, c *cluster) {
+		c.toleratedLosses = 1
+		c.restartAll()
+		c.setSources([]string{"v3", "v4"})
+		c.add("v3")
+		c.add("v4")
+		time.Sleep(5 * time.Second)
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		assert.NilError(t, c.leave("v3"))
+		assert.NilError(t, c.leave("v1"))
+		c.crash("v1")
+		c.crash("v3")
+		assertCurrent(t, c.voter("v4"), 1)
+		assert.Equal(t, len(c.voter("v0").Electorate().Voters()), 3)
+		assert.Assert(t, slices.Contains(c.voter("v0").Electorate().Voters(), "v4"))
+		// Nobody is left to take over.
+		assert.ErrorContains(t, c.leave("v2"), "no other instance")
+		assertAccepted(t, c.voter("v0"), change("b", 1), 2)
+	})
+}
+
+// TestLeavingChangesNothingWithoutSuccessors checks that a planned stop of a group that only the document names ends at once.
+func TestLeavingChangesNothingWithoutSuccessors(t *testing.T) {
+	simulate(t, 37, 3, func(t *testing.T, c *cluster) {
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		start := time.Now()
+		assert.NilError(t, c.leave("v1"))
+		assert.Assert(t, time.Since(start) < time.Millisecond)
+		assertAccepted(t, c.voter("v2"), change("b", 1), 2)
+	})
+}
+
+// leave lets the voter of an instance leave the group, as in a planned stop.
+func (c *cluster) leave(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return c.voter(address).Leave(ctx)
+}
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/rs/zerolog"
 	"goji.io"
@@ -39,6 +40,10 @@
 // control instances.
 const controlStartAllowance = 512 << 10
 
+// handOverTimeout bounds the time for which a stop waits until another instance votes in place of
+// this one.
+const handOverTimeout = 3 * time.Second
+
 // documentChecker compiles a document for every site before it is accepted.
 type documentChecker struct{}
 
@@ -176,6 +181,7 @@
 	case <-c.tomb.Dying():
 	}
 	c.log.Info().Msg("Stopping.")
+	c.handOverVote()
 	c.gossiper.Leave(context.Background())
 	c.tomb.Kill(nil)
 	err = firstError(peerListener.closer(context.Background()), c.quota.stop, c.departures.Stop, c.replicator.Stop, c.ledger.Stop, c.voter.Stop,
@@ -186,6 +192,15 @@
 	return nil
 }
 
+// handOverVote lets another instance vote in place of this one, if there is one.
+func (c *Control) handOverVote() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := c.voter.Leave(ctx); err != nil {
+		c.log.Info().Err(err).Msg("The group of voters may miss this instance.")
+	}
+}
+
 // peerHandler returns the handler for other processes and operators.
 func (c *Control) peerHandler() http.Handler {
 	mux := goji.NewMux()
