fix: a process that is killed during the first start is a first voter again

Cause: the first voters were known from the settings only, which name them at the first start alone. The restarted process refused the reservation; the first by address would not form the group.

Each instance stores the first voters before anything else and takes them from there if its settings name none. One that knows none, since it was killed before, makes the reservation unless a control instance that it knows of belongs to a group.

--- a/internal/agreement/voter/local.go
+++ b/internal/agreement/voter/local.go
@@ -24,8 +24,13 @@
 }
 
 // Reserve implements Peer.
-func (p *localPeer) Reserve(_ context.Context, req *voterwire.ReserveRequest) (*voterwire.ReserveResponse, error) {
-	if !p.voter.hasInitialAddresses(req.GetGenesis().GetMembership()) {
+func (p *localPeer) Reserve(ctx context.Context, req *voterwire.ReserveRequest) (*voterwire.ReserveResponse, error) {
+	if len(p.voter.cfg.InitialVoters) == 0 {
+		// The instance was restarted before it knew them, unless it is to join an existing group.
+		if p.voter.monitor.findsGroup(ctx) {
+			return &voterwire.ReserveResponse{Reason: "knows of a group"}, nil
+		}
+	} else if !p.voter.hasInitialAddresses(req.GetGenesis().GetMembership()) {
 		return &voterwire.ReserveResponse{Reason: "its settings name other initial voters"}, nil
 	}
 	return p.voter.acceptor.reserve(req.GetGenesis())
--- a/internal/agreement/voter/monitor.go
+++ b/internal/agreement/voter/monitor.go
@@ -135,6 +135,22 @@
 	return held != nil
 }
 
+// findsGroup reports whether a source of the state belongs to a group. It leaves time for the call
+// that it is a part of.
+func (m *monitor) findsGroup(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	request := func(ctx context.Context, source *voterwire.Member) (*voterwire.QueryResponse, error) {
+		return m.voter.memberPeer(source).Query(ctx, &voterwire.QueryRequest{})
+	}
+	found := false
+	broadcast(ctx, m.voter.stateSources(), request, func(_ *voterwire.Member, resp *voterwire.QueryResponse) bool {
+		found = resp.GetPosition().GetGroup() != ""
+		return found
+	})
+	return found
+}
+
 // pollVoters queries the positions of all voters, until enough returns true or
 // all have responded or timed out.
 func (m *monitor) pollVoters(ctx context.Context, enough func(*pollResult) bool) *pollResult {
--- a/internal/agreement/voter/voter_test.go
+++ b/internal/agreement/voter/voter_test.go
@@ -176,6 +176,48 @@
 	})
 }
 
+// restartWithoutInitialVoters crashes an instance and starts it with settings that name no initial voters.
+func (c *cluster) restartWithoutInitialVoters(address string) {
+	c.crash(address)
+	initial := c.initial
+	c.initial = nil
+	c.start(address)
+	c.initial = initial
+}
+
+// TestGroupFormsWithARestartedVoter guards against a group that never forms, since an initial voter was restarted
+// before and its settings do not name the voters any more.
+func TestGroupFormsWithARestartedVoter(t *testing.T) {
+	for _, address := range []string{"v1", "v2"} {
+		t.Run(address, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 22, 3)
+				c.setSources(c.initial)
+				c.restartWithoutInitialVoters(address)
+				time.Sleep(10 * time.Second)
+				assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+				time.Sleep(2 * time.Second)
+				assertCurrent(t, c.voter(address), 1)
+			})
+		})
+	}
+}
+
+// TestInstanceThatFindsAGroupJoinsNoOther guards against a second group of instances that know of the first one.
+func TestInstanceThatFindsAGroupJoinsNoOther(t *testing.T) {
+	simulate(t, 23, 3, func(t *testing.T, c *cluster) {
+		c.initial, c.sources = nil, []string{"v0"}
+		c.add("v3")
+		v := c.voter("v3")
+		resp, err := v.Peer().Reserve(context.Background(), &voterwire.ReserveRequest{Genesis: &voterwire.State{
+			Group:      "other",
+			Membership: &voterwire.Membership{Voters: []*voterwire.Member{{Identity: v.Identity(), Address: "v3"}}},
+		}})
+		assert.NilError(t, err)
+		assert.Assert(t, !resp.GetReserved(), "%s", resp.GetReason())
+	})
+}
+
 // TestAddedVoterRecoversFromDiskLoss loses the disk of a voter whose settings name no
 // initial voters from which it could fetch the state.
 func TestAddedVoterRecoversFromDiskLoss(t *testing.T) {
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -132,7 +132,7 @@
 	}
 	c.voter, err = voter.New(voter.Config{
 		Address:         c.settings.PeerAddress().String(),
-		InitialVoters:   addressStrings(c.settings.Voters()),
+		InitialVoters:   addressStrings(initialVoters(c.store, c.settings.Voters(), c.log)),
 		ToleratedLosses: c.settings.ToleratedLosses(),
 		StateSources:    func() []string { return addressStrings(c.otherControlAddresses()) },
 		Journal:         journal,
