--- a/internal/process/launcher/runner.go
+++ b/internal/process/launcher/runner.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/rs/zerolog"
 	"goji.io"
 
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
@@ -20,6 +19,8 @@
 // RunNode runs a node with the settings in a file until ctx ends, and reloads the settings
 // when the file changes. The dialect may depend on the settings.
 func RunNode(ctx context.Context, path string, logs io.Writer, dialect func(*configurer.Node) (Dialect, error)) error {
+	signals := reloadSignals()
+	defer signal.Stop(signals)
 	settings, err := configurer.LoadNode(path)
 	if err != nil {
 		return fmt.Errorf("read the settings of the node: %w", err)
@@ -43,12 +44,15 @@
 		}
 		return err
 	}
-	return runWithReload(path, n.log, reload, func() error { return n.Run(ctx) })
+	r := reloader.New(reloader.Config{Path: path, Signals: signals, Reload: reload, Log: n.log})
+	return runWithReload(r, func() error { return n.Run(ctx) })
 }
 
 // RunControl is like RunNode, for a control instance. addHandlers adds the handlers of a
 // platform's calls; it may be nil.
 func RunControl(ctx context.Context, path string, logs io.Writer, addHandlers func(*Control, *goji.Mux)) error {
+	signals := reloadSignals()
+	defer signal.Stop(signals)
 	settings, err := configurer.LoadControl(path)
 	if err != nil {
 		return fmt.Errorf("read the settings of the control instance: %w", err)
@@ -67,15 +71,20 @@
 		}
 		return err
 	}
-	return runWithReload(path, c.log, reload, func() error { return c.Run(ctx) })
+	r := reloader.New(reloader.Config{Path: path, Signals: signals, Reload: reload, Log: c.log})
+	return runWithReload(r, func() error { return c.Run(ctx) })
 }
 
-// runWithReload calls run, and calls reload on SIGHUP and when the settings file changes.
-func runWithReload(path string, log zerolog.Logger, reload, run func() error) error {
+// reloadSignals returns a channel that receives the signals that request a reload. Without it such a
+// signal would end the process, also while it starts.
+func reloadSignals() chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	r := reloader.New(reloader.Config{Path: path, Signals: signals, Reload: reload, Log: log})
+	return signals
+}
+
+// runWithReload calls run while the reloader works.
+func runWithReload(r *reloader.Reloader, run func() error) error {
 	r.Start()
 	return firstError(run, r.Stop)
 }
