--- a/internal/agreement/voter/promotion_test.go
+++ b/internal/agreement/voter/promotion_test.go
@@ -98,7 +98,7 @@
 // TestReachableVoterIsNotReplaced checks that a nonvoting instance replaces no
 // voter while all voters respond.
 func TestReachableVoterIsNotReplaced(t *testing.T) {
-	simulate(t, 35, 3, func(t *testing.T, c *cluster) {
+	simulateWithSpares(t, 35, func(t *testing.T, c *cluster) {
 		c.toleratedLosses = 1
 		c.sources = []string{"v3"}
 		c.restartAll()
@@ -114,14 +114,7 @@
 // TestVotersThatLeaveInTurnAreReplaced guards against a group that loses its majority, and with it all that it
 // acknowledged, since voters that are replaced as planned stop one right after the other.
 func TestVotersThatLeaveInTurnAreReplaced(t *testing.T) {
-	simulate(t, 35, 3, func(t *testing.T, c *cluster) {
-		c.toleratedLosses = 1
-		c.restartAll()
-		c.setSources([]string{"v3", "v4"})
-		c.add("v3")
-		c.add("v4")
-		time.Sleep(5 * time.Second)
-		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+	simulateWithSpares(t, 35, func(t *testing.T, c *cluster) {
 		for _, address := range []string{"v1", "v2"} {
 			assert.NilError(t, c.leave(address))
 			c.crash(address)
@@ -133,14 +126,7 @@
 
 // TestLeavingInstancesBecomeNoVoters checks that a vote goes to no instance that is about to stop as well.
 func TestLeavingInstancesBecomeNoVoters(t *testing.T) {
-	simulate(t, 36, 3, func(t *testing.T, c *cluster) {
-		c.toleratedLosses = 1
-		c.restartAll()
-		c.setSources([]string{"v3", "v4"})
-		c.add("v3")
-		c.add("v4")
-		time.Sleep(5 * time.Second)
-		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+	simulateWithSpares(t, 36, func(t *testing.T, c *cluster) {
 		assert.NilError(t, c.leave("v3"))
 		assert.NilError(t, c.leave("v1"))
 		c.crash("v1")
@@ -171,3 +157,19 @@
 	defer cancel()
 	return c.voter(address).Leave(ctx)
 }
+
+// simulateWithSpares runs test on three voters, one of which may be lost, and two instances that do not vote, with
+// version 1 accepted.
+func simulateWithSpares(t *testing.T, seed uint64, test func(t *testing.T, c *cluster)) {
+	t.Helper()
+	simulate(t, seed, 3, func(t *testing.T, c *cluster) {
+		c.toleratedLosses = 1
+		c.restartAll()
+		c.setSources([]string{"v3", "v4"})
+		c.add("v3")
+		c.add("v4")
+		time.Sleep(5 * time.Second)
+		assertAccepted(t, c.voter("v0"), change("a", 0), 1)
+		test(t, c)
+	})
+}
