fix: a connection that times out is no orderly end of a response

Callers would see: a response without a length, of which a part has come, passes as the whole if the connection itself times out (ETIMEDOUT) while its request is being sent or a pause is awaited.

--- a/internal/agreement/voter/leave.go
+++ b/internal/agreement/voter/leave.go
@@ -47,7 +47,7 @@
 	}
 	state, err := v.propose(ctx, &proposal{transition: transition, forceAccept: true})
 	if err != nil {
-		return err
+		return fmt.Errorf("replace this voter: %w", err)
 	}
 	v.tryFinishReplacement(ctx, state)
 	return nil
--- a/internal/connection/requester/connection.go
+++ b/internal/connection/requester/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,8 +79,8 @@
 	c.deadlineMu.Unlock()
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	if timedOut(c.writeErr) || errors.Is(c.writeErr, errWritesEnded) {
-		return nil
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, errWritesEnded) {
+		return nil // Only the deadline ended it, unlike that of the connection (ETIMEDOUT).
 	}
 	return c.writeErr
 }
--- a/internal/connection/requester/early_response_test.go
+++ b/internal/connection/requester/early_response_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -134,3 +136,81 @@
 		})
 	}
 }
+
+// endingConn is a connection whose writes fail from the second one on. The server then ends it in order, as the system
+// reports it to a reader once the error was reported to a writer.
+type endingConn struct {
+	net.Conn
+	server net.Conn
+	err    error
+	writes int
+}
+
+func (c *endingConn) Write(p []byte) (int, error) {
+	if c.writes++; c.writes == 1 {
+		return c.Conn.Write(p)
+	}
+	c.server.Close()
+	return 0, &net.OpError{Op: "write", Err: os.NewSyscallError("write", c.err)}
+}
+
+func (c *endingConn) DialContext(context.Context, string, string) (net.Conn, error) { return c, nil }
+
+// TestResponseThatEndsWithAFailedWriteIsIncomplete checks each error by which the end of a connection differs from an
+// orderly one, the time limit of the connection itself included.
+func TestResponseThatEndsWithAFailedWriteIsIncomplete(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			client, server := net.Pipe()
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+					_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\n\r\npart")
+				}
+			}()
+			p := requester.New(requester.Config{
+				Dialer: &endingConn{Conn: client, server: server, err: cause}, AllowCloseDelimited: true, StallTimeout: time.Minute,
+			})
+			defer func() { assert.NilError(t, p.Close()) }()
+			body, err := upload(t, p, addr, &piecemealBody{left: uploadBytes})
+			var failure *requester.Error
+			assert.Assert(t, errors.As(err, &failure), "%q passed as the response", body)
+		})
+	}
+}
+
+// silentConn is a connection on which a part of a response arrives, and which then times out.
+type silentConn struct {
+	net.Conn
+	reads int
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	switch c.reads++; c.reads {
+	case 1:
+		return copy(p, "HTTP/1.1 200 OK\r\n\r\npart"), nil
+	case 2:
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+	default:
+		return 0, io.EOF
+	}
+}
+
+func (c *silentConn) DialContext(context.Context, string, string) (net.Conn, error) { return c, nil }
+
+// TestResponseOnAConnectionThatTimesOutIsIncomplete guards against a connection that times out while a pause within the
+// response is awaited: the next read returns its end.
+func TestResponseOnAConnectionThatTimesOutIsIncomplete(t *testing.T) {
+	client, server := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+	p := requester.New(requester.Config{Dialer: &silentConn{Conn: client}, AllowCloseDelimited: true})
+	defer func() { assert.NilError(t, p.Close()) }()
+	ctx := requester.WithStallHandler(t.Context(), func(bool) bool { return false })
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/", http.NoBody)
+	assert.NilError(t, err)
+	resp, err := p.DoLimited(ctx, addr, req, requester.Limits{StallTimeout: time.Minute})
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	var failure *requester.Error
+	assert.Assert(t, errors.As(err, &failure), "%q passed as the response", body)
+}
--- a/internal/connection/requester/stall.go
+++ b/internal/connection/requester/stall.go
@@ -45,9 +45,10 @@
 }
 
 // goOn reports whether a read or write that failed with err is repeated: the exchange has
-// stalled, but does not end yet.
+// stalled, but does not end yet. If the connection itself has timed out (ETIMEDOUT), a repeated read
+// would return the end of the connection.
 func (l *stallLimit) goOn(sending bool, err error) bool {
-	return l.handler != nil && timedOut(err) && !l.handler(sending)
+	return l.handler != nil && errors.Is(err, os.ErrDeadlineExceeded) && !l.handler(sending)
 }
 
 // endsReported handles the report of the next node that its upstream has stalled. It
