--- a/internal/agreement/voter/bench_test.go
+++ b/internal/agreement/voter/bench_test.go
@@ -106,7 +106,7 @@
 // journals in files.
 func BenchmarkSubmit(b *testing.B) {
 	var m clientMeter
-	voters := startTCPVoters(b, m.client())
+	voters := startTCPVoters(b, journaler.OS{}, m.client())
 	submitChange(b, voters[0], 0)
 	requests, bytes := m.requests.Load(), m.bytes.Load()
 	n := uint64(1)
@@ -121,7 +121,7 @@
 // BenchmarkHeartbeats measures the traffic of three idle voters per second.
 func BenchmarkHeartbeats(b *testing.B) {
 	var m clientMeter
-	voters := startTCPVoters(b, m.client())
+	voters := startTCPVoters(b, journaler.OS{}, m.client())
 	submitChange(b, voters[0], 0)
 	requests, bytes := m.requests.Load(), m.bytes.Load()
 	n := 0
@@ -135,7 +135,7 @@
 
 // BenchmarkCurrent measures a read that a majority confirms.
 func BenchmarkCurrent(b *testing.B) {
-	voters := startTCPVoters(b, &http.Client{})
+	voters := startTCPVoters(b, journaler.OS{}, &http.Client{})
 	submitChange(b, voters[0], 0)
 	for b.Loop() {
 		_, err := voters[0].Current(context.Background())
--- a/internal/agreement/voter/connect_test.go
+++ b/internal/agreement/voter/connect_test.go
@@ -36,9 +36,30 @@
 	return doc
 }
 
+// unsyncedFS is a file system that does not wait for the disk: other programs may keep that busy for
+// seconds, longer than a call between voters may take.
+type unsyncedFS struct{ journaler.OS }
+
+// unsyncedFile is a file of an unsyncedFS.
+type unsyncedFile struct{ journaler.File }
+
+func (unsyncedFile) Sync() error { return nil }
+
+func (unsyncedFS) SyncFolder(string) error { return nil }
+
+func (fs unsyncedFS) Create(path string) (journaler.File, error) {
+	f, err := fs.OS.Create(path)
+	return unsyncedFile{f}, err
+}
+
+func (fs unsyncedFS) OpenAppend(path string) (journaler.File, error) {
+	f, err := fs.OS.OpenAppend(path)
+	return unsyncedFile{f}, err
+}
+
 // startTCPVoters starts three voters that call each other over TCP with the given
 // client and store their journals in files.
-func startTCPVoters(t testing.TB, client *http.Client) []*voter.Voter {
+func startTCPVoters(t testing.TB, fs journaler.FS, client *http.Client) []*voter.Voter {
 	t.Helper()
 	const n = 3
 	listeners := make([]net.Listener, n)
@@ -50,7 +71,7 @@
 	}
 	voters := make([]*voter.Voter, n)
 	for i := range n {
-		store, err := journaler.Open(journaler.OS{}, t.TempDir())
+		store, err := journaler.Open(fs, t.TempDir())
 		assert.NilError(t, err)
 		journal, err := store.OpenJournal("voter")
 		assert.NilError(t, err)
@@ -94,7 +115,7 @@
 }
 
 func TestConnectedVoters(t *testing.T) {
-	voters := startTCPVoters(t, &http.Client{})
+	voters := startTCPVoters(t, unsyncedFS{}, &http.Client{})
 	ctx := context.Background()
 	first := &controlwire.SubmitRequest{ChangeId: "a", Operator: "ana", Document: document("service x", "slots", "3")}
 	resp, err := voters[2].Submit(ctx, first)
