fix: heads of requests are bounded, each and together

Cause: max-header-bytes and header-timeout of the configuration were kept and not enforced, so that 1 MiB and 10 s held. And a bound of one head bounds no crowd: what a head costs once it is parsed depends on its lines, and nothing bounded what all heads cost together.

Why this works: each listener wraps its connections. The wrapper counts the bytes and lines of a head as the server reads them, before they are parsed. A head over max-header-bytes, 64 KiB before a configuration is known, or over 4,096 lines is refused with 431 and "not-run"; one that takes longer than header-timeout is closed. What a head costs beyond an allowance of its connection for ordinary ones comes from a pool of an eighth of the process's memory, until its request has ended; if too little is left it is refused with 503, "not-run" and Retry-After. A single head may exceed the pool, so that one legal request is served with little memory too. A second head in the same read counts as well.

--- /dev/null
+++ b/internal/connection/limiter/limiter.go
@@ -0,0 +1,104 @@
+// Package limiter bounds what the heads of requests take of the memory of a process, however its
+// clients behave: the head of each request, and all heads together.
+//
+// # Usage
+//
+//	heads := limiter.NewPool(limiter.HeadBytes(memoryBytes))
+//	l := limiter.New(limiter.Config{
+//		Heads:  heads,
+//		Limits: func() limiter.Limits { return limiter.DefaultLimits() },
+//	})
+//	srv := &http.Server{Handler: h, ConnState: l.Observe}
+//	err := srv.Serve(l.Listen(socket))
+//
+// What a head costs once it is parsed depends on its lines more than on its bytes. Each
+// connection has an allowance for ordinary heads. What a head costs beyond that comes from a
+// pool that all listeners share; a head for which too little is left is refused.
+package limiter
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/banyanscale/banyanscale/internal/telemetry/counter"
+)
+
+// Config holds the dependencies of a Limiter.
+type Config struct {
+	// Heads is the pool for heads beyond the allowance of their connections.
+	Heads *Pool
+	// Limits returns the limits of a head that apply now. It is called for heads that do not
+	// arrive at once.
+	Limits func() Limits
+	// Scope receives the counters.
+	Scope tally.Scope
+}
+
+// Limiter bounds the heads of one listener. It is safe for concurrent use.
+type Limiter struct {
+	cfg      Config
+	roster   *roster
+	refusals *counter.Counter
+}
+
+// New returns a limiter without connections.
+func New(cfg Config) *Limiter {
+	return &Limiter{
+		cfg:      cfg,
+		roster:   newRoster(),
+		refusals: counter.New(cfg.Scope, "heads_refused"),
+	}
+}
+
+// Listen returns a listener that accepts the connections of l within the limits. Those must be of TCP.
+func (l *Limiter) Listen(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, limiter: l}
+}
+
+// Observe is the hook http.Server.ConnState. It must get connections of the listener.
+func (l *Limiter) Observe(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.SetActive()
+	case http.StateIdle:
+		c.SetIdle()
+	case http.StateHijacked:
+		c.hijacked.Store(true)
+	}
+}
+
+// MarshalZerologObject writes the number of connections by state: new ones have sent no whole
+// head of a request, active ones have, and their response is not completely written. Connections
+// that were taken over from the server are left out.
+func (l *Limiter) MarshalZerologObject(e *zerolog.Event) {
+	counts := l.roster.count()
+	e.Int("new", counts[pending]).Int("active", counts[active]).Int("idle", counts[idle])
+}
+
+// listener accepts connections within the limits.
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err // Not wrapped: http.Server inspects its type.
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	c := newConn(tcp, l.limiter)
+	l.limiter.roster.add(c)
+	return c, nil
+}
--- a/internal/connection/responder/responder.go
+++ b/internal/connection/responder/responder.go
@@ -66,9 +66,24 @@
 	EndRequest()
 }
 
+// stateRecorder is a connection that records whether it serves a request.
+type stateRecorder interface {
+	// SetActive is called once the head of a request was read.
+	SetActive()
+	// SetIdle is called once a response was written and the next request is awaited.
+	SetIdle()
+}
+
+// noRecorder is used for connections that record nothing.
+type noRecorder struct{}
+
+func (noRecorder) SetActive() {}
+func (noRecorder) SetIdle()   {}
+
 // Responder serves the requests on one connection.
 type Responder struct {
 	conn        net.Conn
+	recorder    stateRecorder // Of conn.
 	handler     http.Handler
 	idleTimeout time.Duration // Limits the wait for the next request; 0 means no limit.
 	ctx         context.Context
@@ -99,7 +114,10 @@
 	if err != nil {
 		return nil
 	}
-	rs := &Responder{conn: conn, handler: srv.Handler, idleTimeout: srv.IdleTimeout}
+	rs := &Responder{conn: conn, recorder: noRecorder{}, handler: srv.Handler, idleTimeout: srv.IdleTimeout}
+	if recorder, ok := conn.(stateRecorder); ok {
+		rs.recorder = recorder
+	}
 	rs.ctx, rs.cancel = context.WithCancel(context.Background())
 	rs.watcher = newDisconnectWatcher(rs)
 	// Peeking at what is already buffered cannot fail.
@@ -175,6 +193,7 @@
 		return nil, errors.Wrap(err, "set read deadline")
 	}
 	r.readLimit = maxHeadSize
+	r.recorder.SetIdle()
 	req, err := http.ReadRequest(r.reader)
 	if err != nil {
 		return nil, fmt.Errorf("read request: %w", err)
@@ -186,6 +205,7 @@
 		return nil, fmt.Errorf("check header: %w", err)
 	}
 	r.readLimit = math.MaxInt64
+	r.recorder.SetActive()
 	if req.Body != http.NoBody {
 		if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
 			return nil, errors.Wrap(err, "clear read deadline")
--- a/internal/connection/responder/responder_test.go
+++ b/internal/connection/responder/responder_test.go
@@ -253,3 +253,35 @@
 		})
 	}
 }
+
+// recordingConn is a connection that records whether it serves a request.
+type recordingConn struct {
+	net.Conn
+	states []string
+}
+
+func (c *recordingConn) SetActive() { c.states = append(c.states, "active") }
+func (c *recordingConn) SetIdle()   { c.states = append(c.states, "idle") }
+
+// TestConnectionLearnsWhetherItServesARequest guards against connections of other nodes that count as in use while they are idle.
+func TestConnectionLearnsWhetherItServesARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		recorded := &recordingConn{Conn: server}
+		l := make(chanListener, 1)
+		l <- recorded
+		s := &testServer{handle: func(http.ResponseWriter, *http.Request) {}}
+		srv := &http.Server{Handler: s, IdleTimeout: time.Minute}
+		go srv.Serve(l) //nolint:errcheck // Ends with the listener.
+		r := bufio.NewReader(client)
+		for range 2 {
+			sendRequest(client, simpleRequest)
+			receiveResponse(t, r, "GET")
+		}
+		synctest.Wait()
+		client.Close()
+		close(l)
+		synctest.Wait()
+		assert.DeepEqual(t, recorded.states, []string{"idle", "active", "idle"})
+	})
+}
--- a/internal/process/launcher/caller_listeners.go
+++ b/internal/process/launcher/caller_listeners.go
@@ -59,7 +59,7 @@
 	for i, err := range errs {
 		if err != nil {
 			ended = false
-			n.log.Warn().Err(err).Int("requests", n.forwarder.OpenRequests()).EmbedObject(&listeners[i].states).
+			n.log.Warn().Err(err).Int("requests", n.forwarder.OpenRequests()).EmbedObject(listeners[i].clients).
 				Msg("Connections of callers are still open at the end of the stop.")
 		}
 	}
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -18,6 +18,7 @@
 	"github.com/banyanscale/banyanscale/internal/agreement/controller"
 	"github.com/banyanscale/banyanscale/internal/agreement/journaler"
 	"github.com/banyanscale/banyanscale/internal/agreement/voter"
+	"github.com/banyanscale/banyanscale/internal/connection/limiter"
 	"github.com/banyanscale/banyanscale/internal/fleet/departurekeeper"
 	"github.com/banyanscale/banyanscale/internal/fleet/registrar"
 	"github.com/banyanscale/banyanscale/internal/process/configurer"
@@ -162,7 +163,8 @@
 
 // Run serves until ctx ends, then stops the parts and unlocks the data folder.
 func (c *Control) Run(ctx context.Context) error {
-	peerListener, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler())
+	clients := newClientLimits(c.settings.MemoryMB(), c.metrics.Scope())
+	peerListener, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler(), clients.limiter(peerClients, limiter.DefaultLimits))
 	if err != nil {
 		_ = c.store.Close() // Only the first error is reported.
 		return fmt.Errorf("bind the peer address: %w", err)
--- a/internal/process/launcher/dialect.go
+++ b/internal/process/launcher/dialect.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/banyanscale/banyanscale/internal/connection/limiter"
 	"github.com/banyanscale/banyanscale/internal/request/forwarder"
 	"github.com/banyanscale/banyanscale/internal/request/server"
 )
@@ -44,14 +45,26 @@
 	servesCallers bool
 }
 
+// clients returns the kind of clients of the listener.
+func (s *ListenerSpec) clients() string {
+	if s.ServesCallers {
+		return callerClients
+	}
+	return localClients
+}
+
 // bindPlatformListeners binds the listeners of the platform.
-func (n *Node) bindPlatformListeners(ctx context.Context) ([]platformListener, error) {
+func (n *Node) bindPlatformListeners(ctx context.Context, clients *clientLimits) ([]platformListener, error) {
 	if n.dialect.Listeners == nil {
 		return nil, nil
 	}
 	var listeners []platformListener
 	for _, spec := range n.dialect.Listeners(n) {
-		l, err := listen(ctx, spec.Address, spec.Handler)
+		limits := limiter.DefaultLimits
+		if spec.ServesCallers {
+			limits = n.headLimits
+		}
+		l, err := listen(ctx, spec.Address, spec.Handler, clients.limiter(spec.clients(), limits))
 		if err != nil {
 			return nil, fmt.Errorf("bind the platform's address %s: %w", spec.Address, err)
 		}
--- a/internal/process/launcher/draining_listener_test.go
+++ b/internal/process/launcher/draining_listener_test.go
@@ -42,7 +42,7 @@
 func TestStopAnswersConnectionsInBacklog(t *testing.T) {
 	l, err := listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNoContent)
-	}))
+	}), testLimiter())
 	assert.NilError(t, err)
 	address := l.socket.Addr().String()
 	gate := make(chan struct{})
--- a/internal/process/launcher/launcher.go
+++ b/internal/process/launcher/launcher.go
@@ -22,10 +22,13 @@
 	"github.com/pkg/errors"
 	"goji.io"
 	"goji.io/pat"
+
+	"github.com/banyanscale/banyanscale/internal/connection/limiter"
 )
 
 const (
-	// headerTimeout bounds the time in which the head of a request must arrive.
+	// headerTimeout bounds the time in which the head of a request must arrive on a new
+	// connection.
 	headerTimeout = 10 * time.Second
 	// serverIdleTimeout is how long an idle connection of a caller or another node stays
 	// open. It exceeds the requester's idle timeout, so that the side that sends requests
@@ -64,19 +67,18 @@
 	server  *http.Server
 	socket  net.Listener
 	backlog *drainingListener // Inside socket.
-	states  connectionStates
+	clients *limiter.Limiter
 }
 
-func listen(ctx context.Context, addr netip.AddrPort, h http.Handler) (*listener, error) {
+// listen binds an address for clients within the given limits.
+func listen(ctx context.Context, addr netip.AddrPort, h http.Handler, clients *limiter.Limiter) (*listener, error) {
 	socket, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: serverIdleTimeout}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: serverIdleTimeout, ConnState: clients.Observe}
 	backlog := newDrainingListener(socket.(*net.TCPListener))
-	l := &listener{server: srv, socket: backlog, backlog: backlog}
-	srv.ConnState = l.states.record
-	return l, nil
+	return &listener{server: srv, socket: clients.Listen(backlog), backlog: backlog, clients: clients}, nil
 }
 
 // serve handles requests until the listener is closed.
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -15,6 +15,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/banyanscale/banyanscale/internal/accounting/accountant"
+	"github.com/banyanscale/banyanscale/internal/connection/limiter"
 	"github.com/banyanscale/banyanscale/internal/connection/pacer"
 	"github.com/banyanscale/banyanscale/internal/connection/requester"
 	"github.com/banyanscale/banyanscale/internal/fleet/departurekeeper"
@@ -146,15 +147,16 @@
 
 // Run serves requests until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	peerListener, err := listen(ctx, n.settings.PeerAddress(), n.peerHandler())
+	clients := newClientLimits(n.settings.MemoryMB(), n.metrics.Scope())
+	peerListener, err := listen(ctx, n.settings.PeerAddress(), n.peerHandler(), clients.limiter(peerClients, limiter.DefaultLimits))
 	if err != nil {
 		return fmt.Errorf("bind the peer address: %w", err)
 	}
-	httpListener, err := listen(ctx, n.settings.HTTPAddress(), http.HandlerFunc(n.serveRequest))
+	httpListener, err := listen(ctx, n.settings.HTTPAddress(), http.HandlerFunc(n.serveRequest), clients.limiter(requestClients, n.hopHeadLimits))
 	if err != nil {
 		return fmt.Errorf("bind the HTTP address: %w", err)
 	}
-	platformListeners, err := n.bindPlatformListeners(ctx)
+	platformListeners, err := n.bindPlatformListeners(ctx, clients)
 	if err != nil {
 		return err
 	}
--- a/internal/process/launcher/path_bench_test.go
+++ b/internal/process/launcher/path_bench_test.go
@@ -93,7 +93,7 @@
 // serveNode serves requests at the node's HTTP address until the test ends.
 func serveNode(tb testing.TB, n *Node) {
 	tb.Helper()
-	l, err := listen(context.Background(), n.settings.HTTPAddress(), http.HandlerFunc(n.serveRequest))
+	l, err := listen(context.Background(), n.settings.HTTPAddress(), http.HandlerFunc(n.serveRequest), testLimiter())
 	assert.NilError(tb, err)
 	go func() { _ = l.serve() }()
 	tb.Cleanup(func() { assert.Check(tb, l.server.Close()) })
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -15,7 +15,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -127,7 +126,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// If this fails, Close below still ends the connection.
 		_ = tcp.SetLinger(0)
 	}
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -19,6 +19,11 @@
 	// ReasonBodyTooLarge means that the body of the request exceeds the configured
 	// limit.
 	ReasonBodyTooLarge Reason = "body-too-large"
+	// ReasonHeadTooLarge means that the head of the request exceeds the limits.
+	ReasonHeadTooLarge Reason = "head-too-large"
+	// ReasonCrowded means that clients have sent more header lines at the same time than the
+	// process has memory for.
+	ReasonCrowded Reason = "crowded"
 	// ReasonDepth means that the request passed through too many services.
 	ReasonDepth Reason = "depth-exceeded"
 	// ReasonUnknownKey means that no organisation has the API key of the request.
