fix: connections of clients are bounded, and silent ones give way

Cause: nothing bounded the connections of a process, neither by its descriptors, of which it needs some itself, nor by what a connection costs in memory.

Why this works: clients have half of the descriptors (max-descriptors, from the platform's MaxFds, else what the system allows) and a quarter of the memory at 32 KiB a connection, and each listener has a share of its own, so that a crowd on one address takes nothing from readiness, peers or dials. At the maximum a new connection takes the place of the one that has sent no complete head for longest, else of an idle one, else of one whose body has been awaited for over a second, last of an idle one of another node. A connection whose request is complete keeps its place.

Evidence: TestCrowdLeavesDescriptors, 350 descriptors and 400 clients that send nothing, a head or a body slowly, requests, or as a peer does, on each address.

--- a/internal/connection/limiter/budget.go
+++ b/internal/connection/limiter/budget.go
@@ -3,25 +3,50 @@
 import "sync"
 
 const (
-	// allowanceBytes is the part of the memory of a connection that is for ordinary heads, in bytes.
+	// connectionBytes is what a connection costs in memory, with an ordinary head and what its
+	// server keeps for it, in bytes.
+	connectionBytes = 32 << 10
+	// allowanceBytes is the part of it that is for the head.
 	allowanceBytes = 16 << 10
 	// headByteCost and headLineCost are what each byte and each line of a head cost while its
 	// request is served: parsed, copied for other requests, and not yet collected.
 	headByteCost = 8
 	headLineCost = 512
-	// headsDivisor is the inverse of the part of the memory for heads beyond their allowance.
-	headsDivisor = 8
+	// connectionsDivisor and headsDivisor are the inverse of the parts of the memory for
+	// connections and for heads beyond their allowance.
+	connectionsDivisor = 4
+	headsDivisor       = 8
+	// clientDivisor is the inverse of the part of the descriptors for clients. The rest is for
+	// what the process opens itself, such as a connection for each request that it passes on.
+	clientDivisor = 2
 	// defaultMemoryBytes is the memory of a process whose settings do not say.
 	defaultMemoryBytes = 512 << 20
+	// minConnections is the least number of connections of a listener.
+	minConnections = 8
 )
 
-// HeadBytes returns the size of the pool for heads of a process with the given memory in bytes, 0 if
-// that is not known.
-func HeadBytes(memoryBytes int) int {
+// Budget is the part of the memory and of the descriptors of a process that is for its clients.
+type Budget struct {
+	connections int
+	heads       *Pool
+}
+
+// NewBudget returns the budget of a process with the given memory in bytes, 0 if that is not known,
+// and descriptors.
+func NewBudget(memoryBytes, descriptors int) *Budget {
 	if memoryBytes == 0 {
 		memoryBytes = defaultMemoryBytes
 	}
-	return memoryBytes / headsDivisor
+	connections := min(memoryBytes/connectionsDivisor/connectionBytes, descriptors/clientDivisor)
+	return &Budget{connections: connections, heads: NewPool(memoryBytes / headsDivisor)}
+}
+
+// Heads returns the pool for heads beyond the allowance of their connections.
+func (b *Budget) Heads() *Pool { return b.heads }
+
+// Connections returns the number of connections of a listener with the given part of the total weight.
+func (b *Budget) Connections(weight, total int) int {
+	return max(b.connections*weight/total, minConnections)
 }
 
 // headCost returns what part of a head costs in memory, in bytes.
--- a/internal/connection/limiter/conn.go
+++ b/internal/connection/limiter/conn.go
@@ -19,8 +19,12 @@
 // exceeds the limits.
 type Conn struct {
 	*net.TCPConn
-	limiter  *Limiter
-	state    atomic.Int32 // A state.
+	limiter *Limiter
+	state   atomic.Int32 // A state.
+	since   atomic.Int64 // When the state began, in nanoseconds since processStart.
+	// reading reports whether a read is blocked while the connection is active: the body of the
+	// request is awaited.
+	reading  atomic.Bool
 	hijacked atomic.Bool
 	close    sync.Once
 
@@ -36,7 +40,9 @@
 }
 
 func newConn(conn *net.TCPConn, l *Limiter) *Conn {
-	return &Conn{TCPConn: conn, limiter: l}
+	c := &Conn{TCPConn: conn, limiter: l}
+	c.enter(pending)
+	return c
 }
 
 // Read implements net.Conn.
@@ -77,7 +83,14 @@
 
 // readActive reads the body of a request, or awaits the end of the connection.
 func (c *Conn) readActive(p []byte) (int, error) {
+	awaitsBody := len(p) > 1
+	if awaitsBody {
+		c.reading.Store(true)
+	}
 	n, err := c.TCPConn.Read(p)
+	if awaitsBody {
+		c.reading.Store(false)
+	}
 	if n > 1 && len(p) <= readBufferBytes {
 		c.countHead(p[:n])
 		if tail := int(c.tail.Load()); tail > 0 && !c.hold(tail) {
@@ -125,14 +138,28 @@
 
 // SetActive records that the head of a request was read.
 func (c *Conn) SetActive() {
-	c.state.Store(int32(active))
+	c.enter(active)
 }
 
 // SetIdle records that a response was written, and that the next head is awaited.
 func (c *Conn) SetIdle() {
 	c.headBytes, c.headLines, c.headEnd = 0, 0, time.Time{}
 	c.release(int(c.tail.Load()))
-	c.state.Store(int32(idle))
+	c.enter(idle)
+}
+
+// enter records the state, unless the connection has lost its place.
+func (c *Conn) enter(s state) {
+	for {
+		old := c.state.Load()
+		if state(old) == displaced {
+			return
+		}
+		if c.state.CompareAndSwap(old, int32(s)) {
+			c.since.Store(int64(time.Since(processStart)))
+			return
+		}
+	}
 }
 
 // Close implements net.Conn.
--- a/internal/connection/limiter/limiter.go
+++ b/internal/connection/limiter/limiter.go
@@ -1,12 +1,14 @@
-// Package limiter bounds what the heads of requests take of the memory of a process, however its
-// clients behave: the head of each request, and all heads together.
+// Package limiter bounds what the clients of a process take of its memory and of its descriptors,
+// however they behave. It limits the head of each request, all heads together, and the
+// connections of each listener.
 //
 // # Usage
 //
-//	heads := limiter.NewPool(limiter.HeadBytes(memoryBytes))
+//	budget := limiter.NewBudget(memoryBytes, descriptors)
 //	l := limiter.New(limiter.Config{
-//		Heads:  heads,
-//		Limits: func() limiter.Limits { return limiter.DefaultLimits() },
+//		Heads:       budget.Heads(),
+//		Connections: budget.Connections(weight, totalWeight),
+//		Limits:      func() limiter.Limits { return limiter.DefaultLimits() },
 //	})
 //	srv := &http.Server{Handler: h, ConnState: l.Observe}
 //	err := srv.Serve(l.Listen(socket))
@@ -14,6 +16,10 @@
 // What a head costs once it is parsed depends on its lines more than on its bytes. Each
 // connection has an allowance for ordinary heads. What a head costs beyond that comes from a
 // pool that all listeners share; a head for which too little is left is refused.
+//
+// If a listener has its maximum of connections, a new one takes the place of another: of one that
+// has sent no complete head, else of an idle one, else of one whose request body has been awaited
+// for long. A connection whose request is complete keeps its place.
 package limiter
 
 import (
@@ -30,6 +36,8 @@
 type Config struct {
 	// Heads is the pool for heads beyond the allowance of their connections.
 	Heads *Pool
+	// Connections is the maximum number of connections.
+	Connections int
 	// Limits returns the limits of a head that apply now. It is called for heads that do not
 	// arrive at once.
 	Limits func() Limits
@@ -37,19 +45,21 @@
 	Scope tally.Scope
 }
 
-// Limiter bounds the heads of one listener. It is safe for concurrent use.
+// Limiter bounds the connections of one listener. It is safe for concurrent use.
 type Limiter struct {
 	cfg      Config
 	roster   *roster
 	refusals *counter.Counter
+	rejected tally.Counter
 }
 
 // New returns a limiter without connections.
 func New(cfg Config) *Limiter {
 	return &Limiter{
 		cfg:      cfg,
-		roster:   newRoster(),
+		roster:   newRoster(cfg.Connections, cfg.Scope),
 		refusals: counter.New(cfg.Scope, "heads_refused"),
+		rejected: cfg.Scope.Counter("connections_rejected"),
 	}
 }
 
@@ -88,17 +98,21 @@
 	limiter *Limiter
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which there is no place is closed.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err // Not wrapped: http.Server inspects its type.
-	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return conn, nil
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err // Not wrapped: http.Server inspects its type.
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if c := newConn(tcp, l.limiter); l.limiter.roster.admit(c) {
+			return c, nil
+		}
+		l.limiter.rejected.Inc(1)
+		conn.Close()
 	}
-	c := newConn(tcp, l.limiter)
-	l.limiter.roster.add(c)
-	return c, nil
 }
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -24,14 +24,15 @@
 
 // Keys that both kinds of settings have.
 const (
-	keyFailureDomain = "failure-domain"
-	keyInstance      = "instance"
-	keyLogLevel      = "log-level"
-	keyMemoryMB      = "memory-mb"
-	keyPeerAddress   = "peer-address"
-	keyRegion        = "region"
-	keySeeds         = "seeds"
-	keySite          = "site"
+	keyFailureDomain  = "failure-domain"
+	keyInstance       = "instance"
+	keyLogLevel       = "log-level"
+	keyMaxDescriptors = "max-descriptors"
+	keyMemoryMB       = "memory-mb"
+	keyPeerAddress    = "peer-address"
+	keyRegion         = "region"
+	keySeeds          = "seeds"
+	keySite           = "site"
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
--- a/internal/process/configurer/control.go
+++ b/internal/process/configurer/control.go
@@ -34,7 +34,7 @@
 	toleratedLosses                       int
 	quotaWindow                           time.Duration
 	quotaOverage, quotaSlack              float64
-	memoryMB                              int
+	memoryMB, maxDescriptors              int
 	logLevel                              zerolog.Level
 }
 
@@ -67,6 +67,7 @@
 		quotaOverage:    parser.Optional(r, "quota-overage", defaultQuotaOverage, numberUpTo(maxQuotaOverage)),
 		quotaSlack:      parser.Optional(r, "quota-slack", defaultQuotaSlack, numberUpTo(maxQuotaSlack)),
 		memoryMB:        parser.Optional(r, keyMemoryMB, 0, intUpTo(maxMemoryMB)),
+		maxDescriptors:  parser.Optional(r, keyMaxDescriptors, 0, intUpTo(maxDescriptorsLimit)),
 		logLevel:        parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
 	if len(c.voters) == 0 && len(c.seeds) == 0 {
@@ -118,6 +119,9 @@
 // MemoryMB returns the memory that the instance may use in MB, or 0 if it is not set.
 func (c *Control) MemoryMB() int { return c.memoryMB }
 
+// MaxDescriptors returns how many descriptors the instance may open, or 0 if it is not set.
+func (c *Control) MaxDescriptors() int { return c.maxDescriptors }
+
 // LogLevel returns the lowest level that is logged.
 func (c *Control) LogLevel() zerolog.Level { return c.logLevel }
 
--- a/internal/process/configurer/node.go
+++ b/internal/process/configurer/node.go
@@ -38,6 +38,9 @@
 // maxMemoryMB bounds the memory that a process may use, in MB.
 const maxMemoryMB = 1 << 20
 
+// maxDescriptorsLimit bounds the descriptors that a process may open.
+const maxDescriptorsLimit = 1 << 30
+
 // maxLinkMegabits bounds the bandwidth of an instance's link, in Mbit/s.
 const maxLinkMegabits = 1_000_000
 
@@ -57,7 +60,7 @@
 	stopGrace                                 time.Duration
 	retryAllowance                            int
 	linkMegabits                              float64
-	memoryMB                                  int
+	memoryMB, maxDescriptors                  int
 	logLevel                                  zerolog.Level
 }
 
@@ -95,6 +98,7 @@
 		retryAllowance:     parser.Optional(r, "retry-allowance", 0, parseRetryAllowance),
 		linkMegabits:       parser.Optional(r, "link-mbps", 0, parseLinkMegabits),
 		memoryMB:           parser.Optional(r, keyMemoryMB, 0, intUpTo(maxMemoryMB)),
+		maxDescriptors:     parser.Optional(r, keyMaxDescriptors, 0, intUpTo(maxDescriptorsLimit)),
 		upstreamHeartbeats: parser.Optional(r, "upstream-heartbeats", false, parser.YesNo),
 		logLevel:           parser.Optional(r, keyLogLevel, zerolog.InfoLevel, parseLogLevel),
 	}
@@ -208,6 +212,9 @@
 // MemoryMB returns the memory that the node may use in MB, or 0 if it is not set.
 func (n *Node) MemoryMB() int { return n.memoryMB }
 
+// MaxDescriptors returns how many descriptors the node may open, or 0 if it is not set.
+func (n *Node) MaxDescriptors() int { return n.maxDescriptors }
+
 // RetryAllowance returns how many retries of a service all nodes together may make at once
 // in addition to their share of fresh requests, or 0 to use each node's default.
 func (n *Node) RetryAllowance() int { return n.retryAllowance }
--- a/internal/process/launcher/client_limits.go
+++ b/internal/process/launcher/client_limits.go
@@ -1,21 +1,31 @@
 package launcher
 
 import (
+	"math"
+	"syscall"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/banyanscale/banyanscale/internal/connection/limiter"
 )
 
-// Kinds of clients, which have a listener each.
-const (
+// clientKind is a kind of clients, which have a listener.
+type clientKind struct {
+	name string
+	// weight is the share of the listener in the connections of the process.
+	weight int
+}
+
+// Kinds of clients. A crowd of one kind takes nothing from the others.
+var (
 	// callerClients send requests to callers' addresses of a platform.
-	callerClients = "callers"
+	callerClients = clientKind{"callers", 4}
 	// requestClients are callers, and nodes that pass on requests of callers.
-	requestClients = "requests"
+	requestClients = clientKind{"requests", 4}
 	// peerClients are other processes, and operators.
-	peerClients = "peers"
+	peerClients = clientKind{"peers", 2}
 	// localClients are what stands beside the process, such as its upstream.
-	localClients = "local"
+	localClients = clientKind{"local", 1}
 )
 
 const (
@@ -25,27 +35,55 @@
 	hopHeadLines = 64
 )
 
-// clientLimits bounds what the clients of a process take of its memory.
+// clientLimits bounds what the clients of a process take of its memory and descriptors.
 type clientLimits struct {
-	heads *limiter.Pool
-	scope tally.Scope
+	budget *limiter.Budget
+	total  int // The sum of the weights of all listeners.
+	scope  tally.Scope
 }
 
-// newClientLimits returns the limits of a process that may use the given memory in MB, 0 if that is
-// not set.
-func newClientLimits(memoryMB int, scope tally.Scope) *clientLimits {
-	return &clientLimits{heads: limiter.NewPool(limiter.HeadBytes(memoryMB << 20)), scope: scope.SubScope("limiter")}
+// newClientLimits returns the limits of a process that may use the given memory in MB and
+// descriptors, each 0 if that is not set, and that has a listener for each of the given kinds.
+func newClientLimits(memoryMB, maxDescriptors int, scope tally.Scope, kinds ...clientKind) *clientLimits {
+	c := &clientLimits{budget: limiter.NewBudget(memoryMB<<20, descriptors(maxDescriptors)), scope: scope.SubScope("limiter")}
+	for _, k := range kinds {
+		c.total += k.weight
+	}
+	return c
 }
 
 // limiter returns the limiter of one listener.
-func (c *clientLimits) limiter(kind string, limits func() limiter.Limits) *limiter.Limiter {
+func (c *clientLimits) limiter(kind clientKind, limits func() limiter.Limits) *limiter.Limiter {
 	return limiter.New(limiter.Config{
-		Heads:  c.heads,
-		Limits: limits,
-		Scope:  c.scope.Tagged(map[string]string{"clients": kind}),
+		Heads:       c.budget.Heads(),
+		Connections: c.budget.Connections(kind.weight, c.total),
+		Limits:      limits,
+		Scope:       c.scope.Tagged(map[string]string{"clients": kind.name}),
 	})
 }
 
+// descriptors returns how many descriptors the process may open: what is set, or what the operating
+// system allows.
+func descriptors(set int) int {
+	if set > 0 {
+		return set
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
+// clientKinds returns the kinds of clients of the node's listeners.
+func (n *Node) clientKinds(platform []ListenerSpec) []clientKind {
+	kinds := []clientKind{requestClients, peerClients}
+	for _, spec := range platform {
+		kinds = append(kinds, spec.clients())
+	}
+	return kinds
+}
+
 // headLimits returns the limits of the head of a caller's request.
 func (n *Node) headLimits() limiter.Limits {
 	limits := limiter.DefaultLimits()
--- a/internal/process/launcher/dialect.go
+++ b/internal/process/launcher/dialect.go
@@ -45,8 +45,16 @@
 	servesCallers bool
 }
 
+// platformListenerSpecs returns what listeners the platform needs.
+func (n *Node) platformListenerSpecs() []ListenerSpec {
+	if n.dialect.Listeners == nil {
+		return nil
+	}
+	return n.dialect.Listeners(n)
+}
+
 // clients returns the kind of clients of the listener.
-func (s *ListenerSpec) clients() string {
+func (s *ListenerSpec) clients() clientKind {
 	if s.ServesCallers {
 		return callerClients
 	}
@@ -54,12 +62,9 @@
 }
 
 // bindPlatformListeners binds the listeners of the platform.
-func (n *Node) bindPlatformListeners(ctx context.Context, clients *clientLimits) ([]platformListener, error) {
-	if n.dialect.Listeners == nil {
-		return nil, nil
-	}
+func (n *Node) bindPlatformListeners(ctx context.Context, specs []ListenerSpec, clients *clientLimits) ([]platformListener, error) {
 	var listeners []platformListener
-	for _, spec := range n.dialect.Listeners(n) {
+	for _, spec := range specs {
 		limits := limiter.DefaultLimits
 		if spec.ServesCallers {
 			limits = n.headLimits
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -147,7 +147,8 @@
 
 // Run serves requests until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	clients := newClientLimits(n.settings.MemoryMB(), n.metrics.Scope())
+	platformSpecs := n.platformListenerSpecs()
+	clients := newClientLimits(n.settings.MemoryMB(), n.settings.MaxDescriptors(), n.metrics.Scope(), n.clientKinds(platformSpecs)...)
 	peerListener, err := listen(ctx, n.settings.PeerAddress(), n.peerHandler(), clients.limiter(peerClients, limiter.DefaultLimits))
 	if err != nil {
 		return fmt.Errorf("bind the peer address: %w", err)
@@ -156,7 +157,7 @@
 	if err != nil {
 		return fmt.Errorf("bind the HTTP address: %w", err)
 	}
-	platformListeners, err := n.bindPlatformListeners(ctx, clients)
+	platformListeners, err := n.bindPlatformListeners(ctx, platformSpecs, clients)
 	if err != nil {
 		return err
 	}
