fix: a refusal of an unread request says nothing of its idempotency key

What callers could see: a request with an idempotency key whose first run was lost is sent again while a crowd presses, and the refusal of its unread head says "not-run", though the first one may have run. Found by reading, before any landing.

Cause: "not-run" of a request with a key speaks for all requests with that key. A head that was not read to its end may have a key.

Why this works: the outcome of such a refusal is "unknown"; the status still says that this request never runs. A node that gets it for a request that it passed on knows that the attempt has not run, and says "unknown" only if it sent the request on for its key.

Evidence: TestResentKeyOutcomeIsUnknownBeforeLookup/home_instance_reads_no_heads failed without the change of the keyed path.

--- a/internal/connection/limiter/refusal.go
+++ b/internal/connection/limiter/refusal.go
@@ -26,7 +26,8 @@
 }
 
 // refusal returns the response to a request whose head was not read to its end, and that never runs.
+// Its outcome is unknown, since the request may have an idempotency key with which an earlier one ran.
 func refusal(status int, reason classifier.Reason, fields string) []byte {
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n",
-		status, http.StatusText(status), classifier.HeaderOutcome, classifier.NotRun, classifier.HeaderReason, reason, fields)
+		status, http.StatusText(status), classifier.HeaderOutcome, classifier.Unknown, classifier.HeaderReason, reason, fields)
 }
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -70,6 +70,9 @@
 		if a.refusal = refuser.FromResponse(resp); a.refusal != nil {
 			discard(resp)
 			a.resp = nil
+			if a.refusal.Reason().Unread() {
+				a.refusal = withUnknownOutcome(a.refusal)
+			}
 		}
 	}
 	a.end = time.Now()
--- a/internal/request/forwarder/keyed_outcome_test.go
+++ b/internal/request/forwarder/keyed_outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -46,4 +47,29 @@
 			assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
 		})
 	})
+	t.Run("home instance reads no heads", func(t *testing.T) {
+		f := newFleet()
+		runKeyedFleet(t, f, func(t *testing.T) {
+			const homeAddress = "192.0.2.8:80"
+			other := f.startOtherEntry()
+			f.listen(homeAddress, http.HandlerFunc(refuseUnread))
+			home := registrar.NewInstance(registrar.Spec{
+				ID: "vitrina-1", State: registrar.StateReady, Service: "almacen", HTTP: netip.MustParseAddrPort(homeAddress),
+			})
+			f.publisher.SetView(registrar.NewView([]*registrar.Instance{home}))
+			resp, _, err := f.callAt(t.Context(), other, keyedRequest(""))
+			assertRefused(t, resp, err, classifier.Unknown, classifier.ReasonCrowded)
+			req := keyedRequest("")
+			req.Header.Del(classifier.HeaderIdempotencyKey)
+			resp, _, err = f.callAt(t.Context(), other, req)
+			assertRefused(t, resp, err, classifier.NotRun, classifier.ReasonCrowded)
+		})
+	})
+}
+
+// refuseUnread refuses a request as a node does that has not read its head.
+func refuseUnread(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(classifier.HeaderOutcome, classifier.Unknown.String())
+	w.Header().Set(classifier.HeaderReason, string(classifier.ReasonCrowded))
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/request/refuser/refusal.go
+++ b/internal/request/refuser/refusal.go
@@ -64,15 +64,20 @@
 }
 
 // FromResponse returns the refusal that another node sent as resp, or nil if resp
-// is from an upstream.
+// is from an upstream. A request that the other node has not read has not run, whatever
+// became of an earlier one with its idempotency key.
 func FromResponse(resp *http.Response) *Refusal {
 	reason := resp.Header.Get(classifier.HeaderReason)
 	if reason == "" {
 		return nil
 	}
 	verdict := classifier.FromResponse(resp, nil)
+	outcome := verdict.Outcome()
+	if verdict.Reason().Unread() {
+		outcome = classifier.NotRun
+	}
 	return &Refusal{
-		outcome:    verdict.Outcome(),
+		outcome:    outcome,
 		reason:     classifier.Reason(reason),
 		retryAfter: verdict.RetryAfter(),
 		retried:    resp.Header.Get(classifier.HeaderRetried) == "1",
@@ -168,6 +173,8 @@
 		return http.StatusUnauthorized
 	case classifier.ReasonQuota:
 		return http.StatusTooManyRequests
+	case classifier.ReasonHeadTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case classifier.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case classifier.ReasonDepth:
--- a/pkg/classifier/reason.go
+++ b/pkg/classifier/reason.go
@@ -116,6 +116,11 @@
 	ReasonWrongInstance Reason = "wrong-instance"
 )
 
+// Unread reports whether the refusing process has not read the head of the request to its end. The
+// request has not run then, but the process does not know whether an earlier one with its
+// idempotency key has.
+func (r Reason) Unread() bool { return r == ReasonHeadTooLarge || r == ReasonCrowded }
+
 // LackOfRoom reports whether a free slot at the instance would have prevented the refusal.
 func (r Reason) LackOfRoom() bool {
 	switch r {
