fix: connections that are being closed give way to new ones

What callers saw: 200 clients that send bodies of 7 MB to the readiness address, which reads none, and ordinary requests there were reset 12 times in a row.

Cause: after the last response on a connection with unread bytes the server ends what it sends and waits half a second before it closes. That connection counted as one with a request in progress and kept its place, so that all 85 places of the address were taken.

Why this works: the server's call that ends what it sends marks the connection; such connections are the first to give way.

--- a/internal/connection/limiter/conn.go
+++ b/internal/connection/limiter/conn.go
@@ -162,6 +162,12 @@
 	}
 }
 
+// CloseWrite ends what is sent. The server calls it after the last response.
+func (c *Conn) CloseWrite() error {
+	c.enter(closing)
+	return c.TCPConn.CloseWrite()
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.close.Do(func() {
--- a/internal/connection/limiter/limiter_test.go
+++ b/internal/connection/limiter/limiter_test.go
@@ -186,10 +186,13 @@
 		"idle":          start + "\r\n",
 		"part of body":  "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx",
 		"after another": start + "\r\n" + start,
+		"unread body":   "POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nx",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(t, testLimits(), func(_ http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
+				if r.URL.Path != "/unread" {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
 			})
 			for range testRoom {
 				s.dial(t, text)
--- a/internal/connection/limiter/roster.go
+++ b/internal/connection/limiter/roster.go
@@ -19,6 +19,8 @@
 	active
 	// idle connections have had a response, and have sent nothing since.
 	idle
+	// closing connections have had their last response, and wait for the client to read it.
+	closing
 	// displaced connections have lost their place to others.
 	displaced
 	states
@@ -124,7 +126,8 @@
 type rank int
 
 const (
-	sentNoHead rank = iota
+	isClosing rank = iota
+	sentNoHead
 	isIdle
 	sendsNoBody
 	// isIdleOfPeer is an idle connection that was taken over, by which a request may arrive at
@@ -152,6 +155,8 @@
 // rankOf decides which connections lose their places first. The time is that in the state.
 func rankOf(s state, since time.Duration, reading, hijacked bool) rank {
 	switch {
+	case s == closing:
+		return isClosing
 	case s == pending:
 		return sentNoHead
 	case s == idle && hijacked:
--- a/internal/connection/limiter/roster_test.go
+++ b/internal/connection/limiter/roster_test.go
@@ -22,6 +22,7 @@
 		"request is complete":   {active, long, false, false, keeps},
 		"body is awaited":       {active, short, true, false, keeps},
 		"body is awaited long":  {active, long, true, false, sendsNoBody},
+		"response is written":   {closing, short, false, false, isClosing},
 		"has lost its place":    {displaced, long, false, false, keeps},
 		"body of peer is short": {active, short, true, true, keeps},
 	} {
