--- a/internal/connection/limiter/budget.go
+++ b/internal/connection/limiter/budget.go
@@ -12,10 +12,11 @@
 	// request is served: parsed, copied for other requests, and not yet collected.
 	headByteCost = 8
 	headLineCost = 512
-	// connectionsDivisor and headsDivisor are the inverse of the parts of the memory for
-	// connections and for heads beyond their allowance.
+	// connectionsDivisor, headsDivisor and bodiesDivisor are the inverse of the parts of the memory
+	// for connections, for heads beyond their allowance, and for bodies that are read whole.
 	connectionsDivisor = 4
 	headsDivisor       = 8
+	bodiesDivisor      = 8
 	// clientDivisor is the inverse of the part of the descriptors for clients. The rest is for
 	// what the process opens itself, such as a connection for each request that it passes on.
 	clientDivisor = 2
@@ -29,6 +30,7 @@
 type Budget struct {
 	connections int
 	heads       *Pool
+	bodies      *Bodies
 }
 
 // NewBudget returns the budget of a process with the given memory in bytes, 0 if that is not known,
@@ -38,12 +40,19 @@
 		memoryBytes = defaultMemoryBytes
 	}
 	connections := min(memoryBytes/connectionsDivisor/connectionBytes, descriptors/clientDivisor)
-	return &Budget{connections: connections, heads: NewPool(memoryBytes / headsDivisor)}
+	return &Budget{
+		connections: connections,
+		heads:       NewPool(memoryBytes / headsDivisor),
+		bodies:      NewBodies(NewPool(memoryBytes / bodiesDivisor)),
+	}
 }
 
 // Heads returns the pool for heads beyond the allowance of their connections.
 func (b *Budget) Heads() *Pool { return b.heads }
 
+// Bodies returns the bound for bodies that are read whole.
+func (b *Budget) Bodies() *Bodies { return b.bodies }
+
 // Connections returns the number of connections of a listener with the given part of the total weight.
 func (b *Budget) Connections(weight, total int) int {
 	return max(b.connections*weight/total, minConnections)
--- a/internal/connection/limiter/limiter.go
+++ b/internal/connection/limiter/limiter.go
@@ -17,8 +17,10 @@
 // connection has an allowance for ordinary heads. What a head costs beyond that comes from a
 // pool that all listeners share; a head for which too little is left is refused.
 //
+// Handlers that read whole bodies are wrapped by Bodies.Handler, which bounds those together.
+//
 // If a listener has its maximum of connections, a new one takes the place of another: of one that
-// has sent no complete head, else of an idle one, else of one whose request body has been awaited
+// is being closed or has sent no complete head, else of an idle one, else of one whose request body has been awaited
 // for long. A connection whose request is complete keeps its place.
 package limiter
 
--- a/internal/process/launcher/client_limits.go
+++ b/internal/process/launcher/client_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"syscall"
 
 	"github.com/uber-go/tally/v4"
@@ -62,6 +63,9 @@
 	})
 }
 
+// boundBodies returns a handler that bounds the bodies that h reads whole.
+func (c *clientLimits) boundBodies(h http.Handler) http.Handler { return c.budget.Bodies().Handler(h) }
+
 // descriptors returns how many descriptors the process may open: what is set, or what the operating
 // system allows.
 func descriptors(set int) int {
--- a/internal/process/launcher/control.go
+++ b/internal/process/launcher/control.go
@@ -164,7 +164,7 @@
 // Run serves until ctx ends, then stops the parts and unlocks the data folder.
 func (c *Control) Run(ctx context.Context) error {
 	clients := newClientLimits(c.settings.MemoryMB(), c.settings.MaxDescriptors(), c.metrics.Scope(), peerClients)
-	peerListener, err := listen(ctx, c.settings.PeerAddress(), c.peerHandler(), clients.limiter(peerClients, limiter.DefaultLimits))
+	peerListener, err := listen(ctx, c.settings.PeerAddress(), clients.boundBodies(c.peerHandler()), clients.limiter(peerClients, limiter.DefaultLimits))
 	if err != nil {
 		_ = c.store.Close() // Only the first error is reported.
 		return fmt.Errorf("bind the peer address: %w", err)
--- a/internal/process/launcher/node.go
+++ b/internal/process/launcher/node.go
@@ -149,7 +149,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	platformSpecs := n.platformListenerSpecs()
 	clients := newClientLimits(n.settings.MemoryMB(), n.settings.MaxDescriptors(), n.metrics.Scope(), n.clientKinds(platformSpecs)...)
-	peerListener, err := listen(ctx, n.settings.PeerAddress(), n.peerHandler(), clients.limiter(peerClients, limiter.DefaultLimits))
+	peerListener, err := listen(ctx, n.settings.PeerAddress(), clients.boundBodies(n.peerHandler()), clients.limiter(peerClients, limiter.DefaultLimits))
 	if err != nil {
 		return fmt.Errorf("bind the peer address: %w", err)
 	}
