fix: a head on a kept connection counts from its first bytes

What callers could see: while a crowd presses, a request whose head takes two reads on a connection that was idle before loses its place before those of the crowd. Found by reading.

Cause: the order of places went by the time since the connection was idle.

Why this works: the connection is one without a complete head from the first bytes on.

Evidence: TestNextHeadCountsFromItsFirstBytes fails without the change (unexpected EOF).

--- a/internal/connection/limiter/conn.go
+++ b/internal/connection/limiter/conn.go
@@ -73,7 +73,7 @@
 	}
 	if c.headEnd.IsZero() {
 		c.headEnd = time.Now().Add(limits.Timeout)
-		c.state.CompareAndSwap(int32(idle), int32(pending))
+		c.enter(pending)
 	}
 	if err := c.SetReadDeadline(c.headEnd); err != nil {
 		return err // Not wrapped: http.Server inspects its type.
@@ -81,7 +81,7 @@
 	return nil
 }
 
-// readActive reads the body of a request, or awaits the end of the connection.
+// readActive reads the body of a request, or a single byte to learn whether the connection ends.
 func (c *Conn) readActive(p []byte) (int, error) {
 	awaitsBody := len(p) > 1
 	if awaitsBody {
--- a/internal/connection/limiter/limiter.go
+++ b/internal/connection/limiter/limiter.go
@@ -20,8 +20,8 @@
 // Handlers that read whole bodies are wrapped by Bodies.Handler, which bounds those together.
 //
 // If a listener has its maximum of connections, a new one takes the place of another: of one that
-// is being closed or has sent no complete head, else of an idle one, else of one whose request body has been awaited
-// for long. A connection whose request is complete keeps its place.
+// is being closed or has sent no complete head, else of an idle one, else of one whose request body
+// has been awaited for long. A connection whose request is complete keeps its place.
 package limiter
 
 import (
--- a/internal/connection/limiter/limiter_test.go
+++ b/internal/connection/limiter/limiter_test.go
@@ -250,3 +250,25 @@
 	l.Log().EmbedObject(s.limiter).Send()
 	assert.Equal(t, log.String(), "{\"new\":1,\"active\":2,\"idle\":1}\n")
 }
+
+// TestNextHeadCountsFromItsFirstBytes guards against requests on kept connections that lose their place since those were idle for long.
+func TestNextHeadCountsFromItsFirstBytes(t *testing.T) {
+	s := newTestServer(t, testLimits(), respond)
+	conn := s.dial(t, start+"\r\n")
+	assertResponse(t, conn, http.StatusOK, classifier.ReasonNone)
+	for range testRoom - 1 {
+		s.dial(t, start)
+	}
+	for s.limiter.roster.count()[pending] < testRoom-1 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := io.WriteString(conn, start)
+	assert.NilError(t, err)
+	for s.limiter.roster.count()[pending] < testRoom {
+		time.Sleep(time.Millisecond)
+	}
+	assertResponse(t, s.dial(t, start+"\r\n"), http.StatusOK, classifier.ReasonNone)
+	_, err = io.WriteString(conn, "\r\n")
+	assert.NilError(t, err)
+	assertResponse(t, conn, http.StatusOK, classifier.ReasonNone)
+}
