--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -129,10 +129,15 @@
 		MaxHeaderBytes, MaxBodyBytes int
 		HeaderTimeoutS, IdleTimeoutS float64
 	}
+	tenantConfig struct {
+		Name    string
+		ApiKeys []string
+	}
 	config struct {
 		Version      string
 		Services     []serviceConfig
 		Limits       limitsConfig
+		Tenants      []tenantConfig `json:",omitempty"`
 		VirtualHosts []hostConfig
 	}
 )
