--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -113,7 +113,12 @@
 		Name, PathPrefix, Kind string
 		TimeoutS, LatencySloS  float64
 		Priority, MaxAttempts  int
-		Service                string
+		Service                string         `json:",omitempty"`
+		WeightedServices       []weightConfig `json:",omitempty"`
+	}
+	weightConfig struct {
+		Service string
+		Weight  int
 	}
 	hostConfig struct {
 		Host  string
