--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -301,4 +301,9 @@
 	return strings.HasPrefix(string(answer[:n]), "HTTP/1.1 200")
 }
 
+// dial opens a connection to the Outbound address.
+func (m *machine) dial() (net.Conn, error) {
+	return net.DialTimeout("tcp", m.address(portOutbound), time.Second)
+}
+
 var errTimeout = errors.New("took too long")
--- a/review/harness-3/target.go
+++ b/review/harness-3/target.go
@@ -14,7 +14,7 @@
 
 // arrival is a request that a target ran.
 type arrival struct {
-	at                       time.Time
+	reached, at              time.Time // When its head came, and when all of it had.
 	id, method, uri, service string
 	target                   string
 	header                   http.Header
@@ -132,6 +132,7 @@
 }
 
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
+	reached := time.Now()
 	w.Header().Set("Server-Load", t.load())
 	if r.URL.Path == "/health" && r.Header.Get("Request-Id") == "" {
 		w.Header().Set("Instance-Id", t.id)
@@ -153,7 +154,7 @@
 	t.running.Add(1)
 	defer t.running.Add(-1)
 	t.add(arrival{
-		at: time.Now(), id: r.Header.Get("Request-Id"), method: r.Method, uri: r.RequestURI, service: t.service,
+		reached: reached, at: time.Now(), id: r.Header.Get("Request-Id"), method: r.Method, uri: r.RequestURI, service: t.service,
 		target: t.id, header: r.Header.Clone(), body: body,
 	})
 	w.Header().Set("Server-Signature", t.id)
@@ -169,7 +170,7 @@
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, a)
 	t.mu.Unlock()
-	t.fleet.rec.notef("%s of %s runs %s: %s %s", t.id, t.service, a.id, a.method, a.uri)
+	t.fleet.rec.notef("%s of %s runs %s: %s %s, Deadline-Ms %s", t.id, t.service, a.id, a.method, a.uri, a.header.Get("Deadline-Ms"))
 }
 
 // runs returns the requests that all targets ran, by their ids.
