--- a/review/harness-3/target.go
+++ b/review/harness-3/target.go
@@ -41,6 +41,7 @@
 	once     sync.Once
 
 	mu       sync.Mutex
+	heads    []arrival // Requests whose heads came, without their bodies.
 	arrivals []arrival
 }
 
@@ -147,6 +148,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.addHead(arrival{reached: reached, id: r.Header.Get("Request-Id"), target: t.id})
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // The request never came whole, and isn't run.
@@ -166,6 +168,12 @@
 	fmt.Fprintf(w, "answer of %s of %s\n", t.id, t.service)
 }
 
+func (t *target) addHead(a arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heads = append(t.heads, a)
+}
+
 func (t *target) add(a arrival) {
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, a)
